--- /dev/null
+++ b/examples/quickstart.rs
@@ -0,0 +1,180 @@
+//! Starts a whole small fleet in one process and serves a request.
+//!
+//! Stand-ins take the place of the platform and the engines; the router and
+//! the agents are the real ones, on threads. It stays up until it is stopped.
+
+use std::error::Error;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use runrail::host::{run_agent, run_router, HostEvent, Running};
+use runrail::logic::agent::AgentKnobs;
+use runrail::logic::router::{OperatorCall, OperatorReply, RouterKnobs};
+use runrail::platform::PlatformSettings;
+use runrail::settings::{AgentSettings, RouterSettings};
+use runrail::types::BundleBody;
+use testkit::{post, Call, Engine, EngineKnobs, Fabric, ListedInstance, Platform};
+
+/// SHA-256 of the caller's key `desk-key`.
+const KEY_SHA256: &str = "fd501e4e4eabb3b62f313e4d323048dfbddebb4d702c7b63512125b3fa21dd28";
+const FLEET_KEY: &[u8] = b"quickstart-key-of-at-least-32-bytes";
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!("1. stand-ins for the platform and four engines");
+    let platform = Platform::start();
+    let fabric = Fabric::new();
+    let mut listed = Vec::new();
+    let mut agents = Vec::new();
+    println!("2. an agent beside each engine");
+    for i in 1..=4 {
+        let id = format!("brno1-r1-i{i}");
+        let knobs = EngineKnobs {
+            piece: Duration::from_millis(60),
+            ..EngineKnobs::default()
+        };
+        let engine = Engine::start(&id, &fabric, knobs);
+        let agent = start_agent(&id, &engine)?;
+        listed.push(ListedInstance {
+            id,
+            hall: "brno1".into(),
+            domain: "brno1-r1".into(),
+            kind: "engine".into(),
+            state: "live".into(),
+            addr: agent.addresses().peers,
+        });
+        agents.push(agent);
+    }
+    println!("3. a router on an entry instance");
+    let router = start_router(&platform)?;
+    listed.push(ListedInstance {
+        id: "brno1-e1".into(),
+        hall: "brno1".into(),
+        domain: String::new(),
+        kind: "router".into(),
+        state: "live".into(),
+        addr: router.addresses().peers,
+    });
+    platform.set_instances(listed);
+    println!("4. a bundle: submitted by anna, approved by ben, rolled");
+    roll_bundle(&router)?;
+    println!("5. the group forms, its members grant their presence, the engines load");
+    let callers = router.addresses().callers.ok_or("no address for callers")?;
+    let start = Instant::now();
+    let mut answer = post(callers, &call());
+    while !answer.is_answered() {
+        if start.elapsed() > Duration::from_secs(30) {
+            return Err(format!("no answer: {answer:?}").into());
+        }
+        std::thread::sleep(Duration::from_millis(100));
+        answer = post(callers, &call());
+    }
+    println!("6. answered in {} pieces: {}", answer.pieces, answer.text);
+    println!("\nTry it (Ctrl-C stops the fleet):\n");
+    println!(
+        "curl -N http://{callers}/v1/chat/completions -H 'Authorization: Bearer desk-key' \\\n  \
+         -d '{{\"model\":\"desk\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"check this payee\"}}]}}'"
+    );
+    router.wait();
+    Ok(())
+}
+
+fn start_agent(id: &str, engine: &Engine) -> Result<Running, Box<dyn Error>> {
+    let mut settings = AgentSettings {
+        id: id.into(),
+        key: Arc::from(FLEET_KEY),
+        knobs: AgentKnobs {
+            lease_ms: 1_000,
+            margin_ms: 100,
+            ask_ms: 300,
+            ..AgentKnobs::default()
+        },
+        ..AgentSettings::default()
+    };
+    settings.endpoint.addr = engine.addr();
+    Ok(run_agent(settings)?)
+}
+
+fn start_router(platform: &Platform) -> Result<Running, Box<dyn Error>> {
+    Ok(run_router(RouterSettings {
+        id: "brno1-e1".into(),
+        hall: "brno1".into(),
+        key: Arc::from(FLEET_KEY),
+        platform: PlatformSettings {
+            kv: vec![platform.addr()],
+            list: platform.addr(),
+            ..PlatformSettings::default()
+        },
+        knobs: RouterKnobs {
+            list_ms: 200,
+            plan_ms: 100,
+            ..RouterKnobs::default()
+        },
+        ..RouterSettings::default()
+    })?)
+}
+
+fn roll_bundle(router: &Running) -> Result<(), Box<dyn Error>> {
+    let body: BundleBody = serde_json::from_value(serde_json::json!({
+        "title": "quickstart",
+        "models": [{ "name": "desk", "version": "1", "instances": 4, "per_hall": 1 }],
+        "classes": [{ "name": "urgent", "priority": 0 }],
+        "accounts": [{ "name": "desk", "key_sha256": KEY_SHA256, "classes": ["urgent"] }],
+    }))?;
+    let submit = || OperatorCall::Submit {
+        by: "anna".into(),
+        body: Box::new(body.clone()),
+    };
+    let start = Instant::now();
+    let number = loop {
+        // The router may not have read the platform's service yet.
+        match operate(router, submit())? {
+            OperatorReply::Submitted(number) => break number,
+            other if start.elapsed() > Duration::from_secs(10) => {
+                return Err(format!("not submitted: {other:?}").into());
+            }
+            _ => std::thread::sleep(Duration::from_millis(50)),
+        }
+    };
+    let steps = [
+        OperatorCall::Approve {
+            by: "ben".into(),
+            number,
+        },
+        OperatorCall::Roll {
+            by: "anna".into(),
+            number,
+        },
+    ];
+    for step in steps {
+        let start = Instant::now();
+        loop {
+            match operate(router, step.clone())? {
+                OperatorReply::Problem(p) if start.elapsed() > Duration::from_secs(10) => {
+                    return Err(format!("not done: {p:?}").into());
+                }
+                OperatorReply::Problem(_) => std::thread::sleep(Duration::from_millis(50)),
+                _ => break,
+            }
+        }
+    }
+    Ok(())
+}
+
+fn operate(router: &Running, call: OperatorCall) -> Result<OperatorReply, Box<dyn Error>> {
+    let (reply, answer) = std::sync::mpsc::channel();
+    router.inbox().send(HostEvent::Operator { call, reply });
+    Ok(answer.recv_timeout(Duration::from_secs(10))?)
+}
+
+fn call() -> Call {
+    let body = serde_json::json!({
+        "model": "desk",
+        "stream": true,
+        "messages": [{ "role": "user", "content": "check this payee" }],
+    });
+    Call {
+        path: "/v1/chat/completions".into(),
+        body: body.to_string(),
+        headers: vec![("Authorization".into(), "Bearer desk-key".into())],
+    }
+}
--- /dev/null
+++ b/src/cli/bundle_command.rs
@@ -0,0 +1,88 @@
+use pico_args::Arguments;
+use serde::Deserialize;
+
+use super::command::no_more;
+use super::operator_client::OperatorClient;
+use super::{CliError, CliErrorKind};
+use crate::http::BundleRow;
+
+#[derive(Deserialize)]
+struct BundleList {
+    head: u64,
+    bundles: Vec<BundleRow>,
+}
+
+/// Submits, approves, rolls or lists bundles.
+pub(super) fn bundle(mut args: Arguments) -> Result<(), CliError> {
+    let verb = args.subcommand().ok().flatten();
+    let client = OperatorClient::from_args(&mut args, "bundle")?;
+    match verb.as_deref() {
+        Some("submit") => submit(&client, args),
+        Some(verb @ ("approve" | "roll")) => change(&client, verb, args),
+        Some("status") => {
+            no_more(args, "bundle")?;
+            list(&client)
+        }
+        other => {
+            let found = other.unwrap_or("nothing");
+            let message = format!("found {found}, expected submit, approve, roll or status");
+            Err(CliError::usage(message, "bundle"))
+        }
+    }
+}
+
+fn free(args: &mut Arguments, what: &str) -> Result<String, CliError> {
+    args.free_from_str()
+        .map_err(|_| CliError::usage(format!("{what} is missing"), "bundle"))
+}
+
+fn submit(client: &OperatorClient, mut args: Arguments) -> Result<(), CliError> {
+    let file = free(&mut args, "FILE")?;
+    no_more(args, "bundle")?;
+    let body = std::fs::read_to_string(&file)
+        .map_err(|e| CliError::new(CliErrorKind::File, format!("{file}: {e}")))?;
+    let answer = client.post("bundles", &body)?;
+    let number = &answer["submitted"];
+    println!("submitted as bundle {number}; another operator approves it with");
+    println!("  runrail bundle approve {number}");
+    Ok(())
+}
+
+fn change(client: &OperatorClient, verb: &str, mut args: Arguments) -> Result<(), CliError> {
+    let number = free(&mut args, "NUMBER")?;
+    no_more(args, "bundle")?;
+    client.post(&format!("bundles/{number}/{verb}"), "")?;
+    let done = if verb == "roll" {
+        "in force"
+    } else {
+        "approved"
+    };
+    println!("bundle {number} is {done}");
+    Ok(())
+}
+
+fn list(client: &OperatorClient) -> Result<(), CliError> {
+    let answer = client.get("bundles")?;
+    let list: BundleList = serde_json::from_value(answer)
+        .map_err(|e| CliError::new(CliErrorKind::Refused, e.to_string()))?;
+    println!("in force: {}", list.head);
+    println!(
+        "{:>6}  {:<8}  {:<12}  {:<12}  title",
+        "number", "state", "author", "approved by"
+    );
+    for row in list.bundles {
+        let state = match (row.in_force, &row.approved_by) {
+            (true, _) => "in force",
+            (false, Some(_)) => "approved",
+            (false, None) => "waits",
+        };
+        println!(
+            "{:>6}  {state:<8}  {:<12}  {:<12}  {}",
+            row.number,
+            row.author,
+            row.approved_by.as_deref().unwrap_or("-"),
+            row.title
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cli/exit.rs
@@ -0,0 +1,20 @@
+use std::process::ExitCode;
+
+/// Exit codes of the program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// Done.
+    Done = 0,
+    /// Refused or failed; nothing was changed.
+    Failed = 1,
+    /// The command line or a file is wrong.
+    Usage = 2,
+    /// The result isn't known; look before trying again.
+    Unknown = 3,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(exit as u8)
+    }
+}
--- /dev/null
+++ b/src/cli/help.rs
@@ -0,0 +1,112 @@
+//! Help texts, one a command.
+
+/// Help of the program.
+pub(super) const MAIN: &str = "\
+runrail - serves large models whose replicas span several instances
+
+Usage: runrail <COMMAND> [OPTIONS]
+
+Commands:
+  router    Run a router on an entry instance
+  agent     Run an agent beside an endpoint
+  check     Check settings and bundles without starting anything
+  bundle    Submit, approve, roll and list bundles
+  status    Show the fleet as a router sees it
+  metrics   Show durations by client account and class
+  explain   Show what a router did about a group, an instance or a request
+
+Options:
+  -h, --help       Show help; `runrail <COMMAND> --help` shows a command's
+  -V, --version    Show the version
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong command line or file,
+            3 result unknown (look before trying again)
+
+Example: runrail check --settings settings/router.ini
+";
+
+pub(super) const ROUTER: &str = "\
+Run a router on an entry instance, until SIGTERM ends it in order
+
+Usage: runrail router --settings FILE
+
+Options:
+      --settings FILE    INI file; settings/router.ini is a commented sample
+
+When it listens it prints `ready peers=ADDR callers=ADDR operators=ADDR`.
+The log goes to standard error; RUST_LOG sets its level (default: info).
+
+Example: runrail router --settings settings/router.ini
+";
+
+pub(super) const AGENT: &str = "\
+Run an agent beside an endpoint, until SIGTERM ends it in order
+
+Usage: runrail agent --settings FILE
+
+Options:
+      --settings FILE    INI file; settings/agent.ini is a commented sample
+
+When it listens it prints `ready peers=ADDR`.
+On SIGTERM it lets its group finish what is in flight before it ends.
+
+Example: runrail agent --settings settings/agent.ini
+";
+
+pub(super) const CHECK: &str = "\
+Check files without starting anything; all faults are listed at once
+
+Usage: runrail check [--settings FILE] [--role router|agent] [--bundle FILE]
+
+Options:
+      --settings FILE    Settings to check
+      --role ROLE        Role the settings are for; guessed from [endpoint] when absent
+      --bundle FILE      Bundle to check
+
+Example: runrail check --settings settings/agent.ini --bundle bundle.json
+";
+
+pub(super) const BUNDLE: &str = "\
+Submit, approve, roll and list bundles
+
+Usage: runrail bundle submit FILE      [OPTIONS]
+       runrail bundle approve NUMBER   [OPTIONS]
+       runrail bundle roll NUMBER      [OPTIONS]
+       runrail bundle status           [OPTIONS]
+
+Options:
+      --router ADDR        Operators' address of a router (or RUNRAIL_ROUTER)
+      --token-file FILE    File with the operator's token (or RUNRAIL_TOKEN_FILE)
+
+Another operator than the author has to approve a bundle. A bundle that is in
+force never gives way to one with a lower number.
+
+Example: runrail bundle submit bundle.json --router 127.0.0.1:9002 --token-file anna.token
+";
+
+pub(super) const STATUS: &str = "\
+Show the fleet as a router sees it
+
+Usage: runrail status [--json] [--router ADDR] [--token-file FILE]
+
+Example: runrail status --router 127.0.0.1:9002 --token-file anna.token
+";
+
+pub(super) const METRICS: &str = "\
+Show durations by client account and class, as a table or as bars
+
+Usage: runrail metrics [--bars] [--json] [--router ADDR] [--token-file FILE]
+
+Example: runrail metrics --bars --router 127.0.0.1:9002 --token-file anna.token
+";
+
+pub(super) const EXPLAIN: &str = "\
+Show what a router did about a group, an instance, a bundle or a request
+
+Usage: runrail explain SUBJECT [--json] [--router ADDR] [--token-file FILE]
+
+SUBJECT is a group's id (as in `runrail status`), an instance's name or a
+request's id (header `Runrail-Request`).
+
+Example: runrail explain brno1-r1/1 --router 127.0.0.1:9002 --token-file anna.token
+";
--- /dev/null
+++ b/src/endpoint/endpoint_client.rs
@@ -0,0 +1,256 @@
+use std::io::BufReader;
+use std::sync::Arc;
+
+use serde_json::{json, Value};
+use ureq::http::Response;
+use ureq::Body;
+
+use super::{EndpointSettings, SseItem, SseReader};
+use crate::host::Clock;
+use crate::logic::{EndpointCall, EndpointEvent, LoadOrder, RunResult, StartOrder};
+use crate::message::RunId;
+use crate::types::ModelKind;
+
+/// Stack of a thread that carries one order, in bytes.
+const STACK: usize = 256 * 1024;
+/// Longest answer of a plain service, in bytes.
+const ANSWER_LIMIT: u64 = 1024 * 1024;
+/// Status by which an endpoint refuses an order with an old fence.
+const FENCED: u16 = 412;
+
+type Events = Arc<dyn Fn(EndpointEvent) + Send + Sync>;
+
+/// Carries out orders to the endpoint, each on a thread of its own.
+#[derive(Clone)]
+pub struct EndpointClient {
+    settings: EndpointSettings,
+    clock: Clock,
+    agent: ureq::Agent,
+    events: Events,
+}
+
+impl EndpointClient {
+    /// A client that calls `events` on its threads.
+    pub fn new(
+        settings: EndpointSettings,
+        clock: Clock,
+        events: impl Fn(EndpointEvent) + Send + Sync + 'static,
+    ) -> Self {
+        let agent = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(std::time::Duration::from_secs(2)))
+            .timeout_recv_response(Some(settings.silence))
+            .build()
+            .into();
+        Self {
+            settings,
+            clock,
+            agent,
+            events: Arc::new(events),
+        }
+    }
+
+    /// Carries an order out.
+    pub fn call(&self, call: EndpointCall) {
+        let client = self.clone();
+        let failed = failure_of(&call);
+        let spawned = std::thread::Builder::new()
+            .name("endpoint".into())
+            .stack_size(STACK)
+            .spawn(move || client.carry_out(call));
+        if spawned.is_err() {
+            if let Some(event) = failed {
+                (self.events)(event);
+            }
+        }
+    }
+
+    /// Asks an engine for its load from time to time; returns at once.
+    pub fn watch_status(&self) {
+        if !self.settings.engine {
+            return;
+        }
+        let client = self.clone();
+        let spawned = std::thread::Builder::new()
+            .name("status".into())
+            .stack_size(STACK)
+            .spawn(move || loop {
+                client.ask_status();
+                std::thread::sleep(client.settings.status);
+            });
+        if let Err(e) = spawned {
+            log::warn!(target: "runrail", "the endpoint's load isn't watched: {e}");
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.settings.addr)
+    }
+
+    fn carry_out(&self, call: EndpointCall) {
+        match call {
+            EndpointCall::Load(order) => self.load(&order),
+            EndpointCall::Start(order) => self.start(&order),
+            EndpointCall::Cancel { run, epoch } => self.cancel(run, epoch),
+        }
+    }
+
+    fn load(&self, order: &LoadOrder) {
+        let ok = match order.kind {
+            // A plain service has nothing to load.
+            ModelKind::Service => true,
+            ModelKind::Engine => self.clock.now() < order.valid_until && self.send_load(order),
+        };
+        (self.events)(EndpointEvent::Loaded {
+            epoch: order.epoch,
+            ok,
+        });
+    }
+
+    fn send_load(&self, order: &LoadOrder) -> bool {
+        let body = json!({
+            "fence": order.epoch,
+            "model": &*order.model,
+            "version": &*order.version,
+            "role": order.role,
+            "adapters": order.adapters,
+            "rank": order.rank,
+            "size": order.size,
+        });
+        let request = self
+            .agent
+            .post(self.url("/runrail/v1/load"))
+            .config()
+            .timeout_recv_response(Some(self.settings.load))
+            .build();
+        request
+            .send(body.to_string())
+            .is_ok_and(|r| r.status() == 200)
+    }
+
+    fn cancel(&self, run: RunId, epoch: u64) {
+        let body = json!({ "fence": epoch, "run": run.to_string() });
+        // The run's own stream tells how it ended.
+        let _ = self
+            .agent
+            .post(self.url("/runrail/v1/cancel"))
+            .send(body.to_string());
+    }
+
+    fn ask_status(&self) {
+        let answer = self.agent.get(self.url("/runrail/v1/status")).call();
+        let text = answer
+            .ok()
+            .and_then(|mut r| r.body_mut().read_to_string().ok());
+        let value: Option<Value> = text.and_then(|t| serde_json::from_str(&t).ok());
+        let slots = value.and_then(|v| v["slots"].as_u64());
+        if let Some(slots) = slots.and_then(|s| u32::try_from(s).ok()) {
+            (self.events)(EndpointEvent::Status { slots });
+        }
+    }
+
+    fn start(&self, order: &StartOrder) {
+        let result = self.run(order);
+        (self.events)(EndpointEvent::Ended {
+            run: order.run,
+            result,
+        });
+    }
+
+    fn run(&self, order: &StartOrder) -> RunResult {
+        let body = match order.kind {
+            ModelKind::Engine => engine_body(order),
+            ModelKind::Service => order.body.to_string(),
+        };
+        let request = self
+            .agent
+            .post(self.url(&order.path))
+            .header("Content-Type", "application/json")
+            .header("Runrail-Fence", order.epoch.to_string())
+            .header("Runrail-Run", order.run.to_string())
+            .header("Runrail-Priority", order.priority.to_string());
+        // The last look before the order leaves: the process may have been
+        // paused since the reducer decided.
+        if self.clock.now() >= order.valid_until {
+            return RunResult::NotRun;
+        }
+        match request.send(body) {
+            Ok(response) => self.answer(order, response),
+            Err(error) => unanswered(&error),
+        }
+    }
+
+    fn answer(&self, order: &StartOrder, mut response: Response<Body>) -> RunResult {
+        let status = response.status().as_u16();
+        if status == FENCED {
+            return RunResult::NotRun;
+        }
+        if order.kind == ModelKind::Engine {
+            if status != 200 {
+                return RunResult::Complete(status);
+            }
+            return self.stream(order.run, response);
+        }
+        let body = response.body_mut().with_config().limit(ANSWER_LIMIT);
+        match body.read_to_string() {
+            Ok(text) => {
+                (self.events)(EndpointEvent::Piece {
+                    run: order.run,
+                    text,
+                });
+                RunResult::Complete(status)
+            }
+            Err(_) => RunResult::Broken,
+        }
+    }
+
+    fn stream(&self, run: RunId, response: Response<Body>) -> RunResult {
+        let reader = BufReader::new(response.into_body().into_reader());
+        let mut items = SseReader::new(reader);
+        loop {
+            match items.next_item() {
+                Some(SseItem::Text(text)) => (self.events)(EndpointEvent::Piece { run, text }),
+                Some(SseItem::Cancelled) => return RunResult::Cancelled,
+                Some(SseItem::Done) => return RunResult::Complete(200),
+                None => return RunResult::Broken,
+            }
+        }
+    }
+}
+
+/// The event that ends an order which couldn't be begun.
+fn failure_of(call: &EndpointCall) -> Option<EndpointEvent> {
+    match call {
+        EndpointCall::Load(order) => Some(EndpointEvent::Loaded {
+            epoch: order.epoch,
+            ok: false,
+        }),
+        EndpointCall::Start(order) => Some(EndpointEvent::Ended {
+            run: order.run,
+            result: RunResult::NotRun,
+        }),
+        EndpointCall::Cancel { .. } => None,
+    }
+}
+
+/// Only a connection that was never made proves that nothing ran.
+fn unanswered(error: &ureq::Error) -> RunResult {
+    match error {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => RunResult::NotRun,
+        ureq::Error::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
+            RunResult::NotRun
+        }
+        ureq::Error::Timeout(ureq::Timeout::Connect) => RunResult::NotRun,
+        _ => RunResult::Broken,
+    }
+}
+
+/// The caller's body, always streamed, with what the engine needs to resume.
+fn engine_body(order: &StartOrder) -> String {
+    let mut body: Value = serde_json::from_str(&order.body).unwrap_or_default();
+    body["stream"] = Value::Bool(true);
+    if order.offset > 0 {
+        body["resume"] = json!({ "offset": order.offset, "text": order.prefix });
+    }
+    body.to_string()
+}
--- /dev/null
+++ b/src/host/mod.rs
@@ -0,0 +1,16 @@
+//! The process around the reducer: an actor that feeds it and carries out effects.
+
+mod clock;
+mod host_event;
+mod inbox;
+mod node_actor;
+mod run_agent;
+mod run_router;
+mod running;
+
+pub use clock::Clock;
+pub use host_event::{HostEvent, Inspect};
+pub use inbox::Inbox;
+pub use run_agent::run_agent;
+pub use run_router::run_router;
+pub use running::{Addresses, Running};
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! Serving system for large models whose replicas span several instances.
+//!
+//! The crate is one binary with two roles. A *router* runs on each entry
+//! instance, an *agent* beside each endpoint. All decisions are made by one
+//! pure reducer, [`logic::step`]; everything else carries out its effects.
+
+pub mod cli;
+pub mod endpoint;
+pub mod host;
+pub mod http;
+pub mod logic;
+pub mod message;
+pub mod observe;
+pub mod platform;
+pub mod settings;
+pub mod types;
+pub mod wire;
--- /dev/null
+++ b/src/logic/agent/claims.rs
@@ -0,0 +1,116 @@
+//! Requests that may not be repeated: what is remembered and what is told.
+
+use super::{AgentState, OnceEntry, OnceState};
+use crate::logic::Effect;
+use crate::message::{Message, Once, Recall, Refusal, RunId, RunOrder};
+use crate::types::{InstanceId, Millis};
+
+/// Why an attempt of a claimed key is refused, if it is.
+pub(super) fn refusal(state: &AgentState, order: &RunOrder) -> Option<Refusal> {
+    let once = order.once?;
+    let entry = state.memory.get(&once.key)?;
+    match entry.state {
+        OnceState::Barred if once.attempt > entry.attempt => None,
+        OnceState::Barred => Some(Refusal::Cancelled),
+        _ => Some(Refusal::Duplicate),
+    }
+}
+
+/// A refused attempt must not run when the same order arrives once more.
+pub(super) fn bar_refused(state: &mut AgentState, now: Millis, order: &RunOrder) {
+    let Some(once) = &order.once else {
+        return;
+    };
+    bar(state, now, once);
+}
+
+/// A router's question about a claimed key.
+pub(super) struct Query {
+    pub run: RunId,
+    pub once: Once,
+    pub incarnation: u64,
+}
+
+/// Answers a query. A key that never started here is barred from starting.
+pub(super) fn queried(
+    state: &mut AgentState,
+    now: Millis,
+    from: &InstanceId,
+    query: &Query,
+    out: &mut Vec<Effect>,
+) {
+    let recall = recall(state, now, from, query);
+    out.push(Effect::Send {
+        to: from.clone(),
+        message: Message::Recalled {
+            run: query.run,
+            recall,
+        },
+    });
+}
+
+fn recall(state: &mut AgentState, now: Millis, from: &InstanceId, query: &Query) -> Recall {
+    if state.rules.incarnation_check && query.incarnation != state.incarnation {
+        return Recall::Lost;
+    }
+    let known = state.memory.get(&query.once.key).cloned();
+    match known.map(|e| (e.attempt, e.state)) {
+        None | Some((_, OnceState::Barred)) => {
+            if state.rules.query_bars {
+                bar(state, now, &query.once);
+            }
+            Recall::NotRun
+        }
+        Some((attempt, _)) if attempt < query.once.attempt => Recall::Lost,
+        Some((_, OnceState::Active(run))) => attach(state, from, query.run, &run),
+        Some((
+            _,
+            OnceState::Done {
+                status,
+                pieces,
+                text: Some(text),
+            },
+        )) => Recall::Done {
+            status,
+            pieces,
+            text,
+        },
+        Some((_, OnceState::Done { text: None, .. } | OnceState::Lost)) => Recall::Lost,
+    }
+}
+
+/// Bars every attempt up to this one, unless one is known to have started.
+fn bar(state: &mut AgentState, now: Millis, once: &Once) {
+    let before = match state.memory.get(&once.key) {
+        None => 0,
+        Some(entry) if entry.state == OnceState::Barred => entry.attempt,
+        Some(_) => return,
+    };
+    let entry = OnceEntry {
+        attempt: before.max(once.attempt),
+        state: OnceState::Barred,
+        until: now + once.keep_ms,
+    };
+    state.memory.put(once.key, entry);
+}
+
+/// Adds a watcher to an active run, so that its pieces reach the asking router too.
+fn attach(state: &mut AgentState, from: &InstanceId, asked: RunId, run: &RunId) -> Recall {
+    let waiting = state
+        .queue
+        .jobs_mut()
+        .iter_mut()
+        .find(|j| &j.order.run == run);
+    let running = state.running.get_mut(run).map(|r| &mut r.job);
+    let Some(job) = waiting.or(running) else {
+        return Recall::Lost;
+    };
+    let watcher = (from.clone(), asked);
+    if !job.watchers.contains(&watcher) {
+        job.watchers.push(watcher);
+    }
+    Recall::Running {
+        pieces: job.pieces,
+        text: job.text.clone(),
+    }
+}
--- /dev/null
+++ b/src/logic/agent/mod.rs
@@ -0,0 +1,32 @@
+//! Decisions of an agent, the process beside one endpoint.
+//!
+//! The agent is the only way to its endpoint. It grants its presence to one
+//! group at a time, leads the group when it is member 0, queues requests by
+//! class, remembers requests that may not be repeated and leaves in order.
+
+mod admission;
+mod agent_knobs;
+mod agent_state;
+mod claims;
+mod grant;
+mod job;
+mod lead;
+mod leave;
+mod load;
+mod memory;
+mod pump;
+mod queue;
+mod report;
+mod runs;
+mod step;
+
+pub use agent_knobs::AgentKnobs;
+pub use agent_state::AgentState;
+pub use grant::Grant;
+pub use job::Job;
+pub use lead::{Hold, Lead};
+pub use load::{Share, ShareState};
+pub use memory::{OnceEntry, OnceMemory, OnceState};
+pub use queue::JobQueue;
+pub use runs::{Running, StopReason};
+pub(crate) use step::step;
--- /dev/null
+++ b/src/logic/mod.rs
@@ -0,0 +1,31 @@
+//! Pure decisions: one reducer over all events, with effects as data.
+//!
+//! [`step`] takes a [`Node`], the time and an [`Event`] and returns
+//! [`Effect`]s. It has no clock, no input or output and no threads; random
+//! numbers come from a seed in the state. The same code runs in the process,
+//! in the model check and in the benches.
+
+pub mod agent;
+pub mod router;
+
+mod effect;
+mod endpoint_call;
+mod endpoint_event;
+mod event;
+mod node;
+mod note;
+mod peer;
+mod peer_role;
+mod reducer;
+mod rules;
+
+pub use effect::Effect;
+pub use endpoint_call::{EndpointCall, LoadOrder, StartOrder};
+pub use endpoint_event::{EndpointEvent, RunResult};
+pub use event::Event;
+pub use node::Node;
+pub use note::{Note, NoteCode};
+pub use peer::Peer;
+pub use peer_role::PeerRole;
+pub use reducer::step;
+pub use rules::Rules;
--- /dev/null
+++ b/src/logic/note.rs
@@ -0,0 +1,121 @@
+use std::fmt;
+
+/// An event for the log and for the record that `explain` reads.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Note {
+    /// Which event.
+    pub code: NoteCode,
+    /// Named values; never prompt text or keys.
+    pub fields: Vec<(&'static str, String)>,
+}
+
+impl Note {
+    /// A note without fields.
+    pub fn new(code: NoteCode) -> Self {
+        Self {
+            code,
+            fields: Vec::new(),
+        }
+    }
+
+    /// Adds a field.
+    pub fn with(mut self, name: &'static str, value: impl fmt::Display) -> Self {
+        self.fields.push((name, value.to_string()));
+        self
+    }
+
+    /// Whether a field has this value, or a list with it.
+    pub fn mentions(&self, subject: &str) -> bool {
+        let listed = |value: &str| value.split(',').any(|part| part == subject);
+        self.fields.iter().any(|(_, value)| listed(value))
+    }
+}
+
+impl fmt::Display for Note {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{} {}", self.code.number(), self.code.title())?;
+        for (name, value) in &self.fields {
+            write!(f, " {name}={value:?}")?;
+        }
+        Ok(())
+    }
+}
+
+macro_rules! note_codes {
+    ($($name:ident = $number:literal $level:ident $title:literal;)*) => {
+        /// Numbered events; `docs/EVENTS.md` is their catalogue.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum NoteCode {
+            $(#[doc = $title] $name,)*
+        }
+
+        impl NoteCode {
+            /// Every code, in order of number.
+            pub const ALL: &'static [NoteCode] = &[$(NoteCode::$name,)*];
+
+            /// Number in the catalogue; never given to another event.
+            pub fn number(self) -> u16 {
+                match self { $(NoteCode::$name => $number,)* }
+            }
+
+            /// Short text in the log.
+            pub fn title(self) -> &'static str {
+                match self { $(NoteCode::$name => $title,)* }
+            }
+
+            /// Level in the log.
+            pub fn level(self) -> log::Level {
+                match self { $(NoteCode::$name => log::Level::$level,)* }
+            }
+        }
+    };
+}
+
+note_codes! {
+    Started = 100 Info "process started";
+    Stopping = 101 Info "process asked to stop";
+    Stopped = 102 Info "process ends with nothing left to do";
+    SessionUp = 110 Debug "session opened";
+    SessionDown = 111 Info "session closed";
+    SessionRefused = 112 Warn "session refused";
+    UnexpectedMessage = 113 Warn "message that this sender may not send";
+    PresenceGranted = 200 Info "presence granted to a group";
+    PresenceReturned = 201 Info "presence given back by the leader";
+    PresenceLapsed = 202 Warn "presence grant ran out";
+    PresenceDenied = 203 Warn "member has seen a higher epoch";
+    LeadTaken = 210 Info "lead of a group taken";
+    LeadEnded = 211 Info "lead of a group ended";
+    GroupOpen = 212 Info "group takes work";
+    GroupClosed = 213 Warn "group takes no work";
+    Draining = 214 Info "group drains";
+    Leaving = 215 Info "instance is leaving";
+    Loaded = 220 Info "endpoint has loaded";
+    LoadFailed = 221 Warn "endpoint failed to load";
+    BundleInForce = 300 Info "bundle in force";
+    BundleSubmitted = 301 Info "bundle submitted";
+    BundleApproved = 302 Info "bundle approved";
+    BundleRolled = 303 Info "bundle rolled";
+    HeadWentBack = 304 Error "the service shows an older head than the one in force";
+    HeadUnproven = 305 Warn "no recent proof that the bundle is the newest; new work is refused";
+    HeadProven = 306 Info "the bundle is proved to be the newest again";
+    StoreDown = 310 Warn "key-value service doesn't answer";
+    StoreUp = 311 Info "key-value service answers again";
+    PlannerHeld = 400 Info "planner lease held";
+    PlannerLost = 401 Warn "planner lease lost";
+    GroupPlanned = 410 Info "group planned";
+    GroupRepaired = 411 Info "member replaced in the record";
+    GroupRetired = 412 Info "group taken out of the record";
+    GroupDrainPlanned = 413 Info "group told to drain";
+    GroupWaits = 414 Warn "group is down and waits";
+    RollHalted = 415 Error "roll of a version halted";
+    RecordInvalid = 416 Error "a record names an instance twice and is not used";
+    MemberOutlived = 417 Info "leader is unreachable from here but its group lives";
+    RequestRouted = 500 Debug "request sent to a group";
+    RequestRetried = 501 Info "request tried again";
+    RequestAnswered = 502 Debug "request answered";
+    RequestNotRun = 503 Info "request given up: not run";
+    RequestUnknown = 504 Warn "request given up: outcome unknown";
+    ClaimTaken = 510 Debug "claim written";
+    ClaimFound = 511 Info "claim exists already";
+    ClaimRebound = 512 Info "claim bound to another attempt";
+}
--- /dev/null
+++ b/src/logic/router/accept.rs
@@ -0,0 +1,165 @@
+//! Whether a caller's request is taken, and under which terms.
+
+use std::sync::Arc;
+
+use super::{finish, head, sending, AnswerPart, CallerRequest, OnceClaim, Problem, Request};
+use super::{RouterState, Stage};
+use crate::logic::Effect;
+use crate::message::ClaimKey;
+use crate::types::{AccountSpec, BundleBody, ClassSpec, Millis};
+
+/// Takes a request or refuses it at once.
+pub(super) fn arrived(
+    state: &mut RouterState,
+    now: Millis,
+    call: CallerRequest,
+    out: &mut Vec<Effect>,
+) {
+    let id = call.id;
+    match examine(state, now, call) {
+        Ok(request) => {
+            *state.accounts.entry(request.account.clone()).or_insert(0) += 1;
+            state.requests.insert(id, request);
+            state.budget.earn();
+            sending::dispatch(state, now, id, out);
+        }
+        Err(mut problem) => {
+            if problem.retry_ms.is_some() {
+                problem.retry_ms = Some(state.spread(state.knobs.hint_ms));
+            }
+            finish::note_problem(id, &problem, out);
+            out.push(Effect::Answer {
+                request: id,
+                part: AnswerPart::Problem(problem),
+            });
+        }
+    }
+}
+
+fn examine(state: &RouterState, now: Millis, call: CallerRequest) -> Result<Request, Problem> {
+    let hint = state.knobs.hint_ms;
+    if state.stopping {
+        return Err(Problem::not_run(503, "this router is stopping; ask again").retry_in(hint));
+    }
+    let Some(bundle) = state.bundle() else {
+        return Err(Problem::not_run(503, "no bundle is in force yet").retry_in(hint));
+    };
+    if !head::proven(state, now) {
+        let detail = "this router can't prove that its bundle is the newest";
+        return Err(Problem::not_run(503, detail).retry_in(hint));
+    }
+    let body = &bundle.body;
+    let account = find_account(body, &call)?;
+    let class = find_class(body, account, &call)?;
+    check_model(body, &call)?;
+    check_limits(state, account)?;
+    let once = once_claim(account, class, &call)?;
+    let left = call.deadline_ms.unwrap_or(class.deadline_ms);
+    if left == 0 {
+        return Err(Problem::not_run(400, "the deadline has passed already"));
+    }
+    Ok(Request {
+        id: call.id,
+        account: account.name.clone(),
+        share: account.share,
+        class: class.name.clone(),
+        priority: class.priority,
+        model: call.model,
+        kind: call.kind,
+        path: call.path,
+        body: call.body,
+        since: now,
+        deadline: now + left,
+        once,
+        stage: Stage::Parked(now),
+        attempt: 0,
+        maybe_ran: false,
+        pieces: 0,
+        text: String::new(),
+        avoid: None,
+    })
+}
+
+fn find_account<'a>(
+    body: &'a BundleBody,
+    call: &CallerRequest,
+) -> Result<&'a AccountSpec, Problem> {
+    body.account_by_key(&call.key_sha256)
+        .ok_or_else(|| Problem::not_run(401, "the bearer key belongs to no client account"))
+}
+
+fn find_class<'a>(
+    body: &'a BundleBody,
+    account: &AccountSpec,
+    call: &CallerRequest,
+) -> Result<&'a ClassSpec, Problem> {
+    let name: Option<&Arc<str>> = call.class.as_ref().or(account.classes.first());
+    let Some(name) = name else {
+        return Err(Problem::not_run(403, "the client account may use no class"));
+    };
+    if !account.classes.contains(name) {
+        let allowed = account.classes.join(", ");
+        let detail = format!("class {name:?} isn't open to this account; it may use: {allowed}");
+        return Err(Problem::not_run(403, detail));
+    }
+    body.class(name)
+        .ok_or_else(|| Problem::not_run(403, format!("class {name:?} isn't in the bundle")))
+}
+
+fn check_model(body: &BundleBody, call: &CallerRequest) -> Result<(), Problem> {
+    let known = body.model(&call.model).is_some_and(|m| m.kind == call.kind);
+    if known {
+        return Ok(());
+    }
+    let names: Vec<_> = body
+        .models
+        .iter()
+        .filter(|m| m.kind == call.kind)
+        .map(|m| &*m.name)
+        .collect();
+    let detail = format!(
+        "found {:?}, expected one of: {}",
+        call.model,
+        names.join(", ")
+    );
+    Err(Problem::not_run(404, detail))
+}
+
+fn check_limits(state: &RouterState, account: &AccountSpec) -> Result<(), Problem> {
+    let hint = state.knobs.hint_ms;
+    let used = state.accounts.get(&account.name).copied().unwrap_or(0);
+    if used >= account.limit {
+        let detail = format!("{used} requests of this account are in flight, its limit");
+        return Err(Problem::not_run(429, detail).retry_in(hint));
+    }
+    if state.requests.len() >= state.knobs.request_limit as usize {
+        let detail = "this router has its limit of requests in flight";
+        return Err(Problem::not_run(503, detail).retry_in(hint));
+    }
+    Ok(())
+}
+
+fn once_claim(
+    account: &AccountSpec,
+    class: &ClassSpec,
+    call: &CallerRequest,
+) -> Result<Option<OnceClaim>, Problem> {
+    let Some(key) = &call.once_key else {
+        if class.repeat {
+            return Ok(None);
+        }
+        let detail = format!(
+            "requests of class {:?} may not be repeated and need an Idempotency-Key",
+            class.name
+        );
+        return Err(Problem::not_run(400, detail));
+    };
+    Ok(Some(OnceClaim {
+        key: ClaimKey::new(&account.name, key),
+        content: ClaimKey::of_content(&call.model, &call.path, &call.body),
+        attempt: 0,
+        incarnation: 0,
+        revision: 0,
+        mine: false,
+    }))
+}
--- /dev/null
+++ b/src/logic/router/calls.rs
@@ -0,0 +1,51 @@
+use super::ClaimWrite;
+use crate::types::{DomainRecord, Millis};
+
+/// Number of a call to the key-value service within one process.
+pub type CallId = u64;
+
+/// Why a call was made; decides what its result means.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Purpose {
+    /// Read everything below `fleet/`.
+    ReadFleet,
+    /// Prove that the bundle in force is the newest; sent at this time.
+    ProveHead(Millis),
+    /// Store a submitted bundle for an operator.
+    Submit {
+        /// The operator's call.
+        job: u64,
+        /// Number tried.
+        number: u64,
+    },
+    /// Store an approval.
+    Approve {
+        /// The operator's call.
+        job: u64,
+        /// The bundle.
+        number: u64,
+        /// The operator.
+        by: String,
+    },
+    /// Write the head.
+    Roll,
+    /// Write a batch of claims.
+    Claims(Vec<ClaimWrite>),
+    /// Ask for the lease that claims are attached to; sent at this time.
+    ClaimLease(Millis),
+    /// Look whether a planner is there.
+    ReadPlanner,
+    /// Ask for the planner's lease; sent at this time.
+    PlannerLease(Millis),
+    /// Take the planner's key.
+    TakePlanner {
+        /// The lease.
+        lease: i64,
+        /// When the lease was asked for.
+        asked_at: Millis,
+    },
+    /// Renew the planner's lease; sent at this time.
+    RenewPlanner(Millis),
+    /// Write a domain's record.
+    WriteDomain(Box<DomainRecord>),
+}
--- /dev/null
+++ b/src/logic/router/finish.rs
@@ -0,0 +1,134 @@
+//! The end of a request: exactly one final part to the caller.
+
+use super::{claiming, AnswerPart, Metric, Outcome, Problem, RouterState, Stage};
+use crate::logic::{Effect, Note, NoteCode};
+use crate::types::{Millis, RequestId};
+
+/// Ends a request with a complete answer.
+pub(super) fn complete(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    status: u16,
+    out: &mut Vec<Effect>,
+) {
+    let pieces = state.requests.get(&id).map_or(0, |r| r.pieces);
+    let part = if status >= 400 && pieces == 0 {
+        let detail = format!("the endpoint answered with status {status}");
+        AnswerPart::Problem(Problem::failed(status, detail))
+    } else {
+        AnswerPart::End { status }
+    };
+    let note = Note::new(NoteCode::RequestAnswered)
+        .with("request", id)
+        .with("status", status)
+        .with("pieces", pieces);
+    out.push(Effect::Note(note));
+    close(state, now, id, part, out);
+}
+
+/// Gives a request up: not run where that is proved, else unknown.
+///
+/// A claim that this request wrote is given back first, so that nobody can
+/// have bound it anew before "not run" is said.
+pub(super) fn give_up(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    problem: Problem,
+    out: &mut Vec<Effect>,
+) {
+    let spread = problem.retry_ms.map(|base| state.spread(base));
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    let mut problem = Problem {
+        retry_ms: spread,
+        ..problem
+    };
+    if request.maybe_ran && problem.outcome == Outcome::NotRun {
+        problem = Problem {
+            status: 502,
+            outcome: Outcome::Unknown,
+            detail: format!("an earlier attempt may have run; then: {}", problem.detail),
+            ..problem
+        };
+    }
+    let claimed = request.once.as_ref().is_some_and(|o| o.mine);
+    if claimed && problem.outcome == Outcome::NotRun {
+        request.stage = Stage::Releasing(Box::new(problem));
+        claiming::release(state, now, id);
+        return;
+    }
+    end_with(state, now, id, problem, out);
+}
+
+/// Ends a request with a problem.
+pub(super) fn end_with(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    problem: Problem,
+    out: &mut Vec<Effect>,
+) {
+    note_problem(id, &problem, out);
+    close(state, now, id, AnswerPart::Problem(problem), out);
+}
+
+/// Writes the note of a request that wasn't answered.
+pub(super) fn note_problem(id: RequestId, problem: &Problem, out: &mut Vec<Effect>) {
+    let code = match problem.outcome {
+        Outcome::NotRun => NoteCode::RequestNotRun,
+        Outcome::Unknown => NoteCode::RequestUnknown,
+        Outcome::Failed => NoteCode::RequestAnswered,
+    };
+    let note = Note::new(code)
+        .with("request", id)
+        .with("status", problem.status)
+        .with("detail", &problem.detail);
+    out.push(Effect::Note(note));
+}
+
+fn close(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    part: AnswerPart,
+    out: &mut Vec<Effect>,
+) {
+    forget(state, id, |account, class, since| {
+        let (metric, value) = match &part {
+            AnswerPart::Problem(p) if p.outcome == Outcome::NotRun => (Metric::NotRun, 1),
+            AnswerPart::Problem(p) if p.outcome == Outcome::Unknown => (Metric::Unknown, 1),
+            _ => (Metric::Total, now.saturating_sub(since)),
+        };
+        out.push(Effect::Measure {
+            metric,
+            account,
+            class,
+            value,
+        });
+    });
+    out.push(Effect::Answer { request: id, part });
+}
+
+/// Removes a request from all books.
+pub(super) fn forget(
+    state: &mut RouterState,
+    id: RequestId,
+    then: impl FnOnce(std::sync::Arc<str>, std::sync::Arc<str>, Millis),
+) {
+    let Some(request) = state.requests.remove(&id) else {
+        return;
+    };
+    if let Some(load) = request.group().and_then(|g| state.loads.get_mut(g)) {
+        load.own = load.own.saturating_sub(1);
+    }
+    if let Some(used) = state.accounts.get_mut(&request.account) {
+        *used = used.saturating_sub(1);
+        if *used == 0 {
+            state.accounts.remove(&request.account);
+        }
+    }
+    then(request.account, request.class, request.since);
+}
--- /dev/null
+++ b/src/logic/router/fleet.rs
@@ -0,0 +1,171 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+
+use super::{agents, head, Keys, Purpose, RouterState, StoreCall, StoreChange, StoreEntry};
+use crate::logic::{Effect, Note, NoteCode};
+use crate::types::{Approval, Bundle, DomainRecord, GroupId, GroupRecord, Head, Millis};
+
+/// A value of the key-value service with the revision of its last change.
+type Kept<T> = (T, i64);
+
+/// A router's copy of what stands below `fleet/`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Fleet {
+    /// Whether it has been read since the start or the last gap.
+    pub read: bool,
+    /// Domain records by name.
+    pub domains: BTreeMap<Arc<str>, Kept<DomainRecord>>,
+    /// Bundles by number.
+    pub bundles: BTreeMap<u64, Kept<Arc<Bundle>>>,
+    /// Approvals by number.
+    pub approvals: BTreeMap<u64, Kept<Approval>>,
+}
+
+impl Fleet {
+    /// A group's record.
+    pub fn group(&self, id: &GroupId) -> Option<&GroupRecord> {
+        self.domains.get(&id.domain)?.0.group(id)
+    }
+
+    /// Every group's record.
+    pub fn groups(&self) -> impl Iterator<Item = &GroupRecord> {
+        self.domains.values().flat_map(|(record, _)| &record.groups)
+    }
+
+    /// Data hall of a domain.
+    pub fn hall(&self, domain: &Arc<str>) -> Option<&Arc<str>> {
+        self.domains.get(domain).map(|(record, _)| &record.hall)
+    }
+}
+
+/// Reads everything, unless that is under way.
+pub(super) fn read(state: &mut RouterState, out: &mut Vec<Effect>) {
+    state.fleet.read = false;
+    if state.calling(|p| *p == Purpose::ReadFleet) {
+        return;
+    }
+    let op = StoreCall::Read {
+        key: Keys::FLEET.to_string(),
+        prefix: true,
+    };
+    state.call(Purpose::ReadFleet, op, out);
+}
+
+/// Takes up what was read and starts the watch behind it.
+pub(super) fn was_read(
+    state: &mut RouterState,
+    now: Millis,
+    revision: i64,
+    entries: Vec<StoreEntry>,
+    out: &mut Vec<Effect>,
+) {
+    state.fleet.read = true;
+    let here: Vec<_> = entries.iter().map(|e| e.key.clone()).collect();
+    let gone: Vec<_> = state
+        .fleet
+        .domains
+        .keys()
+        .map(|d| Keys::domain(d))
+        .filter(|k| !here.contains(k))
+        .collect();
+    let mut changes: Vec<_> = gone
+        .into_iter()
+        .map(|key| StoreChange {
+            key,
+            value: None,
+            revision,
+        })
+        .collect();
+    changes.extend(entries.into_iter().map(|e| StoreChange {
+        key: e.key,
+        value: Some(e.value),
+        revision: e.revision,
+    }));
+    changed(state, now, changes, out);
+    out.push(Effect::Watch { from: revision + 1 });
+}
+
+/// Takes up changes in order; the head comes last, so that its bundle is known.
+pub(super) fn changed(
+    state: &mut RouterState,
+    now: Millis,
+    changes: Vec<StoreChange>,
+    out: &mut Vec<Effect>,
+) {
+    let mut heads = Vec::new();
+    for change in changes {
+        if change.key == Keys::HEAD {
+            heads.push(change);
+        } else {
+            change_one(state, now, change, out);
+        }
+    }
+    for change in heads {
+        if let Some(newest) = change.value.as_deref().and_then(parse::<Head>) {
+            head::seen(state, now, newest, change.revision, out);
+        }
+    }
+}
+
+fn change_one(state: &mut RouterState, now: Millis, change: StoreChange, out: &mut Vec<Effect>) {
+    let StoreChange {
+        key,
+        value,
+        revision,
+    } = change;
+    if let Some(domain) = key.strip_prefix(Keys::DOMAINS) {
+        let record = value.as_deref().and_then(parse::<DomainRecord>);
+        domain_changed(state, now, domain, record, revision, out);
+    } else if key.starts_with(Keys::BUNDLES) {
+        if let Some(bundle) = value.as_deref().and_then(parse::<Bundle>) {
+            let number = bundle.number;
+            state
+                .fleet
+                .bundles
+                .insert(number, (Arc::new(bundle), revision));
+        }
+    } else if key.starts_with(Keys::APPROVALS) {
+        if let Some(approval) = value.as_deref().and_then(parse::<Approval>) {
+            state
+                .fleet
+                .approvals
+                .insert(approval.number, (approval, revision));
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(text: &str) -> Option<T> {
+    serde_json::from_str(text).ok()
+}
+
+/// Takes up a domain's record, tells its leaders and ends what has left it.
+pub(super) fn domain_changed(
+    state: &mut RouterState,
+    now: Millis,
+    domain: &str,
+    record: Option<DomainRecord>,
+    revision: i64,
+    out: &mut Vec<Effect>,
+) {
+    let known = state.fleet.domains.get(domain).map(|(_, r)| *r);
+    if known.is_some_and(|known| revision < known) {
+        return;
+    }
+    let Some(record) = record else {
+        state.fleet.domains.remove(domain);
+        return;
+    };
+    if let Some(instance) = record.shared_instance() {
+        let note = Note::new(NoteCode::RecordInvalid)
+            .with("domain", domain)
+            .with("instance", instance);
+        out.push(Effect::Note(note));
+        return;
+    }
+    let name = record.domain.clone();
+    state.fleet.domains.insert(name.clone(), (record, revision));
+    state.dial_at = now;
+    agents::tell_leaders(state, &name, out);
+}
--- /dev/null
+++ b/src/logic/router/operator.rs
@@ -0,0 +1,172 @@
+//! What operators ask: submit, approve, roll, look.
+
+use super::{fleet, roll, status, Check, Keys, OperatorCall, OperatorReply, Problem, Purpose, Put};
+use super::{RouterState, StoreCall, StoreReply, StoreResult};
+use crate::logic::{Effect, Note, NoteCode};
+use crate::types::{Approval, Bundle, BundleBody, BundleFault, Millis};
+
+/// Serves an operator's call.
+pub(super) fn asked(
+    state: &mut RouterState,
+    now: Millis,
+    job: u64,
+    call: OperatorCall,
+    out: &mut Vec<Effect>,
+) {
+    match call {
+        OperatorCall::Submit { by, body } => submit(state, job, by, *body, out),
+        OperatorCall::Approve { by, number } => approve(state, job, by, number, out),
+        OperatorCall::Roll { by, number } => roll::begin(state, now, job, by, number, out),
+        OperatorCall::Bundles => {
+            let reply = OperatorReply::Bundles {
+                bundles: state
+                    .fleet
+                    .bundles
+                    .values()
+                    .map(|(b, _)| b.as_ref().clone())
+                    .collect(),
+                approvals: state
+                    .fleet
+                    .approvals
+                    .values()
+                    .map(|(a, _)| a.clone())
+                    .collect(),
+                head: state.number(),
+            };
+            out.push(Effect::Reply { job, reply });
+        }
+        OperatorCall::Status => {
+            let status = Box::new(status::build(state, now));
+            out.push(Effect::Reply {
+                job,
+                reply: OperatorReply::Status(status),
+            });
+        }
+    }
+}
+
+fn problem(job: u64, problem: Problem, out: &mut Vec<Effect>) {
+    out.push(Effect::Reply {
+        job,
+        reply: OperatorReply::Problem(problem),
+    });
+}
+
+fn submit(state: &mut RouterState, job: u64, by: String, body: BundleBody, out: &mut Vec<Effect>) {
+    let faults = BundleFault::find_all(&body);
+    if !faults.is_empty() {
+        let lines: Vec<_> = faults.iter().map(|f| f.to_string()).collect();
+        return problem(job, Problem::not_run(422, lines.join("\n")), out);
+    }
+    if !state.fleet.read {
+        let detail = "the key-value service hasn't been read yet";
+        return problem(job, Problem::not_run(503, detail), out);
+    }
+    let newest = state.fleet.bundles.keys().next_back().copied().unwrap_or(0);
+    let number = newest.max(state.head.head.number) + 1;
+    let bundle = Bundle {
+        number,
+        author: by,
+        body,
+    };
+    let op = create(Keys::bundle(number), &bundle);
+    state.call(Purpose::Submit { job, number }, op, out);
+}
+
+fn create<T: serde::Serialize>(key: String, value: &T) -> StoreCall {
+    StoreCall::Swap {
+        checks: vec![Check {
+            key: key.clone(),
+            revision: 0,
+        }],
+        puts: vec![Put {
+            key: key.clone(),
+            value: serde_json::to_string(value).unwrap_or_default(),
+            lease: None,
+        }],
+        deletes: Vec::new(),
+        reads: vec![key],
+    }
+}
+
+/// A bundle's write has ended.
+pub(super) fn submitted(
+    state: &mut RouterState,
+    job: u64,
+    number: u64,
+    result: StoreResult,
+    out: &mut Vec<Effect>,
+) {
+    match result {
+        Ok(StoreReply::Swapped { done: true, .. }) => {
+            let note = Note::new(NoteCode::BundleSubmitted).with("bundle", number);
+            out.push(Effect::Note(note));
+            out.push(Effect::Reply {
+                job,
+                reply: OperatorReply::Submitted(number),
+            });
+        }
+        Ok(_) => {
+            fleet::read(state, out);
+            let detail = format!("bundle {number} was submitted by another at the same moment");
+            problem(job, Problem::not_run(409, detail), out);
+        }
+        Err(_) => {
+            let detail = format!(
+                "no answer came; `runrail bundle status` shows whether bundle {number} was stored"
+            );
+            problem(job, Problem::unknown(504, detail), out);
+        }
+    }
+}
+
+fn approve(state: &mut RouterState, job: u64, by: String, number: u64, out: &mut Vec<Effect>) {
+    let Some((bundle, _)) = state.fleet.bundles.get(&number) else {
+        return problem(
+            job,
+            Problem::not_run(404, format!("bundle {number} doesn't exist")),
+            out,
+        );
+    };
+    if bundle.author == by {
+        let detail = format!("{by} wrote bundle {number}; another operator has to approve it");
+        return problem(job, Problem::not_run(403, detail), out);
+    }
+    let approval = Approval {
+        number,
+        by: by.clone(),
+    };
+    let op = create(Keys::approval(number), &approval);
+    state.call(Purpose::Approve { job, number, by }, op, out);
+}
+
+/// An approval's write has ended.
+pub(super) fn approved(
+    state: &mut RouterState,
+    job: u64,
+    number: u64,
+    by: String,
+    result: StoreResult,
+    out: &mut Vec<Effect>,
+) {
+    let stands = match result {
+        Ok(StoreReply::Swapped { done, revision, .. }) => {
+            let approval = Approval { number, by };
+            if done {
+                state.fleet.approvals.insert(number, (approval, revision));
+            }
+            true
+        }
+        _ => false,
+    };
+    if !stands {
+        let detail = "no answer came; approving again does no harm";
+        return problem(job, Problem::unknown(504, detail), out);
+    }
+    let note = Note::new(NoteCode::BundleApproved).with("bundle", number);
+    out.push(Effect::Note(note));
+    out.push(Effect::Reply {
+        job,
+        reply: OperatorReply::Approved(number),
+    });
+}
--- /dev/null
+++ b/src/logic/router/operator_call.rs
@@ -0,0 +1,31 @@
+use crate::types::BundleBody;
+
+/// What an operator asks of a router.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum OperatorCall {
+    /// Store a new bundle.
+    Submit {
+        /// The operator.
+        by: String,
+        /// The bundle.
+        body: Box<BundleBody>,
+    },
+    /// Sign a bundle off.
+    Approve {
+        /// The operator; must not be the author.
+        by: String,
+        /// The bundle.
+        number: u64,
+    },
+    /// Put an approved bundle in force.
+    Roll {
+        /// The operator.
+        by: String,
+        /// The bundle.
+        number: u64,
+    },
+    /// List bundles.
+    Bundles,
+    /// Show the fleet.
+    Status,
+}
--- /dev/null
+++ b/src/logic/router/recalling.rs
@@ -0,0 +1,172 @@
+//! Asking the agent in a claim what became of the request.
+
+use std::net::SocketAddr;
+
+use super::{finish, sending, Problem, RouterState, Stage};
+use crate::logic::{Effect, Note, NoteCode, Peer};
+use crate::message::{Message, Once, Recall, RunId};
+use crate::types::{InstanceId, Millis, RequestId};
+
+/// Time between two questions, in milliseconds.
+const ASK_EVERY: Millis = 500;
+
+/// Begins to ask about a claim that another request wrote.
+pub(super) fn begin(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    agent: &InstanceId,
+    addr: SocketAddr,
+    out: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    request.stage = Stage::Recalling {
+        agent: agent.clone(),
+        addr,
+        ask_at: now,
+    };
+    state.dial_at = now;
+    ask(state, now, id, out);
+}
+
+/// Begins to ask about an own attempt whose session was lost.
+pub(super) fn begin_own(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    agent: &InstanceId,
+    out: &mut Vec<Effect>,
+) {
+    let Some(addr) = state.agents.get(agent).map(|a| a.addr) else {
+        return;
+    };
+    begin(state, now, id, agent, addr, out);
+}
+
+/// Asks again as time passes.
+pub(super) fn tend(state: &mut RouterState, now: Millis, out: &mut Vec<Effect>) {
+    let due: Vec<_> = state
+        .requests
+        .values()
+        .filter(|r| matches!(r.stage, Stage::Recalling { ask_at, .. } if now >= ask_at))
+        .map(|r| r.id)
+        .collect();
+    for id in due {
+        ask(state, now, id, out);
+    }
+}
+
+/// A session with an agent has opened: ask it at once.
+pub(super) fn agent_up(state: &mut RouterState, now: Millis, peer: &Peer, out: &mut Vec<Effect>) {
+    let due: Vec<_> = state
+        .requests
+        .values()
+        .filter(|r| matches!(&r.stage, Stage::Recalling { agent, .. } if agent == &peer.id))
+        .map(|r| r.id)
+        .collect();
+    for id in due {
+        ask(state, now, id, out);
+    }
+}
+
+fn ask(state: &mut RouterState, now: Millis, id: RequestId, out: &mut Vec<Effect>) {
+    let keep_ms = state.knobs.claim_keep_ms;
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    let Stage::Recalling { agent, ask_at, .. } = &mut request.stage else {
+        return;
+    };
+    *ask_at = now + ASK_EVERY;
+    let agent = agent.clone();
+    let Some(once) = request.once else {
+        return;
+    };
+    let Some(up) = state.agents.get(&agent).and_then(|a| a.up) else {
+        return;
+    };
+    if state.rules.incarnation_check && up != once.incarnation {
+        let detail = "the agent in its claim has restarted; it may have run and is not run again";
+        return finish::end_with(state, now, id, Problem::unknown(409, detail), out);
+    }
+    request.attempt += 1;
+    out.push(Effect::Send {
+        to: agent,
+        message: Message::Query {
+            run: request.run(),
+            once: Once {
+                key: once.key,
+                attempt: once.attempt,
+                keep_ms,
+            },
+            incarnation: once.incarnation,
+        },
+    });
+}
+
+/// An agent has answered.
+pub(super) fn recalled(
+    state: &mut RouterState,
+    now: Millis,
+    run: RunId,
+    recall: Recall,
+    out: &mut Vec<Effect>,
+) {
+    let id = run.request;
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    let Stage::Recalling { agent, .. } = request.stage.clone() else {
+        return;
+    };
+    if request.run() != run {
+        return;
+    }
+    match recall {
+        Recall::NotRun => {
+            let note = Note::new(NoteCode::ClaimRebound).with("request", id);
+            out.push(Effect::Note(note));
+            request.stage = Stage::Parked(now);
+            sending::dispatch(state, now, id, out);
+        }
+        Recall::Running { pieces, text } => {
+            request.stage = Stage::Sent { agent, group: None };
+            catch_up(state, now, id, pieces, &text, out);
+        }
+        Recall::Done {
+            status,
+            pieces,
+            text,
+        } => {
+            catch_up(state, now, id, pieces, &text, out);
+            finish::complete(state, now, id, status, out);
+        }
+        Recall::Lost => {
+            let detail = "it was handed over and its answer is lost; it is not run again";
+            finish::end_with(state, now, id, Problem::unknown(409, detail), out);
+        }
+    }
+}
+
+/// Passes on what the caller doesn't have yet.
+fn catch_up(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    pieces: u64,
+    text: &str,
+    out: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    let Some(rest) = text.get(request.text.len()..) else {
+        return;
+    };
+    if pieces > request.pieces {
+        let more = pieces - request.pieces;
+        sending::deliver(request, now, more, rest.to_string(), out);
+    }
+}
--- /dev/null
+++ b/src/logic/router/roll.rs
@@ -0,0 +1,219 @@
+//! Putting a bundle in force: one write that is settled before peers are told.
+
+use super::{head, Check, Keys, OperatorReply, Problem, Purpose, Put, RouterState, StoreCall};
+use super::{StoreReply, StoreResult};
+use crate::logic::{Effect, Note, NoteCode};
+use crate::types::{Head, Millis};
+
+/// Time between two tries of a write whose answer was lost, in milliseconds.
+const RETRY_EVERY: Millis = 500;
+/// Time after which the operator is told that the result isn't known, in milliseconds.
+const TELL_AFTER: Millis = 8_000;
+
+/// A roll whose result isn't known yet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PendingRoll {
+    /// Head to write.
+    pub head: Head,
+    /// Revision that the head must have.
+    pub revision: i64,
+    /// Operator's call that waits for the result.
+    pub job: Option<u64>,
+    /// When it was asked for.
+    pub since: Millis,
+    /// When it is tried next.
+    pub retry_at: Millis,
+}
+
+/// Begins a roll.
+pub(super) fn begin(
+    state: &mut RouterState,
+    now: Millis,
+    job: u64,
+    by: String,
+    number: u64,
+    out: &mut Vec<Effect>,
+) {
+    if let Err(problem) = check(state, number) {
+        out.push(Effect::Reply {
+            job,
+            reply: OperatorReply::Problem(problem),
+        });
+        return;
+    }
+    let nonce = state.random(u64::MAX);
+    state.roll = Some(PendingRoll {
+        head: Head { number, by, nonce },
+        revision: state.head.revision,
+        job: Some(job),
+        since: now,
+        retry_at: now,
+    });
+    tend(state, now, out);
+}
+
+fn check(state: &RouterState, number: u64) -> Result<(), Problem> {
+    if !state.fleet.read {
+        return Err(Problem::not_run(
+            503,
+            "the key-value service hasn't been read yet",
+        ));
+    }
+    if state.roll.is_some() {
+        return Err(Problem::not_run(
+            409,
+            "another roll is under way at this router",
+        ));
+    }
+    if !state.fleet.bundles.contains_key(&number) {
+        return Err(Problem::not_run(
+            404,
+            format!("bundle {number} doesn't exist"),
+        ));
+    }
+    if !state.fleet.approvals.contains_key(&number) {
+        let detail = format!("bundle {number} isn't approved; another operator has to approve it");
+        return Err(Problem::not_run(409, detail));
+    }
+    let head = state.head.head.number;
+    if number <= head {
+        let detail = format!("found {number}, expected a number above {head}, which is in force");
+        return Err(Problem::not_run(409, detail));
+    }
+    let strangers: Vec<_> = state
+        .peers
+        .iter()
+        .filter(|(_, p)| p.addr.is_some() && !p.met)
+        .map(|(id, _)| id.to_string())
+        .collect();
+    if !strangers.is_empty() {
+        let detail = format!(
+            "this router hasn't met {} yet; ask another router",
+            strangers.join(", ")
+        );
+        return Err(Problem::not_run(503, detail));
+    }
+    Ok(())
+}
+
+/// Writes or writes again until the result is known.
+pub(super) fn tend(state: &mut RouterState, now: Millis, out: &mut Vec<Effect>) {
+    let flying = state.calling(|p| *p == Purpose::Roll);
+    let Some(roll) = &mut state.roll else {
+        return;
+    };
+    if now >= roll.since + TELL_AFTER {
+        if let Some(job) = roll.job.take() {
+            let detail = "the service doesn't answer; look at the status before trying again";
+            out.push(Effect::Reply {
+                job,
+                reply: OperatorReply::Problem(Problem::unknown(504, detail)),
+            });
+        }
+    }
+    if flying || now < roll.retry_at {
+        return;
+    }
+    let number = roll.head.number;
+    let op = StoreCall::Swap {
+        checks: vec![Check {
+            key: Keys::HEAD.to_string(),
+            revision: roll.revision,
+        }],
+        puts: vec![Put {
+            key: Keys::HEAD.to_string(),
+            value: serde_json::to_string(&roll.head).unwrap_or_default(),
+            lease: None,
+        }],
+        deletes: old_bundles(number),
+        reads: vec![Keys::HEAD.to_string()],
+    };
+    state.call(Purpose::Roll, op, out);
+}
+
+/// Bundles kept behind the one in force.
+const KEPT_BUNDLES: u64 = 32;
+
+fn old_bundles(number: u64) -> Vec<String> {
+    match number.checked_sub(KEPT_BUNDLES) {
+        Some(old) if old > 0 => vec![Keys::bundle(old), Keys::approval(old)],
+        _ => Vec::new(),
+    }
+}
+
+/// The write has ended, or its answer was lost.
+pub(super) fn written(
+    state: &mut RouterState,
+    now: Millis,
+    result: StoreResult,
+    out: &mut Vec<Effect>,
+) {
+    let Some(roll) = &mut state.roll else {
+        return;
+    };
+    match result {
+        Ok(StoreReply::Swapped {
+            done: true,
+            revision,
+            ..
+        }) => accepted(state, now, revision, out),
+        Ok(StoreReply::Swapped { entries, .. }) => {
+            let entry = entries.into_iter().find(|e| e.key == Keys::HEAD);
+            let found = entry.and_then(|e| {
+                let head: Head = serde_json::from_str(&e.value).ok()?;
+                Some((head, e.revision))
+            });
+            let (found, revision) = found.unwrap_or_default();
+            if found.nonce == roll.head.nonce {
+                accepted(state, now, revision, out);
+            } else if found.number >= roll.head.number {
+                lost_race(state, now, found, revision, out);
+            } else {
+                roll.revision = revision;
+                roll.retry_at = now;
+            }
+        }
+        _ => roll.retry_at = now + RETRY_EVERY,
+    }
+}
+
+fn accepted(state: &mut RouterState, now: Millis, revision: i64, out: &mut Vec<Effect>) {
+    let Some(roll) = state.roll.take() else {
+        return;
+    };
+    let number = roll.head.number;
+    let note = Note::new(NoteCode::BundleRolled)
+        .with("bundle", number)
+        .with("by", &roll.head.by);
+    out.push(Effect::Note(note));
+    head::seen(state, now, roll.head, revision, out);
+    if let Some(job) = roll.job {
+        out.push(Effect::Reply {
+            job,
+            reply: OperatorReply::Rolled(number),
+        });
+    }
+}
+
+fn lost_race(
+    state: &mut RouterState,
+    now: Millis,
+    found: Head,
+    revision: i64,
+    out: &mut Vec<Effect>,
+) {
+    let Some(roll) = state.roll.take() else {
+        return;
+    };
+    let detail = format!(
+        "bundle {}, rolled by {}, is in force",
+        found.number, found.by
+    );
+    head::seen(state, now, found, revision, out);
+    if let Some(job) = roll.job {
+        out.push(Effect::Reply {
+            job,
+            reply: OperatorReply::Problem(Problem::not_run(409, detail)),
+        });
+    }
+}
--- /dev/null
+++ b/src/logic/router/route.rs
@@ -0,0 +1,219 @@
+use super::{Problem, Request, RouterState};
+use crate::message::LeadReport;
+use crate::types::{GroupId, InstanceId, Millis, ModelKind, Phase};
+
+/// Weight of the old mean against one new run time.
+const MEAN_WEIGHT: u64 = 7;
+/// Run time assumed of a group before the first run ends, in milliseconds.
+const FIRST_MEAN: Millis = 200;
+/// Candidates in the own hall that are compared.
+const NEAR_SAMPLE: usize = 3;
+/// Candidates in other halls that are compared with them.
+const FAR_SAMPLE: usize = 1;
+/// Bytes of a body that count as its prefix.
+const PREFIX_BYTES: usize = 512;
+/// Prefixes that are remembered.
+const PREFIX_LIMIT: usize = 4_096;
+
+/// How a group is chosen among those that are open.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum RoutePolicy {
+    /// Compares a few and takes the one with the least expected wait.
+    #[default]
+    LeastWait,
+    /// Any; a baseline.
+    Random,
+    /// In turn; a baseline.
+    RoundRobin,
+}
+
+/// Load of one group as a router counts it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct GroupLoad {
+    /// Own requests in flight there.
+    pub own: u32,
+    /// Own requests sent since the group's last report.
+    pub since_report: u32,
+    /// Mean time of own runs, in milliseconds; 0 before the first.
+    pub mean_ms: Millis,
+}
+
+impl GroupLoad {
+    /// Counts a run that has ended.
+    pub fn ended(&mut self, took: Millis) {
+        self.mean_ms = match self.mean_ms {
+            0 => took.max(1),
+            mean => (mean * MEAN_WEIGHT + took) / (MEAN_WEIGHT + 1),
+        };
+    }
+}
+
+/// A group that could take a request.
+#[derive(Clone, Debug)]
+struct Candidate {
+    agent: InstanceId,
+    group: GroupId,
+    /// Expected extra time, in milliseconds.
+    cost: Millis,
+    /// Least time until it would start there, in milliseconds.
+    wait: Millis,
+    near: bool,
+}
+
+/// The group that was chosen.
+pub(super) struct Choice {
+    pub agent: InstanceId,
+    pub group: GroupId,
+}
+
+/// Chooses a group for a request, or says why none can take it.
+pub(super) fn choose(
+    state: &mut RouterState,
+    now: Millis,
+    request: &Request,
+) -> Result<Choice, Problem> {
+    let mut candidates = candidates(state, now, request);
+    if candidates.len() > 1 {
+        candidates.retain(|c| Some(&c.group) != request.avoid.as_ref());
+    }
+    let hint = state.knobs.hint_ms;
+    if candidates.is_empty() {
+        let detail = format!("no group of {:?} takes work now", request.model);
+        return Err(Problem::not_run(503, detail).retry_in(hint));
+    }
+    let best = match state.knobs.policy {
+        RoutePolicy::LeastWait => least_wait(state, request, &candidates),
+        RoutePolicy::Random => state.random(candidates.len() as u64) as usize,
+        RoutePolicy::RoundRobin => {
+            state.turn += 1;
+            (state.turn % candidates.len() as u64) as usize
+        }
+    };
+    let best = candidates.swap_remove(best);
+    let left = request.left(now);
+    if best.wait >= left {
+        let detail = format!("it would start in {} ms, after its deadline", best.wait);
+        let over = best.wait - left;
+        return Err(Problem::not_run(503, detail).retry_in(over.max(hint)));
+    }
+    remember_prefix(state, request, &best.group);
+    Ok(Choice {
+        agent: best.agent,
+        group: best.group,
+    })
+}
+
+fn candidates(state: &RouterState, now: Millis, request: &Request) -> Vec<Candidate> {
+    let mut found = Vec::new();
+    for (agent, view) in &state.agents {
+        let Some(lead) = view.report.as_ref().and_then(|r| r.lead.as_ref()) else {
+            continue;
+        };
+        if !lead.open || lead.phase == Phase::Draining {
+            continue;
+        }
+        let Some(record) = state.fleet.group(&lead.group) else {
+            continue;
+        };
+        let fits = record.epoch == lead.epoch
+            && record.model == request.model
+            && record.kind == request.kind
+            && record.phase == Phase::Serving;
+        if !fits {
+            continue;
+        }
+        let near = state.fleet.hall(&lead.group.domain) == Some(&state.hall);
+        let ramp = ramp_cost(state, now, view.opened_at, &lead.group);
+        let (wait, cost) = expected(state, request.priority, lead);
+        let far = if near { 0 } else { state.knobs.far_ms };
+        found.push(Candidate {
+            agent: agent.clone(),
+            group: lead.group.clone(),
+            cost: cost + far + ramp,
+            wait,
+            near,
+        });
+    }
+    found
+}
+
+/// Least time until a start, and expected extra time, from reports and own work.
+fn expected(state: &RouterState, priority: u8, lead: &LeadReport) -> (Millis, Millis) {
+    let load = state.loads.get(&lead.group).copied().unwrap_or_default();
+    let slots = u64::from(lead.slots.max(1));
+    let mean = if load.mean_ms == 0 {
+        FIRST_MEAN
+    } else {
+        load.mean_ms
+    };
+    let queued: u64 = lead
+        .queued
+        .iter()
+        .filter(|(p, _)| *p <= priority)
+        .map(|(_, n)| u64::from(*n))
+        .sum();
+    let ahead = queued + u64::from(load.since_report) + u64::from(lead.running);
+    let wait = queued * mean / slots;
+    (wait, ahead * mean / slots)
+}
+
+/// A group that has just opened is filled gradually instead of all at once.
+fn ramp_cost(state: &RouterState, now: Millis, opened_at: Millis, group: &GroupId) -> Millis {
+    let age = now.saturating_sub(opened_at);
+    if age >= state.knobs.ramp_ms {
+        return 0;
+    }
+    let own = state.loads.get(group).map_or(0, |l| u64::from(l.own));
+    own * (state.knobs.ramp_ms - age) / 10
+}
+
+/// Compares a few random candidates; a prefix hint wins where it costs no waiting.
+fn least_wait(state: &mut RouterState, request: &Request, all: &[Candidate]) -> usize {
+    let mut near: Vec<_> = (0..all.len()).filter(|i| all[*i].near).collect();
+    let mut far: Vec<_> = (0..all.len()).filter(|i| !all[*i].near).collect();
+    let far_sample = if near.is_empty() {
+        NEAR_SAMPLE
+    } else {
+        FAR_SAMPLE
+    };
+    let mut sample = draw(state, &mut near, NEAR_SAMPLE);
+    sample.extend(draw(state, &mut far, far_sample));
+    let best = sample.into_iter().min_by_key(|i| all[*i].cost).unwrap_or(0);
+    let hinted = prefix_of(request).and_then(|p| state.prefixes.get(&p));
+    let hinted = hinted.and_then(|group| all.iter().position(|c| &c.group == group));
+    match hinted {
+        Some(i) if all[i].cost <= all[best].cost + state.knobs.prefix_ms => i,
+        _ => best,
+    }
+}
+
+fn draw(state: &mut RouterState, from: &mut Vec<usize>, count: usize) -> Vec<usize> {
+    let mut drawn = Vec::new();
+    while drawn.len() < count && !from.is_empty() {
+        let at = state.random(from.len() as u64) as usize;
+        drawn.push(from.swap_remove(at));
+    }
+    drawn
+}
+
+fn prefix_of(request: &Request) -> Option<u64> {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let body = request.body.as_bytes();
+    if request.kind == ModelKind::Service || body.len() < PREFIX_BYTES {
+        return None;
+    }
+    let mut hasher = DefaultHasher::new();
+    request.model.hash(&mut hasher);
+    body[..PREFIX_BYTES].hash(&mut hasher);
+    Some(hasher.finish())
+}
+
+fn remember_prefix(state: &mut RouterState, request: &Request, group: &GroupId) {
+    let Some(prefix) = prefix_of(request) else {
+        return;
+    };
+    if state.prefixes.len() >= PREFIX_LIMIT && !state.prefixes.contains_key(&prefix) {
+        state.prefixes.pop_first();
+    }
+    state.prefixes.insert(prefix, group.clone());
+}
--- /dev/null
+++ b/src/logic/router/router_state.rs
@@ -0,0 +1,153 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::{
+    AgentView, CallId, ClaimBatch, Fleet, GroupLoad, HeadView, PeerView, PendingRoll, PlannerState,
+    Purpose, Request, RetryBudget, RouterKnobs, StoreCall,
+};
+use crate::logic::{Effect, Rules};
+use crate::types::{Bundle, GroupId, Instance, InstanceId, Millis, RequestId};
+
+/// Whole state of a router.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RouterState {
+    /// Safety rules; all on outside the model check.
+    pub rules: Rules,
+    /// Numbers it decides by.
+    pub knobs: RouterKnobs,
+    /// Own instance.
+    pub me: InstanceId,
+    /// Where other processes reach it.
+    pub addr: SocketAddr,
+    /// Own data hall.
+    pub hall: Arc<str>,
+    /// Random number of this process.
+    pub incarnation: u64,
+    /// State of the random numbers.
+    pub seed: u64,
+    /// Which bundle is in force, and how well that is proved.
+    pub head: HeadView,
+    /// A roll whose result isn't known yet.
+    pub roll: Option<PendingRoll>,
+    /// What the key-value service holds.
+    pub fleet: Fleet,
+    /// Calls that haven't been answered.
+    pub calls: BTreeMap<CallId, Purpose>,
+    /// Number of the next call.
+    pub next_call: CallId,
+    /// Whether the last call was answered.
+    pub store_up: bool,
+    /// The instance list.
+    pub instances: BTreeMap<InstanceId, Instance>,
+    /// Whether the list has been fetched since the start.
+    pub list_known: bool,
+    /// When it is fetched next.
+    pub list_at: Millis,
+    /// Other routers.
+    pub peers: BTreeMap<InstanceId, PeerView>,
+    /// Agents that are dialled.
+    pub agents: BTreeMap<InstanceId, AgentView>,
+    /// When the set of agents to dial is looked at next.
+    pub dial_at: Millis,
+    /// Load of groups as far as this router sees it.
+    pub loads: BTreeMap<GroupId, GroupLoad>,
+    /// Groups that may hold a prefix, by its hash; a hint only.
+    pub prefixes: BTreeMap<u64, GroupId>,
+    /// Turn of the round-robin baseline.
+    pub turn: u64,
+    /// Requests in flight.
+    pub requests: BTreeMap<RequestId, Request>,
+    /// Requests in flight by client account.
+    pub accounts: BTreeMap<Arc<str>, u32>,
+    /// Claims that wait to be written.
+    pub claims: ClaimBatch,
+    /// Tokens for retries.
+    pub budget: RetryBudget,
+    /// The planner's duty.
+    pub planner: PlannerState,
+    /// Whether the process ends once its requests have ended.
+    pub stopping: bool,
+}
+
+impl RouterState {
+    /// State of a router that starts now.
+    pub fn new(
+        me: InstanceId,
+        addr: SocketAddr,
+        hall: &str,
+        incarnation: u64,
+        knobs: RouterKnobs,
+    ) -> Self {
+        Self {
+            rules: Rules::default(),
+            knobs,
+            me,
+            addr,
+            hall: Arc::from(hall),
+            incarnation,
+            seed: incarnation,
+            head: HeadView::default(),
+            roll: None,
+            fleet: Fleet::default(),
+            calls: BTreeMap::new(),
+            next_call: 1,
+            store_up: true,
+            instances: BTreeMap::new(),
+            list_known: false,
+            list_at: 0,
+            peers: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            dial_at: 0,
+            loads: BTreeMap::new(),
+            prefixes: BTreeMap::new(),
+            turn: 0,
+            requests: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            claims: ClaimBatch::default(),
+            budget: RetryBudget::default(),
+            planner: PlannerState::default(),
+            stopping: false,
+        }
+    }
+
+    /// The bundle in force.
+    pub fn bundle(&self) -> Option<&Arc<Bundle>> {
+        self.head.bundle.as_ref()
+    }
+
+    /// Number of the bundle in force; 0 before the first.
+    pub fn number(&self) -> u64 {
+        self.head.bundle.as_ref().map_or(0, |b| b.number)
+    }
+
+    /// A random number below `bound`; 0 for a bound of 0.
+    pub(super) fn random(&mut self, bound: u64) -> u64 {
+        let mut rng = fastrand::Rng::with_seed(self.seed);
+        let value = rng.u64(..);
+        self.seed = rng.get_seed();
+        if bound == 0 {
+            0
+        } else {
+            value % bound
+        }
+    }
+
+    /// Spreads a hint when to come back, so that callers don't return together.
+    pub(super) fn spread(&mut self, base: Millis) -> Millis {
+        base + self.random(base.max(1))
+    }
+
+    /// Calls the key-value service and remembers why.
+    pub(super) fn call(&mut self, purpose: Purpose, op: StoreCall, out: &mut Vec<Effect>) {
+        let call = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(call, purpose);
+        out.push(Effect::Store { call, op });
+    }
+
+    /// Whether a call for a purpose is under way.
+    pub(super) fn calling(&self, wanted: impl Fn(&Purpose) -> bool) -> bool {
+        self.calls.values().any(wanted)
+    }
+}
--- /dev/null
+++ b/src/logic/router/sending.rs
@@ -0,0 +1,387 @@
+//! Attempts: where they go, how they end, when another follows.
+
+use std::sync::Arc;
+
+use super::{agents, claiming, finish, recalling, route};
+use super::{AnswerPart, Metric, Problem, Request, RouterState, Stage};
+use crate::logic::{Effect, Note, NoteCode};
+use crate::message::{AttemptEnd, Message, Once, Refusal, RunId, RunOrder};
+use crate::types::{GroupId, InstanceId, Millis, RequestId};
+
+/// Chooses a group and sends the request there, or its claim to the service first.
+pub(super) fn dispatch(state: &mut RouterState, now: Millis, id: RequestId, out: &mut Vec<Effect>) {
+    let Some(request) = state.requests.get(&id).cloned() else {
+        return;
+    };
+    let choice = match route::choose(state, now, &request) {
+        Ok(choice) => choice,
+        Err(problem) => return finish::give_up(state, now, id, problem, out),
+    };
+    if request.once.is_some() && state.rules.claim_first {
+        claiming::begin(state, now, id, choice.agent, choice.group, out);
+    } else {
+        send(state, now, id, &choice.agent, &choice.group, out);
+    }
+}
+
+/// Sends the next attempt to a group's leader.
+pub(super) fn send(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    agent: &InstanceId,
+    group: &GroupId,
+    out: &mut Vec<Effect>,
+) {
+    agents::push_brief_to(state, agent, out);
+    let bundle = state.number();
+    let keep_ms = state.knobs.claim_keep_ms;
+    let incarnation = state.agents.get(agent).and_then(|a| a.up);
+    let epoch = state.fleet.group(group).map(|g| g.epoch);
+    let (Some(incarnation), Some(epoch)) = (incarnation, epoch) else {
+        return park(state, now, id, out);
+    };
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    request.attempt += 1;
+    request.stage = Stage::Sent {
+        agent: agent.clone(),
+        group: Some(group.clone()),
+    };
+    let order = RunOrder {
+        run: request.run(),
+        group: group.clone(),
+        epoch,
+        incarnation,
+        bundle,
+        class: request.class.clone(),
+        account: request.account.clone(),
+        share: request.share,
+        left_ms: request.left(now),
+        once: request.once.as_ref().map(|o| Once {
+            key: o.key,
+            attempt: o.attempt.max(1),
+            keep_ms,
+        }),
+        path: request.path.clone(),
+        body: request.body.clone(),
+        offset: request.pieces,
+        prefix: request.text.clone(),
+    };
+    let note = Note::new(NoteCode::RequestRouted)
+        .with("request", id)
+        .with("attempt", request.attempt)
+        .with("group", group)
+        .with("agent", agent);
+    out.push(Effect::Note(note));
+    let load = state.loads.entry(group.clone()).or_default();
+    load.own += 1;
+    load.since_report += 1;
+    out.push(Effect::Send {
+        to: agent.clone(),
+        message: Message::Run(Box::new(order)),
+    });
+}
+
+/// Sets a request aside for a moment, then tries again.
+pub(super) fn park(state: &mut RouterState, now: Millis, id: RequestId, out: &mut Vec<Effect>) {
+    let at = now + state.knobs.park_ms;
+    let hint = state.knobs.hint_ms;
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    if at >= request.deadline {
+        let problem = Problem::not_run(504, "the deadline has come").retry_in(hint);
+        return finish::give_up(state, now, id, problem, out);
+    }
+    request.stage = Stage::Parked(at);
+}
+
+/// A piece has arrived. Only the next offset of the present attempt is passed on.
+pub(super) fn piece(
+    state: &mut RouterState,
+    now: Millis,
+    run: RunId,
+    offset: u64,
+    text: String,
+    out: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get_mut(&run.request) else {
+        return;
+    };
+    let current = request.run() == run && matches!(request.stage, Stage::Sent { .. });
+    if !current || offset < request.pieces {
+        return;
+    }
+    if offset > request.pieces {
+        return attempt_broken(state, now, run.request, out);
+    }
+    deliver(request, now, 1, text, out);
+}
+
+/// Passes text on to the caller.
+pub(super) fn deliver(
+    request: &mut Request,
+    now: Millis,
+    pieces: u64,
+    text: String,
+    out: &mut Vec<Effect>,
+) {
+    if request.pieces == 0 {
+        out.push(Effect::Measure {
+            metric: Metric::FirstPiece,
+            account: request.account.clone(),
+            class: request.class.clone(),
+            value: now.saturating_sub(request.since),
+        });
+    }
+    request.pieces += pieces;
+    request.text.push_str(&text);
+    out.push(Effect::Answer {
+        request: request.id,
+        part: AnswerPart::Piece(text),
+    });
+}
+
+/// An attempt has ended at its agent.
+pub(super) fn ended(
+    state: &mut RouterState,
+    now: Millis,
+    run: RunId,
+    end: AttemptEnd,
+    out: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get(&run.request) else {
+        return;
+    };
+    if request.run() != run || !matches!(request.stage, Stage::Sent { .. }) {
+        return;
+    }
+    let id = run.request;
+    match end {
+        AttemptEnd::Complete { status, pieces } if pieces == request.pieces => {
+            count_run(state, now, id);
+            finish::complete(state, now, id, status, out);
+        }
+        AttemptEnd::Complete { .. } | AttemptEnd::Broken => attempt_broken(state, now, id, out),
+        AttemptEnd::Refused(refusal) => refused(state, now, id, refusal, out),
+    }
+}
+
+fn count_run(state: &mut RouterState, now: Millis, id: RequestId) {
+    let Some(request) = state.requests.get(&id) else {
+        return;
+    };
+    let took = now.saturating_sub(request.since);
+    if let Some(load) = request.group().and_then(|g| state.loads.get_mut(g)) {
+        load.ended(took);
+    }
+}
+
+/// Takes the present attempt out of the books of its group.
+fn detach(state: &mut RouterState, id: RequestId) -> Option<GroupId> {
+    let group = state.requests.get(&id)?.group().cloned()?;
+    if let Some(load) = state.loads.get_mut(&group) {
+        load.own = load.own.saturating_sub(1);
+    }
+    Some(group)
+}
+
+/// The agent has refused: this attempt didn't run.
+fn refused(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    refusal: Refusal,
+    out: &mut Vec<Effect>,
+) {
+    let group = detach(state, id);
+    let number = state.number();
+    let hint = state.knobs.hint_ms;
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    request.avoid = group;
+    request.stage = Stage::Parked(now);
+    if request.once.is_some() && matches!(refusal, Refusal::Cancelled | Refusal::Duplicate) {
+        return claiming::look_again(state, now, id, out);
+    }
+    if let Refusal::Behind(bundle) = refusal {
+        if let Some(view) = agent_of(state, id) {
+            view.bundle = view.bundle.min(bundle);
+        }
+    }
+    if matches!(refusal, Refusal::Ahead(n) if n > number) {
+        state.head.prove_at = now;
+    }
+    let wait = refusal.retry_ms().unwrap_or(0).max(hint);
+    let detail = format!("refused: {refusal}");
+    if !refusal.elsewhere() {
+        let problem = Problem::not_run(503, detail).retry_in(wait);
+        return finish::give_up(state, now, id, problem, out);
+    }
+    let soon = matches!(refusal, Refusal::Ahead(_) | Refusal::Behind(_));
+    again(state, now, id, detail, wait, soon, out);
+}
+
+fn agent_of(state: &mut RouterState, id: RequestId) -> Option<&mut super::AgentView> {
+    let group = state.requests.get(&id)?.avoid.clone()?;
+    let leader = state.fleet.group(&group)?.leader().instance.clone();
+    state.agents.get_mut(&leader)
+}
+
+/// The attempt may have run and its end isn't known.
+pub(super) fn attempt_broken(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    out: &mut Vec<Effect>,
+) {
+    let group = detach(state, id);
+    let hint = state.knobs.hint_ms;
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    request.maybe_ran = true;
+    request.avoid = group;
+    request.stage = Stage::Parked(now);
+    if request.once.is_some() {
+        let detail = "its endpoint broke off; it may have run and is not run again";
+        return finish::end_with(state, now, id, Problem::unknown(502, detail), out);
+    }
+    again(
+        state,
+        now,
+        id,
+        "the attempt broke off".into(),
+        hint,
+        false,
+        out,
+    );
+}
+
+/// Tries again where attempts, budget and deadline allow it; else gives up.
+fn again(
+    state: &mut RouterState,
+    now: Millis,
+    id: RequestId,
+    detail: String,
+    wait: Millis,
+    soon: bool,
+    out: &mut Vec<Effect>,
+) {
+    let limit = state.knobs.attempts;
+    let attempt = state.requests.get(&id).map_or(0, |r| r.attempt);
+    if attempt >= limit || !state.budget.spend() {
+        let problem = Problem::not_run(503, detail).retry_in(wait);
+        return finish::give_up(state, now, id, problem, out);
+    }
+    let Some(request) = state.requests.get(&id) else {
+        return;
+    };
+    let note = Note::new(NoteCode::RequestRetried)
+        .with("request", id)
+        .with("attempt", attempt)
+        .with("detail", detail);
+    out.push(Effect::Note(note));
+    out.push(retry_measure(request));
+    if soon {
+        park(state, now, id, out);
+    } else {
+        dispatch(state, now, id, out);
+    }
+}
+
+fn retry_measure(request: &Request) -> Effect {
+    let account: Arc<str> = request.account.clone();
+    Effect::Measure {
+        metric: Metric::Retry,
+        account,
+        class: request.class.clone(),
+        value: 1,
+    }
+}
+
+/// The session with an agent is gone, and with it the end of what was sent there.
+pub(super) fn agent_lost(
+    state: &mut RouterState,
+    now: Millis,
+    agent: &InstanceId,
+    out: &mut Vec<Effect>,
+) {
+    let lost: Vec<_> = state
+        .requests
+        .values()
+        .filter(|r| matches!(&r.stage, Stage::Sent { agent: a, .. } if a == agent))
+        .map(|r| (r.id, r.once.is_some()))
+        .collect();
+    for (id, once) in lost {
+        if once {
+            detach(state, id);
+            recalling::begin_own(state, now, id, agent, out);
+        } else {
+            attempt_broken(state, now, id, out);
+        }
+    }
+}
+
+/// Looks after requests as time passes.
+pub(super) fn tend(state: &mut RouterState, now: Millis, out: &mut Vec<Effect>) {
+    let grace = state.knobs.grace_ms;
+    let mut parked = Vec::new();
+    let mut late = Vec::new();
+    for request in state.requests.values() {
+        if now >= request.deadline + grace {
+            late.push(request.id);
+        } else if matches!(request.stage, Stage::Parked(at) if now >= at) {
+            parked.push(request.id);
+        }
+    }
+    for id in late {
+        deadline_passed(state, now, id, out);
+    }
+    for id in parked {
+        dispatch(state, now, id, out);
+    }
+}
+
+fn deadline_passed(state: &mut RouterState, now: Millis, id: RequestId, out: &mut Vec<Effect>) {
+    let hint = state.knobs.hint_ms;
+    let Some(request) = state.requests.get(&id) else {
+        return;
+    };
+    let problem = match &request.stage {
+        Stage::Parked(_) => {
+            let problem = Problem::not_run(504, "the deadline has come").retry_in(hint);
+            return finish::give_up(state, now, id, problem, out);
+        }
+        Stage::Sent { agent, .. } => {
+            out.push(Effect::Send {
+                to: agent.clone(),
+                message: Message::Cancel(request.run()),
+            });
+            Problem::unknown(504, "the deadline has come while it ran")
+        }
+        Stage::Claiming { .. } | Stage::Releasing(_) => {
+            let detail = "its claim could not be settled; ask again with the same key";
+            Problem::unknown(504, detail).retry_in(hint)
+        }
+        Stage::Recalling { .. } => Problem::unknown(504, "the agent in its claim can't be reached"),
+    };
+    finish::end_with(state, now, id, problem, out);
+}
+
+/// The caller has hung up.
+pub(super) fn caller_gone(state: &mut RouterState, id: RequestId, out: &mut Vec<Effect>) {
+    let Some(request) = state.requests.get(&id) else {
+        return;
+    };
+    if let Stage::Sent { agent, .. } = &request.stage {
+        out.push(Effect::Send {
+            to: agent.clone(),
+            message: Message::Cancel(request.run()),
+        });
+    }
+    finish::forget(state, id, |_, _, _| {});
+}
--- /dev/null
+++ b/src/logic/router/status.rs
@@ -0,0 +1,110 @@
+use serde::{Deserialize, Serialize};
+
+use super::{head, RouterState};
+use crate::types::{GroupRecord, Millis};
+
+/// The fleet as one router sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct FleetStatus {
+    /// The router.
+    pub router: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Bundle in force.
+    pub bundle: u64,
+    /// Whether that is proved to be the newest.
+    pub proven: bool,
+    /// Whether the key-value service answers.
+    pub store_up: bool,
+    /// Whether this router plans its hall.
+    pub planner: bool,
+    /// Requests in flight here.
+    pub requests: usize,
+    /// Groups.
+    pub groups: Vec<GroupStatus>,
+    /// Live instances of the own hall outside any group.
+    pub spares: Vec<String>,
+}
+
+/// One group as a router sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct GroupStatus {
+    /// Id.
+    pub id: String,
+    /// Epoch.
+    pub epoch: u64,
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: String,
+    /// Members in rank order.
+    pub members: Vec<String>,
+    /// `open`, or why it isn't.
+    pub state: String,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Slots.
+    pub slots: u32,
+}
+
+/// Describes the fleet for operators.
+pub(super) fn build(state: &RouterState, now: Millis) -> FleetStatus {
+    let used = |id: &crate::types::InstanceId| state.fleet.groups().any(|g| g.has(id));
+    let spares = state
+        .instances
+        .values()
+        .filter(|i| i.hall == state.hall && !i.is_router() && i.is_live() && !used(&i.id))
+        .map(|i| i.id.to_string())
+        .collect();
+    FleetStatus {
+        router: state.me.to_string(),
+        hall: state.hall.to_string(),
+        bundle: state.number(),
+        proven: head::proven(state, now),
+        store_up: state.store_up,
+        planner: state.planner.holds(now),
+        requests: state.requests.len(),
+        groups: state.fleet.groups().map(|g| group(state, g)).collect(),
+        spares,
+    }
+}
+
+fn group(state: &RouterState, record: &GroupRecord) -> GroupStatus {
+    let view = state.agents.get(&record.leader().instance);
+    let lead = view
+        .and_then(|v| v.report.as_ref())
+        .and_then(|r| r.lead.as_ref())
+        .filter(|l| l.epoch == record.epoch);
+    let condition = match (view, lead) {
+        (None, _) => "not watched from this router".to_string(),
+        (Some(v), _) if v.up.is_none() => "leader unreachable".to_string(),
+        (_, None) => "leader hasn't taken it up".to_string(),
+        (_, Some(l)) if l.open => "open".to_string(),
+        (_, Some(l)) if l.phase == crate::types::Phase::Draining => "draining".to_string(),
+        (_, Some(l)) if !l.missing.is_empty() => format!("lacks {}", join(&l.missing)),
+        (_, Some(l)) if !l.failed.is_empty() => format!("load failed on {}", join(&l.failed)),
+        _ => "loading".to_string(),
+    };
+    GroupStatus {
+        id: record.id.to_string(),
+        epoch: record.epoch,
+        model: record.model.to_string(),
+        version: record.version.to_string(),
+        members: record
+            .members
+            .iter()
+            .map(|m| m.instance.to_string())
+            .collect(),
+        state: condition,
+        running: lead.map_or(0, |l| l.running),
+        waiting: lead.map_or(0, |l| l.queued.iter().map(|(_, n)| n).sum()),
+        slots: lead.map_or(0, |l| l.slots),
+    }
+}
+
+fn join(ids: &[crate::types::InstanceId]) -> String {
+    let names: Vec<_> = ids.iter().map(|i| i.as_str()).collect();
+    names.join(", ")
+}
--- /dev/null
+++ b/src/message/mod.rs
@@ -0,0 +1,30 @@
+//! Messages between the processes of the system.
+//!
+//! Routers dial agents, leaders dial members, routers dial routers; answers
+//! come back on the same session. [`Message`] is the closed set of them.
+
+mod attempt_end;
+mod claim_key;
+mod head_reply;
+mod lead_report;
+mod lease_ask;
+mod message_kind;
+mod once;
+mod recall;
+mod refusal;
+mod report;
+mod run_id;
+mod run_order;
+
+pub use attempt_end::AttemptEnd;
+pub use claim_key::ClaimKey;
+pub use head_reply::HeadReply;
+pub use lead_report::LeadReport;
+pub use lease_ask::LeaseAsk;
+pub use message_kind::Message;
+pub use once::Once;
+pub use recall::Recall;
+pub use refusal::Refusal;
+pub use report::Report;
+pub use run_id::RunId;
+pub use run_order::RunOrder;
--- /dev/null
+++ b/src/settings/agent_settings.rs
@@ -0,0 +1,142 @@
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::ini_reader::IniReader;
+use super::router_settings::read_net;
+use super::SettingsError;
+use crate::endpoint::EndpointSettings;
+use crate::logic::agent::AgentKnobs;
+use crate::wire::NetSettings;
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// Own instance.
+    pub id: String,
+    /// The fleet's key.
+    pub key: Arc<[u8]>,
+    /// Sessions with other processes.
+    pub net: NetSettings,
+    /// The endpoint beside it.
+    pub endpoint: EndpointSettings,
+    /// Receiver of statsd metrics.
+    pub statsd: Option<SocketAddr>,
+    /// Numbers that decisions are made by.
+    pub knobs: AgentKnobs,
+}
+
+impl Default for AgentSettings {
+    fn default() -> Self {
+        Self {
+            id: String::new(),
+            key: Arc::from([]),
+            net: NetSettings::default(),
+            endpoint: EndpointSettings::default(),
+            statsd: None,
+            knobs: AgentKnobs::default(),
+        }
+    }
+}
+
+impl AgentSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// Returns every fault of the file at once.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let mut ini = IniReader::open(path)?;
+        let settings = Self {
+            id: ini.text("instance", "id", "the instance's name in the instance list"),
+            key: ini.fleet_key(),
+            net: read_net(&mut ini),
+            endpoint: read_endpoint(&mut ini),
+            statsd: ini.optional("metrics", "statsd", "an IP address and a port"),
+            knobs: read_knobs(&mut ini),
+        };
+        ini.finish()?;
+        Ok(settings)
+    }
+}
+
+fn read_endpoint(ini: &mut IniReader) -> EndpointSettings {
+    let d = EndpointSettings::default();
+    let expected = "the IP address and port of the endpoint";
+    let addr = ini.text("endpoint", "addr", expected);
+    let parsed = addr.parse();
+    if !addr.is_empty() && parsed.is_err() {
+        ini.fault("endpoint", "addr", format!("{addr:?}"), expected);
+    }
+    let kind = ini.parsed(
+        "endpoint",
+        "kind",
+        "engine".to_string(),
+        "engine or service",
+    );
+    if kind != "engine" && kind != "service" {
+        ini.fault("endpoint", "kind", format!("{kind:?}"), "engine or service");
+    }
+    let mut ms = |key: &str, default: Duration, high: u64| {
+        let default = default.as_millis() as u64;
+        let number = ini.number("endpoint", key, default, 10..=high, "milliseconds");
+        Duration::from_millis(number)
+    };
+    EndpointSettings {
+        addr: parsed.unwrap_or(d.addr),
+        load: ms("load_ms", d.load, 7_200_000),
+        silence: ms("silence_ms", d.silence, 3_600_000),
+        status: ms("status_ms", d.status, 60_000),
+        engine: kind == "engine",
+    }
+}
+
+fn read_knobs(ini: &mut IniReader) -> AgentKnobs {
+    let d = AgentKnobs::default();
+    let lease_ms = ini.number(
+        "group",
+        "lease_ms",
+        d.lease_ms,
+        100..=30_000,
+        "milliseconds",
+    );
+    // A tenth of the lease covers two clocks that drift apart by a tenth.
+    let margin = (lease_ms / 10).max(1);
+    let ask = (lease_ms / 3).max(1);
+    AgentKnobs {
+        lease_ms,
+        margin_ms: ini.number("group", "margin_ms", margin, 1..=30_000, "milliseconds"),
+        ask_ms: ini.number(
+            "group",
+            "ask_ms",
+            ask,
+            10..=lease_ms.max(10),
+            "milliseconds, at most the lease",
+        ),
+        slots: ini.number("endpoint", "slots", d.slots, 1..=65_536, "requests at once"),
+        queue_limit: ini.number("queue", "limit", d.queue_limit, 0..=1_000_000, "requests"),
+        leave_ms: ini.number("group", "leave_ms", d.leave_ms, 0..=5_000, "milliseconds"),
+        load_retry_ms: ini.number(
+            "group",
+            "load_retry_ms",
+            d.load_retry_ms,
+            10..=600_000,
+            "milliseconds",
+        ),
+        report_ms: ini.number(
+            "sessions",
+            "report_ms",
+            d.report_ms,
+            10..=60_000,
+            "milliseconds",
+        ),
+        answer_bytes: ini.number(
+            "queue",
+            "answer_bytes",
+            d.answer_bytes,
+            0..=1_048_576,
+            "bytes",
+        ),
+        by_class: true,
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,10 @@
+//! Settings in INI: read once, every value checked, all faults reported at once.
+
+mod agent_settings;
+mod ini_reader;
+mod router_settings;
+mod settings_error;
+
+pub use agent_settings::AgentSettings;
+pub use router_settings::RouterSettings;
+pub use settings_error::{SettingsError, SettingsFault};
--- /dev/null
+++ b/src/settings/router_settings.rs
@@ -0,0 +1,244 @@
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::ini_reader::IniReader;
+use super::SettingsError;
+use crate::logic::router::RouterKnobs;
+use crate::platform::PlatformSettings;
+use crate::wire::NetSettings;
+
+/// Length of a SHA-256 in hexadecimal.
+const TOKEN_HEX: usize = 64;
+
+/// Settings of a router.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// Own instance.
+    pub id: String,
+    /// Own data hall.
+    pub hall: String,
+    /// The fleet's key.
+    pub key: Arc<[u8]>,
+    /// Sessions with other processes.
+    pub net: NetSettings,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operator_listen: SocketAddr,
+    /// Operators' names with the SHA-256 of their tokens.
+    pub operators: Vec<(String, String)>,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Longest body of a caller's request, in bytes.
+    pub body_limit: usize,
+    /// Most callers' requests at once.
+    pub caller_limit: usize,
+    /// Receiver of statsd metrics.
+    pub statsd: Option<SocketAddr>,
+    /// Numbers that decisions are made by.
+    pub knobs: RouterKnobs,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            id: String::new(),
+            hall: String::new(),
+            key: Arc::from([]),
+            net: NetSettings::default(),
+            callers: any,
+            operator_listen: any,
+            operators: Vec::new(),
+            platform: PlatformSettings::default(),
+            body_limit: 1024 * 1024,
+            caller_limit: 1_024,
+            statsd: None,
+            knobs: RouterKnobs::default(),
+        }
+    }
+}
+
+impl RouterSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// Returns every fault of the file at once.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let mut ini = IniReader::open(path)?;
+        let default = Self::default();
+        let settings = Self {
+            id: ini.text("instance", "id", "the instance's name in the instance list"),
+            hall: ini.text("instance", "hall", "the name of the data hall"),
+            key: ini.fleet_key(),
+            net: read_net(&mut ini),
+            callers: ini.parsed(
+                "listen",
+                "callers",
+                default.callers,
+                "an IP address and a port",
+            ),
+            operator_listen: ini.parsed(
+                "listen",
+                "operators",
+                default.operator_listen,
+                "an IP address and a port",
+            ),
+            operators: read_operators(&mut ini),
+            platform: read_platform(&mut ini),
+            body_limit: ini.number(
+                "limits",
+                "body_bytes",
+                default.body_limit,
+                1_024..=16_777_216,
+                "bytes",
+            ),
+            caller_limit: ini.number(
+                "limits",
+                "callers",
+                default.caller_limit,
+                1..=65_536,
+                "requests",
+            ),
+            statsd: ini.optional("metrics", "statsd", "an IP address and a port"),
+            knobs: read_knobs(&mut ini),
+        };
+        ini.finish()?;
+        Ok(settings)
+    }
+}
+
+/// Reads what every process needs for its sessions.
+pub(super) fn read_net(ini: &mut IniReader) -> NetSettings {
+    let default = NetSettings::default();
+    let idle = default.idle.as_millis() as u64;
+    NetSettings {
+        listen: ini.parsed(
+            "listen",
+            "peers",
+            default.listen,
+            "an IP address and a port",
+        ),
+        idle: Duration::from_millis(ini.number(
+            "sessions",
+            "idle_ms",
+            idle,
+            50..=60_000,
+            "milliseconds",
+        )),
+        sessions: ini.number(
+            "sessions",
+            "limit",
+            default.sessions,
+            1..=65_536,
+            "sessions",
+        ),
+    }
+}
+
+fn read_operators(ini: &mut IniReader) -> Vec<(String, String)> {
+    let operators = ini.entries("operators");
+    for (name, token) in &operators {
+        let hex = token.len() == TOKEN_HEX && token.chars().all(|c| c.is_ascii_hexdigit());
+        if !hex {
+            let found = format!("{} characters", token.len());
+            ini.fault(
+                "operators",
+                name,
+                found,
+                "the SHA-256 of the token, 64 hexadecimal digits",
+            );
+        }
+    }
+    let lower = |(n, t): (String, String)| (n, t.to_ascii_lowercase());
+    operators.into_iter().map(lower).collect()
+}
+
+fn read_platform(ini: &mut IniReader) -> PlatformSettings {
+    let default = PlatformSettings::default();
+    let call = default.call.as_millis() as u64;
+    let list = ini.text(
+        "platform",
+        "list",
+        "the IP address and port of the instance list",
+    );
+    let list_addr = list.parse();
+    if !list.is_empty() && list_addr.is_err() {
+        ini.fault(
+            "platform",
+            "list",
+            format!("{list:?}"),
+            "an IP address and a port",
+        );
+    }
+    PlatformSettings {
+        kv: ini.list(
+            "platform",
+            "kv",
+            "IP addresses and ports, separated by commas",
+        ),
+        list: list_addr.unwrap_or(default.list),
+        call: Duration::from_millis(ini.number(
+            "platform",
+            "call_ms",
+            call,
+            10..=60_000,
+            "milliseconds",
+        )),
+        workers: ini.number(
+            "platform",
+            "workers",
+            default.workers,
+            1..=64,
+            "calls at once",
+        ),
+    }
+}
+
+fn read_knobs(ini: &mut IniReader) -> RouterKnobs {
+    let d = RouterKnobs::default();
+    let mut ms = |section: &str, key: &str, default: u64, low: u64, high: u64| {
+        ini.number(section, key, default, low..=high, "milliseconds")
+    };
+    let mut knobs = RouterKnobs {
+        proof_ms: ms("bundles", "proof_ms", d.proof_ms, 200, 60_000),
+        prove_ms: ms("bundles", "prove_ms", d.prove_ms, 50, 30_000),
+        list_ms: ms("platform", "list_ms", d.list_ms, 50, 60_000),
+        planner_ms: ms("planner", "lease_ms", d.planner_ms, 1_000, 60_000),
+        plan_ms: ms("planner", "plan_ms", d.plan_ms, 20, 60_000),
+        patience_ms: ms("planner", "patience_ms", d.patience_ms, 100, 3_600_000),
+        claim_ms: ms("claims", "batch_ms", d.claim_ms, 1, 1_000),
+        claim_keep_ms: ms("claims", "keep_ms", d.claim_keep_ms, 10_000, 86_400_000),
+        park_ms: ms("requests", "park_ms", d.park_ms, 10, 10_000),
+        grace_ms: ms("requests", "grace_ms", d.grace_ms, 0, 10_000),
+        hint_ms: ms("requests", "hint_ms", d.hint_ms, 10, 600_000),
+        far_ms: ms("routing", "far_ms", d.far_ms, 0, 10_000),
+        ramp_ms: ms("routing", "ramp_ms", d.ramp_ms, 0, 600_000),
+        prefix_ms: ms("routing", "prefix_ms", d.prefix_ms, 0, 10_000),
+        ..d.clone()
+    };
+    knobs.plan_rate = ini.number(
+        "planner",
+        "writes_per_min",
+        d.plan_rate,
+        1..=6_000,
+        "writes a minute",
+    );
+    knobs.claim_batch = ini.number("claims", "batch", d.claim_batch, 1..=120, "claims");
+    knobs.attempts = ini.number("requests", "attempts", d.attempts, 1..=20, "attempts");
+    knobs.request_limit = ini.number(
+        "limits",
+        "requests",
+        d.request_limit,
+        1..=1_000_000,
+        "requests",
+    );
+    knobs.far_groups = ini.number("routing", "far_groups", d.far_groups, 0..=10_000, "groups");
+    if knobs.prove_ms >= knobs.proof_ms {
+        let expected = format!("less than [bundles] proof_ms, which is {}", knobs.proof_ms);
+        ini.fault("bundles", "prove_ms", knobs.prove_ms, expected);
+    }
+    knobs
+}
--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,48 @@
+use serde::{Deserialize, Serialize};
+
+use crate::logic::PeerRole;
+use crate::types::InstanceId;
+
+/// Version of the protocol between processes; another one ends the session.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// First frame of a session, from the side that was dialled.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Challenge {
+    /// Protocol version.
+    pub version: u32,
+    /// Random bytes.
+    pub nonce: [u8; 16],
+}
+
+/// Second frame, from the side that dialled.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Protocol version.
+    pub version: u32,
+    /// Instance of the sender.
+    pub id: InstanceId,
+    /// Instance that it means to reach.
+    pub to: InstanceId,
+    /// Incarnation of the sender.
+    pub incarnation: u64,
+    /// Role of the sender.
+    pub role: PeerRole,
+    /// Random bytes of its own.
+    pub nonce: [u8; 16],
+    /// Proof that the sender holds the fleet's key.
+    pub proof: Vec<u8>,
+}
+
+/// Third frame, from the side that was dialled.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// Instance of the sender.
+    pub id: InstanceId,
+    /// Incarnation of the sender.
+    pub incarnation: u64,
+    /// Role of the sender.
+    pub role: PeerRole,
+    /// Proof that the sender holds the fleet's key.
+    pub proof: Vec<u8>,
+}
--- /dev/null
+++ b/testkit/src/lib.rs
@@ -0,0 +1,17 @@
+//! Small stand-ins for the systems that runrail meets; never shipped.
+//!
+//! They listen on loopback ports that the system chooses and record what was
+//! asked of them, so that tests can judge from outside.
+
+mod engine;
+mod platform;
+mod relay;
+mod respond;
+mod service;
+mod sse_client;
+
+pub use engine::{Engine, EngineKnobs, EngineRun, Fabric};
+pub use platform::{ListedInstance, Platform, PlatformFault};
+pub use relay::Relay;
+pub use service::{Service, ServiceRun};
+pub use sse_client::{post, Answer, Call};
--- /dev/null
+++ b/testkit/src/relay.rs
@@ -0,0 +1,95 @@
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+/// A TCP relay that can be cut: open connections break and new ones are refused.
+#[derive(Clone)]
+pub struct Relay {
+    addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    target: SocketAddr,
+    cut: bool,
+    open: Vec<TcpStream>,
+}
+
+impl Relay {
+    /// Starts a relay to a target.
+    ///
+    /// # Panics
+    /// When no port can be had.
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let state = Arc::new(Mutex::new(State {
+            target,
+            cut: false,
+            open: Vec::new(),
+        }));
+        let relay = Self { addr, state };
+        let serving = relay.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                serving.accept(stream);
+            }
+        });
+        relay
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sends new connections to another target.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.lock().target = target;
+    }
+
+    /// Cuts the relay, or heals it.
+    pub fn set_cut(&self, cut: bool) {
+        let mut state = self.lock();
+        state.cut = cut;
+        if cut {
+            for stream in state.open.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn accept(&self, from: TcpStream) {
+        let mut state = self.lock();
+        if state.cut {
+            return;
+        }
+        let Ok(to) = TcpStream::connect(state.target) else {
+            return;
+        };
+        let _ = from.set_nodelay(true);
+        let _ = to.set_nodelay(true);
+        for (a, b) in [(&from, &to), (&to, &from)] {
+            if let (Ok(read), Ok(write)) = (a.try_clone(), b.try_clone()) {
+                std::thread::spawn(move || pump(read, write));
+            }
+        }
+        state.open.push(from);
+        state.open.push(to);
+    }
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream) {
+    let mut buffer = [0; 16 * 1024];
+    while let Ok(n) = from.read(&mut buffer) {
+        if n == 0 || to.write_all(&buffer[..n]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
+}
--- /dev/null
+++ b/testkit/src/sse_client.rs
@@ -0,0 +1,117 @@
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+/// A call as a caller makes it.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// Path.
+    pub path: String,
+    /// Body.
+    pub body: String,
+    /// Headers besides the content type.
+    pub headers: Vec<(String, String)>,
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status; 0 when no answer came.
+    pub status: u16,
+    /// Text of the answer: the streamed pieces joined, or the body.
+    pub text: String,
+    /// Pieces of a stream.
+    pub pieces: u64,
+    /// Whether the answer was complete.
+    pub whole: bool,
+    /// `outcome` of a problem.
+    pub outcome: Option<String>,
+    /// Header `Retry-After`.
+    pub retry_after: Option<String>,
+    /// Header `Runrail-Request`.
+    pub request: Option<String>,
+    /// Time to the first piece.
+    pub first: Option<Duration>,
+}
+
+impl Answer {
+    /// Whether the whole answer came.
+    pub fn is_answered(&self) -> bool {
+        self.whole && self.outcome.is_none() && self.status < 400
+    }
+}
+
+/// Makes a call and reads the answer to its end.
+pub fn post(addr: SocketAddr, call: &Call) -> Answer {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_secs(60)))
+        .build()
+        .into();
+    let start = Instant::now();
+    let mut request = agent
+        .post(format!("http://{addr}{}", call.path))
+        .header("Content-Type", "application/json");
+    for (name, value) in &call.headers {
+        request = request.header(name, value);
+    }
+    let Ok(response) = request.send(&call.body) else {
+        return Answer::default();
+    };
+    let header = |name: &str| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok().map(str::to_string)
+    };
+    let mut answer = Answer {
+        status: response.status().as_u16(),
+        retry_after: header("Retry-After"),
+        request: header("Runrail-Request"),
+        ..Answer::default()
+    };
+    let streamed = header("Content-Type").as_deref() == Some("text/event-stream");
+    let reader = BufReader::new(response.into_body().into_reader());
+    if streamed {
+        read_stream(&mut answer, reader, start);
+    } else {
+        read_whole(&mut answer, reader);
+    }
+    answer
+}
+
+fn read_whole(answer: &mut Answer, mut reader: impl BufRead) {
+    answer.whole = reader.read_to_string(&mut answer.text).is_ok();
+    answer.outcome = outcome(&answer.text);
+}
+
+fn outcome(text: &str) -> Option<String> {
+    let value: Value = serde_json::from_str(text).ok()?;
+    value["outcome"].as_str().map(str::to_string)
+}
+
+fn read_stream(answer: &mut Answer, reader: impl BufRead, start: Instant) {
+    let mut failed = false;
+    for line in reader.lines() {
+        let Ok(line) = line else {
+            return;
+        };
+        if line.starts_with("event: error") {
+            failed = true;
+        }
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if data == "[DONE]" {
+            answer.whole = true;
+        } else if failed {
+            answer.outcome = outcome(data);
+        } else if let Ok(value) = serde_json::from_str::<Value>(data) {
+            if let Some(text) = value["choices"][0]["delta"]["content"].as_str() {
+                answer.first.get_or_insert(start.elapsed());
+                answer.pieces += 1;
+                answer.text.push_str(text);
+            }
+        }
+    }
+}
