--- a/src/logic/router/router_state.rs
+++ b/src/logic/router/router_state.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::head;
 use super::{
     AgentView, CallId, ClaimBatch, Fleet, GroupLoad, HeadView, PeerView, PendingRoll, PlannerState,
     Purpose, Request, RetryBudget, RouterKnobs, StoreCall,
@@ -121,6 +122,11 @@
         self.head.bundle.as_ref().map_or(0, |b| b.number)
     }
 
+    /// Whether new work may be taken at `now`: the bundle in force is proved new.
+    pub fn proven(&self, now: Millis) -> bool {
+        head::proven(self, now)
+    }
+
     /// A random number below `bound`; 0 for a bound of 0.
     pub(super) fn random(&mut self, bound: u64) -> u64 {
         let mut rng = fastrand::Rng::with_seed(self.seed);
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -4,14 +4,18 @@
 //! asked of them, so that tests can judge from outside.
 
 mod engine;
+mod fleet;
 mod platform;
+mod process;
 mod relay;
 mod respond;
 mod service;
 mod sse_client;
 
 pub use engine::{Engine, EngineKnobs, EngineRun, Fabric};
+pub use fleet::{test_bundle, Chat, Fleet, FleetPlan, BRANCH_KEY, DESK_KEY, LONG};
 pub use platform::{ListedInstance, Platform, PlatformFault};
+pub use process::{until, Process};
 pub use relay::Relay;
 pub use service::{Service, ServiceRun};
 pub use sse_client::{post, Answer, Call};
--- /dev/null
+++ b/testkit/src/process.rs
@@ -0,0 +1,111 @@
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+/// One process of the system under test; killed when it is dropped.
+pub struct Process {
+    /// Its instance.
+    pub id: String,
+    /// Where other processes reach it.
+    pub peers: SocketAddr,
+    /// Where callers reach it.
+    pub callers: Option<SocketAddr>,
+    /// Where operators reach it.
+    pub operators: Option<SocketAddr>,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a role and waits until it listens.
+    ///
+    /// # Panics
+    /// When it can't be started or doesn't get ready.
+    pub fn start(binary: &str, role: &str, id: &str, settings: &Path, log: &Path) -> Self {
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("a log file");
+        let mut child = Command::new(binary)
+            .args([role, "--settings"])
+            .arg(settings)
+            .env("RUST_LOG", "debug,tungstenite=warn,ureq=warn,tokio_tungstenite=warn")
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .expect("the binary starts");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("stdout is piped");
+        BufReader::new(stdout).read_line(&mut line).expect("a ready line");
+        let addr = |name: &str| {
+            let part = line.split_whitespace().find_map(|p| p.strip_prefix(name));
+            part.and_then(|a| a.parse().ok())
+        };
+        let peers = addr("peers=").unwrap_or_else(|| panic!("{id} isn't ready: {line:?}"));
+        Self {
+            id: id.to_string(),
+            peers,
+            callers: addr("callers="),
+            operators: addr("operators="),
+            child,
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        // A process that has ended takes no signal.
+        let _ = kill(pid, signal);
+    }
+
+    /// Ends it without warning.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Pauses it.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks it to stop in order.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Whether it has ended, and well.
+    pub fn ended(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().ok().flatten();
+        status.map(|s| s.success())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.resume();
+        self.kill();
+    }
+}
+
+/// Waits until a condition holds; false when it doesn't in time.
+pub fn until(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let start = Instant::now();
+    while start.elapsed() < limit {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    holds()
+}
--- /dev/null
+++ b/tests/check/hashed.rs
@@ -0,0 +1,62 @@
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+/// A shared value that is hashed once.
+///
+/// States share what didn't change, so that millions of them fit in memory.
+#[derive(Clone, Debug)]
+pub struct Hashed<T> {
+    hash: u64,
+    value: Arc<T>,
+}
+
+impl<T: Hash> Hashed<T> {
+    /// Wraps a value.
+    pub fn new(value: T) -> Self {
+        let mut hasher = DefaultHasher::new();
+        value.hash(&mut hasher);
+        Self {
+            hash: hasher.finish(),
+            value: Arc::new(value),
+        }
+    }
+}
+
+impl<T> std::ops::Deref for Hashed<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.value
+    }
+}
+
+impl<T> Hash for Hashed<T> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        state.write_u64(self.hash);
+    }
+}
+
+impl<T: PartialEq> PartialEq for Hashed<T> {
+    fn eq(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.value, &other.value)
+            || (self.hash == other.hash && self.value == other.value)
+    }
+}
+
+impl<T: Eq> Eq for Hashed<T> {}
+
+/// A text for people that doesn't tell states apart.
+#[derive(Clone, Debug)]
+pub struct Label(pub String);
+
+impl Hash for Label {
+    fn hash<H: Hasher>(&self, _: &mut H) {}
+}
+
+impl PartialEq for Label {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for Label {}
