--- a/src/logic/agent/report.rs
+++ b/src/logic/agent/report.rs
@@ -9,6 +9,9 @@
 ///
 /// A change of counts alone waits for the shortest interval; all else goes at once.
 pub(super) fn on_change(state: &mut AgentState, now: Millis, out: &mut Vec<Effect>) {
+    if state.routers.is_empty() {
+        return;
+    }
     let report = build(state, now);
     if report == state.reported {
         return;
