Model check of claims; a query no longer bars an attempt at once

Cause: with the check over two routers and one key the space never ended: each router's query barred the other's attempt, both bound the claim anew, and so on for good. Two routers that a caller's retry reaches at the same moment could do that to each other in production, too. Change: the first question only looks (Recall::NotSeen); the second, recall_ms later, bars. Tries are bounded (claim_tries), and a claim that another request holds ends as unknown, never as not run. A Duplicate refusal asks the agent instead of binding anew.

--- a/src/logic/agent/claims.rs
+++ b/src/logic/agent/claims.rs
@@ -29,9 +29,10 @@
     pub run: RunId,
     pub once: Once,
     pub incarnation: u64,
+    pub bar: bool,
 }
 
-/// Answers a query. A key that never started here is barred from starting.
+/// Answers a query. Where it says so, a key that never started is barred from starting.
 pub(super) fn queried(
     state: &mut AgentState,
     now: Millis,
@@ -55,6 +56,7 @@
     }
     let known = state.memory.get(&query.once.key).cloned();
     match known.map(|e| (e.attempt, e.state)) {
+        None if !query.bar => Recall::NotSeen,
         None | Some((_, OnceState::Barred)) => {
             if state.rules.query_bars {
                 bar(state, now, &query.once);
--- a/src/logic/agent/step.rs
+++ b/src/logic/agent/step.rs
@@ -83,11 +83,13 @@
             run,
             once,
             incarnation,
+            bar,
         } => {
             let query = claims::Query {
                 run,
                 once,
                 incarnation,
+                bar,
             };
             claims::queried(state, now, from, &query, out);
         }
--- a/src/logic/router/claiming.rs
+++ b/src/logic/router/claiming.rs
@@ -87,16 +87,6 @@
     claim_batch::add(state, now, write);
 }
 
-/// Another router has touched the claim: bind it anew, which reads it if it moved.
-pub(super) fn look_again(
-    state: &mut RouterState,
-    now: Millis,
-    id: RequestId,
-    out: &mut Vec<Effect>,
-) {
-    sending::dispatch(state, now, id, out);
-}
-
 /// A write of claims has ended.
 pub(super) fn written(
     state: &mut RouterState,
--- a/src/logic/router/recalling.rs
+++ b/src/logic/router/recalling.rs
@@ -26,6 +26,7 @@
         agent: agent.clone(),
         addr,
         ask_at: now,
+        bar: false,
     };
     state.dial_at = now;
     ask(state, now, id, out);
@@ -73,13 +74,19 @@
 
 fn ask(state: &mut RouterState, now: Millis, id: RequestId, out: &mut Vec<Effect>) {
     let keep_ms = state.knobs.claim_keep_ms;
+    let limit = state.knobs.claim_tries;
+    let hint = state.knobs.hint_ms;
     let Some(request) = state.requests.get_mut(&id) else {
         return;
     };
-    let Stage::Recalling { agent, ask_at, .. } = &mut request.stage else {
+    let Stage::Recalling {
+        agent, ask_at, bar, ..
+    } = &mut request.stage
+    else {
         return;
     };
     *ask_at = now + ASK_EVERY;
+    let bar = *bar;
     let agent = agent.clone();
     let Some(once) = request.once else {
         return;
@@ -91,6 +98,11 @@
         let detail = "the agent in its claim has restarted; it may have run and is not run again";
         return finish::end_with(state, now, id, Problem::unknown(409, detail), out);
     }
+    if request.attempt >= limit {
+        let detail = "other routers try the same key; ask again with it";
+        let problem = Problem::unknown(409, detail).retry_in(hint);
+        return finish::give_up(state, now, id, problem, out);
+    }
     request.attempt += 1;
     out.push(Effect::Send {
         to: agent,
@@ -102,6 +114,7 @@
                 keep_ms,
             },
             incarnation: once.incarnation,
+            bar,
         },
     });
 }
@@ -125,6 +138,13 @@
         return;
     }
     match recall {
+        Recall::NotSeen => {
+            if let Stage::Recalling { ask_at, bar, .. } = &mut request.stage {
+                // Whoever wrote the claim may be about to send it.
+                *ask_at = now + state.knobs.recall_ms;
+                *bar = true;
+            }
+        }
         Recall::NotRun => {
             let note = Note::new(NoteCode::ClaimRebound).with("request", id);
             out.push(Effect::Note(note));
--- a/src/logic/router/request.rs
+++ b/src/logic/router/request.rs
@@ -34,6 +34,8 @@
         addr: SocketAddr,
         /// Next time to ask.
         ask_at: Millis,
+        /// Whether the next question bars an attempt that hasn't been seen.
+        bar: bool,
     },
 }
 
--- a/src/logic/router/router_knobs.rs
+++ b/src/logic/router/router_knobs.rs
@@ -30,6 +30,10 @@
     pub park_ms: Millis,
     /// Time after a deadline in which an agent's own refusal may still arrive.
     pub grace_ms: Millis,
+    /// Most attempts and questions for a request that may not be repeated.
+    pub claim_tries: u32,
+    /// Time for a claimed attempt to reach its agent before another router bars it.
+    pub recall_ms: Millis,
     /// Base of the hint when to come back; a random part of the same size is added.
     pub hint_ms: Millis,
     /// Requests in flight at one router.
@@ -64,6 +68,8 @@
             attempts: 4,
             park_ms: 100,
             grace_ms: 250,
+            claim_tries: 24,
+            recall_ms: 500,
             hint_ms: 1_000,
             request_limit: 2_000,
             far_groups: 8,
--- a/src/logic/router/sending.rs
+++ b/src/logic/router/sending.rs
@@ -148,6 +148,7 @@
 pub(super) fn ended(
     state: &mut RouterState,
     now: Millis,
+    from: &InstanceId,
     run: RunId,
     end: AttemptEnd,
     out: &mut Vec<Effect>,
@@ -165,7 +166,7 @@
             finish::complete(state, now, id, status, out);
         }
         AttemptEnd::Complete { .. } | AttemptEnd::Broken => attempt_broken(state, now, id, out),
-        AttemptEnd::Refused(refusal) => refused(state, now, id, refusal, out),
+        AttemptEnd::Refused(refusal) => refused(state, now, id, from, refusal, out),
     }
 }
 
@@ -193,6 +194,7 @@
     state: &mut RouterState,
     now: Millis,
     id: RequestId,
+    agent: &InstanceId,
     refusal: Refusal,
     out: &mut Vec<Effect>,
 ) {
@@ -204,11 +206,16 @@
     };
     request.avoid = group;
     request.stage = Stage::Parked(now);
-    if request.once.is_some() && matches!(refusal, Refusal::Cancelled | Refusal::Duplicate) {
-        return claiming::look_again(state, now, id, out);
+    let tries_left = request.attempt < state.knobs.claim_tries;
+    if request.once.is_some() && refusal == Refusal::Cancelled && tries_left {
+        // Another router has barred it: bind it anew, which reads the claim if it moved.
+        return dispatch(state, now, id, out);
+    }
+    if request.once.is_some() && refusal == Refusal::Duplicate {
+        return recalling::begin_own(state, now, id, agent, out);
     }
     if let Refusal::Behind(bundle) = refusal {
-        if let Some(view) = agent_of(state, id) {
+        if let Some(view) = state.agents.get_mut(agent) {
             view.bundle = view.bundle.min(bundle);
         }
     }
@@ -225,12 +232,6 @@
     again(state, now, id, detail, wait, soon, out);
 }
 
-fn agent_of(state: &mut RouterState, id: RequestId) -> Option<&mut super::AgentView> {
-    let group = state.requests.get(&id)?.avoid.clone()?;
-    let leader = state.fleet.group(&group)?.leader().instance.clone();
-    state.agents.get_mut(&leader)
-}
-
 /// The attempt may have run and its end isn't known.
 pub(super) fn attempt_broken(
     state: &mut RouterState,
--- a/src/logic/router/step.rs
+++ b/src/logic/router/step.rs
@@ -75,7 +75,9 @@
         (PeerRole::Agent, Message::Piece { run, offset, text }) => {
             sending::piece(state, now, run, offset, text, out);
         }
-        (PeerRole::Agent, Message::End { run, end }) => sending::ended(state, now, run, end, out),
+        (PeerRole::Agent, Message::End { run, end }) => {
+            sending::ended(state, now, &from.id, run, end, out)
+        }
         (PeerRole::Agent, Message::Recalled { run, recall }) => {
             recalling::recalled(state, now, run, recall, out);
         }
--- a/src/message/message_kind.rs
+++ b/src/message/message_kind.rs
@@ -23,7 +23,7 @@
     Run(Box<RunOrder>),
     /// Router to leader: stop an attempt, or never start it.
     Cancel(RunId),
-    /// Router to agent: what became of this claimed key? Ends it if it never started.
+    /// Router to agent: what became of this claimed key?
     Query {
         /// Attempt of the asking router, to which pieces shall go.
         run: RunId,
@@ -31,6 +31,8 @@
         once: Once,
         /// Incarnation stored in the claim.
         incarnation: u64,
+        /// Whether an attempt that hasn't been seen shall be barred from starting.
+        bar: bool,
     },
     /// Agent to router: answer to a query.
     Recalled {
--- a/src/message/recall.rs
+++ b/src/message/recall.rs
@@ -5,6 +5,8 @@
 pub enum Recall {
     /// It never started here and never will under the attempt asked about.
     NotRun,
+    /// It hasn't been seen here yet; it may still arrive.
+    NotSeen,
     /// It is waiting or running; `text` is what it has produced up to `pieces`.
     Running {
         /// Pieces so far.
--- a/tests/check/hashed.rs
+++ b/tests/check/hashed.rs
@@ -22,6 +22,13 @@
     }
 }
 
+impl<T> Hashed<T> {
+    /// The hash, to sort by.
+    pub fn key(&self) -> u64 {
+        self.hash
+    }
+}
+
 impl<T> std::ops::Deref for Hashed<T> {
     type Target = T;
 
