--- a/src/logic/router/peers.rs
+++ b/src/logic/router/peers.rs
@@ -63,7 +63,7 @@
     if now < state.head.ask_at {
         return;
     }
-    state.head.ask_at = now + state.knobs.proof_ms / 3;
+    state.head.ask_at = now + state.knobs.ask_ms;
     let fresh = state
         .head
         .proven_at
@@ -106,7 +106,8 @@
 ///
 /// Acceptance goes through a router, so the oldest of their answers is a proof.
 fn count_unanimous(state: &mut RouterState, now: Millis) {
-    if !state.list_known || state.roll.is_some() {
+    let unsettled = state.rules.settled_only && state.roll.is_some();
+    if !state.list_known || unsettled {
         return;
     }
     let mut oldest = now;
@@ -174,11 +175,12 @@
         head::adopt(state, now, Arc::new(*bundle), out);
     }
     let own = state.number();
+    let unsettled = state.rules.settled_only && !reply.settled;
     let Some(peer) = state.peers.get_mut(&from.id) else {
         return;
     };
     peer.met = true;
-    if reply.number > own || !reply.settled {
+    if reply.number > own || unsettled {
         return;
     }
     let before = peer.heard_at.unwrap_or(0);
--- a/src/logic/router/router_knobs.rs
+++ b/src/logic/router/router_knobs.rs
@@ -8,6 +8,8 @@
     pub proof_ms: Millis,
     /// Time between two proofs.
     pub prove_ms: Millis,
+    /// Time between two questions to other routers, while the service gives no proof.
+    pub ask_ms: Millis,
     /// Time between two fetches of the instance list.
     pub list_ms: Millis,
     /// Length of the planner's lease.
@@ -57,6 +59,7 @@
         Self {
             proof_ms: 8_000,
             prove_ms: 2_000,
+            ask_ms: 2_500,
             list_ms: 2_000,
             planner_ms: 10_000,
             plan_ms: 500,
--- a/src/logic/rules.rs
+++ b/src/logic/rules.rs
@@ -23,23 +23,31 @@
     pub head_proof: bool,
     /// A leader hands work over only while it holds every member's lease.
     pub all_present: bool,
+    /// A router with an unsettled roll doesn't count as one that isn't ahead.
+    pub settled_only: bool,
     /// A query about a claimed key that never started also bars it from starting.
     pub query_bars: bool,
 }
 
+impl Rules {
+    /// Every rule on.
+    pub const ALL: Rules = Rules {
+        start_wait: true,
+        early_clock: true,
+        exclusive_grant: true,
+        epoch_fence: true,
+        claim_first: true,
+        incarnation_check: true,
+        bundle_refusal: true,
+        head_proof: true,
+        all_present: true,
+        settled_only: true,
+        query_bars: true,
+    };
+}
+
 impl Default for Rules {
     fn default() -> Self {
-        Self {
-            start_wait: true,
-            early_clock: true,
-            exclusive_grant: true,
-            epoch_fence: true,
-            claim_first: true,
-            incarnation_check: true,
-            bundle_refusal: true,
-            head_proof: true,
-            all_present: true,
-            query_bars: true,
-        }
+        Self::ALL
     }
 }
--- a/src/settings/router_settings.rs
+++ b/src/settings/router_settings.rs
@@ -205,6 +205,7 @@
     let mut knobs = RouterKnobs {
         proof_ms: ms("bundles", "proof_ms", d.proof_ms, 200, 60_000),
         prove_ms: ms("bundles", "prove_ms", d.prove_ms, 50, 30_000),
+        ask_ms: ms("bundles", "ask_ms", d.ask_ms, 50, 30_000),
         list_ms: ms("platform", "list_ms", d.list_ms, 50, 60_000),
         planner_ms: ms("planner", "lease_ms", d.planner_ms, 1_000, 60_000),
         plan_ms: ms("planner", "plan_ms", d.plan_ms, 20, 60_000),
@@ -236,6 +237,10 @@
         "requests",
     );
     knobs.far_groups = ini.number("routing", "far_groups", d.far_groups, 0..=10_000, "groups");
+    if knobs.ask_ms >= knobs.proof_ms {
+        let expected = format!("less than [bundles] proof_ms, which is {}", knobs.proof_ms);
+        ini.fault("bundles", "ask_ms", knobs.ask_ms, expected);
+    }
     if knobs.prove_ms >= knobs.proof_ms {
         let expected = format!("less than [bundles] proof_ms, which is {}", knobs.proof_ms);
         ini.fault("bundles", "prove_ms", knobs.prove_ms, expected);
--- a/tests/check/hashed.rs
+++ b/tests/check/hashed.rs
@@ -1,6 +1,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
+use runrail::message::Message;
+
 /// A shared value that is hashed once.
 ///
 /// States share what didn't change, so that millions of them fit in memory.
@@ -67,3 +69,23 @@
 }
 
 impl Eq for Label {}
+
+/// Short name of a message; whole messages would fill the memory.
+pub fn kind(message: &Message) -> String {
+    match message {
+        Message::Assign(record) => format!("Assign at epoch {}", record.epoch),
+        Message::Release { epoch, .. } => format!("Release at epoch {epoch}"),
+        Message::LeaseAsk(ask) => format!("LeaseAsk {} at epoch {}", ask.round, ask.epoch),
+        Message::LeaseGrant { round, epoch, .. } => format!("LeaseGrant {round} at epoch {epoch}"),
+        Message::LeaseDeny { epoch, .. } => format!("LeaseDeny at epoch {epoch}"),
+        Message::LeaseReturn { epoch, .. } => format!("LeaseReturn at epoch {epoch}"),
+        Message::Run(order) => format!("Run {:?}", order.run),
+        Message::Query { run, bar, .. } => format!("Query {run:?}, bar {bar}"),
+        Message::Recalled { run, recall } => format!("Recalled {run:?} {recall:?}"),
+        Message::Piece { run, .. } => format!("Piece {run:?}"),
+        Message::End { run, end } => format!("End {run:?} {end:?}"),
+        Message::HeadAsk { number, .. } => format!("HeadAsk {number}"),
+        Message::HeadReply(reply) => format!("HeadReply {}", reply.number),
+        _ => "a message".into(),
+    }
+}
--- a/tests/check/main.rs
+++ b/tests/check/main.rs
@@ -3,6 +3,7 @@
 //! Each module holds one model: what may happen, and what must always hold.
 //! A mutation switches one safety rule off; the check must then fail.
 
+mod bundles;
 mod claims;
 mod explore;
 mod groups;
