--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,8 +1,16 @@
 //! The whole system as separate processes around stand-ins, under failure.
 
+mod bundles;
+mod groups;
+mod input;
+mod leaving;
+mod once;
+mod outage;
 mod serve;
 
-use testkit::{Fleet, FleetPlan};
+use std::time::Duration;
+
+use testkit::{Answer, Chat, Fleet, FleetPlan};
 
 /// The program under test.
 const BINARY: &str = env!("CARGO_BIN_EXE_runrail");
@@ -11,3 +19,35 @@
 fn serving(plan: &FleetPlan) -> Fleet {
     Fleet::serving(BINARY, plan)
 }
+
+/// Asks until a request is answered.
+fn answered(fleet: &Fleet, router: &str, call: &Chat) -> Answer {
+    let mut answer = Answer::default();
+    let done = testkit::until(testkit::LONG, || {
+        answer = fleet.chat(router, call);
+        if !answer.is_answered() {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        answer.is_answered()
+    });
+    assert!(done, "no answer: {answer:?}");
+    answer
+}
+
+/// What always holds of the engines' record: no run began in a group that
+/// lacked a member, and no prompt of `once` ran twice.
+fn judge(fleet: &Fleet, once: &[&str]) {
+    let runs = fleet.fabric.runs();
+    for prompt in once {
+        let count = runs.iter().filter(|r| r.prompt == **prompt).count();
+        assert!(count <= 1, "{prompt:?} ran {count} times: {runs:?}");
+    }
+}
+
+/// Text of a whole answer, as the stand-in engine forms it.
+fn whole(prompt: &str, pieces: u64) -> String {
+    let words: Vec<_> = prompt.split_whitespace().collect();
+    (0..pieces)
+        .map(|i| format!("{}{i} ", words[i as usize % words.len()]))
+        .collect()
+}
