--- a/src/logic/agent/lead.rs
+++ b/src/logic/agent/lead.rs
@@ -343,7 +343,8 @@
             .with("missing", missing.join(","));
         out.push(Effect::Note(note));
     }
-    let ends = lead.released || lead.leaving_at.is_some();
+    let planned = lead.record.phase == Phase::Draining;
+    let ends = planned || lead.released || lead.leaving_at.is_some();
     if lead.drain && ends && idle {
         give_up(state, None, out);
     }
