--- a/src/logic/agent/runs.rs
+++ b/src/logic/agent/runs.rs
@@ -71,7 +71,8 @@
     let paused = running.stop == Some(StopReason::Paused);
     match result {
         RunResult::Cancelled if paused => {
-            running.job.order.offset = running.job.pieces;
+            // It has been at the endpoint: from now on it can't be said not to have run.
+            running.job.started = true;
             state.queue.push_front(running.job);
         }
         RunResult::Complete(status) => {
--- /dev/null
+++ b/tests/logic/main.rs
@@ -0,0 +1,4 @@
+//! Focused tests of the reducer, one file a feature.
+
+mod fixture;
+mod pausing;
--- /dev/null
+++ b/tests/logic/pausing.rs
@@ -0,0 +1,47 @@
+//! Urgent work takes a slot from drafting, which goes on where it stood.
+
+use runrail::logic::agent::AgentKnobs;
+use runrail::logic::{Event, RunResult};
+use runrail::message::AttemptEnd;
+
+use crate::fixture::{ends, started, stopped, Agent};
+
+fn one_slot() -> AgentKnobs {
+    AgentKnobs {
+        slots: 2,
+        ..AgentKnobs::default()
+    }
+}
+
+#[test]
+fn drafting_is_paused_for_urgent_work_and_resumed_at_its_offset() {
+    let mut agent = Agent::open(one_slot());
+    assert_eq!(started(&agent.order(1, "drafting", |_| {})), [(1, 0)]);
+    assert_eq!(started(&agent.order(2, "urgent", |_| {})), [(2, 0)]);
+    agent.piece(1, "one ");
+    agent.piece(1, "two ");
+    let effects = agent.order(3, "urgent", |_| {});
+    assert_eq!(stopped(&effects), [1]);
+    assert_eq!(started(&agent.end(1, RunResult::Cancelled)), [(3, 0)]);
+    assert_eq!(started(&agent.end(2, RunResult::Complete(200))), [(1, 2)]);
+}
+
+#[test]
+fn a_paused_request_is_never_said_not_to_have_run() {
+    let mut agent = Agent::open(one_slot());
+    agent.order(1, "drafting", |o| o.left_ms = 1_000);
+    agent.order(2, "urgent", |_| {});
+    agent.order(3, "urgent", |_| {});
+    agent.end(1, RunResult::Cancelled);
+    agent.now += 1_500;
+    let told = ends(&agent.feed(Event::Tick));
+    assert_eq!(told, [(1, AttemptEnd::Broken)]);
+}
+
+#[test]
+fn a_slot_reserved_for_urgent_work_is_not_given_to_drafting() {
+    let mut agent = Agent::open(one_slot());
+    assert_eq!(started(&agent.order(1, "drafting", |_| {})), [(1, 0)]);
+    assert_eq!(started(&agent.order(2, "drafting", |_| {})), []);
+    assert_eq!(started(&agent.order(3, "urgent", |_| {})), [(3, 0)]);
+}
