--- /dev/null
+++ b/benches/capacity/processes.rs
@@ -0,0 +1,129 @@
+//! Real processes: processor time of a request and of a piece, calls when idle.
+
+use std::time::{Duration, Instant};
+
+use testkit::{Chat, EngineKnobs, Fleet, FleetPlan};
+
+const REQUESTS: u64 = 400;
+const CALLERS: u64 = 8;
+/// Ticks of the kernel's process times in a second.
+const TICKS: f64 = 100.0;
+
+pub fn run() {
+    let engine = EngineKnobs {
+        piece: Duration::from_millis(1),
+        slots: 64,
+        ..EngineKnobs::default()
+    };
+    let fleet = Fleet::serving(
+        env!("CARGO_BIN_EXE_runrail"),
+        &FleetPlan {
+            engine,
+            ..FleetPlan::default()
+        },
+    );
+    let leader = fleet.members("e1")[0].clone();
+    let member = fleet.members("e1")[1].clone();
+    idle(&fleet, &leader, &member);
+    println!("| pieces | requests/s | router cpu us a request | leader cpu us a request |\n|---|---|---|---|");
+    let mut rows = Vec::new();
+    for pieces in [4, 20, 60] {
+        let before = (cpu(&fleet, "e1"), cpu(&fleet, &leader));
+        let start = Instant::now();
+        load(&fleet, pieces);
+        let took = start.elapsed().as_secs_f64();
+        let each = |now: f64, then: f64| (now - then) * 1e6 / REQUESTS as f64;
+        let router = each(cpu(&fleet, "e1"), before.0);
+        let agent = each(cpu(&fleet, &leader), before.1);
+        println!(
+            "| {pieces} | {:.0} | {router:.0} | {agent:.0} |",
+            REQUESTS as f64 / took
+        );
+        rows.push((pieces as f64, router, agent));
+    }
+    let (a, b) = (rows[0], rows[2]);
+    let slope = |x: f64, y: f64| (y - x) / (b.0 - a.0);
+    println!(
+        "\nslope: router {:.1} us a piece, leader {:.1} us a piece",
+        slope(a.1, b.1),
+        slope(a.2, b.2)
+    );
+    println!(
+        "memory: router {} KiB, leader {} KiB, member {} KiB",
+        rss(&fleet, "e1"),
+        rss(&fleet, &leader),
+        rss(&fleet, &member)
+    );
+}
+
+fn idle(fleet: &Fleet, leader: &str, member: &str) {
+    let ids = ["e1", leader, member];
+    let before: Vec<_> = ids.iter().map(|i| cpu(fleet, i)).collect();
+    let calls = fleet.platform.calls();
+    std::thread::sleep(Duration::from_secs(10));
+    let after = fleet.platform.calls();
+    println!("| idle for 10 s | cpu % of a core | KiB resident |\n|---|---|---|");
+    for (i, id) in ids.iter().enumerate() {
+        let part = (cpu(fleet, id) - before[i]) * 10.0;
+        let role = ["router", "leader", "member"][i];
+        println!("| {role} | {part:.2} | {} |", rss(fleet, id));
+    }
+    println!(
+        "\ncalls to the service in 10 s: {} reads, {} writes, {} watches opened\n",
+        after.0 - calls.0,
+        after.1 - calls.1,
+        after.2 - calls.2
+    );
+}
+
+fn load(fleet: &Fleet, pieces: u64) {
+    std::thread::scope(|scope| {
+        for _ in 0..CALLERS {
+            scope.spawn(|| {
+                for _ in 0..REQUESTS / CALLERS {
+                    let answer = fleet.chat(
+                        "e1",
+                        &Chat {
+                            pieces,
+                            ..Chat::default()
+                        },
+                    );
+                    assert!(answer.is_answered(), "{answer:?}");
+                }
+            });
+        }
+    });
+}
+
+fn pid(fleet: &Fleet, id: &str) -> u32 {
+    let process = fleet.routers.get(id).or_else(|| fleet.agents.get(id));
+    process.expect("a process").pid()
+}
+
+/// Processor time of a process so far, in seconds.
+fn cpu(fleet: &Fleet, id: &str) -> f64 {
+    let text =
+        std::fs::read_to_string(format!("/proc/{}/stat", pid(fleet, id))).unwrap_or_default();
+    let fields: Vec<_> = text
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace()
+        .collect();
+    let ticks = |i: usize| {
+        fields
+            .get(i)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    (ticks(11) + ticks(12)) / TICKS
+}
+
+/// Resident memory of a process, in KiB.
+fn rss(fleet: &Fleet, id: &str) -> u64 {
+    let text =
+        std::fs::read_to_string(format!("/proc/{}/status", pid(fleet, id))).unwrap_or_default();
+    let line = text.lines().find(|l| l.starts_with("VmRSS:"));
+    let number = line.and_then(|l| l.split_whitespace().nth(1));
+    number.and_then(|n| n.parse().ok()).unwrap_or(0)
+}
--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
         // A process that has ended takes no signal.
