Control cost at the target size: planner, sessions, reports, dialling

Change: leaving instances and instances by domain are worked out once a look; sessions read through 4 KiB; agents to dial are looked at on change, gathered over 50 ms; load alone goes as a message of its own, to routers that used the group within 10 s, every 500 ms. Found on the way: with dialling gathered the claims model never opened a session, so nothing ran in it; its mutations no longer failed, and said so. The model now sets its clock behind the gathering and asserts open sessions.

--- a/benches/capacity/leader.rs
+++ b/benches/capacity/leader.rs
@@ -10,7 +10,7 @@
 
 use crate::fixture::{bundle, group};
 use crate::micros;
-use crate::sizes::{bytes, lease_ask, lease_grant, report};
+use crate::sizes::{bytes, lease_ask, lease_grant, load_report, report};
 
 /// Rounds of lease requests a second, by default settings.
 const ROUNDS_A_SECOND: f64 = 1.0;
@@ -34,7 +34,11 @@
         );
     }
     println!(
-        "\nreport to one router: {} bytes with headers",
+        "\nload report to one router: {} bytes with headers",
+        bytes(&load_report()) + HEADERS
+    );
+    println!(
+        "report to one router: {} bytes with headers",
         bytes(&report()) + HEADERS
     );
 }
--- a/benches/capacity/router.rs
+++ b/benches/capacity/router.rs
@@ -70,7 +70,9 @@
         let list = instances(&records, "hall00");
         effects.extend(bench.feed(Event::List(ListReply::Instances(list))));
         bench.hold_planner(&effects);
-        let effects = bench.answer_reads(effects, &records);
+        bench.answer_reads(effects, &records);
+        bench.now += 100;
+        let effects = bench.feed(Event::Tick);
         for effect in effects {
             if let Effect::Dial { to, .. } = effect {
                 bench.open(to, &records);
@@ -92,11 +94,7 @@
         }
     }
 
-    fn answer_reads(
-        &mut self,
-        effects: Vec<Effect>,
-        records: &[runrail::types::DomainRecord],
-    ) -> Vec<Effect> {
+    fn answer_reads(&mut self, effects: Vec<Effect>, records: &[runrail::types::DomainRecord]) {
         let entry = |key: String, value: String| StoreEntry {
             key,
             value,
@@ -123,11 +121,9 @@
             let text = serde_json::to_string(record).expect("a record");
             fleet.push(entry(Keys::domain(&record.domain), text));
         }
-        let mut after = Vec::new();
         let mut waiting = effects;
         while let Some(effect) = waiting.pop() {
             let Effect::Store { call, op } = effect else {
-                after.push(effect);
                 continue;
             };
             let entries = match op {
@@ -141,7 +137,6 @@
             });
             waiting.extend(self.feed(Event::Store { call, result }));
         }
-        after
     }
 
     /// Opens the session with a leader and reports its group as open.
--- a/benches/capacity/sizes.rs
+++ b/benches/capacity/sizes.rs
@@ -4,7 +4,8 @@
 
 use runrail::logic::router::ClaimRecord;
 use runrail::message::{
-    ClaimKey, ClassLoad, HeadReply, LeadReport, LeaseAsk, Message, Report, RunId, RunOrder,
+    ClaimKey, ClassLoad, HeadReply, LeadReport, LeaseAsk, LoadReport, Message, Report, RunId,
+    RunOrder,
 };
 use runrail::types::{Brief, GroupId, InstanceId, Phase, RequestId};
 use runrail::wire::encode;
@@ -106,6 +107,18 @@
     }
 }
 
+pub fn load_report() -> Message {
+    let Message::Report(report) = report() else {
+        unreachable!("a report is a report");
+    };
+    let lead = report.lead.expect("a leader's report");
+    Message::Load(LoadReport {
+        epoch: lead.epoch,
+        running: lead.running,
+        loads: lead.loads,
+    })
+}
+
 pub fn report() -> Message {
     let load = |priority| ClassLoad {
         priority,
--- a/benches/policy/repair.rs
+++ b/benches/policy/repair.rs
@@ -83,7 +83,7 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let body = body(measure);
     let instances: Vec<_> = (0..INSTANCES).map(instance).collect();
-    let mut back_at = vec![0; INSTANCES];
+    let mut back_at = [0; INSTANCES];
     let mut record = DomainRecord::empty("d", "h");
     let mut ready: BTreeMap<(GroupId, u64), u64> = BTreeMap::new();
     let mut cost = Cost {
--- a/src/logic/agent/admission.rs
+++ b/src/logic/agent/admission.rs
@@ -16,6 +16,9 @@
     order: RunOrder,
     out: &mut Vec<Effect>,
 ) {
+    if let Some(used) = state.routers.get_mut(from) {
+        *used = Some(now);
+    }
     if runs::known(state, &order.run) {
         return;
     }
--- a/src/logic/agent/agent_state.rs
+++ b/src/logic/agent/agent_state.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::{AgentKnobs, Grant, JobQueue, Lead, OnceMemory, Running, Share};
 use crate::logic::{Peer, PeerRole, Rules};
@@ -34,8 +34,8 @@
     pub running: BTreeMap<RunId, Running>,
     /// Requests that may not be repeated.
     pub memory: OnceMemory,
-    /// Routers with a session.
-    pub routers: BTreeSet<InstanceId>,
+    /// Routers with a session, and when each sent its last order.
+    pub routers: BTreeMap<InstanceId, Option<Millis>>,
     /// When leaving began.
     pub leaving_at: Option<Millis>,
     /// Whether the process ends once it has nothing left to do.
@@ -69,7 +69,7 @@
             lead: None,
             running: BTreeMap::new(),
             memory: OnceMemory::default(),
-            routers: BTreeSet::new(),
+            routers: BTreeMap::new(),
             leaving_at: None,
             stopping: false,
             reported: Report::default(),
--- a/src/logic/agent/report.rs
+++ b/src/logic/agent/report.rs
@@ -2,12 +2,16 @@
 
 use super::{estimate, AgentState};
 use crate::logic::Effect;
-use crate::message::{LeadReport, Message, Report};
+use crate::message::{LeadReport, LoadReport, Message, Report};
 use crate::types::{InstanceId, Millis, Phase};
 
-/// Sends a report to every router when something has changed.
+/// Time after its last order for which a router gets load reports, in milliseconds.
+const USED_FOR: Millis = 10_000;
+
+/// Tells routers when something has changed.
 ///
-/// A change of counts alone waits for the shortest interval; all else goes at once.
+/// A change of load alone waits for the shortest interval and goes only to
+/// routers that have used the group lately; all else goes to all at once.
 pub(super) fn on_change(state: &mut AgentState, now: Millis, out: &mut Vec<Effect>) {
     if state.routers.is_empty() {
         return;
@@ -16,12 +20,22 @@
     if report == state.reported {
         return;
     }
-    let urgent = without_counts(&report) != without_counts(&state.reported);
-    if !urgent && now < state.reported_at + state.knobs.report_ms {
+    if without_load(&report) != without_load(&state.reported) {
+        out.extend(state.routers.keys().map(|r| send(r, &report)));
+    } else if now < state.reported_at + state.knobs.report_ms {
         return;
-    }
-    for router in &state.routers {
-        out.push(send(router, &report));
+    } else if let Some(lead) = &report.lead {
+        let load = LoadReport {
+            epoch: lead.epoch,
+            running: lead.running,
+            loads: lead.loads.clone(),
+        };
+        let used = |at: &Option<Millis>| at.is_some_and(|at| now < at + USED_FOR);
+        let users = state.routers.iter().filter(|(_, at)| used(at));
+        out.extend(users.map(|(router, _)| Effect::Send {
+            to: router.clone(),
+            message: Message::Load(load.clone()),
+        }));
     }
     state.reported = report;
     state.reported_at = now;
@@ -39,7 +53,7 @@
     }
 }
 
-fn without_counts(report: &Report) -> Report {
+fn without_load(report: &Report) -> Report {
     let mut report = report.clone();
     if let Some(lead) = &mut report.lead {
         lead.running = 0;
--- a/src/logic/agent/step.rs
+++ b/src/logic/agent/step.rs
@@ -34,7 +34,7 @@
 fn opened(state: &mut AgentState, now: Millis, peer: &Peer, out: &mut Vec<Effect>) {
     match peer.role {
         PeerRole::Router => {
-            state.routers.insert(peer.id.clone());
+            state.routers.insert(peer.id.clone(), None);
             report::greet(state, now, &peer.id, out);
         }
         PeerRole::Agent => {
@@ -47,7 +47,7 @@
 }
 
 fn closed(state: &mut AgentState, id: &InstanceId, out: &mut Vec<Effect>) {
-    if state.routers.remove(id) {
+    if state.routers.remove(id).is_some() {
         runs::router_gone(state, id, out);
     }
 }
--- a/src/logic/router/agents.rs
+++ b/src/logic/router/agents.rs
@@ -6,11 +6,21 @@
 
 use super::{planner, recalling, sending, AgentView, RouterState, Stage};
 use crate::logic::{Effect, Peer};
-use crate::message::{Message, Report};
+use crate::message::{LoadReport, Message, Report};
 use crate::types::{Brief, GroupRecord, InstanceId, Millis};
 
-/// Time between two looks at the set of agents to dial, in milliseconds.
-const DIAL_EVERY: Millis = 1_000;
+/// Longest time between two looks at the set of agents to dial, in milliseconds.
+///
+/// Changes of records, of the list and of a leader's session bring it forward.
+const DIAL_EVERY: Millis = 10_000;
+
+/// Time in which changes are gathered before the set is looked at, in milliseconds.
+const GATHER: Millis = 50;
+
+/// Brings the next look at the set of agents forward.
+pub(super) fn look_soon(state: &mut RouterState, now: Millis) {
+    state.dial_at = state.dial_at.min(now + GATHER);
+}
 
 /// Dials the agents that are needed and hangs up on the others.
 pub(super) fn tend(state: &mut RouterState, now: Millis, out: &mut Vec<Effect>) {
@@ -122,6 +132,8 @@
     view.up = None;
     view.report = None;
     view.down_since = now;
+    // A planner dials a second member where a leader can't be reached.
+    look_soon(state, now);
     sending::agent_lost(state, now, id, out);
 }
 
@@ -160,6 +172,22 @@
     correct(state, from, &lead.group, lead.epoch, out);
 }
 
+/// A leader has told its load.
+pub(super) fn loaded(state: &mut RouterState, from: &InstanceId, load: LoadReport) {
+    let report = state.agents.get_mut(from).and_then(|a| a.report.as_mut());
+    let Some(lead) = report.and_then(|r| r.lead.as_mut()) else {
+        return;
+    };
+    if lead.epoch != load.epoch {
+        return;
+    }
+    lead.running = load.running;
+    lead.loads = load.loads;
+    if let Some(counted) = state.loads.get_mut(&lead.group) {
+        counted.since_report = 0;
+    }
+}
+
 /// Tells a leader when its record has moved on or is gone.
 fn correct(
     state: &RouterState,
--- a/src/logic/router/fleet.rs
+++ b/src/logic/router/fleet.rs
@@ -166,6 +166,6 @@
     }
     let name = record.domain.clone();
     state.fleet.domains.insert(name.clone(), (record, revision));
-    state.dial_at = now;
+    agents::look_soon(state, now);
     agents::tell_leaders(state, &name, out);
 }
--- a/src/logic/router/planner/duty.rs
+++ b/src/logic/router/planner/duty.rs
@@ -1,13 +1,13 @@
 //! The planner's duty: its lease, what it knows, what it writes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::plan::is_current;
 use super::{plan, Condition, Health, Plan, PlanInput, WorldView};
 use crate::logic::router::{
-    fleet, Check, Keys, Purpose, Put, RouterState, StoreCall, StoreReply, StoreResult,
+    agents, fleet, Check, Keys, Purpose, Put, RouterState, StoreCall, StoreReply, StoreResult,
 };
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{
@@ -37,6 +37,7 @@
         return;
     }
     state.planner.was_held = held;
+    agents::look_soon(state, now);
     let code = if held {
         NoteCode::PlannerHeld
     } else {
@@ -202,14 +203,17 @@
         return;
     };
     refill(state, now);
-    let hall = count_hall(state, &bundle.body);
+    let leaving = leaving(state);
+    let hall = count_hall(state, &leaving, &bundle.body);
     note_halts(state, &hall, out);
+    let known = state.instances.clone();
+    let here = by_domain(&known, &state.hall);
     for (domain, record, revision) in domains(state) {
         let writing = state.calling(|p| matches!(p, Purpose::WriteDomain(r) if r.domain == domain));
         if writing || state.planner.tokens < 1_000 {
             continue;
         }
-        let input = input(state, now, &bundle.body, &record, &hall);
+        let input = input(state, &here, &leaving, now, &bundle.body, &record, &hall);
         let Some(plan) = plan(&input) else {
             continue;
         };
@@ -230,6 +234,23 @@
     state.planner.tokens_at = now;
 }
 
+/// Instances of the own hall by their fabric domain.
+fn by_domain<'a>(
+    instances: &'a BTreeMap<InstanceId, Instance>,
+    hall: &Arc<str>,
+) -> BTreeMap<Arc<str>, Vec<&'a Instance>> {
+    let mut found: BTreeMap<Arc<str>, Vec<&Instance>> = BTreeMap::new();
+    for instance in instances.values() {
+        if &instance.hall == hall && !instance.is_router() {
+            found
+                .entry(instance.domain.clone())
+                .or_default()
+                .push(instance);
+        }
+    }
+    found
+}
+
 /// Domains of the own hall: those with a record and those with instances only.
 fn domains(state: &RouterState) -> Vec<(Arc<str>, DomainRecord, i64)> {
     let mut found: BTreeMap<Arc<str>, (DomainRecord, i64)> = state
@@ -250,19 +271,17 @@
 
 fn input<'a>(
     state: &'a RouterState,
+    here: &BTreeMap<Arc<str>, Vec<&'a Instance>>,
+    leaving: &BTreeSet<InstanceId>,
     now: Millis,
     body: &'a BundleBody,
     record: &'a DomainRecord,
     hall: &'a BTreeMap<Arc<str>, WorldView>,
 ) -> PlanInput<'a> {
-    let instances: Vec<&Instance> = state
-        .instances
-        .values()
-        .filter(|i| i.domain == record.domain && i.hall == record.hall && !i.is_router())
-        .collect();
+    let instances: Vec<&Instance> = here.get(&record.domain).cloned().unwrap_or_default();
     let mut health: BTreeMap<InstanceId, Health> = instances
         .iter()
-        .map(|i| (i.id.clone(), health_of(state, now, i)))
+        .map(|i| (i.id.clone(), health_of(state, leaving, now, i)))
         .collect();
     for member in record.groups.iter().flat_map(|g| &g.members) {
         health
@@ -272,7 +291,7 @@
     let conditions = record
         .groups
         .iter()
-        .map(|g| (g.id.clone(), condition_of(state, g)))
+        .map(|g| (g.id.clone(), condition_of(state, leaving, g)))
         .collect();
     let failing: Vec<GroupId> = record
         .groups
@@ -293,13 +312,13 @@
     }
 }
 
-fn health_of(state: &RouterState, now: Millis, instance: &Instance) -> Health {
-    let reported = state
-        .agents
-        .get(&instance.id)
-        .and_then(|a| a.report.as_ref());
-    let leaving = !instance.is_live() || reported.is_some_and(|r| r.leaving);
-    if leaving || leaving_by_leader(state, &instance.id) {
+fn health_of(
+    state: &RouterState,
+    leaving: &BTreeSet<InstanceId>,
+    now: Millis,
+    instance: &Instance,
+) -> Health {
+    if leaving.contains(&instance.id) {
         return Health::Leaving;
     }
     match state.planner.silent.get(&instance.id) {
@@ -308,14 +327,29 @@
     }
 }
 
-fn leaving_by_leader(state: &RouterState, id: &InstanceId) -> bool {
-    state.agents.values().any(|view| {
-        let lead = view.report.as_ref().and_then(|r| r.lead.as_ref());
-        lead.is_some_and(|l| l.leaving.contains(id))
-    })
+/// Instances that are leaving, by the list, their own word or their leader's.
+fn leaving(state: &RouterState) -> BTreeSet<InstanceId> {
+    let listed = state.instances.values().filter(|i| !i.is_live());
+    let mut leaving: BTreeSet<_> = listed.map(|i| i.id.clone()).collect();
+    for (id, view) in &state.agents {
+        let Some(report) = &view.report else {
+            continue;
+        };
+        if report.leaving {
+            leaving.insert(id.clone());
+        }
+        if let Some(lead) = &report.lead {
+            leaving.extend(lead.leaving.iter().cloned());
+        }
+    }
+    leaving
 }
 
-fn condition_of(state: &RouterState, group: &GroupRecord) -> Condition {
+fn condition_of(
+    state: &RouterState,
+    leaving: &BTreeSet<InstanceId>,
+    group: &GroupRecord,
+) -> Condition {
     let leader = state.agents.get(&group.leader().instance);
     let Some(report) = leader.and_then(|l| l.report.as_ref()) else {
         return if outlives(state, group) {
@@ -328,23 +362,15 @@
         Some(lead) if lead.group == group.id && lead.open => Condition::Open,
         Some(lead) if lead.group == group.id => Condition::Closed,
         // The leader knows the epoch and has ended it, or hasn't taken it up yet.
-        _ if ended(state, group, report.leaving) => Condition::Ended,
+        _ if ended(state, leaving, group) => Condition::Ended,
         _ => Condition::Closed,
     }
 }
 
 /// A leader without a lead has ended a group that drained or that loses a member.
-fn ended(state: &RouterState, group: &GroupRecord, leaving: bool) -> bool {
-    let loses = group.members.iter().any(|m| {
-        let listed = state.instances.get(&m.instance);
-        !listed.is_some_and(Instance::is_live) || leaving_by_report(state, &m.instance)
-    });
-    group.phase == Phase::Draining || leaving || loses
-}
-
-fn leaving_by_report(state: &RouterState, id: &InstanceId) -> bool {
-    let report = state.agents.get(id).and_then(|a| a.report.as_ref());
-    report.is_some_and(|r| r.leaving)
+fn ended(state: &RouterState, leaving: &BTreeSet<InstanceId>, group: &GroupRecord) -> bool {
+    let lost = |id: &InstanceId| leaving.contains(id) || !state.instances.contains_key(id);
+    group.phase == Phase::Draining || group.members.iter().any(|m| lost(&m.instance))
 }
 
 /// Whether another member says that it still grants its presence to the group.
@@ -364,7 +390,11 @@
     lead.is_some_and(|l| l.group == group.id && !l.failed.is_empty())
 }
 
-fn count_hall(state: &RouterState, body: &BundleBody) -> BTreeMap<Arc<str>, WorldView> {
+fn count_hall(
+    state: &RouterState,
+    leaving: &BTreeSet<InstanceId>,
+    body: &BundleBody,
+) -> BTreeMap<Arc<str>, WorldView> {
     let mut counts: BTreeMap<Arc<str>, WorldView> = BTreeMap::new();
     let records = state.fleet.domains.values().map(|(r, _)| r);
     for group in records
@@ -375,12 +405,12 @@
             continue;
         };
         let count = counts.entry(group.model.clone()).or_default();
-        let open = u32::from(condition_of(state, group) == Condition::Open);
+        let open = u32::from(condition_of(state, leaving, group) == Condition::Open);
         if group.phase == Phase::Draining {
             count.draining += 1;
         } else if is_current(group, spec) {
             // A group that loses a member needs a successor before it drains.
-            count.current += u32::from(!loses_member(state, group));
+            count.current += u32::from(!loses_member(leaving, group));
             count.current_open += open;
             count.failing += u32::from(fails(state, group));
         } else {
@@ -391,13 +421,8 @@
     counts
 }
 
-fn loses_member(state: &RouterState, group: &GroupRecord) -> bool {
-    group.members.iter().any(|m| {
-        let listed = state.instances.get(&m.instance);
-        listed.is_some_and(|i| !i.is_live())
-            || leaving_by_report(state, &m.instance)
-            || leaving_by_leader(state, &m.instance)
-    })
+fn loses_member(leaving: &BTreeSet<InstanceId>, group: &GroupRecord) -> bool {
+    group.members.iter().any(|m| leaving.contains(&m.instance))
 }
 
 /// Says once when a roll is halted because groups of the new version fail.
--- a/src/logic/router/recalling.rs
+++ b/src/logic/router/recalling.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{finish, sending, Problem, RouterState, Stage};
+use super::{agents, finish, sending, Problem, RouterState, Stage};
 use crate::logic::{Effect, Note, NoteCode, Peer};
 use crate::message::{Message, Once, Recall, RunId};
 use crate::types::{InstanceId, Millis, RequestId};
@@ -28,7 +28,7 @@
         ask_at: now,
         bar: false,
     };
-    state.dial_at = now;
+    agents::look_soon(state, now);
     ask(state, now, id, out);
 }
 
--- a/src/logic/router/step.rs
+++ b/src/logic/router/step.rs
@@ -72,6 +72,7 @@
         (PeerRole::Agent, Message::Report(report)) => {
             agents::reported(state, now, &from.id, *report, out);
         }
+        (PeerRole::Agent, Message::Load(load)) => agents::loaded(state, &from.id, load),
         (PeerRole::Agent, Message::Piece { run, offset, text }) => {
             sending::piece(state, now, run, offset, text, out);
         }
@@ -151,7 +152,7 @@
     };
     state.list_known = true;
     state.instances = instances.into_iter().map(|i| (i.id.clone(), i)).collect();
-    state.dial_at = now;
+    agents::look_soon(state, now);
     peers::from_list(state, out);
     let leaving: Vec<_> = state
         .instances
--- a/src/message/message_kind.rs
+++ b/src/message/message_kind.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::{AttemptEnd, HeadReply, LeaseAsk, Once, Recall, Report, RunId, RunOrder};
+use super::{AttemptEnd, HeadReply, LeaseAsk, LoadReport, Once, Recall, Report, RunId, RunOrder};
 use crate::types::{Brief, GroupId, GroupRecord, Millis};
 
 /// Every message between processes of the system.
@@ -43,6 +43,8 @@
     },
     /// Agent to router: state of agent and group.
     Report(Box<Report>),
+    /// Agent to router: load of the group it leads.
+    Load(LoadReport),
     /// Agent to router: the next piece of an answer.
     Piece {
         /// The attempt.
--- a/src/wire/net.rs
+++ b/src/wire/net.rs
@@ -33,7 +33,7 @@
     fn default() -> Self {
         Self {
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            idle: Duration::from_secs(2),
+            idle: Duration::from_secs(4),
             sessions: 4_096,
         }
     }
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -18,11 +18,16 @@
 /// Time for one frame of the handshake.
 pub(super) const HANDSHAKE_TIME: Duration = Duration::from_secs(3);
 
+/// Read buffer of a session, in bytes; the library's own is 128 KiB.
+const BUFFER: usize = 4 * 1024;
+
 /// Limits of a WebSocket connection.
 pub(super) fn config() -> WebSocketConfig {
     WebSocketConfig::default()
         .max_message_size(Some(FRAME_LIMIT))
         .max_frame_size(Some(FRAME_LIMIT))
+        .read_buffer_size(BUFFER)
+        .write_buffer_size(0)
 }
 
 /// Sends one value as a frame.
--- a/tests/check/claims.rs
+++ b/tests/check/claims.rs
@@ -62,6 +62,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
+    /// Stands still once the routers have dialled the agents.
+    now: u64,
     nodes: Vec<Hashed<Node>>,
     dead: [bool; 2],
     arrived: [bool; 2],
@@ -238,6 +240,7 @@
             agent(3, 1, faults.rules),
         ];
         let mut world = Self {
+            now: 0,
             nodes: nodes.into_iter().map(Hashed::new).collect(),
             dead: [false; 2],
             arrived: [false; 2],
@@ -261,10 +264,20 @@
         for r in ROUTERS {
             world.feed(r, Event::Tick);
             world.feed(r, Event::List(ListReply::Instances(Vec::new())));
+        }
+        world.now = 100;
+        for r in ROUTERS {
+            world.feed(r, Event::Tick);
             for a in AGENTS {
                 world.renew(r, a);
             }
         }
+        for r in ROUTERS {
+            let Node::Router(state) = &*world.nodes[r] else {
+                panic!("a router");
+            };
+            assert!(state.agents.values().all(|a| a.report.is_some()) && state.agents.len() == 2);
+        }
         assert!(
             world.letters.is_empty() && world.flying.is_empty(),
             "{world:?}"
@@ -294,7 +307,7 @@
             return;
         }
         let mut node = Node::clone(&self.nodes[i]);
-        let effects = step(&mut node, 0, event);
+        let effects = step(&mut node, self.now, event);
         if let Node::Router(state) = &mut node {
             // Numbers of calls that have ended are used again, so that states recur.
             state.next_call = state.calls.keys().max().map_or(1, |last| last + 1);
--- a/tests/fleet/bundles.rs
+++ b/tests/fleet/bundles.rs
@@ -134,8 +134,7 @@
         assert!(output.status.success(), "{output:?}");
     });
     for router in ["e1", "e2"] {
-        assert!(until(BOUND, || fleet.status(router)["bundle"].to_string()
-            == number));
+        assert!(until(BOUND, || fleet.status(router)["bundle"] == number));
     }
 }
 
