--- a/src/cli/operator_client.rs
+++ b/src/cli/operator_client.rs
@@ -24,6 +24,11 @@
         let file = option_or_env(args, "--token-file", "RUNRAIL_TOKEN_FILE", command)?;
         let token = std::fs::read_to_string(&file)
             .map_err(|e| CliError::new(CliErrorKind::File, format!("{file}: {e}")))?;
+        let token = token.trim().to_string();
+        if token.is_empty() || !token.chars().all(|c| c.is_ascii_graphic()) {
+            let message = format!("{file}: found no token, expected one line of visible ASCII");
+            return Err(CliError::new(CliErrorKind::File, message));
+        }
         let agent = ureq::Agent::config_builder()
             .timeout_global(Some(TIMEOUT))
             .http_status_as_error(false)
@@ -31,7 +36,7 @@
             .into();
         Ok(Self {
             router,
-            token: token.trim().to_string(),
+            token,
             agent,
         })
     }
--- a/src/logic/router/calls.rs
+++ b/src/logic/router/calls.rs
@@ -1,4 +1,4 @@
-use super::ClaimWrite;
+use super::WaitingClaim;
 use crate::types::{DomainRecord, Millis};
 
 /// Number of a call to the key-value service within one process.
@@ -30,7 +30,7 @@
     /// Write the head.
     Roll,
     /// Write a batch of claims.
-    Claims(Vec<ClaimWrite>),
+    Claims(Vec<WaitingClaim>),
     /// Ask for the lease that claims are attached to; sent at this time.
     ClaimLease(Millis),
     /// Look whether a planner is there.
--- a/src/logic/router/claim_batch.rs
+++ b/src/logic/router/claim_batch.rs
@@ -1,34 +1,44 @@
-use super::{Check, Keys, Purpose, Put, StoreCall};
-use super::{ClaimRecord, RouterState};
+use super::{claim_writers, Check, Keys, Purpose, Put, RouterState, StoreCall};
 use crate::logic::Effect;
-use crate::message::ClaimKey;
-use crate::types::{Millis, RequestId};
+use crate::message::{ClaimWrite, Message};
+use crate::types::{InstanceId, Millis};
 
 /// Batches of claims under way at once.
 const FLYING_LIMIT: usize = 4;
+/// Time after which a claim that another router was to write is written here.
+const AWAY_LIMIT: Millis = 1_000;
 
-/// One claim to write.
+/// A claim that waits for the next write.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct ClaimWrite {
-    /// Request that wants it.
-    pub request: RequestId,
-    /// Its key.
-    pub key: ClaimKey,
-    /// Revision that the claim must have; 0 for none.
-    pub revision: i64,
+pub struct WaitingClaim {
     /// The claim.
-    pub record: ClaimRecord,
+    pub write: ClaimWrite,
+    /// Router that asked for it; absent for an own one.
+    pub guest: Option<InstanceId>,
+}
+
+/// A claim that another router was asked to write.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct AwayClaim {
+    /// The claim.
+    pub write: ClaimWrite,
+    /// When it is written here instead.
+    pub until: Millis,
 }
 
 /// Claims that wait for the next write, and the lease they are attached to.
 ///
 /// One write carries up to [`RouterKnobs::claim_batch`](super::RouterKnobs)
-/// claims. A lease is shared by all claims of an eighth of their life.
+/// claims. A lease is shared by all claims of an eighth of their life. In a
+/// fleet of many routers a few write for all, so that the rate of writes
+/// doesn't grow with the routers; who writes decides nothing else.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ClaimBatch {
     /// Claims that wait.
-    pub waiting: Vec<ClaimWrite>,
-    /// When they are written.
+    pub waiting: Vec<WaitingClaim>,
+    /// Claims that other routers write.
+    pub away: Vec<AwayClaim>,
+    /// When the waiting ones are written.
     pub due: Millis,
     /// Lease for new claims.
     pub lease: Option<i64>,
@@ -36,17 +46,54 @@
     pub leased_at: Millis,
 }
 
-/// Adds a claim to the next write.
-pub(super) fn add(state: &mut RouterState, now: Millis, write: ClaimWrite) {
+/// Adds an own claim: to the next write, or to that of the router that writes it.
+pub(super) fn add(state: &mut RouterState, now: Millis, write: ClaimWrite, out: &mut Vec<Effect>) {
+    match claim_writers::writer(state, &write.key) {
+        Some(writer) => {
+            let until = now + AWAY_LIMIT;
+            state.claims.away.push(AwayClaim {
+                write: write.clone(),
+                until,
+            });
+            out.push(Effect::Send {
+                to: writer,
+                message: Message::ClaimAsk(vec![write]),
+            });
+        }
+        None => wait(state, now, write, None),
+    }
+}
+
+/// Adds the claims of another router to the next write.
+pub(super) fn add_guests(
+    state: &mut RouterState,
+    now: Millis,
+    from: &InstanceId,
+    writes: Vec<ClaimWrite>,
+) {
+    for write in writes {
+        wait(state, now, write, Some(from.clone()));
+    }
+}
+
+fn wait(state: &mut RouterState, now: Millis, write: ClaimWrite, guest: Option<InstanceId>) {
     if state.claims.waiting.is_empty() {
         state.claims.due = now + state.knobs.claim_ms;
     }
-    state.claims.waiting.push(write);
+    state.claims.waiting.push(WaitingClaim { write, guest });
+}
+
+/// Takes a claim off the list of those that another router writes.
+pub(super) fn back(state: &mut RouterState, write: &ClaimWrite) -> bool {
+    let before = state.claims.away.len();
+    state.claims.away.retain(|a| &a.write != write);
+    state.claims.away.len() < before
 }
 
 /// Writes what is due and renews the lease.
 pub(super) fn tend(state: &mut RouterState, now: Millis, out: &mut Vec<Effect>) {
     renew_lease(state, now, out);
+    take_back(state, now);
     let full = state.claims.waiting.len() >= state.knobs.claim_batch as usize;
     let due = !state.claims.waiting.is_empty() && (full || now >= state.claims.due);
     let flying = state.calls.values();
@@ -62,29 +109,41 @@
     state.call(Purpose::Claims(writes), op, out);
 }
 
+/// Writes here what another router hasn't answered in time.
+fn take_back(state: &mut RouterState, now: Millis) {
+    let away = std::mem::take(&mut state.claims.away);
+    let (late, rest) = away.into_iter().partition(|a| now >= a.until);
+    state.claims.away = rest;
+    let late: Vec<AwayClaim> = late;
+    for claim in late {
+        wait(state, now, claim.write, None);
+    }
+}
+
 /// Takes writes for one swap; a key may stand in it only once.
-fn next_writes(state: &mut RouterState) -> Vec<ClaimWrite> {
+fn next_writes(state: &mut RouterState) -> Vec<WaitingClaim> {
     let limit = state.knobs.claim_batch as usize;
-    let mut taken: Vec<ClaimWrite> = Vec::new();
+    let mut taken: Vec<WaitingClaim> = Vec::new();
     let mut left = Vec::new();
-    for write in std::mem::take(&mut state.claims.waiting) {
-        let twice = taken.iter().any(|t| t.key == write.key);
+    for claim in std::mem::take(&mut state.claims.waiting) {
+        let twice = taken.iter().any(|t| t.write.key == claim.write.key);
         if twice || taken.len() >= limit {
-            left.push(write);
+            left.push(claim);
         } else {
-            taken.push(write);
+            taken.push(claim);
         }
     }
     state.claims.waiting = left;
     taken
 }
 
-fn swap(writes: &[ClaimWrite], lease: i64) -> StoreCall {
-    let checks = writes.iter().map(|w| Check {
+fn swap(claims: &[WaitingClaim], lease: i64) -> StoreCall {
+    let writes = claims.iter().map(|c| &c.write);
+    let checks = writes.clone().map(|w| Check {
         key: Keys::claim(&w.key),
         revision: w.revision,
     });
-    let puts = writes.iter().map(|w| Put {
+    let puts = writes.clone().map(|w| Put {
         key: Keys::claim(&w.key),
         value: serde_json::to_string(&w.record).unwrap_or_default(),
         lease: Some(lease),
@@ -93,7 +152,7 @@
         checks: checks.collect(),
         puts: puts.collect(),
         deletes: Vec::new(),
-        reads: writes.iter().map(|w| Keys::claim(&w.key)).collect(),
+        reads: writes.map(|w| Keys::claim(&w.key)).collect(),
     }
 }
 
--- a/src/logic/router/claiming.rs
+++ b/src/logic/router/claiming.rs
@@ -1,9 +1,11 @@
 //! Claims of requests that may not be repeated: taken, found, given back.
 
-use super::claim_batch::{self, ClaimWrite};
-use super::{finish, recalling, sending, ClaimRecord, Keys, Problem, RouterState, Stage};
-use super::{StoreEntry, StoreReply, StoreResult};
+use std::collections::BTreeMap;
+
+use super::{claim_batch, finish, recalling, sending, Keys, Problem, RouterState, Stage};
+use super::{StoreReply, StoreResult, WaitingClaim};
 use crate::logic::{Effect, Note, NoteCode};
+use crate::message::{ClaimRecord, ClaimVerdict, ClaimWrite, Message};
 use crate::types::{GroupId, InstanceId, Millis, RequestId};
 
 /// Claims the request for the leader of a group; nothing is sent before.
@@ -57,11 +59,11 @@
             released: false,
         },
     };
-    claim_batch::add(state, now, write);
+    claim_batch::add(state, now, write, out);
 }
 
 /// Gives a claim back before "not run" is said.
-pub(super) fn release(state: &mut RouterState, now: Millis, id: RequestId) {
+pub(super) fn release(state: &mut RouterState, now: Millis, id: RequestId, out: &mut Vec<Effect>) {
     let me = state.me.clone();
     let addr = state.addr;
     let Some(request) = state.requests.get(&id) else {
@@ -84,74 +86,116 @@
             released: true,
         },
     };
-    claim_batch::add(state, now, write);
+    claim_batch::add(state, now, write, out);
 }
 
-/// A write of claims has ended.
+/// A write of claims has ended: own ones are settled, those of guests answered.
 pub(super) fn written(
     state: &mut RouterState,
     now: Millis,
-    writes: Vec<ClaimWrite>,
+    claims: Vec<WaitingClaim>,
     result: StoreResult,
     out: &mut Vec<Effect>,
 ) {
+    let mut answers: BTreeMap<InstanceId, Vec<(ClaimWrite, ClaimVerdict)>> = BTreeMap::new();
+    for claim in claims {
+        let verdict = verdict(&claim.write, &result);
+        match claim.guest {
+            Some(router) => answers
+                .entry(router)
+                .or_default()
+                .push((claim.write, verdict)),
+            None => settle(state, now, claim.write, verdict, out),
+        }
+    }
+    for (to, answers) in answers {
+        let message = Message::ClaimReply(answers);
+        out.push(Effect::Send { to, message });
+    }
+}
+
+/// Another router has written own claims, or hasn't.
+pub(super) fn replied(
+    state: &mut RouterState,
+    now: Millis,
+    answers: Vec<(ClaimWrite, ClaimVerdict)>,
+    out: &mut Vec<Effect>,
+) {
+    for (write, verdict) in answers {
+        // A claim that was taken back meanwhile is settled by its own write.
+        if claim_batch::back(state, &write) {
+            settle(state, now, write, verdict, out);
+        }
+    }
+}
+
+fn verdict(write: &ClaimWrite, result: &StoreResult) -> ClaimVerdict {
     match result {
         Ok(StoreReply::Swapped {
             done: true,
             revision,
             ..
-        }) => {
-            for write in writes {
-                taken(state, now, &write, revision, out);
-            }
-        }
+        }) => ClaimVerdict::Taken(*revision),
         Ok(StoreReply::Swapped { entries, .. }) => {
-            for write in writes {
-                compare(state, now, write, &entries, out);
+            let key = Keys::claim(&write.key);
+            let entry = entries.iter().find(|e| e.key == key);
+            ClaimVerdict::Stands {
+                revision: entry.map_or(0, |e| e.revision),
+                record: entry.and_then(|e| serde_json::from_str(&e.value).ok()),
             }
         }
         // The write may have taken effect: the next one finds its own record.
-        _ => writes.into_iter().for_each(|w| retry(state, now, w)),
-    }
-}
-
-fn retry(state: &mut RouterState, now: Millis, write: ClaimWrite) {
-    if waits_for(state, &write) {
-        claim_batch::add(state, now, write);
-    }
-}
-
-fn waits_for(state: &RouterState, write: &ClaimWrite) -> bool {
-    let stage = state.requests.get(&write.request).map(|r| &r.stage);
-    match stage {
-        Some(Stage::Claiming { .. }) => !write.record.released,
-        Some(Stage::Releasing(_)) => write.record.released,
-        _ => false,
+        _ => ClaimVerdict::Unknown,
     }
 }
 
-fn compare(
+fn settle(
     state: &mut RouterState,
     now: Millis,
     write: ClaimWrite,
-    entries: &[StoreEntry],
+    verdict: ClaimVerdict,
     out: &mut Vec<Effect>,
 ) {
-    let key = Keys::claim(&write.key);
-    let entry = entries.iter().find(|e| e.key == key);
-    let revision = entry.map_or(0, |e| e.revision);
-    if revision == write.revision {
-        return retry(state, now, write);
+    if !waits_for(state, &write) {
+        return;
     }
-    let record = entry.and_then(|e| serde_json::from_str::<ClaimRecord>(&e.value).ok());
-    match record {
-        Some(record) if record == write.record => taken(state, now, &write, revision, out),
-        Some(record) => found(state, now, &write, &record, revision, out),
+    match verdict {
+        ClaimVerdict::Taken(revision) => taken(state, now, &write, revision, out),
+        ClaimVerdict::Unknown => claim_batch::add(state, now, write, out),
+        ClaimVerdict::Stands { revision, .. } if revision == write.revision => {
+            claim_batch::add(state, now, write, out);
+        }
+        ClaimVerdict::Stands {
+            revision,
+            record: Some(record),
+        } => {
+            if record == write.record {
+                taken(state, now, &write, revision, out);
+            } else {
+                found(state, now, &write, &record, revision, out);
+            }
+        }
         // The claim has run out while this request waited: the key is new again.
-        None => {
-            let write = ClaimWrite { revision, ..write };
-            retry(state, now, write);
+        ClaimVerdict::Stands {
+            revision,
+            record: None,
+        } => claim_batch::add(state, now, ClaimWrite { revision, ..write }, out),
+    }
+}
+
+/// Whether the request still waits for this very write.
+fn waits_for(state: &RouterState, write: &ClaimWrite) -> bool {
+    let Some(request) = state.requests.get(&write.request) else {
+        return false;
+    };
+    let attempt = request.once.as_ref().map_or(0, |o| o.attempt);
+    match &request.stage {
+        Stage::Claiming { agent, .. } => {
+            let same = agent == &write.record.agent && attempt + 1 == write.record.attempt;
+            same && !write.record.released
         }
+        Stage::Releasing(_) => write.record.released,
+        _ => false,
     }
 }
 
@@ -163,9 +207,6 @@
     revision: i64,
     out: &mut Vec<Effect>,
 ) {
-    if !waits_for(state, write) {
-        return;
-    }
     let Some(request) = state.requests.get_mut(&write.request) else {
         return;
     };
@@ -217,9 +258,6 @@
     revision: i64,
     out: &mut Vec<Effect>,
 ) {
-    if !waits_for(state, write) {
-        return;
-    }
     let note = Note::new(NoteCode::ClaimFound)
         .with("request", write.request)
         .with("claim", write.key)
@@ -238,9 +276,17 @@
         let problem = Problem::not_run(422, detail);
         return finish::end_with(state, now, write.request, problem, out);
     }
+    // A request that has met the claim before was there when it was given back;
+    // its caller may have been told "not run" through the other router.
+    let met_before = once.revision != 0;
     once.attempt = record.attempt;
     once.incarnation = record.incarnation;
     once.revision = revision;
+    if record.released && met_before {
+        let detail = "another router has given the same request up";
+        let problem = Problem::not_run(503, detail).retry_in(state.knobs.hint_ms);
+        return finish::end_with(state, now, write.request, problem, out);
+    }
     if record.released {
         request.stage = Stage::Parked(now);
         return sending::dispatch(state, now, write.request, out);
--- a/src/logic/router/finish.rs
+++ b/src/logic/router/finish.rs
@@ -57,7 +57,7 @@
     let claimed = request.once.as_ref().is_some_and(|o| o.mine);
     if claimed && problem.outcome == Outcome::NotRun {
         request.stage = Stage::Releasing(Box::new(problem));
-        claiming::release(state, now, id);
+        claiming::release(state, now, id, out);
         return;
     }
     end_with(state, now, id, problem, out);
--- a/src/logic/router/peers.rs
+++ b/src/logic/router/peers.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{head, RouterState};
+use super::{claim_writers, head, RouterState};
 use crate::logic::{Effect, Peer};
 use crate::message::{HeadReply, Message};
 use crate::types::{InstanceId, Millis};
@@ -69,9 +69,14 @@
         .proven_at
         .is_some_and(|at| now < at + state.knobs.proof_ms / 2);
     let number = state.number();
+    let writers = claim_writers::writers(state);
     for (id, peer) in &mut state.peers {
-        let wanted = !fresh || !peer.met;
-        if !wanted {
+        let asked = !fresh || !peer.met;
+        if !asked && writers.contains(id) {
+            dial(id, peer, out);
+            continue;
+        }
+        if !asked {
             if peer.dialled {
                 peer.dialled = false;
                 out.push(Effect::Hangup(id.clone()));
--- a/src/logic/router/router_knobs.rs
+++ b/src/logic/router/router_knobs.rs
@@ -24,6 +24,8 @@
     pub claim_ms: Millis,
     /// Most claims of one write.
     pub claim_batch: u32,
+    /// Routers that write claims for all others, once there are more routers than that.
+    pub claim_writers: u32,
     /// How long a claim is kept.
     pub claim_keep_ms: Millis,
     /// Most attempts at one request.
@@ -65,7 +67,8 @@
             plan_ms: 500,
             patience_ms: 30_000,
             plan_rate: 120,
-            claim_ms: 20,
+            claim_ms: 50,
+            claim_writers: 4,
             claim_batch: 100,
             claim_keep_ms: 6 * 3_600_000,
             attempts: 4,
--- a/src/logic/router/step.rs
+++ b/src/logic/router/step.rs
@@ -88,6 +88,12 @@
         (PeerRole::Router, Message::HeadReply(reply)) => {
             peers::replied(state, now, from, reply, out);
         }
+        (PeerRole::Router, Message::ClaimAsk(writes)) => {
+            claim_batch::add_guests(state, now, &from.id, writes);
+        }
+        (PeerRole::Router, Message::ClaimReply(answers)) => {
+            claiming::replied(state, now, answers, out);
+        }
         _ => {
             let note = Note::new(NoteCode::UnexpectedMessage).with("from", &from.id);
             out.push(Effect::Note(note));
@@ -122,7 +128,7 @@
             operator::approved(state, job, number, by, result, out);
         }
         Purpose::Roll => roll::written(state, now, result, out),
-        Purpose::Claims(writes) => claiming::written(state, now, writes, result, out),
+        Purpose::Claims(claims) => claiming::written(state, now, claims, result, out),
         Purpose::ClaimLease(asked_at) => {
             if let Ok(StoreReply::Lease { lease, .. }) = result {
                 state.claims.lease = Some(lease);
--- a/src/logic/router/claim_record.rs
+++ b/src/message/claim_record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::message::ClaimKey;
+use super::ClaimKey;
 use crate::types::{InstanceId, RequestId};
 
 /// A claim as it stands in the key-value service.
--- a/src/message/message_kind.rs
+++ b/src/message/message_kind.rs
@@ -1,6 +1,9 @@
 use serde::{Deserialize, Serialize};
 
-use super::{AttemptEnd, HeadReply, LeaseAsk, LoadReport, Once, Recall, Report, RunId, RunOrder};
+use super::{
+    AttemptEnd, ClaimVerdict, ClaimWrite, HeadReply, LeaseAsk, LoadReport, Once, Recall, Report,
+    RunId, RunOrder,
+};
 use crate::types::{Brief, GroupId, GroupRecord, Millis};
 
 /// Every message between processes of the system.
@@ -103,4 +106,8 @@
     },
     /// Router to router: answer.
     HeadReply(HeadReply),
+    /// Router to router: write these claims together with others.
+    ClaimAsk(Vec<ClaimWrite>),
+    /// Router to router: what became of claims.
+    ClaimReply(Vec<(ClaimWrite, ClaimVerdict)>),
 }
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -5,6 +5,9 @@
 
 mod attempt_end;
 mod claim_key;
+mod claim_record;
+mod claim_verdict;
+mod claim_write;
 mod class_load;
 mod head_reply;
 mod lead_report;
@@ -20,6 +23,9 @@
 
 pub use attempt_end::AttemptEnd;
 pub use claim_key::ClaimKey;
+pub use claim_record::ClaimRecord;
+pub use claim_verdict::ClaimVerdict;
+pub use claim_write::ClaimWrite;
 pub use class_load::ClassLoad;
 pub use head_reply::HeadReply;
 pub use lead_report::LeadReport;
--- a/src/platform/watcher.rs
+++ b/src/platform/watcher.rs
@@ -1,12 +1,15 @@
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, ErrorKind};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde_json::Value;
 
 use super::{kv_json, PlatformSettings};
 use crate::logic::router::StoreChange;
 
+/// Time after which a connection is renewed, so that a dead one can't hold a watch.
+const RENEW: Duration = Duration::from_secs(60);
 /// Longest line of a watch, in bytes.
 const LINE_LIMIT: usize = 16 * 1024 * 1024;
 
@@ -52,44 +55,67 @@
     }
 
     fn run(&self, turn: u64, from: i64) {
-        self.follow(turn, from);
-        if self.is_current(turn) {
-            (self.changes)(None);
+        let mut next = from;
+        while self.is_current(turn) {
+            if self.follow(turn, &mut next) == End::Lost {
+                if self.is_current(turn) {
+                    (self.changes)(None);
+                }
+                return;
+            }
+        }
+    }
+
+    /// Follows one connection; `next` is the revision that the next one starts at.
+    fn follow(&self, turn: u64, next: &mut i64) -> End {
+        let Some(mut lines) = self.open(turn, *next) else {
+            return End::Lost;
+        };
+        let mut line = String::new();
+        while self.is_current(turn) {
+            line.clear();
+            match lines.read_line(&mut line) {
+                Ok(read) if read > 0 && read <= LINE_LIMIT => {}
+                Err(e) if e.kind() == ErrorKind::TimedOut && line.is_empty() => return End::Quiet,
+                _ => return End::Lost,
+            }
+            let value: Option<Value> = serde_json::from_str(&line).ok();
+            let Some(changes) = value.as_ref().and_then(kv_json::changes) else {
+                return End::Lost;
+            };
+            if let Some(last) = changes.iter().map(|c| c.revision).max() {
+                *next = last + 1;
+                if self.is_current(turn) {
+                    (self.changes)(Some(changes));
+                }
+            }
         }
+        End::Quiet
     }
 
-    fn follow(&self, turn: u64, from: i64) -> Option<()> {
-        let addr = self
-            .settings
-            .kv
-            .get(turn as usize % self.settings.kv.len().max(1))?;
+    fn open(&self, turn: u64, from: i64) -> Option<impl BufRead> {
+        let count = self.settings.kv.len().max(1);
+        let addr = self.settings.kv.get(turn as usize % count)?;
         let agent: ureq::Agent = ureq::Agent::config_builder()
             .timeout_connect(Some(self.settings.call))
             .timeout_send_request(Some(self.settings.call))
             .timeout_recv_response(Some(self.settings.call))
+            .timeout_recv_body(Some(RENEW))
             .http_status_as_error(false)
             .build()
             .into();
         let body = kv_json::watch(&self.prefix, from).to_string();
         let url = format!("http://{addr}/v3/watch");
         let response = agent.post(&url).send(body).ok()?;
-        if response.status() != 200 {
-            return None;
-        }
-        let mut lines = BufReader::new(response.into_body().into_reader());
-        let mut line = String::new();
-        while self.is_current(turn) {
-            line.clear();
-            let read = lines.read_line(&mut line).ok()?;
-            if read == 0 || read > LINE_LIMIT {
-                return None;
-            }
-            let value: Value = serde_json::from_str(&line).ok()?;
-            let changes = kv_json::changes(&value)?;
-            if !changes.is_empty() && self.is_current(turn) {
-                (self.changes)(Some(changes));
-            }
-        }
-        Some(())
+        (response.status() == 200).then(|| BufReader::new(response.into_body().into_reader()))
     }
 }
+
+/// How a connection of a watch ended.
+#[derive(PartialEq, Eq)]
+enum End {
+    /// Its time was over; the next connection goes on behind it.
+    Quiet,
+    /// It broke, or changes may have been missed.
+    Lost,
+}
--- a/src/settings/router_settings.rs
+++ b/src/settings/router_settings.rs
@@ -228,6 +228,7 @@
         "writes a minute",
     );
     knobs.claim_batch = ini.number("claims", "batch", d.claim_batch, 1..=120, "claims");
+    knobs.claim_writers = ini.number("claims", "writers", d.claim_writers, 1..=64, "routers");
     knobs.attempts = ini.number("requests", "attempts", d.attempts, 1..=20, "attempts");
     knobs.request_limit = ini.number(
         "limits",
--- a/testkit/src/platform.rs
+++ b/testkit/src/platform.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -259,6 +260,9 @@
         }
         loop {
             let Some((events, seen)) = self.wait_changes(&from, &to, next) else {
+                // The server keeps the connection; what isn't a chunk breaks it.
+                let _ = writer.write_all(b"broken\r\n");
+                let _ = writer.flush();
                 return;
             };
             next = seen + 1;
--- a/tests/fleet/once.rs
+++ b/tests/fleet/once.rs
@@ -204,3 +204,31 @@
     assert_eq!(second.text, first.text);
     assert_eq!(fleet.service.runs().len(), 1);
 }
+
+#[test]
+fn claims_of_many_routers_go_through_a_few_writers() {
+    let plan = FleetPlan {
+        routers: 6,
+        ..FleetPlan::default()
+    };
+    let mut fleet = serving(&plan);
+    let routers: Vec<_> = fleet.routers.keys().cloned().collect();
+    for (i, router) in routers.iter().enumerate() {
+        let call = letter(&format!("w{i}"));
+        let answer = answered(&fleet, router, &call);
+        assert_eq!(answer.text, whole(&call.prompt, 10));
+    }
+    // A writer that dies is passed over: the claim is written where it was wanted.
+    fleet.routers.get_mut("e1").expect("a router").kill();
+    fleet.routers.get_mut("e2").expect("a router").kill();
+    for i in 0..6 {
+        let call = letter(&format!("x{i}"));
+        let answer = answered(&fleet, "e6", &call);
+        assert_eq!(answer.text, whole(&call.prompt, 10));
+    }
+    let once: Vec<_> = (0..6)
+        .flat_map(|i| [format!("letter w{i}"), format!("letter x{i}")])
+        .collect();
+    judge(&fleet, &once.iter().map(String::as_str).collect::<Vec<_>>());
+    assert_eq!(fleet.fabric.runs().len(), 12);
+}
