--- a/src/cli/bundle_command.rs
+++ b/src/cli/bundle_command.rs
@@ -6,6 +6,9 @@
 use super::{CliError, CliErrorKind};
 use crate::http::BundleRow;
 
+/// What can be done with bundles.
+const VERBS: [&str; 4] = ["submit", "approve", "roll", "status"];
+
 #[derive(Deserialize)]
 struct BundleList {
     head: u64,
@@ -14,20 +17,19 @@
 
 /// Submits, approves, rolls or lists bundles.
 pub(super) fn bundle(mut args: Arguments) -> Result<(), CliError> {
-    let verb = args.subcommand().ok().flatten();
+    let verb = args.subcommand().ok().flatten().unwrap_or_default();
+    if !VERBS.contains(&verb.as_str()) {
+        let message = format!("found {verb:?}, expected one of {}", VERBS.join(", "));
+        return Err(CliError::usage(message, "bundle"));
+    }
     let client = OperatorClient::from_args(&mut args, "bundle")?;
-    match verb.as_deref() {
-        Some("submit") => submit(&client, args),
-        Some(verb @ ("approve" | "roll")) => change(&client, verb, args),
-        Some("status") => {
+    match verb.as_str() {
+        "submit" => submit(&client, args),
+        "status" => {
             no_more(args, "bundle")?;
             list(&client)
         }
-        other => {
-            let found = other.unwrap_or("nothing");
-            let message = format!("found {found}, expected submit, approve, roll or status");
-            Err(CliError::usage(message, "bundle"))
-        }
+        verb => change(&client, verb, args),
     }
 }
 
--- a/tests/product/command_line.rs
+++ b/tests/product/command_line.rs
@@ -31,14 +31,7 @@
         &["router"],
         &["router", "--settings"],
         &["check"],
-        &[
-            "bundle",
-            "undo",
-            "--router",
-            "127.0.0.1:1",
-            "--token-file",
-            "Cargo.toml",
-        ],
+        &["bundle", "undo"],
         &["status"],
     ];
     let mut text = String::new();
