--- a/tests/check/bundles.rs
+++ b/tests/check/bundles.rs
@@ -22,7 +22,7 @@
     InstanceId, InstanceState, Member, Millis, ModelKind, Phase, RequestId,
 };
 
-use crate::explore::{explore, Found};
+use crate::explore::{explore, walk, walks, Found};
 use crate::hashed::{kind, Hashed, Label};
 
 const NAMES: [&str; 2] = ["r1", "r2"];
@@ -627,3 +627,18 @@
         );
     }
 }
+
+#[test]
+fn long_random_runs_break_nothing() {
+    let faults = Faults {
+        cuts: 8,
+        lost_answers: 3,
+        horizon: 40,
+        ..CUTS
+    };
+    walks(300, |seed| {
+        let start = World::new(&faults);
+        let fault = walk(start, |w| w.next(&faults), World::broken, seed, 250)?;
+        Some(fault.0)
+    });
+}
--- a/tests/check/claims.rs
+++ b/tests/check/claims.rs
@@ -24,7 +24,7 @@
     Head, Instance, InstanceId, InstanceState, Member, ModelKind, ModelSpec, Phase, RequestId,
 };
 
-use crate::explore::{explore, Found};
+use crate::explore::{explore, walk, walks, Found};
 use crate::hashed::{kind, Hashed, Label};
 
 /// Nodes 0 and 1 are routers, 2 and 3 agents.
@@ -829,3 +829,23 @@
         );
     }
 }
+
+#[test]
+fn long_random_runs_break_nothing() {
+    let faults = Faults {
+        lost_answers: 2,
+        late_writes: 2,
+        restarts: 1,
+        cuts: 3,
+        router_deaths: 1,
+        ..QUIET
+    };
+    walks(400, |seed| {
+        let start = World::new(&Faults {
+            seeds: [seed, seed ^ 1],
+            ..faults
+        });
+        let fault = walk(start, |w| w.next(&faults), |w| w.broken.clone(), seed, 120)?;
+        Some(fault.0)
+    });
+}
--- a/tests/check/explore.rs
+++ b/tests/check/explore.rs
@@ -90,3 +90,56 @@
         broken,
     }
 }
+
+/// Walks at random, far beyond what can be explored; returns the way to a fault.
+pub fn walk<S, N>(
+    start: S,
+    next: impl Fn(&S) -> N,
+    broken: impl Fn(&S) -> Option<String>,
+    seed: u64,
+    steps: usize,
+) -> Option<(String, Vec<S>)>
+where
+    S: Clone,
+    N: IntoIterator<Item = S>,
+{
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut path = vec![start];
+    for _ in 0..steps {
+        let all: Vec<_> = next(path.last()?).into_iter().collect();
+        let state = all.get(rng.usize(0..all.len().max(1)))?.clone();
+        let fault = broken(&state);
+        path.push(state);
+        if let Some(why) = fault {
+            return Some((why, path));
+        }
+    }
+    None
+}
+
+/// Random walks by proptest: the same in CI, others with `RUNRAIL_FREE_SEED` set.
+pub fn walks(cases: u32, mut walk: impl FnMut(u64) -> Option<String>) {
+    use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
+    let free = std::env::var_os("RUNRAIL_FREE_SEED").is_some();
+    let rng_seed = if free {
+        RngSeed::Random
+    } else {
+        RngSeed::Fixed(1)
+    };
+    let config = Config {
+        cases,
+        rng_seed,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let walk = std::cell::RefCell::new(&mut walk);
+    let result = TestRunner::new(config).run(&proptest::num::u64::ANY, |seed| {
+        match (walk.borrow_mut())(seed) {
+            Some(why) => Err(proptest::test_runner::TestCaseError::fail(why)),
+            None => Ok(()),
+        }
+    });
+    if let Err(TestError::Fail(why, seed)) = result {
+        panic!("seed {seed}: {why}");
+    }
+}
--- a/tests/check/groups.rs
+++ b/tests/check/groups.rs
@@ -19,7 +19,7 @@
     GroupId, GroupRecord, GroupRole, InstanceId, Member, Millis, ModelKind, Phase, RequestId,
 };
 
-use crate::explore::explore;
+use crate::explore::{explore, walk, walks};
 use crate::hashed::{kind, Hashed, Label};
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
@@ -536,3 +536,19 @@
         );
     }
 }
+
+#[test]
+fn long_random_runs_break_nothing() {
+    let faults = Faults {
+        crashes: 4,
+        fragile: &[0, 1, 2],
+        drifts: 1,
+        horizon: 40,
+        ..DRIFT
+    };
+    walks(300, |seed| {
+        let start = World::new(&faults);
+        let fault = walk(start, |w| w.next(&faults), World::broken, seed, 250)?;
+        Some(fault.0)
+    });
+}
--- a/tests/fleet/serve.rs
+++ b/tests/fleet/serve.rs
@@ -38,3 +38,51 @@
     assert_eq!(fleet.service.runs()[0].path, "/seats/take");
     assert_eq!(fleet.service.runs()[0].body, r#"{"seat":7}"#);
 }
+
+#[test]
+fn a_killed_member_is_explained_and_a_request_is_followed_by_its_id() {
+    let mut fleet = serving(&FleetPlan {
+        engines: 5,
+        ..FleetPlan::default()
+    });
+    let answer = fleet.chat("e1", &Chat::default());
+    let request = answer.request.expect("an id");
+    let told = fleet.operate("anna", "e1", &["explain", &request]);
+    let text = String::from_utf8_lossy(&told.stdout).to_string();
+    assert!(text.contains("E500") && text.contains("E502"), "{text}");
+    let leader = fleet.members("e1")[0].clone();
+    let lost = fleet.members("e1")[2].clone();
+    fleet.fabric.set_down(&lost, true);
+    fleet.agents.get_mut(&lost).expect("an agent").kill();
+    let mut text = String::new();
+    let explained = testkit::until(LONG, || {
+        let told = fleet.operate("anna", "e1", &["explain", &lost]);
+        text = String::from_utf8_lossy(&told.stdout).to_string();
+        text.contains("E411") && text.contains("from=\"spare\"")
+    });
+    assert!(explained, "{text}");
+    assert!(!fleet.logged(&leader, "E213").is_empty());
+    let metrics = fleet.operate("anna", "e1", &["metrics"]);
+    let text = String::from_utf8_lossy(&metrics.stdout).to_string();
+    assert!(
+        text.contains("first_piece_ms") && text.contains("desk"),
+        "{text}"
+    );
+}
+
+#[test]
+fn logs_hold_neither_prompts_nor_keys() {
+    let fleet = serving(&FleetPlan::default());
+    let call = Chat {
+        prompt: "secretprompt".into(),
+        once: Some("secretonce".into()),
+        ..Chat::default()
+    };
+    assert!(fleet.chat("e1", &call).is_answered());
+    for id in fleet.agents.keys().chain(fleet.routers.keys()) {
+        for word in ["secretprompt", "secretonce", DESK_KEY] {
+            let lines = fleet.logged(id, word);
+            assert!(lines.is_empty(), "{id}: {lines:?}");
+        }
+    }
+}
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -1,4 +1,6 @@
 //! Focused tests of the reducer, one file a feature.
 
+mod fairness;
 mod fixture;
 mod pausing;
+mod planning;
