Stand-in engine breaks the connection of a dead replica

Cause: failure tests took 23 s, 20 of them one request that hung until its deadline: the stand-in ended the stream without closing it.

--- a/testkit/src/engine.rs
+++ b/testkit/src/engine.rs
@@ -262,8 +262,9 @@
                 return respond::chunk(writer, "");
             }
             if !self.fabric.missing(fence).is_empty() {
-                // The replica is dead: the stream just ends.
-                return Ok(());
+                // The replica is dead: its connection breaks.
+                writer.write_all(b"broken\r\n")?;
+                return writer.flush();
             }
             event(writer, &chunk(&piece(prompt, i), None))?;
         }
