A stopping router waits for the last bytes of its answers; docs

Cause: in a run of all 39 process tests the router told to stop cut a stream's end: the actor ended the process in the step that passed the last part on, before the caller's thread had written it. Ruled out: the reducer (the part was sent) and the caller's deadline. Change: the process ends once its HTTP requests are answered, 10 s at most.

--- a/src/host/run_agent.rs
+++ b/src/host/run_agent.rs
@@ -53,5 +53,6 @@
         addresses,
         inbox,
         thread,
+        servers: Vec::new(),
     })
 }
--- a/src/host/run_router.rs
+++ b/src/host/run_router.rs
@@ -60,6 +60,7 @@
         addresses,
         inbox,
         thread,
+        servers: vec![callers, operators],
     })
 }
 
--- a/src/host/running.rs
+++ b/src/host/running.rs
@@ -1,9 +1,14 @@
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use super::{HostEvent, Inbox};
+use crate::http::HttpServer;
 use crate::logic::Event;
 
+/// Time for the last bytes of answers to be written.
+const LAST_BYTES: Duration = Duration::from_secs(10);
+
 /// Addresses that a process listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Addresses {
@@ -20,6 +25,7 @@
     pub(super) addresses: Addresses,
     pub(super) inbox: Inbox,
     pub(super) thread: JoinHandle<()>,
+    pub(super) servers: Vec<HttpServer>,
 }
 
 impl Running {
@@ -38,10 +44,13 @@
         self.inbox.clone()
     }
 
-    /// Waits until it has ended.
+    /// Waits until it has ended and its callers have their whole answers.
     pub fn wait(self) {
         if self.thread.join().is_err() {
             log::error!(target: "runrail", "the actor ended by a broken invariant");
         }
+        for server in &self.servers {
+            server.finish(LAST_BYTES);
+        }
     }
 }
--- a/src/http/http_server.rs
+++ b/src/http/http_server.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use tiny_http::{Request, Server};
 
@@ -13,6 +14,7 @@
 /// Serves HTTP requests, each on a thread of its own, bounded in number.
 pub struct HttpServer {
     addr: SocketAddr,
+    open: Arc<AtomicUsize>,
 }
 
 impl HttpServer {
@@ -33,10 +35,20 @@
             .to_ip()
             .ok_or_else(|| std::io::Error::other("not an IP address"))?;
         let handle = Arc::new(handle);
+        let open = Arc::new(AtomicUsize::new(0));
+        let counted = open.clone();
         std::thread::Builder::new()
             .name("http".into())
-            .spawn(move || serve(&server, limit, &handle))?;
-        Ok(Self { addr })
+            .spawn(move || serve(&server, limit, &counted, &handle))?;
+        Ok(Self { addr, open })
+    }
+
+    /// Waits until every request has its whole answer, for a bounded time.
+    pub fn finish(&self, limit: Duration) {
+        let start = Instant::now();
+        while self.open.load(Ordering::SeqCst) > 0 && start.elapsed() < limit {
+            std::thread::sleep(Duration::from_millis(5));
+        }
     }
 
     /// Address it listens on.
@@ -45,11 +57,10 @@
     }
 }
 
-fn serve<H>(server: &Server, limit: usize, handle: &Arc<H>)
+fn serve<H>(server: &Server, limit: usize, open: &Arc<AtomicUsize>, handle: &Arc<H>)
 where
     H: Fn(Request) + Send + Sync + 'static,
 {
-    let open = Arc::new(AtomicUsize::new(0));
     for request in server.incoming_requests() {
         if open.fetch_add(1, Ordering::SeqCst) >= limit {
             open.fetch_sub(1, Ordering::SeqCst);
--- a/tests/fleet/leaving.rs
+++ b/tests/fleet/leaving.rs
@@ -117,16 +117,25 @@
         pieces: 30,
         ..Chat::default()
     };
-    let answer = std::thread::scope(|scope| {
-        let answer = scope.spawn(|| fleet.chat("e1", &call));
-        assert!(until(LONG, || !fleet.fabric.runs().is_empty()));
+    let answers: Vec<_> = std::thread::scope(|scope| {
+        // Eight of them, so that some end with the process's own last step.
+        let calls: Vec<_> = (0..8)
+            .map(|_| scope.spawn(|| fleet.chat("e1", &call)))
+            .collect();
+        assert!(until(LONG, || fleet.fabric.runs().len() == 8));
         fleet.routers["e1"].terminate();
         assert!(until(LONG, || !fleet.logged("e1", "E101").is_empty()));
         let refused = fleet.chat("e1", &Chat::default());
         assert_eq!(refused.outcome.as_deref(), Some("not_run"), "{refused:?}");
-        answer.join().expect("a call")
+        calls
+            .into_iter()
+            .map(|c| c.join().expect("a call"))
+            .collect()
     });
-    assert!(answer.is_answered(), "{answer:?}");
+    for answer in answers {
+        assert!(answer.is_answered(), "{answer:?}");
+        assert_eq!(answer.pieces, 30);
+    }
     let router = fleet.routers.get_mut("e1").expect("a router");
     assert!(until(LONG, || router.ended() == Some(true)));
     answered(&fleet, "e2", &Chat::default());
