A process that ends in order sends what waits on its sessions

Cause: the same cause as with HTTP, one layer down: an agent's last End message was queued in the step that ended the process, so a router could see the session close first and call the outcome unknown. Change: sessions send their queues and close before the process ends, 2 s at most.

--- a/src/host/run_agent.rs
+++ b/src/host/run_agent.rs
@@ -41,6 +41,7 @@
         callers: None,
         operators: None,
     };
+    let sessions = net.clone();
     let outside = Outside {
         clock,
         net,
@@ -53,6 +54,7 @@
         addresses,
         inbox,
         thread,
+        net: sessions,
         servers: Vec::new(),
     })
 }
--- a/src/host/run_router.rs
+++ b/src/host/run_router.rs
@@ -48,6 +48,7 @@
         callers: Some(callers.addr()),
         operators: Some(operators.addr()),
     };
+    let sessions = net.clone();
     let outside = Outside {
         clock: Clock::start(),
         net,
@@ -60,6 +61,7 @@
         addresses,
         inbox,
         thread,
+        net: sessions,
         servers: vec![callers, operators],
     })
 }
--- a/src/host/running.rs
+++ b/src/host/running.rs
@@ -5,10 +5,14 @@
 use super::{HostEvent, Inbox};
 use crate::http::HttpServer;
 use crate::logic::Event;
+use crate::wire::Net;
 
 /// Time for the last bytes of answers to be written.
 const LAST_BYTES: Duration = Duration::from_secs(10);
 
+/// Time for the last messages to other processes to be sent.
+const LAST_MESSAGES: Duration = Duration::from_secs(2);
+
 /// Addresses that a process listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Addresses {
@@ -26,6 +30,7 @@
     pub(super) inbox: Inbox,
     pub(super) thread: JoinHandle<()>,
     pub(super) servers: Vec<HttpServer>,
+    pub(super) net: Net,
 }
 
 impl Running {
@@ -52,5 +57,6 @@
         for server in &self.servers {
             server.finish(LAST_BYTES);
         }
+        self.net.finish(LAST_MESSAGES);
     }
 }
--- a/src/wire/net.rs
+++ b/src/wire/net.rs
@@ -1,7 +1,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Semaphore};
@@ -57,6 +58,10 @@
     me: Identity,
     settings: NetSettings,
     open: Mutex<Table>,
+    /// Sessions whose tasks run.
+    running: AtomicUsize,
+    /// Whether nothing is dialled any more.
+    closing: AtomicBool,
     events: Box<dyn Fn(NetEvent) + Send + Sync>,
 }
 
@@ -94,6 +99,8 @@
             me,
             settings,
             open: Mutex::default(),
+            running: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
             events: Box::new(events),
         });
         let handle = runtime.handle().clone();
@@ -150,6 +157,17 @@
         table.diallers.insert(to.clone(), task);
     }
 
+    /// Sends what waits, closes every session, and waits for that a bounded time.
+    pub fn finish(&self, limit: Duration) {
+        self.shared.closing.store(true, Ordering::SeqCst);
+        // A session whose sender is gone ends once its queue is sent.
+        lock(&self.shared).sessions.clear();
+        let start = Instant::now();
+        while self.shared.running.load(Ordering::SeqCst) > 0 && start.elapsed() < limit {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Closes the session that was dialled and stops dialling.
     pub fn hangup(&self, to: &InstanceId) {
         let mut table = lock(&self.shared);
@@ -220,7 +238,7 @@
 async fn dial_forever(shared: Arc<Shared>, to: InstanceId, addr: SocketAddr) {
     let mut wait = REDIAL[0];
     let mut last = String::new();
-    loop {
+    while !shared.closing.load(Ordering::SeqCst) {
         match dial_one(&shared, &to, addr).await {
             Ok(()) => wait = REDIAL[0],
             Err(why) => {
@@ -269,6 +287,7 @@
 
 impl Drop for Registered<'_> {
     fn drop(&mut self) {
+        self.shared.running.fetch_sub(1, Ordering::SeqCst);
         let mut table = lock(self.shared);
         let own = table
             .sessions
@@ -296,6 +315,7 @@
         table.sessions.insert(key.clone(), Open { serial, sender });
         serial
     };
+    shared.running.fetch_add(1, Ordering::SeqCst);
     let _registered = Registered {
         shared,
         key,
--- a/tests/contract/sessions.rs
+++ b/tests/contract/sessions.rs
@@ -74,3 +74,24 @@
     a.dial(&InstanceId::new("c"), b.addr());
     assert!(refused(&events).contains("meant for c"));
 }
+
+#[test]
+fn a_process_that_ends_in_order_sends_what_waits() {
+    let (a, own) = start("a", "the fleet's key");
+    let (b, events) = start("b", "the fleet's key");
+    a.dial(&InstanceId::new("b"), b.addr());
+    own.recv_timeout(LONG).expect("an event");
+    for _ in 0..500 {
+        a.send(&InstanceId::new("b"), Message::Leave);
+    }
+    a.finish(LONG);
+    let mut heard = 0;
+    loop {
+        match events.recv_timeout(LONG).expect("an event") {
+            NetEvent::Message { .. } => heard += 1,
+            NetEvent::Down(_) => break,
+            _ => {}
+        }
+    }
+    assert_eq!(heard, 500);
+}
