Planner's survey in a file of its own; the checks share their verdicts; report rates

Cause of the rates: at the target size a router would use nearly all of its 200 leaders within the 10 s for which load reports went to it (61 KB/s at 153 bytes and two a second), and a leader of 32 would send 26 KB/s. Now within 2 s and one a second: 8.5 and 1.7 KB/s by the same arithmetic. Record writes of planners are one a second each, so that eleven of them leave room for claims.

--- a/benches/capacity/processes.rs
+++ b/benches/capacity/processes.rs
@@ -48,6 +48,7 @@
         slope(a.1, b.1),
         slope(a.2, b.2)
     );
+    streams(&fleet, &leader);
     println!(
         "memory: router {} KiB, leader {} KiB, member {} KiB",
         rss(&fleet, "e1"),
@@ -76,6 +77,41 @@
     );
 }
 
+/// Memory of open streams: many at once, each waiting most of the time.
+fn streams(fleet: &Fleet, leader: &str) {
+    println!("| open streams | router KiB | leader KiB |\n|---|---|---|");
+    for engine in fleet.engines.values() {
+        engine.set_knobs(|k| {
+            k.slots = 1_000;
+            k.piece = Duration::from_millis(200);
+        });
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    for count in [50, 100, 200] {
+        std::thread::scope(|scope| {
+            for _ in 0..count {
+                scope.spawn(|| {
+                    fleet.chat(
+                        "e1",
+                        &Chat {
+                            pieces: 20,
+                            ..Chat::default()
+                        },
+                    )
+                });
+            }
+            testkit::until(Duration::from_secs(3), || {
+                fleet.status("e1")["requests"] == count
+            });
+            println!(
+                "| {count} | {} | {} |",
+                rss(fleet, "e1"),
+                rss(fleet, leader)
+            );
+        });
+    }
+}
+
 fn load(fleet: &Fleet, pieces: u64) {
     std::thread::scope(|scope| {
         for _ in 0..CALLERS {
--- a/src/logic/agent/agent_knobs.rs
+++ b/src/logic/agent/agent_knobs.rs
@@ -35,7 +35,7 @@
             queue_limit: 256,
             leave_ms: 3_000,
             load_retry_ms: 5_000,
-            report_ms: 500,
+            report_ms: 1_000,
             answer_bytes: 64 * 1024,
             by_class: true,
         }
--- a/src/logic/agent/report.rs
+++ b/src/logic/agent/report.rs
@@ -6,7 +6,7 @@
 use crate::types::{InstanceId, Millis, Phase};
 
 /// Time after its last order for which a router gets load reports, in milliseconds.
-const USED_FOR: Millis = 10_000;
+const USED_FOR: Millis = 2_000;
 
 /// Tells routers when something has changed.
 ///
--- a/src/logic/router/planner/mod.rs
+++ b/src/logic/router/planner/mod.rs
@@ -12,6 +12,7 @@
 mod planner_state;
 mod repair;
 mod retire;
+mod survey;
 mod world_view;
 
 pub(super) use duty::{add_wanted, answered, tend};
--- a/src/logic/router/router_knobs.rs
+++ b/src/logic/router/router_knobs.rs
@@ -66,7 +66,7 @@
             planner_ms: 10_000,
             plan_ms: 500,
             patience_ms: 30_000,
-            plan_rate: 120,
+            plan_rate: 60,
             claim_ms: 50,
             claim_writers: 4,
             claim_batch: 100,
--- a/tests/check/bundles.rs
+++ b/tests/check/bundles.rs
@@ -22,7 +22,7 @@
     InstanceId, InstanceState, Member, Millis, ModelKind, Phase, RequestId,
 };
 
-use crate::explore::{explore, walk, walks, Found};
+use crate::explore::{explore, must_break, must_hold, walk, walks, Found};
 use crate::hashed::{kind, Hashed, Label};
 
 const NAMES: [&str; 2] = ["r1", "r2"];
@@ -533,16 +533,15 @@
 
 fn holds(name: &str, faults: Faults) {
     assert_eq!(faults.rules, Rules::default());
-    let found = check(faults);
-    println!(
-        "bundles, {name}, up to time {}: {}",
-        faults.horizon,
-        found.reach()
-    );
-    if let Some((why, path)) = &found.broken {
-        let steps: Vec<_> = path.iter().map(|w| w.last.0.as_str()).collect();
-        panic!("{why}:\n{}", steps.join("\n"));
-    }
+    let name = format!("bundles, {name}, up to time {}", faults.horizon);
+    must_hold(&name, &check(faults), |w| &w.last.0);
+}
+
+/// A rule switched off.
+fn off(change: fn(&mut Rules)) -> Rules {
+    let mut rules = Rules::ALL;
+    change(&mut rules);
+    rules
 }
 
 #[test]
@@ -587,11 +586,6 @@
 
 #[test]
 fn each_rule_is_needed() {
-    let off = |change: fn(&mut Rules)| {
-        let mut rules = Rules::ALL;
-        change(&mut rules);
-        rules
-    };
     let table = [
         (
             "head_proof",
@@ -617,14 +611,7 @@
         ),
     ];
     for (rule, faults) in table {
-        let found = check(faults);
-        let (why, path) = found
-            .broken
-            .unwrap_or_else(|| panic!("nothing fails without {rule}"));
-        println!(
-            "bundles without {rule}: {why} after {} steps",
-            path.len() - 1
-        );
+        must_break("bundles", rule, check(faults).broken);
     }
 }
 
--- a/tests/check/claims.rs
+++ b/tests/check/claims.rs
@@ -24,7 +24,7 @@
     Head, Instance, InstanceId, InstanceState, Member, ModelKind, ModelSpec, Phase, RequestId,
 };
 
-use crate::explore::{explore, walk, walks, Found};
+use crate::explore::{explore, must_break, must_hold, walk, walks, Found};
 use crate::hashed::{kind, Hashed, Label};
 
 /// Nodes 0 and 1 are routers, 2 and 3 agents.
@@ -718,14 +718,18 @@
     assert_eq!(faults.rules, Rules::default());
     for seeds in [[1, 2], [2, 1], [1, 1]] {
         let found = check(Faults { seeds, ..faults });
-        println!("claims, {name}, seeds {seeds:?}: {}", found.reach());
-        if let Some((why, path)) = &found.broken {
-            let steps: Vec<_> = path.iter().map(|w| w.last.0.as_str()).collect();
-            panic!("{why}:\n{}", steps.join("\n"));
-        }
+        let name = format!("claims, {name}, seeds {seeds:?}");
+        must_hold(&name, &found, |w| &w.last.0);
     }
 }
 
+/// A rule switched off.
+fn off(change: fn(&mut Rules)) -> Rules {
+    let mut rules = Rules::ALL;
+    change(&mut rules);
+    rules
+}
+
 #[test]
 fn a_request_that_may_not_be_repeated_runs_once_through_an_agents_restart() {
     holds(
@@ -787,11 +791,6 @@
 
 #[test]
 fn each_rule_is_needed() {
-    let off = |change: fn(&mut Rules)| {
-        let mut rules = Rules::ALL;
-        change(&mut rules);
-        rules
-    };
     let table = [
         (
             "claim_first",
@@ -822,11 +821,7 @@
         let found = seeds
             .into_iter()
             .find_map(|seeds| check(Faults { seeds, ..faults }).broken);
-        let (why, path) = found.unwrap_or_else(|| panic!("nothing fails without {rule}"));
-        println!(
-            "claims without {rule}: {why} after {} steps",
-            path.len() - 1
-        );
+        must_break("claims", rule, found);
     }
 }
 
--- a/tests/check/explore.rs
+++ b/tests/check/explore.rs
@@ -143,3 +143,21 @@
         panic!("seed {seed}: {why}");
     }
 }
+
+/// Prints how far an exploration went, and fails with the way to a fault.
+pub fn must_hold<S>(name: &str, found: &Found<S>, label: impl Fn(&S) -> &str) {
+    println!("{name}: {}", found.reach());
+    if let Some((why, path)) = &found.broken {
+        let steps: Vec<_> = path.iter().map(label).collect();
+        panic!("{why}:\n{}", steps.join("\n"));
+    }
+}
+
+/// Fails unless switching a rule off has led to a fault.
+pub fn must_break<S>(model: &str, rule: &str, broken: Option<(String, Vec<S>)>) {
+    let (why, path) = broken.unwrap_or_else(|| panic!("nothing fails without {rule}"));
+    println!(
+        "{model} without {rule}: {why} after {} steps",
+        path.len() - 1
+    );
+}
--- a/tests/check/groups.rs
+++ b/tests/check/groups.rs
@@ -19,7 +19,7 @@
     GroupId, GroupRecord, GroupRole, InstanceId, Member, Millis, ModelKind, Phase, RequestId,
 };
 
-use crate::explore::{explore, walk, walks};
+use crate::explore::{explore, must_break, must_hold, walk, walks};
 use crate::hashed::{kind, Hashed, Label};
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
@@ -453,16 +453,15 @@
 
 fn holds(name: &str, faults: Faults) {
     assert_eq!(faults.rules, Rules::default());
-    let found = check(faults);
-    println!(
-        "groups, {name}, up to time {}: {}",
-        faults.horizon,
-        found.reach()
-    );
-    if let Some((why, path)) = &found.broken {
-        let steps: Vec<_> = path.iter().map(|w| w.last.0.as_str()).collect();
-        panic!("{why}:\n{}", steps.join("\n"));
-    }
+    let name = format!("groups, {name}, up to time {}", faults.horizon);
+    must_hold(&name, &check(faults), |w| &w.last.0);
+}
+
+/// A rule switched off.
+fn off(change: fn(&mut Rules)) -> Rules {
+    let mut rules = Rules::ALL;
+    change(&mut rules);
+    rules
 }
 
 #[test]
@@ -482,11 +481,6 @@
 
 #[test]
 fn each_rule_is_needed() {
-    let off = |change: fn(&mut Rules)| {
-        let mut rules = Rules::ALL;
-        change(&mut rules);
-        rules
-    };
     let table = [
         (
             "start_wait",
@@ -526,14 +520,7 @@
         ("margin for drift", Faults { margin: 0, ..DRIFT }),
     ];
     for (rule, faults) in table {
-        let found = check(faults);
-        let (why, path) = found
-            .broken
-            .unwrap_or_else(|| panic!("nothing fails without {rule}"));
-        println!(
-            "groups without {rule}: {why} after {} steps",
-            path.len() - 1
-        );
+        must_break("groups", rule, check(faults).broken);
     }
 }
 
