An agent remembers a key longer than its claim lives; kept answers are bounded

Cause: found by reading while the bound on kept answers was written. A claim hangs on a lease of 1.25 times keep_ms that is shared for an eighth of it, but agents forgot keys after keep_ms: a caller's retry in between would have found the claim, been told by the agent that nothing had run, and run it again. The model check could not see it, since its time stands still. Change: agents are told to remember for four times keep_ms; the check now fails when an order is sent whose memory is shorter than twice the claim's lease (it does with the factor set to 1). Answers kept for callers' retries are bounded to 16 MiB together; the oldest go first and their keys stay. Also one public type a file where several stood in one.

--- a/src/cli/cli_error.rs
+++ b/src/cli/cli_error.rs
@@ -1,20 +1,8 @@
+use super::CliErrorKind;
 use std::fmt;
 
 use super::Exit;
 
-/// Kind of a [`CliError`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CliErrorKind {
-    /// The command line is wrong.
-    Usage,
-    /// A file is wrong.
-    File,
-    /// The request was refused or failed.
-    Refused,
-    /// The result isn't known.
-    Unknown,
-}
-
 /// Why a command couldn't do what was asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CliError {
--- a/src/logic/agent/agent_knobs.rs
+++ b/src/logic/agent/agent_knobs.rs
@@ -21,6 +21,8 @@
     pub report_ms: Millis,
     /// Longest answer that is kept for a caller who asks again, in bytes.
     pub answer_bytes: u32,
+    /// Bytes of all answers that are kept together.
+    pub answers_bytes: u32,
     /// Whether classes are served by priority with reserved slots; off only as a baseline.
     pub by_class: bool,
 }
@@ -37,6 +39,7 @@
             load_retry_ms: 5_000,
             report_ms: 1_000,
             answer_bytes: 64 * 1024,
+            answers_bytes: 16 * 1024 * 1024,
             by_class: true,
         }
     }
--- a/src/logic/agent/memory.rs
+++ b/src/logic/agent/memory.rs
@@ -1,43 +1,17 @@
-use std::collections::BTreeMap;
+use super::{OnceEntry, OnceState};
+use std::collections::{BTreeMap, VecDeque};
 
-use crate::message::{ClaimKey, RunId};
+use crate::message::ClaimKey;
 use crate::types::Millis;
 
-/// What is remembered of one claimed key.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum OnceState {
-    /// No attempt up to the entry's number has run or ever will.
-    Barred,
-    /// Waiting or running as this run.
-    Active(RunId),
-    /// Ended; the text is absent when it was too long to keep.
-    Done {
-        /// HTTP status.
-        status: u16,
-        /// Pieces of the answer.
-        pieces: u64,
-        /// The answer.
-        text: Option<String>,
-    },
-    /// Handed over, outcome unknown.
-    Lost,
-}
-
-/// Entry of [`OnceMemory`].
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct OnceEntry {
-    /// Highest claim attempt this entry speaks for.
-    pub attempt: u32,
-    /// What is known.
-    pub state: OnceState,
-    /// Forgotten at this time; the claim itself is gone by then.
-    pub until: Millis,
-}
-
 /// Keys of requests that may not be repeated, as long as their claims live.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct OnceMemory {
     entries: BTreeMap<ClaimKey, OnceEntry>,
+    /// Keys whose answers are kept, oldest first.
+    kept: VecDeque<ClaimKey>,
+    /// Bytes of those answers.
+    bytes: usize,
 }
 
 impl OnceMemory {
@@ -58,10 +32,47 @@
         }
     }
 
+    /// Stores the end of an active key, and drops the oldest answers beyond `limit` bytes.
+    ///
+    /// A dropped answer leaves the knowledge that the request has run.
+    pub fn done(&mut self, key: &ClaimKey, state: OnceState, limit: usize) {
+        if let OnceState::Done {
+            text: Some(text), ..
+        } = &state
+        {
+            self.kept.push_back(*key);
+            self.bytes += text.len();
+        }
+        self.set(key, state);
+        while self.bytes > limit {
+            let Some(oldest) = self.kept.pop_front() else {
+                return;
+            };
+            self.drop_answer(&oldest);
+        }
+    }
+
+    fn drop_answer(&mut self, key: &ClaimKey) {
+        let state = self.entries.get_mut(key).map(|e| &mut e.state);
+        if let Some(OnceState::Done { text, .. }) = state {
+            self.bytes -= text.take().map_or(0, |t| t.len());
+        }
+    }
+
     /// Drops entries whose claims no longer exist.
     pub fn expire(&mut self, now: Millis) {
-        self.entries
-            .retain(|_, e| e.until > now || matches!(e.state, OnceState::Active(_)));
+        let kept = |e: &OnceEntry| e.until > now || matches!(e.state, OnceState::Active(_));
+        let over: Vec<_> = self
+            .kept
+            .iter()
+            .take_while(|k| !self.entries.get(k).is_some_and(kept))
+            .copied()
+            .collect();
+        for key in over {
+            self.kept.pop_front();
+            self.drop_answer(&key);
+        }
+        self.entries.retain(|_, e| kept(e));
     }
 
     /// Number of keys.
--- a/src/logic/agent/runs.rs
+++ b/src/logic/agent/runs.rs
@@ -92,7 +92,8 @@
             pieces: job.pieces,
             text: fits.then(|| job.text.clone()),
         };
-        state.memory.set(&once.key, done);
+        let limit = state.knobs.answers_bytes as usize;
+        state.memory.done(&once.key, done, limit);
     }
     let end = AttemptEnd::Complete {
         status,
--- a/src/logic/endpoint_event.rs
+++ b/src/logic/endpoint_event.rs
@@ -1,3 +1,4 @@
+use super::RunResult;
 use crate::message::RunId;
 
 /// What an endpoint answers to its agent.
@@ -30,16 +31,3 @@
         slots: u32,
     },
 }
-
-/// How a run ended at the endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum RunResult {
-    /// Answered in full with this HTTP status.
-    Complete(u16),
-    /// Stopped by a cancel order.
-    Cancelled,
-    /// Never sent, or refused by the endpoint's fence: it didn't run.
-    NotRun,
-    /// The connection broke or timed out after the order was sent.
-    Broken,
-}
--- a/src/logic/router/claim_batch.rs
+++ b/src/logic/router/claim_batch.rs
@@ -8,6 +8,18 @@
 /// Time after which a claim that another router was to write is written here.
 const AWAY_LIMIT: Millis = 1_000;
 
+/// How much longer an agent remembers a key than its claim is meant to live.
+///
+/// An agent that had forgotten a key whose claim still stood would say that it
+/// never ran. A claim lives up to 1.25 times `claim_keep_ms`; the rest is for a
+/// service that lengthens leases when it restarts.
+const MEMORY_FACTOR: Millis = 4;
+
+/// How long an agent has to remember a key.
+pub(super) fn memory_ms(state: &RouterState) -> Millis {
+    state.knobs.claim_keep_ms * MEMORY_FACTOR
+}
+
 /// A claim that waits for the next write.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct WaitingClaim {
--- a/src/logic/router/problem.rs
+++ b/src/logic/router/problem.rs
@@ -1,18 +1,7 @@
-use displaydoc::Display;
+use super::Outcome;
 
 use crate::types::Millis;
 
-/// What is known about a request that wasn't answered.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum Outcome {
-    /// not_run
-    NotRun,
-    /// unknown
-    Unknown,
-    /// failed
-    Failed,
-}
-
 /// Final answer to a request that the system couldn't answer in full.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Problem {
--- a/src/logic/router/recalling.rs
+++ b/src/logic/router/recalling.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{agents, finish, sending, Problem, RouterState, Stage};
+use super::{agents, claim_batch, finish, sending, Problem, RouterState, Stage};
 use crate::logic::{Effect, Note, NoteCode, Peer};
 use crate::message::{Message, Once, Recall, RunId};
 use crate::types::{InstanceId, Millis, RequestId};
@@ -73,7 +73,7 @@
 }
 
 fn ask(state: &mut RouterState, now: Millis, id: RequestId, out: &mut Vec<Effect>) {
-    let keep_ms = state.knobs.claim_keep_ms;
+    let keep_ms = claim_batch::memory_ms(state);
     let limit = state.knobs.claim_tries;
     let hint = state.knobs.hint_ms;
     let Some(request) = state.requests.get_mut(&id) else {
--- a/src/logic/router/sending.rs
+++ b/src/logic/router/sending.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{agents, claiming, finish, recalling, route};
+use super::{agents, claim_batch, claiming, finish, recalling, route};
 use super::{AnswerPart, Metric, Problem, Request, RouterState, Stage};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::message::{AttemptEnd, Message, Once, Refusal, RunId, RunOrder};
@@ -35,7 +35,7 @@
 ) {
     agents::push_brief_to(state, agent, out);
     let bundle = state.number();
-    let keep_ms = state.knobs.claim_keep_ms;
+    let keep_ms = claim_batch::memory_ms(state);
     let incarnation = state.agents.get(agent).and_then(|a| a.up);
     let epoch = state.fleet.group(group).map(|g| g.epoch);
     let (Some(incarnation), Some(epoch)) = (incarnation, epoch) else {
--- a/src/logic/router/status.rs
+++ b/src/logic/router/status.rs
@@ -1,54 +1,8 @@
-use serde::{Deserialize, Serialize};
+use super::{FleetStatus, GroupStatus};
 
 use super::{head, RouterState};
 use crate::types::{GroupRecord, Millis};
 
-/// The fleet as one router sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct FleetStatus {
-    /// The router.
-    pub router: String,
-    /// Its data hall.
-    pub hall: String,
-    /// Bundle in force.
-    pub bundle: u64,
-    /// Whether that is proved to be the newest.
-    pub proven: bool,
-    /// Whether the key-value service answers.
-    pub store_up: bool,
-    /// Whether this router plans its hall.
-    pub planner: bool,
-    /// Requests in flight here.
-    pub requests: usize,
-    /// Groups.
-    pub groups: Vec<GroupStatus>,
-    /// Live instances of the own hall outside any group.
-    pub spares: Vec<String>,
-}
-
-/// One group as a router sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct GroupStatus {
-    /// Id.
-    pub id: String,
-    /// Epoch.
-    pub epoch: u64,
-    /// Model.
-    pub model: String,
-    /// Version.
-    pub version: String,
-    /// Members in rank order.
-    pub members: Vec<String>,
-    /// `open`, or why it isn't.
-    pub state: String,
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting.
-    pub waiting: u32,
-    /// Slots.
-    pub slots: u32,
-}
-
 /// Describes the fleet for operators.
 pub(super) fn build(state: &RouterState, now: Millis) -> FleetStatus {
     let used = |id: &crate::types::InstanceId| state.fleet.groups().any(|g| g.has(id));
--- a/src/logic/router/store_call.rs
+++ b/src/logic/router/store_call.rs
@@ -1,3 +1,5 @@
+use super::{Check, Put};
+
 /// A call to the platform's key-value service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum StoreCall {
@@ -30,23 +32,3 @@
         lease: i64,
     },
 }
-
-/// A key's revision that must be as given; 0 means that the key is absent.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Check {
-    /// The key.
-    pub key: String,
-    /// Revision of its last change.
-    pub revision: i64,
-}
-
-/// One value to write.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Put {
-    /// The key.
-    pub key: String,
-    /// The value.
-    pub value: String,
-    /// Lease that deletes the key when it ends.
-    pub lease: Option<i64>,
-}
--- /dev/null
+++ b/src/logic/router/store_entry.rs
@@ -0,0 +1,10 @@
+/// One key of the service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct StoreEntry {
+    /// The key.
+    pub key: String,
+    /// Its value.
+    pub value: String,
+    /// Revision of its last change.
+    pub revision: i64,
+}
--- /dev/null
+++ b/src/logic/router/store_reply.rs
@@ -0,0 +1,29 @@
+use super::StoreEntry;
+
+/// Answer of the key-value service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum StoreReply {
+    /// What was read.
+    Entries {
+        /// The service's revision at the time.
+        revision: i64,
+        /// Keys and values.
+        entries: Vec<StoreEntry>,
+    },
+    /// Whether a swap was written.
+    Swapped {
+        /// True when every check held.
+        done: bool,
+        /// The service's revision at the time.
+        revision: i64,
+        /// What was read where a check failed.
+        entries: Vec<StoreEntry>,
+    },
+    /// A lease was given or renewed; `ttl_s` is 0 for one that has ended.
+    Lease {
+        /// Its number.
+        lease: i64,
+        /// Time left in seconds.
+        ttl_s: u64,
+    },
+}
--- a/src/observe/event_log.rs
+++ b/src/observe/event_log.rs
@@ -1,7 +1,6 @@
+use super::LoggedNote;
 use std::collections::VecDeque;
 
-use serde::{Deserialize, Serialize};
-
 use crate::logic::Note;
 use crate::types::Millis;
 
@@ -14,19 +13,6 @@
     kept: VecDeque<LoggedNote>,
 }
 
-/// A note with the time at which it was written.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoggedNote {
-    /// Milliseconds since the process started.
-    pub at_ms: Millis,
-    /// Number in the catalogue.
-    pub number: u16,
-    /// Whole text, with its fields.
-    pub text: String,
-    /// Values of its fields, for searching.
-    pub about: Vec<String>,
-}
-
 impl EventLog {
     /// Writes a note.
     pub fn write(&mut self, now: Millis, note: &Note) {
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -2,8 +2,10 @@
 
 mod event_log;
 mod histograms;
+mod logged_note;
 mod metrics;
 
-pub use event_log::{EventLog, LoggedNote};
+pub use event_log::EventLog;
 pub use histograms::{HistogramRow, Histograms};
+pub use logged_note::LoggedNote;
 pub use metrics::Metrics;
--- a/src/settings/agent_settings.rs
+++ b/src/settings/agent_settings.rs
@@ -137,6 +137,13 @@
             0..=1_048_576,
             "bytes",
         ),
+        answers_bytes: ini.number(
+            "queue",
+            "answers_bytes",
+            d.answers_bytes,
+            0..=1_073_741_824,
+            "bytes",
+        ),
         by_class: true,
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,7 +4,9 @@
 mod ini_reader;
 mod router_settings;
 mod settings_error;
+mod settings_fault;
 
 pub use agent_settings::AgentSettings;
 pub use router_settings::RouterSettings;
-pub use settings_error::{SettingsError, SettingsFault};
+pub use settings_error::SettingsError;
+pub use settings_fault::SettingsFault;
--- a/tests/check/claims.rs
+++ b/tests/check/claims.rs
@@ -89,6 +89,8 @@
     cuts: u8,
     router_deaths: u8,
     one_writer: bool,
+    /// Life of claims by their lease.
+    claim_ms: u64,
     broken: Option<String>,
     last: Label,
 }
@@ -274,6 +276,7 @@
             cuts: faults.cuts,
             router_deaths: faults.router_deaths,
             one_writer: faults.one_writer,
+            claim_ms: 0,
             broken: None,
             last: Label("start".into()),
         };
@@ -374,6 +377,12 @@
 
     /// Control messages arrive at once; those of requests travel as letters.
     fn send(&mut self, from: usize, to: usize, message: Message) {
+        if let Message::Run(order) = &message {
+            let keep = order.once.map_or(u64::MAX, |o| o.keep_ms);
+            if keep < 2 * self.claim_ms {
+                self.broken = Some("an agent may forget a key before its claim is gone".into());
+            }
+        }
         let peer = self.peer(from);
         match message {
             Message::Run(_)
@@ -407,10 +416,13 @@
                 revision: 1,
                 entries: fleet_entries().split_off(2),
             }),
-            StoreCall::Grant { .. } => Ok(StoreReply::Lease {
-                lease: 1,
-                ttl_s: 1_000,
-            }),
+            StoreCall::Grant { ttl_s } => {
+                self.claim_ms = ttl_s * 1_000;
+                Ok(StoreReply::Lease {
+                    lease: 1,
+                    ttl_s: 1_000,
+                })
+            }
             // Nobody plans here.
             StoreCall::Read { .. } | StoreCall::Renew { .. } => Err(StoreFault),
             StoreCall::Swap { .. } => {
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -4,3 +4,4 @@
 mod fixture;
 mod pausing;
 mod planning;
+mod remembering;
