--- /dev/null
+++ b/tests/contract/endpoint.rs
@@ -0,0 +1,168 @@
+//! Endpoints, as any implementation has to behave towards an agent.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::time::Duration;
+
+use runrail::endpoint::{EndpointClient, EndpointSettings};
+use runrail::host::Clock;
+use runrail::logic::{EndpointCall, EndpointEvent, LoadOrder, RunResult, StartOrder};
+use runrail::message::RunId;
+use runrail::types::{GroupRole, ModelKind, RequestId};
+use testkit::{Engine, EngineKnobs, Fabric, Service};
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn client(addr: SocketAddr) -> (EndpointClient, Receiver<EndpointEvent>) {
+    let (sender, events) = channel();
+    let settings = EndpointSettings {
+        addr,
+        ..EndpointSettings::default()
+    };
+    let client = EndpointClient::new(settings, Clock::start(), move |e| {
+        let _ = sender.send(e);
+    });
+    (client, events)
+}
+
+fn engine(knobs: EngineKnobs) -> (Fabric, Engine) {
+    let fabric = Fabric::new();
+    let engine = Engine::start("x", &fabric, knobs);
+    (fabric, engine)
+}
+
+fn load(epoch: u64) -> EndpointCall {
+    EndpointCall::Load(Box::new(LoadOrder {
+        epoch,
+        model: Arc::from("m"),
+        version: Arc::from("1"),
+        kind: ModelKind::Engine,
+        role: GroupRole::Mixed,
+        adapters: Vec::new(),
+        rank: 0,
+        size: 1,
+        valid_until: u64::MAX,
+    }))
+}
+
+fn run(number: u64) -> RunId {
+    RunId {
+        request: RequestId { node: 1, number },
+        attempt: 1,
+    }
+}
+
+fn start(number: u64, change: impl FnOnce(&mut StartOrder)) -> EndpointCall {
+    let mut order = StartOrder {
+        run: run(number),
+        epoch: 5,
+        kind: ModelKind::Engine,
+        path: Arc::from("/v1/chat/completions"),
+        body: Arc::from(
+            r#"{"model":"m","messages":[{"role":"user","content":"a b"}],"max_tokens":4}"#,
+        ),
+        offset: 0,
+        prefix: String::new(),
+        priority: 0,
+        valid_until: u64::MAX,
+    };
+    change(&mut order);
+    EndpointCall::Start(Box::new(order))
+}
+
+/// Text and result of a run.
+fn outcome(events: &Receiver<EndpointEvent>) -> (String, RunResult) {
+    let mut whole = String::new();
+    loop {
+        match events.recv_timeout(LONG).expect("an event") {
+            EndpointEvent::Piece { text, .. } => whole.push_str(&text),
+            EndpointEvent::Ended { result, .. } => return (whole, result),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn an_engine_loads_answers_and_resumes_at_an_offset() {
+    let (_, engine) = engine(EngineKnobs::default());
+    let (client, events) = client(engine.addr());
+    client.call(load(5));
+    let loaded = events.recv_timeout(LONG).expect("an event");
+    assert_eq!(loaded, EndpointEvent::Loaded { epoch: 5, ok: true });
+    client.call(start(1, |_| {}));
+    assert_eq!(
+        outcome(&events),
+        ("a0 b1 a2 b3 ".into(), RunResult::Complete(200))
+    );
+    client.call(start(2, |o| {
+        o.offset = 2;
+        o.prefix = "a0 b1 ".into();
+    }));
+    assert_eq!(
+        outcome(&events),
+        ("a2 b3 ".into(), RunResult::Complete(200))
+    );
+}
+
+#[test]
+fn an_order_with_an_old_fence_is_refused_and_not_run() {
+    let (fabric, engine) = engine(EngineKnobs::default());
+    let (client, events) = client(engine.addr());
+    client.call(load(6));
+    events.recv_timeout(LONG).expect("an event");
+    client.call(start(1, |_| {}));
+    assert_eq!(outcome(&events).1, RunResult::NotRun);
+    assert!(fabric.runs().is_empty());
+}
+
+#[test]
+fn an_order_whose_time_is_over_or_that_reaches_nobody_is_not_run() {
+    let (fabric, engine) = engine(EngineKnobs::default());
+    let (reaching, events) = client(engine.addr());
+    reaching.call(start(1, |o| o.valid_until = 0));
+    assert_eq!(outcome(&events).1, RunResult::NotRun);
+    assert!(fabric.runs().is_empty());
+    let (lost, events) = client(SocketAddr::from(([127, 0, 0, 1], 1)));
+    lost.call(start(2, |_| {}));
+    assert_eq!(outcome(&events).1, RunResult::NotRun);
+}
+
+#[test]
+fn a_cancelled_run_says_so_and_a_dead_replica_breaks_off() {
+    let (fabric, engine) = engine(EngineKnobs {
+        piece: Duration::from_millis(50),
+        pieces: 200,
+        ..EngineKnobs::default()
+    });
+    let (client, events) = client(engine.addr());
+    client.call(load(5));
+    events.recv_timeout(LONG).expect("an event");
+    let long = r#"{"model":"m","messages":[{"role":"user","content":"a"}]}"#;
+    client.call(start(1, |o| o.body = Arc::from(long)));
+    events.recv_timeout(LONG).expect("a piece");
+    client.call(EndpointCall::Cancel {
+        run: run(1),
+        epoch: 5,
+    });
+    assert_eq!(outcome(&events).1, RunResult::Cancelled);
+    client.call(start(2, |o| o.body = Arc::from(long)));
+    events.recv_timeout(LONG).expect("a piece");
+    fabric.set_down("x", true);
+    assert_eq!(outcome(&events).1, RunResult::Broken);
+}
+
+#[test]
+fn a_plain_service_is_called_with_path_and_body() {
+    let service = Service::start();
+    let (client, events) = client(service.addr());
+    client.call(start(1, |o| {
+        o.kind = ModelKind::Service;
+        o.path = Arc::from("/renew");
+        o.body = Arc::from(r#"{"seat":7}"#);
+    }));
+    let (text, result) = outcome(&events);
+    assert_eq!(result, RunResult::Complete(200));
+    assert!(text.contains("licence"), "{text}");
+    assert_eq!(service.runs()[0].path, "/renew");
+}
--- a/tests/contract/platform.rs
+++ b/tests/contract/platform.rs
@@ -170,3 +170,42 @@
     platform.set_fault(PlatformFault::Down);
     assert_eq!(changes.recv_timeout(LONG).expect("word of the loss"), None);
 }
+
+#[test]
+fn the_instance_list_is_sent_again_only_when_it_has_changed() {
+    use runrail::logic::router::ListReply;
+    use runrail::platform::ListClient;
+    let platform = Platform::start();
+    let row = |id: &str, hall: &str, kind: &str| testkit::ListedInstance {
+        id: id.into(),
+        hall: hall.into(),
+        domain: "d".into(),
+        kind: kind.into(),
+        state: "live".into(),
+        addr: platform.addr(),
+    };
+    platform.set_instances(vec![
+        row("here", "h1", "engine"),
+        row("there", "h2", "engine"),
+        row("far-router", "h2", "router"),
+    ]);
+    let (sender, lists) = channel();
+    let client = ListClient::start(&settings(&platform), "h1", move |l| {
+        let _ = sender.send(l);
+    });
+    let client = client.expect("a thread");
+    let fetch = || {
+        client.fetch();
+        lists.recv_timeout(LONG).expect("a list")
+    };
+    let ListReply::Instances(instances) = fetch() else {
+        panic!("no list");
+    };
+    let names: Vec<_> = instances.iter().map(|i| i.id.as_str()).collect();
+    assert_eq!(names, ["here", "far-router"]);
+    assert_eq!(fetch(), ListReply::Unchanged);
+    platform.set_state("here", Some("leaving"));
+    assert!(matches!(fetch(), ListReply::Instances(i) if !i[0].is_live()));
+    platform.set_fault(PlatformFault::Down);
+    assert_eq!(fetch(), ListReply::Unreachable);
+}
