Less memory for the model check of bundles

Cause: all checks at once took 10.7 GB resident, near half of the machine; most of it the four bounded explorations of whole routers. That is a smaller bound on a check that was bounded before; no rule's mutation needs more than 6 steps there.

--- a/tests/check/claims.rs
+++ b/tests/check/claims.rs
@@ -24,7 +24,7 @@
     Head, Instance, InstanceId, InstanceState, Member, ModelKind, ModelSpec, Phase, RequestId,
 };
 
-use crate::explore::{explore, must_break, must_hold, walk, walks, Found};
+use crate::explore::{explore, must_break, must_hold, walk, walks, Found, LIMIT};
 use crate::hashed::{kind, Hashed, Label};
 
 /// Nodes 0 and 1 are routers, 2 and 3 agents.
@@ -720,6 +720,7 @@
 
 fn check(faults: Faults) -> Found<World> {
     explore(
+        LIMIT,
         World::new(&faults),
         |w| w.next(&faults),
         |w| w.broken.clone(),
