--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -109,7 +109,6 @@
     GroupWaits = 414 Warn "group is down and waits";
     RollHalted = 415 Error "roll of a version halted";
     RecordInvalid = 416 Error "a record names an instance twice and is not used";
-    MemberOutlived = 417 Info "leader is unreachable from here but its group lives";
     RequestRouted = 500 Debug "request sent to a group";
     RequestRetried = 501 Info "request tried again";
     RequestAnswered = 502 Debug "request answered";
--- a/tests/check/bundles.rs
+++ b/tests/check/bundles.rs
@@ -22,7 +22,7 @@
     InstanceId, InstanceState, Member, Millis, ModelKind, Phase, RequestId,
 };
 
-use crate::explore::{explore, must_break, must_hold, walk, walks, Found};
+use crate::explore::{explore, must_break, must_hold, off, walk, walks, Found};
 use crate::hashed::{kind, Hashed, Label};
 
 const NAMES: [&str; 2] = ["r1", "r2"];
@@ -544,13 +544,6 @@
     must_hold(&name, &check(faults), |w| &w.last.0);
 }
 
-/// A rule switched off.
-fn off(change: fn(&mut Rules)) -> Rules {
-    let mut rules = Rules::ALL;
-    change(&mut rules);
-    rules
-}
-
 #[test]
 fn a_bundle_once_accepted_is_in_force_everywhere_through_a_cut_and_a_lost_answer() {
     holds("a cut and a lost answer", CUTS);
--- a/tests/check/claims.rs
+++ b/tests/check/claims.rs
@@ -24,7 +24,7 @@
     Head, Instance, InstanceId, InstanceState, Member, ModelKind, ModelSpec, Phase, RequestId,
 };
 
-use crate::explore::{explore, must_break, must_hold, walk, walks, Found, LIMIT};
+use crate::explore::{explore, must_break, must_hold, off, walk, walks, Found, LIMIT};
 use crate::hashed::{kind, Hashed, Label};
 
 /// Nodes 0 and 1 are routers, 2 and 3 agents.
@@ -736,13 +736,6 @@
     }
 }
 
-/// A rule switched off.
-fn off(change: fn(&mut Rules)) -> Rules {
-    let mut rules = Rules::ALL;
-    change(&mut rules);
-    rules
-}
-
 #[test]
 fn a_request_that_may_not_be_repeated_runs_once_through_an_agents_restart() {
     holds(
--- a/tests/check/explore.rs
+++ b/tests/check/explore.rs
@@ -2,6 +2,7 @@
 use std::hash::{Hash, Hasher};
 
 use pathfinding::prelude::bfs;
+use runrail::logic::Rules;
 
 /// States explored at most; beyond that an exploration is bounded, not exhaustive.
 pub const LIMIT: usize = 330_000;
@@ -162,3 +163,10 @@
         path.len() - 1
     );
 }
+
+/// All rules but one.
+pub fn off(change: fn(&mut Rules)) -> Rules {
+    let mut rules = Rules::ALL;
+    change(&mut rules);
+    rules
+}
--- a/tests/check/groups.rs
+++ b/tests/check/groups.rs
@@ -19,7 +19,7 @@
     GroupId, GroupRecord, GroupRole, InstanceId, Member, Millis, ModelKind, Phase, RequestId,
 };
 
-use crate::explore::{explore, must_break, must_hold, walk, walks, LIMIT};
+use crate::explore::{explore, must_break, must_hold, off, walk, walks, LIMIT};
 use crate::hashed::{kind, Hashed, Label};
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
@@ -462,13 +462,6 @@
     must_hold(&name, &check(faults), |w| &w.last.0);
 }
 
-/// A rule switched off.
-fn off(change: fn(&mut Rules)) -> Rules {
-    let mut rules = Rules::ALL;
-    change(&mut rules);
-    rules
-}
-
 #[test]
 fn no_instance_serves_in_two_groups_and_no_group_lacks_one_through_drift() {
     holds("one unit of drift", DRIFT);
--- a/tests/product/events.rs
+++ b/tests/product/events.rs
@@ -34,3 +34,27 @@
     let numbers: BTreeSet<_> = NoteCode::ALL.iter().map(|c| c.number()).collect();
     assert_eq!(numbers.len(), NoteCode::ALL.len());
 }
+
+#[test]
+fn every_event_is_written_somewhere() {
+    let mut code = String::new();
+    let mut folders = vec![std::path::PathBuf::from("src")];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                folders.push(path);
+            } else {
+                code += &std::fs::read_to_string(path).expect("a file");
+            }
+        }
+    }
+    for event in NoteCode::ALL {
+        let name = format!("NoteCode::{event:?}");
+        let written = code.match_indices(&name).any(|(at, _)| {
+            let next = code[at + name.len()..].chars().next();
+            !next.is_some_and(char::is_alphanumeric)
+        });
+        assert!(written, "{name} is in the catalogue but never written");
+    }
+}
