--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -7,7 +7,7 @@
 use super::answer_body::{AnswerBody, LeftGuard, Piece};
 use super::link_event::LinkEvent;
 use super::shared::{Caller, Shared};
-use super::{looks, runs, store};
+use super::{looks, peers, runs, store};
 use crate::host::Clock;
 use crate::logic::direct::{DirectEffect, DirectEvent, Problem};
 use crate::logic::{step, Effect, Event, Node, Note, NoteCode};
@@ -114,6 +114,7 @@
                 addr,
                 body,
             } => looks::order(&self.shared, order, id, addr, body),
+            DirectEffect::Tell { to, message } => peers::tell(&self.shared, to, &message),
             DirectEffect::Ready(ready) => self.shared.ready.set(ready),
         }
     }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -13,6 +13,7 @@
 mod link_event;
 mod looks;
 mod page;
+mod peers;
 mod pool;
 mod ready;
 mod reply;
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use stakker::{actor, call, ret_nop, ActorOwn, Stakker};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
@@ -16,7 +16,7 @@
 use super::pool::Pool;
 use super::shared::Shared;
 use super::watches::{self, WatchPace};
-use super::{callers, ready, Dialect};
+use super::{callers, peers, ready, Dialect};
 use crate::logic::direct::{DirectEvent, DirectState};
 use crate::logic::router::StoreChange;
 use crate::logic::{Event, Node};
@@ -56,11 +56,17 @@
         watch_own: (Cell::new(0), Notify::new()),
         exit: Notify::new(),
         open: Rc::new(()),
+        peers: RefCell::new(None),
         sink: RefCell::new(None),
     });
     let callers = TcpListener::bind(settings.callers).await?;
     let readiness = TcpListener::bind(settings.ready).await?;
     start_actor(settings, &shared)?;
+    if let Some(listen) = settings.peers {
+        let socket = Rc::new(UdpSocket::bind(listen).await?);
+        *shared.peers.borrow_mut() = Some(socket.clone());
+        tokio::task::spawn_local(peers::receive(shared.clone(), socket));
+    }
     tokio::task::spawn_local(ready::serve(shared.clone(), readiness));
     tokio::task::spawn_local(callers::serve(shared.clone(), callers));
     tokio::task::spawn_local(ticks(shared.clone()));
@@ -83,6 +89,7 @@
         settings.knobs.clone(),
     );
     state.plan.first = settings.first_start;
+    state.addr = settings.peers;
     let node = Node::Direct(Box::new(state));
     let metrics = Metrics::new(None)?;
     let mut stakker = Stakker::new(Instant::now());
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{response, Response};
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::AbortHandle;
 
@@ -42,6 +43,8 @@
     pub exit: Notify,
     /// Held by every answer that is being written.
     pub open: Rc<()>,
+    /// Socket for other routers.
+    pub peers: RefCell<Option<Rc<UdpSocket>>>,
     /// Takes events to the actor.
     pub sink: RefCell<Option<Box<dyn Fn(LinkEvent)>>>,
 }
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{GroupOrder, Problem, RunRequest};
+use super::{GroupOrder, PeerMessage, Problem, RunRequest};
 use crate::types::InstanceId;
 
 /// What the host of a router with direct links has to do.
@@ -62,6 +62,13 @@
         /// The order.
         body: GroupOrder,
     },
+    /// Say something to another router; it may be lost.
+    Tell {
+        /// Where that router listens.
+        to: SocketAddr,
+        /// What is said.
+        message: PeerMessage,
+    },
     /// Tell the balancer whether to send callers here.
     Ready(bool),
 }
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -1,6 +1,7 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{DirectRequest, LookResult, OrderResult, RunPart};
+use super::{DirectRequest, LookResult, OrderResult, PeerMessage, RunPart};
 use crate::types::{EndpointEntry, InstanceId, Routing};
 
 /// What a router with direct links reacts to, beside time and the store.
@@ -30,6 +31,13 @@
         /// What was seen.
         result: LookResult,
     },
+    /// Another router has said something.
+    Peer {
+        /// Where from.
+        from: SocketAddr,
+        /// What it said.
+        message: PeerMessage,
+    },
     /// An order to an endpoint has ended.
     Ordered {
         /// Which order.
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -1,8 +1,9 @@
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::plan::PlanState;
-use super::{DirectKnobs, EndpointView, Flight, RetryWindow};
+use super::{DirectKnobs, EndpointView, Flight, Presence, RetryWindow};
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, Routing};
@@ -14,6 +15,8 @@
     pub knobs: DirectKnobs,
     /// Own instance.
     pub me: InstanceId,
+    /// Where other routers reach this one.
+    pub addr: Option<SocketAddr>,
     /// Own data hall.
     pub hall: Arc<str>,
     /// State of the random numbers.
@@ -32,6 +35,12 @@
     pub next: u64,
     /// Retries and requests by service.
     pub retries: BTreeMap<Arc<str>, RetryWindow>,
+    /// Own address in the key-value service.
+    pub presence: Presence,
+    /// Other routers.
+    pub peers: BTreeMap<InstanceId, SocketAddr>,
+    /// Who wants to know what is seen of an endpoint.
+    pub asked: BTreeMap<InstanceId, Vec<(SocketAddr, u64)>>,
     /// The planner's duty.
     pub plan: PlanState,
     /// What the balancer was told.
@@ -46,6 +55,7 @@
         Self {
             knobs,
             me,
+            addr: None,
             hall: Arc::from(hall),
             seed,
             routing: None,
@@ -55,6 +65,9 @@
             runs: BTreeMap::new(),
             next: 1,
             retries: BTreeMap::new(),
+            presence: Presence::default(),
+            peers: BTreeMap::new(),
+            asked: BTreeMap::new(),
             plan: PlanState::default(),
             ready: false,
             stopping: None,
--- /dev/null
+++ b/src/logic/direct/peer_message.rs
@@ -0,0 +1,26 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::InstanceId;
+
+/// What routers with direct links say to each other, one datagram each.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Look at an endpoint and tell what you see.
+    Ask {
+        /// Number of the question, echoed.
+        number: u64,
+        /// The endpoint.
+        id: InstanceId,
+        /// Where it listens.
+        addr: SocketAddr,
+    },
+    /// What was seen.
+    Seen {
+        /// Number of the question.
+        number: u64,
+        /// Whether the endpoint answers.
+        alive: bool,
+    },
+}
--- /dev/null
+++ b/src/logic/direct/peers.rs
@@ -0,0 +1,202 @@
+//! Other routers: where they are, and what they see of an endpoint.
+//!
+//! A router keeps its address in the key-value service under a lease. A planner
+//! that misses a head asks a few others to look as well: it may itself be the
+//! one that is cut off.
+
+use std::net::SocketAddr;
+
+use super::{plan, DirectEffect, DirectState, LookResult, PeerMessage};
+use crate::logic::router::{
+    CallId, Put, StoreCall, StoreChange, StoreEntry, StoreReply, StoreResult,
+};
+use crate::logic::Effect;
+use crate::types::{InstanceId, Millis};
+
+/// Prefix of the product's own keys.
+pub(super) const PREFIX: &str = "runrail/";
+
+/// Prefix of routers' addresses.
+const ROUTERS: &str = "runrail/router/";
+
+/// Length of the lease that a router's address lies under, in seconds.
+const LEASE_S: u64 = 6;
+
+/// Time between two renewals.
+const RENEW_MS: Millis = 2_000;
+
+/// Pause after a call that failed.
+const AGAIN_MS: Millis = 500;
+
+/// How fresh a sign of life must be to answer for an endpoint without a look.
+const FRESH_MS: Millis = 150;
+
+/// State of a router's own address in the key-value service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Presence {
+    /// Lease that the address lies under.
+    pub lease: Option<i64>,
+    /// Whether it was written under that lease.
+    pub written: bool,
+    /// When something is done about it next.
+    pub next_at: Millis,
+    /// The call that is under way.
+    pub call: Option<CallId>,
+}
+
+/// Looks after the own address.
+pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let presence = &state.presence;
+    let (Some(addr), None) = (state.addr, presence.call) else {
+        return;
+    };
+    if now < presence.next_at || state.stopping.is_some() {
+        return;
+    }
+    let op = match (presence.lease, presence.written) {
+        (None, _) => StoreCall::Grant { ttl_s: LEASE_S },
+        (Some(lease), false) => StoreCall::Swap {
+            checks: Vec::new(),
+            puts: vec![Put {
+                key: format!("{ROUTERS}{}", state.me),
+                value: addr.to_string(),
+                lease: Some(lease),
+            }],
+            deletes: Vec::new(),
+            reads: Vec::new(),
+        },
+        (Some(lease), true) => StoreCall::Renew { lease },
+    };
+    let call = state.call(op, out);
+    state.presence.call = Some(call);
+}
+
+/// A call about the own address has been answered; false where it wasn't one.
+pub(super) fn answered(
+    state: &mut DirectState,
+    now: Millis,
+    call: CallId,
+    result: &StoreResult,
+) -> bool {
+    let presence = &mut state.presence;
+    if presence.call != Some(call) {
+        return false;
+    }
+    presence.call = None;
+    match result {
+        Ok(StoreReply::Lease { ttl_s: 0, .. }) => *presence = Presence::default(),
+        Ok(StoreReply::Lease { lease, .. }) => {
+            let renewed = presence.written;
+            presence.lease = Some(*lease);
+            presence.next_at = if renewed { now + RENEW_MS } else { now };
+        }
+        Ok(StoreReply::Swapped { done: true, .. }) => {
+            presence.written = true;
+            presence.next_at = now + RENEW_MS;
+        }
+        _ => {
+            let lost = !presence.written;
+            presence.next_at = now + AGAIN_MS;
+            if lost {
+                presence.lease = None;
+            }
+        }
+    }
+    true
+}
+
+/// The own keys were read whole.
+pub(super) fn read(state: &mut DirectState, entries: &[StoreEntry]) {
+    state.peers.clear();
+    for entry in entries {
+        learn(state, &entry.key, Some(&entry.value));
+    }
+}
+
+/// Own keys have changed.
+pub(super) fn changed(state: &mut DirectState, changes: &[StoreChange]) {
+    for change in changes {
+        learn(state, &change.key, change.value.as_deref());
+    }
+}
+
+fn learn(state: &mut DirectState, key: &str, value: Option<&str>) {
+    let Some(id) = key.strip_prefix(ROUTERS).map(InstanceId::new) else {
+        return;
+    };
+    let addr = value.and_then(|v| v.parse().ok());
+    match addr.filter(|_| id != state.me) {
+        Some(addr) => state.peers.insert(id, addr),
+        None => state.peers.remove(&id),
+    };
+}
+
+/// Asks some other routers to look at an endpoint; returns the questions' numbers.
+pub(super) fn ask(
+    state: &mut DirectState,
+    id: &InstanceId,
+    most: usize,
+    out: &mut Vec<Effect>,
+) -> Vec<u64> {
+    let Some(addr) = state.endpoints.get(id).map(|v| v.entry.addr) else {
+        return Vec::new();
+    };
+    let mut peers: Vec<SocketAddr> = state.peers.values().copied().collect();
+    let mut numbers = Vec::new();
+    while !peers.is_empty() && numbers.len() < most {
+        let at = state.random(peers.len() as u64) as usize;
+        let to = peers.swap_remove(at);
+        let number = state.number();
+        let message = PeerMessage::Ask {
+            number,
+            id: id.clone(),
+            addr,
+        };
+        out.push(Effect::Direct(DirectEffect::Tell { to, message }));
+        numbers.push(number);
+    }
+    numbers
+}
+
+/// Another router has said something.
+pub(super) fn said(
+    state: &mut DirectState,
+    now: Millis,
+    from: SocketAddr,
+    message: PeerMessage,
+    out: &mut Vec<Effect>,
+) {
+    match message {
+        PeerMessage::Ask { number, id, addr } => {
+            let view = state.endpoints.get(&id);
+            if view.is_some_and(|v| v.running > 0 && now < v.heard + FRESH_MS) {
+                return tell(from, number, true, out);
+            }
+            state
+                .asked
+                .entry(id.clone())
+                .or_default()
+                .push((from, number));
+            out.push(Effect::Direct(DirectEffect::Look { id, addr }));
+        }
+        PeerMessage::Seen { number, alive } => plan::seen(state, number, alive),
+    }
+}
+
+fn tell(to: SocketAddr, number: u64, alive: bool, out: &mut Vec<Effect>) {
+    let message = PeerMessage::Seen { number, alive };
+    out.push(Effect::Direct(DirectEffect::Tell { to, message }));
+}
+
+/// An endpoint was looked at: tells those that have asked.
+pub(super) fn looked(
+    state: &mut DirectState,
+    id: &InstanceId,
+    result: &LookResult,
+    out: &mut Vec<Effect>,
+) {
+    let alive = matches!(result, LookResult::Alive { .. });
+    for (to, number) in state.asked.remove(id).unwrap_or_default() {
+        tell(to, number, alive, out);
+    }
+}
--- a/src/logic/direct/plan/duty.rs
+++ b/src/logic/direct/plan/duty.rs
@@ -1,6 +1,6 @@
 //! The planner's lease in the key-value service.
 
-use crate::logic::direct::DirectState;
+use crate::logic::direct::{peers, DirectState};
 use crate::logic::router::{CallId, Check, Put, StoreCall, StoreChange, StoreReply, StoreResult};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
@@ -102,7 +102,7 @@
 
 fn read() -> StoreCall {
     StoreCall::Read {
-        key: KEY.to_string(),
+        key: peers::PREFIX.to_string(),
         prefix: true,
     }
 }
@@ -136,11 +136,14 @@
     };
     state.plan.duty.call = None;
     let lease_ms = state.knobs.lease_ms;
+    if let (DutyCall::Read, Ok(StoreReply::Entries { entries, .. })) = (what, &result) {
+        peers::read(state, entries);
+    }
     let duty = &mut state.plan.duty;
     match (what, result) {
         (DutyCall::Read, Ok(StoreReply::Entries { revision, entries })) => {
             duty.watched = true;
-            let found = entries.into_iter().next();
+            let found = entries.into_iter().find(|e| e.key == KEY);
             duty.revision = found.as_ref().map_or(0, |e| e.revision);
             duty.holder = found.map(|e| e.value);
             out.push(Effect::Watch { from: revision + 1 });
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::{order, retire, Forming, OrderUse};
+use super::{order, retire, Ending, EndingStep, Forming, OrderUse};
 use crate::logic::direct::{DirectState, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis, SeatState};
@@ -50,6 +50,7 @@
         since: now,
         limit: now + takes + SLACK_MS,
         opened: None,
+        adopted: false,
     };
     for member in &forming.members {
         state.plan.staging.remove(member);
@@ -166,9 +167,16 @@
         .with("group", group)
         .with("why", why);
     out.push(Effect::Note(note));
-    if forming.opened.is_some() {
-        let head = forming.members.first().cloned();
-        retire::begin(state, now, group, forming.epoch, head, false, out);
+    if forming.opened.is_some() || forming.adopted {
+        let ending = Ending {
+            epoch: forming.epoch,
+            head: forming.members.first().cloned(),
+            others: forming.members.iter().skip(1).cloned().collect(),
+            step: EndingStep::Leaving,
+            since: now,
+            asked: now,
+        };
+        retire::enter(state, now, group, ending, out);
     } else {
         state.plan.ended.insert(group.clone());
     }
--- a/src/logic/direct/plan/forming.rs
+++ b/src/logic/direct/plan/forming.rs
@@ -24,6 +24,8 @@
     pub since: Millis,
     /// When it is given up.
     pub limit: Millis,
+    /// Whether another planner began it, and may have told the head to open.
+    pub adopted: bool,
     /// When the head was last told to open.
     pub opened: Option<Millis>,
 }
--- a/src/logic/direct/plan/inspect.rs
+++ b/src/logic/direct/plan/inspect.rs
@@ -36,13 +36,10 @@
     group: &GroupView,
     out: &mut Vec<Effect>,
 ) {
-    let head = group.head().map(|h| h.id.clone());
     if !group.complete(size(state, group)) {
-        let serving = group.head().is_some_and(|h| h.state == SeatState::Open);
         let since = *state.plan.partial.entry(name.clone()).or_insert(now);
-        let loading = !serving && !group.loaded();
-        if !loading || now >= since + PARTIAL_MS {
-            retire::begin(state, now, name, group.epoch, head, false, out);
+        if !may_come(state, name, group) || now >= since + PARTIAL_MS {
+            retire::begin(state, now, name, group, false, out);
         }
         return;
     }
@@ -52,17 +49,32 @@
     }
     match group.head().map(|h| h.state) {
         Some(SeatState::Open) if group.seats.values().any(|s| s.leaving) => {
-            retire::begin(state, now, name, group.epoch, head, true, out);
+            retire::begin(state, now, name, group, true, out);
         }
         Some(SeatState::Open) => {}
         Some(SeatState::Joining | SeatState::Ready) => adopt(state, now, name, group),
         Some(SeatState::Closing) => close(state, now, name, group),
         Some(SeatState::Broken) | None => {
-            retire::begin(state, now, name, group.epoch, head, false, out);
+            retire::begin(state, now, name, group, false, out);
         }
     }
 }
 
+/// Whether what a group lacks may still be listed: another planner has just
+/// begun it, or the list has lost its head without this router missing it.
+fn may_come(state: &DirectState, name: &Arc<str>, group: &GroupView) -> bool {
+    let seat_of = |id: &InstanceId| state.endpoints.get(id).and_then(|v| v.entry.seat.as_ref());
+    let missed = state
+        .plan
+        .lost
+        .keys()
+        .any(|id| seat_of(id).is_some_and(|s| s.group == *name));
+    match group.head() {
+        Some(head) => head.state == SeatState::Joining || !group.loaded(),
+        None => !missed,
+    }
+}
+
 /// Instances that a group needs: those of its model, or those that are there.
 fn size(state: &DirectState, group: &GroupView) -> usize {
     let routing = state.routing.as_ref();
@@ -87,18 +99,18 @@
         since: now,
         limit: now + ADOPTED_MS,
         opened: None,
+        adopted: true,
     };
     state.plan.forming.insert(name.clone(), forming);
 }
 
 /// Goes on with a group that another planner has told to close.
 fn close(state: &mut DirectState, now: Millis, name: &Arc<str>, group: &GroupView) {
-    let Some(head) = group.head() else {
-        return;
-    };
+    let others = group.seats.values().skip(1);
     let ending = Ending {
         epoch: group.epoch,
-        head: head.id.clone(),
+        head: group.head().map(|h| h.id.clone()),
+        others: others.map(|s| s.id.clone()).collect(),
         step: EndingStep::Closing,
         since: now,
         asked: now,
--- a/src/logic/direct/plan/look.rs
+++ b/src/logic/direct/plan/look.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::logic::direct::{DirectEffect, DirectState, LookResult};
+use crate::logic::direct::{peers, DirectEffect, DirectState, LookResult};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis};
 
@@ -10,11 +10,17 @@
 const MISSES: u32 = 2;
 
 /// Shortest time between two looks at an endpoint that answered.
-const AGAIN_MS: Millis = 300;
+const AGAIN_MS: Millis = 400;
 
 /// Time between two looks at an endpoint that was lost and beats again.
 const LOST_AGAIN_MS: Millis = 1_000;
 
+/// Other routers that are asked about a head that is missed.
+const ASKED: usize = 3;
+
+/// Other routers that must miss a head as well, where there are so many.
+const AGREED: usize = 2;
+
 /// Looks at one endpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Look {
@@ -24,6 +30,12 @@
     pub misses: u32,
     /// When the last one began.
     pub since: Millis,
+    /// Questions to other routers that aren't answered.
+    pub asked: Vec<u64>,
+    /// Other routers that miss it as well.
+    pub agreed: usize,
+    /// Whether another router sees it.
+    pub seen: bool,
 }
 
 /// A head is silent: the planner looks at all members of its group.
@@ -87,7 +99,10 @@
     look.pending = false;
     match result {
         LookResult::Alive { seat, .. } => {
-            look.misses = 0;
+            *look = Look {
+                since: look.since,
+                ..Look::default()
+            };
             if state.plan.lost.remove(id).is_some() {
                 out.push(Effect::Note(
                     Note::new(NoteCode::EndpointFound).with("endpoint", id),
@@ -98,10 +113,15 @@
             }
             calm(state, now, id);
         }
-        LookResult::Refused => lose(state, now, id, "refused", out),
+        LookResult::Refused => {
+            ask(state, id, out);
+            lose(state, now, id, "refused", out);
+        }
         LookResult::Silent => {
             look.misses += 1;
-            if look.misses >= MISSES {
+            let enough = look.misses >= MISSES;
+            ask(state, id, out);
+            if enough {
                 lose(state, now, id, "silent", out);
             } else {
                 send(state, now, id, out);
@@ -110,6 +130,39 @@
     }
 }
 
+/// Asks other routers about an endpoint that is missed, once.
+fn ask(state: &mut DirectState, id: &InstanceId, out: &mut Vec<Effect>) {
+    let seat = state.endpoints.get(id).and_then(|v| v.entry.seat.as_ref());
+    let head = seat.is_some_and(|s| s.rank == 0);
+    let look = state.plan.looks.get(id);
+    let new = look.is_some_and(|l| l.asked.is_empty() && l.agreed == 0 && !l.seen);
+    if !head || !new {
+        return;
+    }
+    let asked = peers::ask(state, id, ASKED, out);
+    if let Some(look) = state.plan.looks.get_mut(id) {
+        look.asked = asked;
+    }
+}
+
+/// Another router has looked.
+pub(in crate::logic::direct) fn seen(state: &mut DirectState, number: u64, alive: bool) {
+    for look in state.plan.looks.values_mut() {
+        if let Some(at) = look.asked.iter().position(|n| *n == number) {
+            look.asked.swap_remove(at);
+            look.seen |= alive;
+            look.agreed += usize::from(!alive);
+        }
+    }
+}
+
+/// Whether other routers agree that an endpoint is lost.
+pub(super) fn agreed(state: &DirectState, id: &InstanceId) -> bool {
+    let needed = AGREED.min(state.peers.len()).max(1);
+    let look = state.plan.looks.get(id);
+    look.is_some_and(|l| !l.seen && l.agreed >= needed)
+}
+
 fn lose(
     state: &mut DirectState,
     now: Millis,
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -33,7 +33,7 @@
 pub use plan_state::PlanState;
 
 pub(super) use duty::{answered, changed, unwatched};
-pub(super) use look::{looked, suspect};
+pub(super) use look::{looked, seen, suspect};
 pub(super) use order::ordered;
 pub(super) use retire::given_up;
 pub(super) use tend::tend;
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -18,6 +18,8 @@
     Close(Arc<str>),
     /// The head leaves this group.
     Leave(Arc<str>),
+    /// A member leaves this group, so that its head breaks.
+    Break(Arc<str>, InstanceId),
     /// This endpoint loads a model to its host.
     Stage(InstanceId),
 }
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{order, Ending, EndingStep, OrderUse};
+use super::{look, order, Ending, EndingStep, GroupView, OrderUse};
 use crate::logic::direct::{DirectState, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis, SeatState};
@@ -10,42 +10,77 @@
 /// Longest time that a closing group gets for what it has.
 const CLOSING_MS: Millis = 3_000;
 
+/// Time that other routers get to tell what they see.
+const CONFIRM_MS: Millis = 400;
+
+/// Time beyond the published one until a head has broken for certain.
+const BREAK_SLACK_MS: Millis = 500;
+
 /// Begins to give a group up. With `drain` its head finishes what it has.
 pub(super) fn begin(
     state: &mut DirectState,
     now: Millis,
     group: &Arc<str>,
-    epoch: u64,
-    head: Option<InstanceId>,
+    view: &GroupView,
     drain: bool,
     out: &mut Vec<Effect>,
 ) {
-    let there = head.filter(|id| !state.plan.lost.contains_key(id));
-    let note = Note::new(NoteCode::GroupEnding)
-        .with("group", group)
-        .with("drain", drain)
-        .with("head", there.as_ref().map_or("lost", |id| id.as_str()));
-    out.push(Effect::Note(note));
-    let Some(head) = there else {
-        state.plan.ended.insert(group.clone());
-        return;
-    };
-    let step = if drain {
-        EndingStep::Closing
-    } else {
-        EndingStep::Leaving
-    };
+    let head = view.head().map(|s| s.id.clone());
+    let others = view.seats.values().skip(usize::from(head.is_some()));
     let ending = Ending {
-        epoch,
-        head,
-        step,
+        epoch: view.epoch,
+        others: others.map(|s| s.id.clone()).collect(),
+        head: head.or_else(|| lost_head(state, group)),
+        step: if drain {
+            EndingStep::Closing
+        } else {
+            EndingStep::Leaving
+        },
         since: now,
         asked: now,
     };
+    enter(state, now, group, ending, out);
+}
+
+/// The head of a group, where it was lost.
+fn lost_head(state: &DirectState, group: &Arc<str>) -> Option<InstanceId> {
+    let heads = |id: &&InstanceId| {
+        let seat = state.endpoints.get(*id).and_then(|v| v.entry.seat.as_ref());
+        seat.is_some_and(|s| s.group == *group && s.rank == 0)
+    };
+    state.plan.lost.keys().find(heads).cloned()
+}
+
+/// Takes a group on that is to be given up.
+pub(super) fn enter(
+    state: &mut DirectState,
+    now: Millis,
+    group: &Arc<str>,
+    mut ending: Ending,
+    out: &mut Vec<Effect>,
+) {
+    let lost = ending
+        .head
+        .as_ref()
+        .is_none_or(|id| state.plan.lost.contains_key(id));
+    if lost {
+        ending.step = EndingStep::Confirming;
+    }
+    let note = Note::new(NoteCode::GroupEnding)
+        .with("group", group)
+        .with("step", format!("{:?}", ending.step))
+        .with(
+            "head",
+            ending.head.as_ref().map_or("unknown", |id| id.as_str()),
+        );
+    out.push(Effect::Note(note));
     ask(state, now, group, &ending, out);
-    state.plan.ending.insert(group.clone(), ending);
+    if go_on(state, now, group, &mut ending, out) {
+        state.plan.ending.insert(group.clone(), ending);
+    }
 }
 
+/// Gives the orders that a step needs.
 fn ask(
     state: &mut DirectState,
     now: Millis,
@@ -53,24 +88,31 @@
     ending: &Ending,
     out: &mut Vec<Effect>,
 ) {
-    let (group, epoch) = (group.clone(), ending.epoch);
-    let (step, used) = match ending.step {
-        EndingStep::Closing => (
-            GroupStep::Close {
-                group: group.clone(),
-                epoch,
-            },
-            OrderUse::Close(group),
-        ),
-        EndingStep::Leaving => (
-            GroupStep::Leave {
+    let epoch = ending.epoch;
+    let leave = |group: &Arc<str>| GroupStep::Leave {
+        group: group.clone(),
+        epoch,
+    };
+    match (ending.step, &ending.head) {
+        (EndingStep::Closing, Some(head)) => {
+            let step = GroupStep::Close {
                 group: group.clone(),
                 epoch,
-            },
-            OrderUse::Leave(group),
-        ),
-    };
-    order::give(state, now, &ending.head, step, used, out);
+            };
+            order::give(state, now, head, step, OrderUse::Close(group.clone()), out);
+        }
+        (EndingStep::Leaving, Some(head)) => {
+            let used = OrderUse::Leave(group.clone());
+            order::give(state, now, head, leave(group), used, out);
+        }
+        (EndingStep::Breaking, _) => {
+            for id in &ending.others {
+                let used = OrderUse::Break(group.clone(), id.clone());
+                order::give(state, now, id, leave(group), used, out);
+            }
+        }
+        _ => {}
+    }
 }
 
 /// Goes on with every group that is being given up.
@@ -94,24 +136,13 @@
     ending: &mut Ending,
     out: &mut Vec<Effect>,
 ) -> bool {
-    let view = state.endpoints.get(&ending.head);
-    let seat = view.and_then(|v| v.entry.seat.as_ref());
-    let here = seat.is_some_and(|s| s.group == *group);
-    let broken = here && seat.is_some_and(|s| s.state == SeatState::Broken);
-    let lost = view.is_none() || state.plan.lost.contains_key(&ending.head);
-    let stalled = now >= ending.since + state.knobs.stall_ms + CLOSING_MS;
-    if lost
-        || broken
-        || (!here && ending.step == EndingStep::Leaving && now > ending.asked)
-        || stalled
-    {
+    if stopped(state, now, group, ending) {
         state.plan.ended.insert(group.clone());
         return false;
     }
-    let ready = here && seat.is_some_and(|s| s.state == SeatState::Ready);
-    let late = now >= ending.since + CLOSING_MS;
-    if ending.step == EndingStep::Closing && (ready || late) {
-        ending.step = EndingStep::Leaving;
+    let next = next_step(state, now, group, ending);
+    if next != ending.step {
+        ending.step = next;
         ending.since = now;
         ending.asked = now;
         ask(state, now, group, ending, out);
@@ -122,11 +153,54 @@
     true
 }
 
+/// What is awaited now.
+fn next_step(state: &DirectState, now: Millis, group: &Arc<str>, ending: &Ending) -> EndingStep {
+    let head = ending.head.as_ref();
+    let lost =
+        head.is_none_or(|id| state.plan.lost.contains_key(id) || !state.endpoints.contains_key(id));
+    match ending.step {
+        EndingStep::Closing | EndingStep::Leaving if lost => EndingStep::Confirming,
+        EndingStep::Closing => {
+            let ready = head.and_then(|id| seat(state, id, group)) == Some(SeatState::Ready);
+            if ready || now >= ending.since + CLOSING_MS {
+                EndingStep::Leaving
+            } else {
+                EndingStep::Closing
+            }
+        }
+        EndingStep::Confirming | EndingStep::Breaking if !lost => EndingStep::Leaving,
+        EndingStep::Confirming if now >= ending.since + CONFIRM_MS => EndingStep::Breaking,
+        step => step,
+    }
+}
+
+/// Whether the head has stopped for certain.
+fn stopped(state: &DirectState, now: Millis, group: &Arc<str>, ending: &Ending) -> bool {
+    let seat = ending.head.as_ref().and_then(|id| seat(state, id, group));
+    if seat == Some(SeatState::Broken) {
+        return true;
+    }
+    match ending.step {
+        EndingStep::Confirming => ending
+            .head
+            .as_ref()
+            .is_some_and(|id| look::agreed(state, id)),
+        EndingStep::Breaking => now >= ending.since + state.knobs.stall_ms + BREAK_SLACK_MS,
+        EndingStep::Closing | EndingStep::Leaving => false,
+    }
+}
+
+/// How far an endpoint is with its place in a group.
+fn seat(state: &DirectState, id: &InstanceId, group: &Arc<str>) -> Option<SeatState> {
+    let seat = state.endpoints.get(id)?.entry.seat.as_ref()?;
+    (seat.group == *group).then_some(seat.state)
+}
+
 /// Whether the group that an endpoint has a place in is given up.
 pub(in crate::logic::direct) fn given_up(state: &DirectState, id: &InstanceId) -> bool {
     let seat = state.endpoints.get(id).and_then(|v| v.entry.seat.as_ref());
     seat.is_some_and(|s| {
-        let leaving = |e: &Ending| e.step == EndingStep::Leaving;
-        state.plan.ended.contains(&s.group) || state.plan.ending.get(&s.group).is_some_and(leaving)
+        let stops = |e: &Ending| e.step != EndingStep::Closing;
+        state.plan.ended.contains(&s.group) || state.plan.ending.get(&s.group).is_some_and(stops)
     })
 }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,5 +1,5 @@
 use super::{
-    accept, answer, end, endpoints, plan, silence, DirectEffect, DirectEvent, DirectState,
+    accept, answer, end, endpoints, peers, plan, silence, DirectEffect, DirectEvent, DirectState,
 };
 use crate::logic::{Effect, Event, Note, NoteCode};
 use crate::types::{Millis, Routing};
@@ -9,8 +9,15 @@
 pub(crate) fn step(state: &mut DirectState, now: Millis, event: Event, out: &mut Vec<Effect>) {
     match event {
         Event::Stop => stop(state, now),
-        Event::Store { call, result } => plan::answered(state, now, call, result, out),
-        Event::Watch(changes) => plan::changed(state, now, &changes),
+        Event::Store { call, result } => {
+            if !peers::answered(state, now, call, &result) {
+                plan::answered(state, now, call, result, out);
+            }
+        }
+        Event::Watch(changes) => {
+            peers::changed(state, &changes);
+            plan::changed(state, now, &changes);
+        }
         Event::WatchLost => plan::unwatched(state),
         Event::Direct(event) => direct(state, now, event, out),
         Event::Tick => tend(state, now, out),
@@ -31,7 +38,11 @@
         DirectEvent::Request(request) => accept::arrived(state, now, *request, out),
         DirectEvent::Gone(id) => end::caller_gone(state, id, out),
         DirectEvent::Part { run, part } => answer::part(state, now, run, part, out),
-        DirectEvent::Looked { id, result } => plan::looked(state, now, &id, result, out),
+        DirectEvent::Looked { id, result } => {
+            peers::looked(state, &id, &result, out);
+            plan::looked(state, now, &id, result, out);
+        }
+        DirectEvent::Peer { from, message } => peers::said(state, now, from, message, out),
         DirectEvent::Ordered { order, result } => plan::ordered(state, now, order, result, out),
     }
 }
@@ -57,6 +68,7 @@
     end::tend(state, now, out);
     silence::tend(state, now, out);
     endpoints::tend(state, now);
+    peers::tend(state, now, out);
     plan::tend(state, now, out);
     if let Some(since) = state.stopping {
         let grace = state.knobs.grace_ms;
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -18,6 +18,8 @@
     pub callers: SocketAddr,
     /// Address at which the balancer asks.
     pub ready: SocketAddr,
+    /// Address for other routers; without it none is asked.
+    pub peers: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Whether the whole system starts for the first time.
@@ -38,6 +40,7 @@
             hall: String::new(),
             callers: any,
             ready: any,
+            peers: None,
             store: any,
             first_start: false,
             watch_ms: 2_000,
@@ -67,6 +70,7 @@
             hall: ini.text("instance", "hall", "the name of the data hall"),
             callers: ini.parsed("listen", "callers", d.callers, address),
             ready: ini.parsed("listen", "ready", d.ready, address),
+            peers: ini.optional("listen", "peers", address),
             store: ini.parsed("direct", "store", d.store, address),
             first_start: ini.parsed("direct", "first_start", false, "true or false"),
             watch_ms: ini.number(
