Stop: doors close after three eighths of the grace, then answers are finished

Change: after 3/8 of the grace no connection is taken, resting ones are closed, and requests get a 503; what runs is finished; the end comes once.

--- a/src/link/answer_body.rs
+++ b/src/link/answer_body.rs
@@ -1,6 +1,5 @@
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -54,8 +53,6 @@
         guard: LeftGuard,
         /// Whether the end has been given out.
         ended: bool,
-        /// Counts answers that are still being written.
-        _open: Rc<()>,
     },
 }
 
--- a/src/link/callers.rs
+++ b/src/link/callers.rs
@@ -27,11 +27,15 @@
 /// Pause after a connection couldn't be accepted.
 const AGAIN: Duration = Duration::from_millis(10);
 
-/// Accepts connections for ever.
+/// Accepts connections until the process is about to end.
 pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     let next = Rc::new(Cell::new(1));
-    loop {
-        match listener.accept().await {
+    while !shared.closed.get() {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.stop.notified() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let (shared, next) = (shared.clone(), next.clone());
                 tokio::task::spawn_local(connection(shared, stream, next));
@@ -42,6 +46,8 @@
 }
 
 async fn connection(shared: Rc<Shared>, stream: TcpStream, next: Rc<Cell<u64>>) {
+    let _open = shared.open.clone();
+    // Without it answers only come later.
     let _ = stream.set_nodelay(true);
     let limits = shared.limits.get();
     let inside = shared.clone();
--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -115,6 +115,10 @@
                 body,
             } => looks::order(&self.shared, order, id, addr, body),
             DirectEffect::Tell { to, message } => peers::tell(&self.shared, to, &message),
+            DirectEffect::CloseDoors => {
+                self.shared.closed.set(true);
+                self.shared.stop.notify_waiters();
+            }
             DirectEffect::Ready(ready) => self.shared.ready.set(ready),
         }
     }
@@ -144,7 +148,6 @@
             pieces,
             guard: LeftGuard::new(|| {}),
             ended: false,
-            _open: self.shared.open.clone(),
         };
         let mut callers = self.shared.callers.borrow_mut();
         if let Some(caller) = callers.get_mut(&request) {
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -52,6 +52,7 @@
         limits: Cell::new(CallerLimits::default()),
         ready: Cell::new(false),
         stopping: Cell::new(false),
+        closed: Cell::new(false),
         stop: Notify::new(),
         watch_own: (Cell::new(0), Notify::new()),
         exit: Notify::new(),
@@ -222,9 +223,8 @@
     shared.send(LinkEvent::Step(Event::Stop));
 }
 
-/// Lets answers that are being written reach their callers.
+/// Lets answers that are being written reach their callers; then the process ends.
 async fn last_bytes(shared: &Rc<Shared>) {
-    shared.stop.notify_waiters();
     let since = Instant::now();
     while Rc::strong_count(&shared.open) > 1 && since.elapsed() < LAST_BYTES {
         sleep(Duration::from_millis(10)).await;
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -35,13 +35,15 @@
     pub ready: Cell<bool>,
     /// Whether it is about to stop.
     pub stopping: Cell<bool>,
-    /// Told when it begins to stop.
+    /// Whether no more connections are taken.
+    pub closed: Cell<bool>,
+    /// Told when no more connections are taken.
     pub stop: Notify,
     /// From which revision the own keys are watched, and a call to begin.
     pub watch_own: (Cell<i64>, Notify),
     /// Told when the reducer wants the process to end.
     pub exit: Notify,
-    /// Held by every answer that is being written.
+    /// Held by every connection of a caller.
     pub open: Rc<()>,
     /// Socket for other routers.
     pub peers: RefCell<Option<Rc<UdpSocket>>>,
--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{end, send, DirectRequest, DirectState, Flight, Problem};
+use super::{end, send, DirectRequest, DirectState, EndStage, Flight, Problem};
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
 
@@ -16,6 +16,16 @@
     request: DirectRequest,
     out: &mut Vec<Effect>,
 ) {
+    if state.ending != EndStage::Open {
+        let problem = Problem::NotRun(state.knobs.again_ms / 4);
+        return end::refuse(
+            request.id,
+            &request.label,
+            problem,
+            "this router stops",
+            out,
+        );
+    }
     let Some(routing) = state.routing.clone().filter(|_| state.listed) else {
         return end::refuse(
             request.id,
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -69,6 +69,8 @@
         /// What is said.
         message: PeerMessage,
     },
+    /// Take no more connections, and close those that rest.
+    CloseDoors,
     /// Tell the balancer whether to send callers here.
     Ready(bool),
 }
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::plan::PlanState;
-use super::{DirectKnobs, EndpointView, Flight, Presence, RetryWindow};
+use super::{DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow};
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, Routing};
@@ -47,6 +47,8 @@
     pub ready: bool,
     /// When the order to stop came.
     pub stopping: Option<Millis>,
+    /// How far the end has come.
+    pub ending: EndStage,
 }
 
 impl DirectState {
@@ -71,6 +73,7 @@
             plan: PlanState::default(),
             ready: false,
             stopping: None,
+            ending: EndStage::default(),
         }
     }
 
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,5 +1,6 @@
 use super::{
     accept, answer, end, endpoints, peers, plan, silence, DirectEffect, DirectEvent, DirectState,
+    EndStage,
 };
 use crate::logic::{Effect, Event, Note, NoteCode};
 use crate::types::{Millis, Routing};
@@ -70,12 +71,32 @@
     endpoints::tend(state, now);
     peers::tend(state, now, out);
     plan::tend(state, now, out);
-    if let Some(since) = state.stopping {
-        let grace = state.knobs.grace_ms;
-        let quiet = state.flights.is_empty() && now >= since + grace / 2;
-        if quiet || now + grace / 16 >= since + grace {
+    wind_up(state, now, out);
+}
+
+/// Parts of the time to stop, in sixteenths, until no more callers are taken:
+/// by then the balancer has found out.
+const DOORS: Millis = 6;
+
+/// Parts of the time to stop, in sixteenths, until everything ends.
+const LAST: Millis = 15;
+
+/// Takes an orderly stop further: no more callers, then no more waiting.
+fn wind_up(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let Some(since) = state.stopping else {
+        return;
+    };
+    let part = state.knobs.grace_ms / 16;
+    match state.ending {
+        EndStage::Open if now >= since + DOORS * part => {
+            state.ending = EndStage::Closed;
+            out.push(Effect::Direct(DirectEffect::CloseDoors));
+        }
+        EndStage::Closed if state.flights.is_empty() || now >= since + LAST * part => {
+            state.ending = EndStage::Over;
             out.push(Effect::Exit);
         }
+        _ => {}
     }
 }
 
