Repair: the list, not a report, says which group an endpoint is in

An outdated order to leave also counted as if the head had left. Change: neither does any more; a refused connection is no answer to an order.

--- a/src/link/looks.rs
+++ b/src/link/looks.rs
@@ -50,7 +50,6 @@
         let request = (shared.dialect.order)(&id, &addr.to_string(), &body);
         let result = match timeout(ORDER, call(&shared, addr, request)).await {
             Ok(Ok((status, _))) => (shared.dialect.ordered)(status),
-            Ok(Err(Fault::Refused)) => OrderResult::Gone,
             _ => OrderResult::Unanswered,
         };
         shared.tell(DirectEvent::Ordered { order, result });
--- a/src/logic/direct/plan/look.rs
+++ b/src/logic/direct/plan/look.rs
@@ -98,7 +98,7 @@
     let look = state.plan.looks.entry(id.clone()).or_default();
     look.pending = false;
     match result {
-        LookResult::Alive { seat, .. } => {
+        LookResult::Alive { .. } => {
             *look = Look {
                 since: look.since,
                 ..Look::default()
@@ -108,9 +108,7 @@
                     Note::new(NoteCode::EndpointFound).with("endpoint", id),
                 ));
             }
-            if let Some(view) = state.endpoints.get_mut(id) {
-                view.entry.seat = seat;
-            }
+            // Its place in a group is the list's to say: a report may be older.
             calm(state, now, id);
         }
         LookResult::Refused => {
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -47,6 +47,12 @@
     }));
 }
 
+/// Whether an order to leave shows that its group is over for the endpoint. One
+/// that is outdated shows only that another planner gives orders now.
+fn left(result: OrderResult) -> bool {
+    !matches!(result, OrderResult::Unanswered | OrderResult::Outdated)
+}
+
 /// An order has ended.
 pub(in crate::logic::direct) fn ordered(
     state: &mut DirectState,
@@ -71,7 +77,7 @@
                 form::give_up(state, now, &group, &forming, "a member refuses", out);
             }
         }
-        OrderUse::Leave(group) if result != OrderResult::Unanswered => {
+        OrderUse::Leave(group) if left(result) => {
             if state.plan.ending.remove(&group).is_some() {
                 state.plan.ended.insert(group);
             }
