Planner: every host holds a second model ready

Cause: survivors of a group could only rejoin its own model, so two of three were stranded where no fitting spare was left. Ruled out: slow confirmation of lost heads (logged: three answers within 2 ms). Change: an endpoint keeps the model of its last group (rejoins in 0.2 s) while its host is told to load another one (joins in the warm-up time); spares are shared out among models; only the planner acts on looks.

--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use crate::types::{EndpointEntry, Millis, SeatState};
 
 /// One endpoint as this router sees it.
@@ -5,6 +7,8 @@
 pub struct EndpointView {
     /// Its entry in the list.
     pub entry: EndpointEntry,
+    /// Model of its last group in this life of it, which it takes up again at once.
+    pub last: Option<Arc<str>>,
     /// Whether the list names it now.
     pub listed: bool,
     /// When the entry last beat, or left the list.
@@ -29,6 +33,7 @@
     /// A view of an endpoint that has just been listed.
     pub fn new(entry: EndpointEntry, now: Millis) -> Self {
         Self {
+            last: entry.model.clone(),
             entry,
             listed: true,
             beat_at: now,
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -67,6 +67,7 @@
         view.beat_at = now;
     }
     view.listed = true;
+    view.last = entry.model.clone().or_else(|| view.last.take());
     view.entry = entry;
 }
 
--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -179,7 +179,7 @@
     let Some(view) = state.endpoints.get(id) else {
         return COLD;
     };
-    if view.entry.model.as_ref() == Some(model) {
+    if view.last.as_ref() == Some(model) {
         0
     } else if view.entry.staged.contains(model) {
         1
--- a/src/logic/direct/plan/look.rs
+++ b/src/logic/direct/plan/look.rs
@@ -95,6 +95,9 @@
     result: LookResult,
     out: &mut Vec<Effect>,
 ) {
+    if !state.plan.duty.holds(now) {
+        return;
+    }
     let look = state.plan.looks.entry(id.clone()).or_default();
     look.pending = false;
     match result {
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -20,6 +20,7 @@
 mod plan_state;
 mod retire;
 mod stage;
+mod staging;
 mod survey;
 mod tend;
 
@@ -31,6 +32,7 @@
 pub use order::OrderUse;
 pub use place::{place, PlaceInput, PlaceModel};
 pub use plan_state::PlanState;
+pub use staging::Staging;
 
 pub(super) use duty::{answered, changed, unwatched};
 pub(super) use look::{looked, seen, suspect};
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use super::{Duty, Ending, Forming, Look, OrderUse};
+use super::{Duty, Ending, Forming, Look, OrderUse, Staging};
 use crate::types::{InstanceId, Millis};
 
 /// What a planner knows beside the list.
@@ -21,8 +21,8 @@
     pub ended: BTreeSet<Arc<str>>,
     /// When a group was first seen that isn't complete.
     pub partial: BTreeMap<Arc<str>, Millis>,
-    /// Endpoints that were told to load a model to their host, and when.
-    pub staging: BTreeMap<InstanceId, (Arc<str>, Millis)>,
+    /// Endpoints that were told to load a model.
+    pub staging: BTreeMap<InstanceId, Staging>,
     /// Endpoints that don't answer, since when.
     pub lost: BTreeMap<InstanceId, Millis>,
     /// Looks at endpoints.
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use super::survey::{self, Place};
-use super::{fill, form, order, OrderUse};
-use crate::logic::direct::{DirectState, GroupStep};
+use super::{fill, form, order, OrderUse, Staging};
+use crate::logic::direct::{DirectState, EndpointView, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EngineModel, EngineSpec, InstanceId, Millis};
 
@@ -17,12 +17,21 @@
 /// Time after which an order to load that shows no effect is given again.
 const AGAIN_MS: Millis = 3_000;
 
-/// Tells spares that hold no model to hold one.
+/// Sees to it that endpoints hold models ready.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     if fill::cheap(state) && !state.plan.forming.is_empty() {
         return;
     }
     forget(state, now);
+    spares(state, now, out);
+    let groups = state.endpoints.values().filter(|v| v.heads()).count();
+    if groups > 0 && state.plan.forming.is_empty() {
+        second(state, now, out);
+    }
+}
+
+/// Tells spares that hold no model to hold one.
+fn spares(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     for (place, free) in survey::free(state) {
         let Some(engine) = fill::engine(state, &place.0) else {
             continue;
@@ -43,6 +52,40 @@
     }
 }
 
+/// Tells endpoints to load a second model to their hosts.
+///
+/// A member keeps the model of its group; the host holds another one ready, so
+/// that whoever is left of a group can serve either.
+fn second(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let busy = state.plan.staging.len() as u32;
+    let mut waiting = Vec::new();
+    for (id, view) in &state.endpoints {
+        let told = state.plan.staging.contains_key(id);
+        let Some(held) = view.last.clone().filter(|_| !told) else {
+            continue;
+        };
+        let other = view.entry.staged.iter().any(|m| *m != held);
+        if survey::usable(state, id, view) && !other {
+            waiting.push((id.clone(), view.entry.service.clone(), held));
+        }
+    }
+    for (n, (id, service, held)) in waiting.into_iter().enumerate() {
+        let Some(engine) = fill::engine(state, &service) else {
+            continue;
+        };
+        if n as u32 + busy >= engine.loads_at_once || !room(state, &engine) {
+            return;
+        }
+        let models = fill::by_need(state, &service, &engine);
+        if let Some(model) = models.into_iter().find(|m| m.name != held) {
+            let step = GroupStep::Stage {
+                model: model.name.clone(),
+            };
+            tell(state, now, &id, &model.name, true, step, out);
+        }
+    }
+}
+
 /// Forgets orders that are done, and those that had no effect.
 fn forget(state: &mut DirectState, now: Millis) {
     let endpoints = &state.endpoints;
@@ -52,10 +95,13 @@
         let engine = service.and_then(|s| routing.as_ref()?.services.get(&s)?.engine.as_ref());
         engine.and_then(|e| e.model(model)).map_or(0, |m| m.load_ms)
     };
-    state.plan.staging.retain(|id, (model, since)| {
+    state.plan.staging.retain(|id, staging| {
         let view = endpoints.get(id);
-        let waits = view.is_some_and(|v| v.entry.model.as_ref() != Some(model));
-        waits && now < *since + 2 * load(id, model) + AGAIN_MS
+        let holds = |v: &EndpointView| v.last.as_ref() == Some(&staging.model);
+        let lies = |v: &EndpointView| v.entry.staged.contains(&staging.model);
+        let waits = |v: &EndpointView| !(holds(v) || (!staging.hold && lies(v)));
+        let late = staging.since + 2 * load(id, &staging.model) + AGAIN_MS;
+        view.is_some_and(waits) && now < late
     });
     while state
         .plan
@@ -93,17 +139,22 @@
     }
     let ready = |m: &EngineModel| {
         let staged = |id: &&InstanceId| {
-            let told = state.plan.staging.get(*id).map(|(name, _)| name);
+            let told = state.plan.staging.get(*id).map(|s| &s.model);
             told == Some(&m.name) || fill::readiness(state, id, &m.name) < fill::COLD
         };
         free.iter().filter(staged).count()
     };
     let groups = |m: &EngineModel| {
-        let here = |v: &&crate::logic::direct::EndpointView| {
+        let here = |v: &&EndpointView| {
             v.heads() && v.entry.domain == place.1 && v.entry.model.as_ref() == Some(&m.name)
         };
         state.endpoints.values().filter(here).count()
     };
+    if engine.models.iter().all(|m| groups(m) == 0) {
+        // Nothing stands yet: as the work is shared.
+        let filled = |m: &&EngineModel| ready(m) as u64 * 1_000_000 / m.share.max(1);
+        return engine.models.iter().min_by_key(filled).cloned();
+    }
     let by_need = fill::by_need(state, &place.0, engine);
     // Members that could need this spare, for each spare that is ready already.
     let use_of = |m: &EngineModel| groups(m) * m.size * 1_000 / (ready(m) + 1);
@@ -122,14 +173,6 @@
     load: bool,
     out: &mut Vec<Effect>,
 ) {
-    let note = Note::new(NoteCode::StageOrdered)
-        .with("endpoint", id)
-        .with("model", model);
-    out.push(Effect::Note(note));
-    state.plan.staging.insert(id.clone(), (model.clone(), now));
-    if load {
-        state.plan.loads.push_back(now);
-    }
     let epoch = form::next_epoch(state);
     let step = GroupStep::Join {
         group: format!("{}{epoch}", survey::ALONE).into(),
@@ -137,5 +180,31 @@
         model: model.clone(),
         members: vec![id.clone()],
     };
+    tell(state, now, id, model, load, step, out);
+}
+
+fn tell(
+    state: &mut DirectState,
+    now: Millis,
+    id: &InstanceId,
+    model: &Arc<str>,
+    load: bool,
+    step: GroupStep,
+    out: &mut Vec<Effect>,
+) {
+    let note = Note::new(NoteCode::StageOrdered)
+        .with("endpoint", id)
+        .with("model", model);
+    out.push(Effect::Note(note));
+    let hold = matches!(step, GroupStep::Join { .. });
+    let staging = Staging {
+        model: model.clone(),
+        since: now,
+        hold,
+    };
+    state.plan.staging.insert(id.clone(), staging);
+    if load {
+        state.plan.loads.push_back(now);
+    }
     order::give(state, now, id, step, OrderUse::Stage(id.clone()), out);
 }
--- /dev/null
+++ b/src/logic/direct/plan/staging.rs
@@ -0,0 +1,14 @@
+use std::sync::Arc;
+
+use crate::types::Millis;
+
+/// A model that an endpoint was told to load.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Staging {
+    /// The model.
+    pub model: Arc<str>,
+    /// When the order was given.
+    pub since: Millis,
+    /// Whether the endpoint is to hold it, not only its host.
+    pub hold: bool,
+}
