Planner: free endpoints form the mix of groups that adds most

Cause: models were served in order of need, each as far as it went; the first took endpoints that only the second could have used. Change: all mixes that the endpoints can serve are weighed by a concave worth of capacity against the published share; members that are late to get ready are looked at instead of waiting for the whole time.

--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::mix::{best_mix, use_of};
 use super::survey::{self, Place};
 use super::{form, place, PlaceInput, PlaceModel};
 use crate::logic::direct::DirectState;
@@ -31,7 +32,7 @@
         let Some(engine) = engine(state, &place.0) else {
             continue;
         };
-        repair(state, now, &place, free, &engine, out);
+        repair(state, now, &place, &free, &engine, out);
     }
 }
 
@@ -125,49 +126,69 @@
     }
 }
 
-/// Forms groups from endpoints that need no load from the weight store.
+/// Forms groups from endpoints that need no load from the weight store: the mix
+/// that adds most to what the service can do.
 fn repair(
     state: &mut DirectState,
     now: Millis,
     place: &Place,
-    mut free: Vec<InstanceId>,
+    free: &[InstanceId],
     engine: &EngineSpec,
     out: &mut Vec<Effect>,
 ) {
-    for model in by_need(state, &place.0, engine) {
-        loop {
-            let mut quick: Vec<_> = free
-                .iter()
-                .filter(|id| readiness(state, id, &model.name) < COLD)
-                .cloned()
-                .collect();
-            if quick.len() < model.size {
-                break;
-            }
-            sort(state, &mut quick, &model.name);
-            quick.truncate(model.size);
-            free.retain(|id| !quick.contains(id));
-            let warm = quick.iter().any(|id| readiness(state, id, &model.name) > 0);
+    let able: Vec<Vec<u8>> = free
+        .iter()
+        .map(|id| {
+            let ready = |m: &EngineModel| readiness(state, id, &m.name);
+            engine.models.iter().map(ready).collect()
+        })
+        .collect();
+    let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
+    let counts = counts(state, &place.0, engine);
+    let all = state.plan.most.max(1);
+    let worth = |mix: &[usize]| {
+        let parts = engine.models.iter().zip(&counts).zip(mix);
+        parts.map(|((m, c), n)| use_of(m, c + n, all)).sum::<f64>()
+    };
+    let Some(mix) = best_mix(&able, &sizes, worth) else {
+        return;
+    };
+    for (members, model) in mix.into_iter().zip(&engine.models) {
+        for members in members {
+            let warm = members.iter().any(|n| able[*n][index(engine, model)] > 0);
             let load = if warm { model.warm_ms } else { AGAIN_MS };
+            let members = members.iter().map(|n| free[*n].clone()).collect();
             let takes = load + engine.form_ms;
-            form::begin(state, now, place, model.name.clone(), quick, takes, out);
+            form::begin(state, now, place, model.name.clone(), members, takes, out);
         }
     }
 }
 
-/// Models of a service, the one with the least of what it needs first.
-pub(super) fn by_need(
-    state: &DirectState,
-    service: &Arc<str>,
-    engine: &EngineSpec,
-) -> Vec<EngineModel> {
+fn index(engine: &EngineSpec, model: &EngineModel) -> usize {
+    let here = engine.models.iter().position(|m| m.name == model.name);
+    here.unwrap_or(0)
+}
+
+/// Groups of each model of a service.
+fn counts(state: &DirectState, service: &Arc<str>, engine: &EngineSpec) -> Vec<usize> {
     let standing = standing(state);
-    let groups = |m: &EngineModel| -> usize {
+    let of = |m: &EngineModel| {
         let here = standing
             .iter()
             .filter(|((p, name), _)| p.0 == *service && *name == m.name);
         here.map(|(_, n)| n).sum()
     };
+    engine.models.iter().map(of).collect()
+}
+
+/// Models of a service, the one with the least of what it needs first.
+pub(super) fn by_need(
+    state: &DirectState,
+    service: &Arc<str>,
+    engine: &EngineSpec,
+) -> Vec<EngineModel> {
+    let counts = counts(state, service, engine);
+    let groups = |m: &EngineModel| counts[index(engine, m)];
     let mut models = engine.models.clone();
     models.sort_by_key(|m| (groups(m) * m.size * 1_000_000) as u64 / m.share.max(1));
     models
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::{order, retire, Ending, EndingStep, Forming, OrderUse};
+use super::{look, order, retire, Ending, EndingStep, Forming, OrderUse};
 use crate::logic::direct::{DirectState, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis, SeatState};
@@ -20,6 +20,10 @@
     state.plan.duty.fence * EPOCHS + state.plan.named
 }
 
+/// Time beyond the published one after which members that aren't ready are
+/// looked at.
+const LATE_MS: Millis = 300;
+
 /// Begins a group.
 pub(super) fn begin(
     state: &mut DirectState,
@@ -138,6 +142,13 @@
         forming.asked = now;
         join(state, now, group, forming, out);
     }
+    if now + SLACK_MS >= forming.limit + LATE_MS {
+        for (id, seat) in forming.members.iter().zip(&seats) {
+            if !matches!(seat, Some(SeatState::Ready | SeatState::Open)) {
+                look::at(state, now, id, out);
+            }
+        }
+    }
     let ready = |s: &Option<SeatState>| matches!(s, Some(SeatState::Ready | SeatState::Open));
     let due = forming
         .opened
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -15,6 +15,7 @@
 mod group_view;
 mod inspect;
 mod look;
+mod mix;
 mod order;
 mod place;
 mod plan_state;
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -35,6 +35,8 @@
     pub named: u64,
     /// Endpoints of engines at the last look, and when their number last changed.
     pub count: (usize, Millis),
+    /// Most endpoints of engines that were there at once.
+    pub most: usize,
     /// Whether a caller has been seen since the start of this process.
     pub traffic: bool,
     /// Whether the whole system starts for the first time.
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -48,6 +48,7 @@
         .values()
         .filter(|v| v.listed && !v.entry.domain.is_empty());
     let count = engines.count();
+    state.plan.most = state.plan.most.max(count);
     if count != state.plan.count.0 {
         state.plan.count = (count, now);
     }
