Planner: second models from the start, spares first; limits by head

Cause: second models were loaded late and in order of id, so spares that were needed had none; a group with members cut from the store was given up because the list didn't show that they were ready; requests refused twice cost most. Change: second models begin with the first placement, spares before members; members' own reports count while a group forms; each router keeps to a limit by head that follows how soon requests begin; what was refused before always has room and goes first; other routers tell the planner of silence.

--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -24,6 +24,9 @@
 use crate::settings::DirectSettings;
 use crate::types::{CallerLimits, InstanceId};
 
+/// Time between two ticks: finer than asked for, so that no request is held for long.
+const TICK: Duration = Duration::from_millis(20);
+
 /// Time between two looks at idle connections.
 const REAP: Duration = Duration::from_secs(1);
 
@@ -110,7 +113,7 @@
 }
 
 async fn ticks(shared: Rc<Shared>) {
-    let mut ticks = interval(Duration::from_millis(Event::TICK_MS));
+    let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -9,6 +9,13 @@
 /// Shortest time that is worth a run, in milliseconds.
 const LEAST_WAIT: Millis = 1;
 
+/// Part of the route's time, in hundredths, below which a caller that still waits
+/// has asked before.
+const RETURNED: Millis = 97;
+
+/// Part of the objective that a request may wait for room.
+const HELD: Millis = 4;
+
 /// A caller has sent a request.
 pub(super) fn arrived(
     state: &mut DirectState,
@@ -82,6 +89,8 @@
         answer: request.answer,
         account,
         priority,
+        urgent: wait < route.timeout_ms * RETURNED / 100,
+        held: now + route.target_ms / HELD,
         arrived: now,
         deadline: now + wait.max(LEAST_WAIT),
         tried: Vec::new(),
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -1,6 +1,6 @@
 //! What endpoints answer, and what of it goes to callers.
 
-use super::{end, endpoints, send, DirectEffect, DirectState, RunPart};
+use super::{end, endpoints, limit, send, DirectEffect, DirectState, RunPart};
 use crate::logic::Effect;
 use crate::types::Millis;
 
@@ -42,6 +42,13 @@
 }
 
 fn head(state: &mut DirectState, now: Millis, id: u64, run: u64, out: &mut Vec<Effect>) {
+    let run_now = state
+        .flights
+        .get(&id)
+        .and_then(|f| Some((f.run.clone()?, f.route.target_ms)));
+    if let Some((run, target)) = run_now.filter(|(r, _)| !r.begun) {
+        limit::began(state, now, &run.at, now.saturating_sub(run.since), target);
+    }
     endpoints::begun(state, id);
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -1,6 +1,6 @@
 //! Which endpoint a request goes to.
 
-use super::{DirectState, EndpointView, Flight};
+use super::{limit, DirectState, EndpointView, Flight};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// What an endpoint of another data hall costs beside, in microseconds.
@@ -25,11 +25,15 @@
     let spec = routing.services.get(&flight.service);
     let engine = spec.and_then(|s| s.engine.as_ref());
     let mut found: Option<(u64, u64, InstanceId)> = None;
+    let routers = state.peers.len() as u64 + 1;
     let draws = state.random(u64::MAX);
     for (id, view) in &state.endpoints {
         if !allowed(id) || !takes(view, now, flight, engine.is_some()) {
             continue;
         }
+        if engine.is_some() && !limit::room(view, routers, flight.urgent) {
+            continue;
+        }
         let far = if view.entry.hall == state.hall {
             0
         } else {
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -29,6 +29,8 @@
     pub endpoints: BTreeMap<InstanceId, EndpointView>,
     /// Requests without a final answer.
     pub flights: BTreeMap<u64, Flight>,
+    /// Requests that wait for room: the urgent (false) first, then as they came.
+    pub waiting: BTreeSet<(bool, u64)>,
     /// Which request a run belongs to.
     pub runs: BTreeMap<u64, u64>,
     /// Number of the next run, order or call.
@@ -64,6 +66,7 @@
             listed: false,
             endpoints: BTreeMap::new(),
             flights: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             runs: BTreeMap::new(),
             next: 1,
             retries: BTreeMap::new(),
--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -19,12 +19,18 @@
     pub running: u32,
     /// Tokens of prompts that it has yet to read for this router.
     pub unread: u64,
+    /// Most runs of this router that it gets at once, in thousandths.
+    pub limit: u64,
+    /// When the limit was last lowered.
+    pub lowered: Millis,
     /// Until when it gets nothing new, after failures.
     pub shunned: Millis,
     /// Failures in a row.
     pub failures: u32,
     /// When it was first missed, while it is.
     pub silent: Option<Millis>,
+    /// When the planner was last told of its silence.
+    pub warned: Millis,
     /// Usual longest pause of its answers while it works, in milliseconds.
     pub pause: Millis,
 }
@@ -40,9 +46,12 @@
             heard: now,
             running: 0,
             unread: 0,
+            limit: 0,
+            lowered: 0,
             shunned: 0,
             failures: 0,
             silent: None,
+            warned: 0,
             pause: 0,
         }
     }
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,6 +1,6 @@
 //! What this router knows of endpoints: the list and its own experience.
 
-use super::{DirectState, EndpointView};
+use super::{limit, DirectState, EndpointView};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EndpointEntry, InstanceId, Millis};
 
@@ -66,6 +66,9 @@
     if entry.beats != view.entry.beats {
         view.beat_at = now;
     }
+    if view.entry.seat != entry.seat {
+        view.limit = 0;
+    }
     view.listed = true;
     view.last = entry.model.clone().or_else(|| view.last.take());
     view.entry = entry;
@@ -83,6 +86,11 @@
     state.endpoints.get_mut(&run.at)
 }
 
+fn at(state: &DirectState, request: u64) -> Option<InstanceId> {
+    let run = state.flights.get(&request)?.run.as_ref()?;
+    Some(run.at.clone())
+}
+
 /// The endpoint of a request's run has sent something.
 pub(super) fn heard(state: &mut DirectState, now: Millis, request: u64, heard: bool) {
     let Some(view) = running_at(state, request).filter(|_| heard) else {
@@ -133,6 +141,9 @@
     if let Some(view) = running_at(state, request) {
         view.shunned = view.shunned.max(now + FULL_MS);
     }
+    if let Some(at) = at(state, request) {
+        limit::full(state, now, &at);
+    }
 }
 
 /// A run at the endpoint has failed: it is left alone for a while.
--- a/src/logic/direct/flight.rs
+++ b/src/logic/direct/flight.rs
@@ -21,6 +21,10 @@
     pub account: Option<Arc<str>>,
     /// Rank; 0 comes first.
     pub priority: u8,
+    /// Whether it goes before others: it was refused before, or is half done.
+    pub urgent: bool,
+    /// Until when it may wait for room; 0 once it was sent.
+    pub held: Millis,
     /// When it arrived.
     pub arrived: Millis,
     /// When the caller gives up, or the route's time is over.
--- /dev/null
+++ b/src/logic/direct/limit.rs
@@ -0,0 +1,83 @@
+//! How much a router sends to one head: as much as begins in time.
+//!
+//! Routers don't tell each other what they have sent. Each raises its limit
+//! while requests begin well within their objective and lowers it when they
+//! begin late, so that together they keep a head just short of queueing.
+
+use super::{DirectState, EndpointView};
+use crate::types::{InstanceId, Millis};
+
+/// One run, in the unit of limits.
+const ONE: u64 = 1_000;
+
+/// Lowest limit.
+const LEAST: u64 = 8 * ONE;
+
+/// Shortest time between two lowerings.
+const LOWER_MS: Millis = 200;
+
+/// What remains of a limit when requests begin late, in hundredths.
+const LATE: u64 = 80;
+
+/// What remains of a limit when the endpoint was full, in hundredths.
+const FULL: u64 = 70;
+
+/// Part of the objective within which a request begins well.
+const WELL: u64 = 2;
+
+/// Whether an endpoint has room for one more run; for what is urgent there is
+/// always some.
+pub(super) fn room(view: &EndpointView, routers: u64, urgent: bool) -> bool {
+    urgent || u64::from(view.running) * ONE < current(view, routers)
+}
+
+/// The limit in force: at first each router's even part of the slots.
+fn current(view: &EndpointView, routers: u64) -> u64 {
+    if view.limit > 0 {
+        return view.limit;
+    }
+    even_part(view, routers)
+}
+
+/// Each router's even part of the slots.
+fn even_part(view: &EndpointView, routers: u64) -> u64 {
+    let part = u64::from(view.entry.slots) * ONE / routers.max(1);
+    part.max(LEAST)
+}
+
+/// A request began after a while.
+pub(super) fn began(
+    state: &mut DirectState,
+    now: Millis,
+    id: &InstanceId,
+    took: Millis,
+    target: Millis,
+) {
+    let routers = state.peers.len() as u64 + 1;
+    let Some(view) = state.endpoints.get_mut(id) else {
+        return;
+    };
+    let limit = current(view, routers);
+    let most = u64::from(view.entry.slots.max(1)) * ONE;
+    if took * WELL <= target {
+        view.limit = (limit + ONE * ONE / limit).min(most.max(LEAST));
+    } else if took > target {
+        lower(view, now, limit, LATE);
+    }
+}
+
+/// The endpoint was full.
+pub(super) fn full(state: &mut DirectState, now: Millis, id: &InstanceId) {
+    let routers = state.peers.len() as u64 + 1;
+    if let Some(view) = state.endpoints.get_mut(id) {
+        let limit = current(view, routers);
+        lower(view, now, limit, FULL);
+    }
+}
+
+fn lower(view: &mut EndpointView, now: Millis, limit: u64, part: u64) {
+    if now >= view.lowered + LOWER_MS {
+        view.lowered = now;
+        view.limit = (limit * part / 100).max(LEAST);
+    }
+}
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -22,6 +22,7 @@
 mod endpoints;
 mod flight;
 mod group_order;
+mod limit;
 mod look_result;
 mod order_result;
 mod peer_message;
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -16,6 +16,11 @@
         /// Where it listens.
         addr: SocketAddr,
     },
+    /// An endpoint that had work for the sender is silent; for the planner.
+    Silent {
+        /// The endpoint.
+        id: InstanceId,
+    },
     /// What was seen.
     Seen {
         /// Number of the question.
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -179,10 +179,20 @@
                 .push((from, number));
             out.push(Effect::Direct(DirectEffect::Look { id, addr }));
         }
+        PeerMessage::Silent { id } => plan::suspect(state, now, &id, out),
         PeerMessage::Seen { number, alive } => plan::seen(state, number, alive),
     }
 }
 
+/// Tells the planner that an endpoint is silent here.
+pub(super) fn warn(state: &DirectState, id: &InstanceId, out: &mut Vec<Effect>) {
+    let holder = state.plan.duty.holder.as_deref().map(InstanceId::new);
+    if let Some(to) = holder.and_then(|h| state.peers.get(&h)).copied() {
+        let message = PeerMessage::Silent { id: id.clone() };
+        out.push(Effect::Direct(DirectEffect::Tell { to, message }));
+    }
+}
+
 fn tell(to: SocketAddr, number: u64, alive: bool, out: &mut Vec<Effect>) {
     let message = PeerMessage::Seen { number, alive };
     out.push(Effect::Direct(DirectEffect::Tell { to, message }));
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -1,12 +1,12 @@
 //! Forms groups: every member joins, all get ready, the head opens.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::{look, order, retire, Ending, EndingStep, Forming, OrderUse};
 use crate::logic::direct::{DirectState, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
-use crate::types::{InstanceId, Millis, SeatState};
+use crate::types::{GroupSeat, InstanceId, Millis, SeatState};
 
 /// Epochs that one fence has room for.
 const EPOCHS: u64 = 4_096;
@@ -22,7 +22,7 @@
 
 /// Time beyond the published one after which members that aren't ready are
 /// looked at.
-const LATE_MS: Millis = 300;
+const LATE_MS: Millis = 150;
 
 /// Begins a group.
 pub(super) fn begin(
@@ -50,6 +50,7 @@
         model,
         members,
         taken: BTreeSet::new(),
+        seen: BTreeMap::new(),
         asked: now,
         since: now,
         limit: now + takes + SLACK_MS,
@@ -114,7 +115,7 @@
     let seats: Vec<_> = forming
         .members
         .iter()
-        .map(|id| seat(state, id, group))
+        .map(|id| newest(seat(state, id, group), forming.seen.get(id).copied()))
         .collect();
     if seats.first() == Some(&Some(SeatState::Open)) {
         let note = Note::new(NoteCode::GroupOpened)
@@ -193,6 +194,15 @@
     }
 }
 
+/// A member has told its place in a group that is being formed.
+pub(super) fn told(state: &mut DirectState, id: &InstanceId, seat: &GroupSeat) {
+    if let Some(forming) = state.plan.forming.get_mut(&seat.group) {
+        if forming.epoch == seat.epoch {
+            forming.seen.insert(id.clone(), seat.state);
+        }
+    }
+}
+
 /// Whether a member can still be counted on.
 fn stands(state: &DirectState, id: &InstanceId) -> bool {
     let view = state.endpoints.get(id);
@@ -200,6 +210,14 @@
     there && !state.plan.lost.contains_key(id)
 }
 
+/// What is known of a member's place: the list's word, unless its own is ahead.
+fn newest(listed: Option<SeatState>, seen: Option<SeatState>) -> Option<SeatState> {
+    match listed {
+        None | Some(SeatState::Joining) => seen.or(listed),
+        further => further,
+    }
+}
+
 /// How far a member is with its place in this group.
 fn seat(state: &DirectState, id: &InstanceId, group: &Arc<str>) -> Option<SeatState> {
     let seat = state.endpoints.get(id)?.entry.seat.as_ref()?;
--- a/src/logic/direct/plan/forming.rs
+++ b/src/logic/direct/plan/forming.rs
@@ -1,7 +1,7 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::types::{InstanceId, Millis};
+use crate::types::{InstanceId, Millis, SeatState};
 
 /// A group that is being formed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -18,6 +18,8 @@
     pub members: Vec<InstanceId>,
     /// Members that have taken the order to join.
     pub taken: BTreeSet<InstanceId>,
+    /// What members told of this place themselves, where the list lags.
+    pub seen: BTreeMap<InstanceId, SeatState>,
     /// When the orders to join were last given.
     pub asked: Millis,
     /// When it was begun.
--- a/src/logic/direct/plan/inspect.rs
+++ b/src/logic/direct/plan/inspect.rs
@@ -1,6 +1,6 @@
 //! Finds groups that need something: a repair, an orderly end, the next step.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::{look, retire, survey, Ending, EndingStep, Forming, GroupView};
@@ -95,6 +95,7 @@
         model: group.model.clone().unwrap_or_else(|| Arc::from("")),
         members,
         taken,
+        seen: BTreeMap::new(),
         asked: now,
         since: now,
         limit: now + ADOPTED_MS,
--- a/src/logic/direct/plan/look.rs
+++ b/src/logic/direct/plan/look.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::form;
 use crate::logic::direct::{peers, DirectEffect, DirectState, LookResult};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis};
@@ -65,6 +66,18 @@
     found.map(|(id, _)| id.clone()).collect()
 }
 
+/// Looks at everyone who has a place in a group: this planner knows nothing yet.
+pub(super) fn all(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let seated = state
+        .endpoints
+        .iter()
+        .filter(|(_, v)| v.entry.seat.is_some());
+    let seated: Vec<_> = seated.map(|(id, _)| id.clone()).collect();
+    for id in seated {
+        at(state, now, &id, out);
+    }
+}
+
 /// Looks at an endpoint, unless that was done just now.
 pub(super) fn at(state: &mut DirectState, now: Millis, id: &InstanceId, out: &mut Vec<Effect>) {
     let look = state.plan.looks.entry(id.clone()).or_default();
@@ -101,7 +114,7 @@
     let look = state.plan.looks.entry(id.clone()).or_default();
     look.pending = false;
     match result {
-        LookResult::Alive { .. } => {
+        LookResult::Alive { seat, .. } => {
             *look = Look {
                 since: look.since,
                 ..Look::default()
@@ -111,7 +124,11 @@
                     Note::new(NoteCode::EndpointFound).with("endpoint", id),
                 ));
             }
-            // Its place in a group is the list's to say: a report may be older.
+            // Its place in a group is the list's to say, as a report may be older;
+            // but what it says of a group that is being formed is new.
+            if let Some(seat) = seat {
+                form::told(state, id, &seat);
+            }
             calm(state, now, id);
         }
         LookResult::Refused => {
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -3,6 +3,7 @@
 //! A spare joins a group of its own, which never opens: whoever has held a
 //! model joins a group of that model almost at once.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use super::survey::{self, Place};
@@ -17,17 +18,14 @@
 /// Time after which an order to load that shows no effect is given again.
 const AGAIN_MS: Millis = 3_000;
 
+/// Part of the loads at once that members' second models may take.
+const MEMBERS_PART: u32 = 2;
+
 /// Sees to it that endpoints hold models ready.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    if fill::cheap(state) && !state.plan.forming.is_empty() {
-        return;
-    }
     forget(state, now);
     spares(state, now, out);
-    let groups = state.endpoints.values().filter(|v| v.heads()).count();
-    if groups > 0 && state.plan.forming.is_empty() {
-        second(state, now, out);
-    }
+    second(state, now, out);
 }
 
 /// Tells spares that hold no model to hold one.
@@ -38,9 +36,12 @@
         };
         for id in &free {
             let idle = !state.plan.staging.contains_key(id);
-            if !idle || holds_any(state, id, &engine, 0) {
+            let view = state.endpoints.get(id);
+            let holds = view.is_some_and(|v| v.entry.model.is_some());
+            if !idle || holds {
                 continue;
             }
+            // Whoever has left a group shows what it held by holding it again.
             let warm = holds_any(state, id, &engine, 1);
             if !warm && !room(state, &engine) {
                 continue;
@@ -55,9 +56,10 @@
 /// Tells endpoints to load a second model to their hosts.
 ///
 /// A member keeps the model of its group; the host holds another one ready, so
-/// that whoever is left of a group can serve either.
+/// that whoever is left of a group can serve either. Spares come first; members
+/// have their turn while loads are cheap, or while nobody else loads.
 fn second(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    let busy = state.plan.staging.len() as u32;
+    let free: BTreeSet<InstanceId> = survey::free(state).into_values().flatten().collect();
     let mut waiting = Vec::new();
     for (id, view) in &state.endpoints {
         let told = state.plan.staging.contains_key(id);
@@ -66,14 +68,21 @@
         };
         let other = view.entry.staged.iter().any(|m| *m != held);
         if survey::usable(state, id, view) && !other {
-            waiting.push((id.clone(), view.entry.service.clone(), held));
+            let member = !free.contains(id);
+            waiting.push((member, id.clone(), view.entry.service.clone(), held));
         }
     }
-    for (n, (id, service, held)) in waiting.into_iter().enumerate() {
+    waiting.sort();
+    for (member, id, service, held) in waiting {
         let Some(engine) = fill::engine(state, &service) else {
             continue;
         };
-        if n as u32 + busy >= engine.loads_at_once || !room(state, &engine) {
+        let busy = state.plan.staging.len() as u32;
+        let most = match (member, fill::cheap(state)) {
+            (true, false) => engine.loads_at_once / MEMBERS_PART,
+            _ => engine.loads_at_once,
+        };
+        if busy >= most || !room(state, &engine) {
             return;
         }
         let models = fill::by_need(state, &service, &engine);
@@ -97,7 +106,7 @@
     };
     state.plan.staging.retain(|id, staging| {
         let view = endpoints.get(id);
-        let holds = |v: &EndpointView| v.last.as_ref() == Some(&staging.model);
+        let holds = |v: &EndpointView| v.entry.model.as_ref() == Some(&staging.model);
         let lies = |v: &EndpointView| v.entry.staged.contains(&staging.model);
         let waits = |v: &EndpointView| !(holds(v) || (!staging.hold && lies(v)));
         let late = staging.since + 2 * load(id, &staging.model) + AGAIN_MS;
@@ -134,7 +143,8 @@
     engine: &EngineSpec,
 ) -> Option<EngineModel> {
     let warm = |m: &&EngineModel| fill::readiness(state, id, &m.name) < fill::COLD;
-    if let Some(model) = engine.models.iter().find(warm) {
+    let quickest = |m: &&EngineModel| fill::readiness(state, id, &m.name);
+    if let Some(model) = engine.models.iter().filter(warm).min_by_key(quickest) {
         return Some(model.clone());
     }
     let ready = |m: &EngineModel| {
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -10,6 +10,9 @@
     if holds != state.plan.held {
         state.plan.held = holds;
         forget(state);
+        if holds {
+            look::all(state, now, out);
+        }
         if !holds {
             let note = Note::new(NoteCode::DutyLost).with("why", "not renewed in time");
             out.push(Effect::Note(note));
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,12 +1,18 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
-use super::{choose, end, DirectEffect, DirectState, Run, RunRequest};
+use super::{choose, end, DirectEffect, DirectState, Flight, Run, RunRequest};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{Millis, RouteKind};
 
 /// Highest rank that an endpoint knows.
 const LAST_RANK: u8 = 9;
 
+/// Rank at the endpoint: what was refused before, or is half done, comes first.
+fn rank(flight: &Flight) -> u8 {
+    let behind = u8::from(!flight.urgent);
+    (flight.priority + behind).min(LAST_RANK)
+}
+
 /// Sends a request to the endpoint that suits it best, or ends it.
 pub(super) fn next(state: &mut DirectState, now: Millis, id: u64, out: &mut Vec<Effect>) {
     let Some(flight) = state.flights.get(&id).cloned() else {
@@ -16,6 +22,10 @@
         return end::out_of_time(state, id, out);
     }
     let Some(to) = choose::pick(state, now, &flight) else {
+        if now < flight.held {
+            state.waiting.insert((!flight.urgent, id));
+            return;
+        }
         return end::give_up(state, now, id, "no endpoint takes it", out);
     };
     let run = state.number();
@@ -32,6 +42,8 @@
         .with("request", &flight.label)
         .with("endpoint", &to)
         .with("running", view.running)
+        .with("returned", flight.urgent)
+        .with("limit", view.limit)
         .with("beat_age", now.saturating_sub(view.beat_at));
     out.push(Effect::Note(note));
     out.push(Effect::Direct(DirectEffect::Run(Box::new(RunRequest {
@@ -41,7 +53,7 @@
         addr,
         wait_ms: flight.deadline - now,
         account: flight.account.clone(),
-        priority: flight.priority.min(LAST_RANK),
+        priority: rank(&flight),
         last_event: flight.last_event,
         stream: flight.route.kind == RouteKind::Streaming,
         careful: !flight.route.repeatable(),
@@ -50,6 +62,7 @@
     if let Some(flight) = state.flights.get_mut(&id) {
         flight.tried.push(to.clone());
         flight.runs += 1;
+        flight.held = 0;
         flight.run = Some(Run {
             id: run,
             at: to,
@@ -59,6 +72,16 @@
     }
 }
 
+/// Sends what waits for room, the urgent first; what has waited for too long ends.
+pub(super) fn waiting(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    for (_, id) in std::mem::take(&mut state.waiting) {
+        let waits = state.flights.get(&id).is_some_and(|f| f.run.is_none());
+        if waits {
+            next(state, now, id, out);
+        }
+    }
+}
+
 /// Sends a request again after a failed run, where that is allowed and paid for.
 ///
 /// `ran` says whether the failed run may have run.
@@ -83,7 +106,8 @@
     if !allowed || !sends || !pays(state, now, &service) {
         return end::give_up(state, now, id, why, out);
     }
-    if let Some(flight) = state.flights.get(&id) {
+    if let Some(flight) = state.flights.get_mut(&id) {
+        flight.urgent = true;
         let note = Note::new(NoteCode::FlightMoved)
             .with("request", &flight.label)
             .with("why", why)
--- a/src/logic/direct/silence.rs
+++ b/src/logic/direct/silence.rs
@@ -1,12 +1,15 @@
 //! Finds endpoints that have gone silent while they had work.
 
-use super::{end, plan, send, DirectState};
+use super::{end, peers, plan, send, DirectState};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis, RouteKind};
 
 /// Times its usual longest pause that a head may be silent.
 const PAUSES: u64 = 3;
 
+/// Time between two words to the planner about one endpoint.
+const WARN_MS: Millis = 300;
+
 /// Looks for silent heads and moves what waits for them.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let silence = state.knobs.silence_ms;
@@ -29,10 +32,18 @@
                 .with("running", view.running);
             out.push(Effect::Note(note));
         }
-        found.push((id.clone(), still >= limit * 2 || !view.heads()));
+        let warn = now >= view.warned + WARN_MS;
+        if warn {
+            view.warned = now;
+        }
+        found.push((id.clone(), still >= limit * 2 || !view.heads(), warn));
     }
-    for (id, sure) in found {
-        plan::suspect(state, now, &id, out);
+    for (id, sure, warn) in found {
+        if state.plan.duty.holds(now) {
+            plan::suspect(state, now, &id, out);
+        } else if warn {
+            peers::warn(state, &id, out);
+        }
         if sure || plan::given_up(state, &id) {
             leave(state, now, &id, out);
         }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,6 +1,6 @@
 use super::{
-    accept, answer, end, endpoints, peers, plan, silence, DirectEffect, DirectEvent, DirectState,
-    EndStage,
+    accept, answer, end, endpoints, peers, plan, send, silence, DirectEffect, DirectEvent,
+    DirectState, EndStage,
 };
 use crate::logic::{Effect, Event, Note, NoteCode};
 use crate::types::{Millis, Routing};
@@ -24,6 +24,9 @@
         Event::Tick => tend(state, now, out),
         _ => {}
     }
+    if !state.waiting.is_empty() {
+        send::waiting(state, now, out);
+    }
     tell_ready(state, out);
 }
 
