Limits: what was refused before always has room; models weighed by requests too

Change: no limit for returned requests; placement weighs a model halfway between its published share and its part of the requests; second models go to members of large groups first; clippy.

--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -17,6 +17,9 @@
 use crate::logic::Event;
 use crate::types::CallerLimits;
 
+/// The way of events to the actor.
+pub(super) type Sink = Box<dyn Fn(LinkEvent)>;
+
 /// What the tasks of a process share; all of them run on one thread.
 pub(super) struct Shared {
     /// How the platform speaks.
@@ -48,7 +51,7 @@
     /// Socket for other routers.
     pub peers: RefCell<Option<Rc<UdpSocket>>>,
     /// Takes events to the actor.
-    pub sink: RefCell<Option<Box<dyn Fn(LinkEvent)>>>,
+    pub sink: RefCell<Option<Sink>>,
 }
 
 /// A caller that waits for an answer.
--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -13,6 +13,9 @@
 /// has asked before.
 const RETURNED: Millis = 97;
 
+/// Objectives that a request may wait for room which was refused before.
+const RETURNED_HELD: Millis = 3;
+
 /// Part of the objective that a request may wait for room.
 const HELD: Millis = 4;
 
@@ -80,7 +83,11 @@
         .wait_ms
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
+    let returned = wait < route.timeout_ms * RETURNED / 100;
     state.plan.traffic = true;
+    if let Some(model) = &request.model {
+        *state.asked_for.entry(model.clone()).or_default() += 1;
+    }
     let flight = Flight {
         label: request.label,
         service,
@@ -89,8 +96,13 @@
         answer: request.answer,
         account,
         priority,
-        urgent: wait < route.timeout_ms * RETURNED / 100,
-        held: now + route.target_ms / HELD,
+        urgent: returned,
+        held: now
+            + if returned {
+                route.target_ms * RETURNED_HELD
+            } else {
+                route.target_ms / HELD
+            },
         arrived: now,
         deadline: now + wait.max(LEAST_WAIT),
         tried: Vec::new(),
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -31,6 +31,8 @@
     pub flights: BTreeMap<u64, Flight>,
     /// Requests that wait for room: the urgent (false) first, then as they came.
     pub waiting: BTreeSet<(bool, u64)>,
+    /// Requests by the model that they ask for.
+    pub asked_for: BTreeMap<Arc<str>, u64>,
     /// Which request a run belongs to.
     pub runs: BTreeMap<u64, u64>,
     /// Number of the next run, order or call.
@@ -67,6 +69,7 @@
             endpoints: BTreeMap::new(),
             flights: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            asked_for: BTreeMap::new(),
             runs: BTreeMap::new(),
             next: 1,
             retries: BTreeMap::new(),
--- a/src/logic/direct/limit.rs
+++ b/src/logic/direct/limit.rs
@@ -25,8 +25,7 @@
 /// Part of the objective within which a request begins well.
 const WELL: u64 = 2;
 
-/// Whether an endpoint has room for one more run; for what is urgent there is
-/// always some.
+/// Whether an endpoint has room for one more run.
 pub(super) fn room(view: &EndpointView, routers: u64, urgent: bool) -> bool {
     urgent || u64::from(view.running) * ONE < current(view, routers)
 }
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -71,17 +71,9 @@
     state.presence.call = Some(call);
 }
 
-/// A call about the own address has been answered; false where it wasn't one.
-pub(super) fn answered(
-    state: &mut DirectState,
-    now: Millis,
-    call: CallId,
-    result: &StoreResult,
-) -> bool {
+/// A call about the own address has been answered.
+pub(super) fn answered(state: &mut DirectState, now: Millis, result: &StoreResult) {
     let presence = &mut state.presence;
-    if presence.call != Some(call) {
-        return false;
-    }
     presence.call = None;
     match result {
         Ok(StoreReply::Lease { ttl_s: 0, .. }) => *presence = Presence::default(),
@@ -102,7 +94,6 @@
             }
         }
     }
-    true
 }
 
 /// The own keys were read whole.
--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -146,9 +146,16 @@
     let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
     let counts = counts(state, &place.0, engine);
     let all = state.plan.most.max(1);
+    let weights: Vec<f64> = engine
+        .models
+        .iter()
+        .map(|m| weight(state, m, engine))
+        .collect();
     let worth = |mix: &[usize]| {
-        let parts = engine.models.iter().zip(&counts).zip(mix);
-        parts.map(|((m, c), n)| use_of(m, c + n, all)).sum::<f64>()
+        let parts = engine.models.iter().zip(&counts).zip(mix).zip(&weights);
+        parts
+            .map(|(((m, c), n), w)| use_of(m, c + n, all, *w))
+            .sum::<f64>()
     };
     let Some(mix) = best_mix(&able, &sizes, worth) else {
         return;
@@ -164,6 +171,18 @@
     }
 }
 
+/// What the work of a model counts: halfway between its published part of the
+/// instances and its part of the requests seen here.
+fn weight(state: &DirectState, model: &EngineModel, engine: &EngineSpec) -> f64 {
+    let asked = |name: &Arc<str>| state.asked_for.get(name).copied().unwrap_or(0);
+    let all: u64 = engine.models.iter().map(|m| asked(&m.name)).sum();
+    let share = model.share as f64 / 1_000.0;
+    if all == 0 {
+        return share;
+    }
+    (share + asked(&model.name) as f64 / all as f64) / 2.0
+}
+
 fn index(engine: &EngineSpec, model: &EngineModel) -> usize {
     let here = engine.models.iter().position(|m| m.name == model.name);
     here.unwrap_or(0)
--- a/src/logic/direct/plan/mix.rs
+++ b/src/logic/direct/plan/mix.rs
@@ -14,13 +14,13 @@
 /// Worth of so many groups of a model, where a service has `all` instances.
 ///
 /// Grows ever more slowly up to the part of the instances that the model's work
-/// needs, then hardly any more.
-pub(super) fn use_of(model: &EngineModel, groups: usize, all: usize) -> f64 {
+/// needs, then hardly any more. `weight` is what the model's work counts.
+pub(super) fn use_of(model: &EngineModel, groups: usize, all: usize, weight: f64) -> f64 {
     let share = model.share as f64 / 1_000.0;
     let wanted = (all as f64 * share).max(1.0);
     let ratio = (groups * model.size) as f64 / wanted;
     let short = (1.0 - ratio).max(0.0);
-    share * (1.0 - short * short + SURPLUS * ratio.min(2.0))
+    weight * (1.0 - short * short + SURPLUS * ratio.min(2.0))
 }
 
 /// Members of each group to form, by model: the mix with the highest worth that
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::form;
+use super::{form, retire};
 use crate::logic::direct::{DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis};
@@ -77,11 +77,7 @@
                 form::give_up(state, now, &group, &forming, "a member refuses", out);
             }
         }
-        OrderUse::Leave(group) if left(result) => {
-            if state.plan.ending.remove(&group).is_some() {
-                state.plan.ended.insert(group);
-            }
-        }
+        OrderUse::Leave(group) if left(result) => retire::over(state, group),
         OrderUse::Stage(id) if !taken => {
             state.plan.staging.remove(&id);
         }
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -115,6 +115,13 @@
     }
 }
 
+/// The head has left: its group is over.
+pub(super) fn over(state: &mut DirectState, group: Arc<str>) {
+    if state.plan.ending.remove(&group).is_some() {
+        state.plan.ended.insert(group);
+    }
+}
+
 /// Goes on with every group that is being given up.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let names: Vec<_> = state.plan.ending.keys().cloned().collect();
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -3,6 +3,7 @@
 //! A spare joins a group of its own, which never opens: whoever has held a
 //! model joins a group of that model almost at once.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -69,11 +70,16 @@
         let other = view.entry.staged.iter().any(|m| *m != held);
         if survey::usable(state, id, view) && !other {
             let member = !free.contains(id);
-            waiting.push((member, id.clone(), view.entry.service.clone(), held));
+            let service = view.entry.service.clone();
+            let size = fill::engine(state, &service)
+                .and_then(|e| Some(e.model(&held)?.size))
+                .unwrap_or(0);
+            // Members of large groups first: more of them are left over.
+            waiting.push((member, Reverse(size), id.clone(), service, held));
         }
     }
     waiting.sort();
-    for (member, id, service, held) in waiting {
+    for (member, _, id, service, held) in waiting {
         let Some(engine) = fill::engine(state, &service) else {
             continue;
         };
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -10,11 +10,10 @@
 pub(crate) fn step(state: &mut DirectState, now: Millis, event: Event, out: &mut Vec<Effect>) {
     match event {
         Event::Stop => stop(state, now),
-        Event::Store { call, result } => {
-            if !peers::answered(state, now, call, &result) {
-                plan::answered(state, now, call, result, out);
-            }
+        Event::Store { call, result } if state.presence.call == Some(call) => {
+            peers::answered(state, now, &result);
         }
+        Event::Store { call, result } => plan::answered(state, now, call, result, out),
         Event::Watch(changes) => {
             peers::changed(state, &changes);
             plan::changed(state, now, &changes);
