Logs: to standard output from a bounded queue that never blocks

Change: a thread writes lines from a queue of 1,024; beyond half only warnings and errors are taken; what was left out is counted and said. The testkit's process reader follows standard output to the ready line.

--- a/src/cli/serve_command.rs
+++ b/src/cli/serve_command.rs
@@ -1,5 +1,6 @@
 use std::io::Write;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use log::LevelFilter;
 use pico_args::Arguments;
@@ -11,6 +12,7 @@
 use crate::host::{run_agent, run_router, HostEvent, Inbox, Running};
 use crate::link::run_direct;
 use crate::logic::Event;
+use crate::observe::{LogEnd, LogWriter};
 use crate::platform;
 use crate::settings::{AgentSettings, DirectSettings, RouterSettings};
 
@@ -21,12 +23,14 @@
     let file = settings_file(&file)?;
     if DirectSettings::is_meant(&file) {
         let settings = DirectSettings::load(&file).map_err(wrong_file)?;
-        start_log();
-        return run_direct(&settings, platform::dialect()).map_err(cannot_start);
+        let log = start_log()?;
+        let ended = run_direct(&settings, platform::dialect());
+        log.wait(LAST_LINES);
+        return ended.map_err(cannot_start);
     }
     let settings = RouterSettings::load(&file).map_err(wrong_file)?;
-    start_log();
-    serve(run_router(settings).map_err(cannot_start)?)
+    let log = start_log()?;
+    serve(run_router(settings).map_err(cannot_start)?, &log)
 }
 
 /// Runs an agent.
@@ -34,8 +38,8 @@
     let file = required(&mut args, "--settings", "agent")?;
     no_more(args, "agent")?;
     let settings = AgentSettings::load(&settings_file(&file)?).map_err(wrong_file)?;
-    start_log();
-    serve(run_agent(settings).map_err(cannot_start)?)
+    let log = start_log()?;
+    serve(run_agent(settings).map_err(cannot_start)?, &log)
 }
 
 /// The file that is meant: `env:NAME` means the one that a variable names.
@@ -58,19 +62,30 @@
     CliError::new(CliErrorKind::Refused, message).try_this("look at the addresses in [listen]")
 }
 
-fn start_log() {
+/// Longest time for the last lines of the log.
+const LAST_LINES: Duration = Duration::from_millis(300);
+
+/// Starts the log on standard output, a line an event, its level first.
+fn start_log() -> Result<LogEnd, CliError> {
+    let (writer, end) = LogWriter::start(std::io::stdout()).map_err(cannot_start)?;
     // Only a second start fails, and then the first one's log stands.
     let _ = env_logger::Builder::new()
         .filter_level(LevelFilter::Info)
         .parse_default_env()
-        .target(env_logger::Target::Stdout)
+        .format(|out, record| {
+            let (level, time) = (record.level(), out.timestamp_millis());
+            writeln!(out, "{level} {time} {} {}", record.target(), record.args())
+        })
+        .target(env_logger::Target::Pipe(Box::new(writer)))
         .try_init();
+    Ok(end)
 }
 
-fn serve(running: Running) -> Result<(), CliError> {
+fn serve(running: Running, log: &LogEnd) -> Result<(), CliError> {
     stop_on_signal(running.inbox())?;
     print_ready(&running);
     running.wait();
+    log.wait(LAST_LINES);
     Ok(())
 }
 
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -2,10 +2,12 @@
 
 mod event_log;
 mod histograms;
+mod log_writer;
 mod logged_note;
 mod metrics;
 
 pub use event_log::EventLog;
 pub use histograms::{HistogramRow, Histograms};
+pub use log_writer::{LogEnd, LogWriter};
 pub use logged_note::LoggedNote;
 pub use metrics::Metrics;
--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -1,7 +1,9 @@
-use std::io::{BufRead, BufReader};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{kill, Signal};
@@ -40,14 +42,11 @@
             )
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(log)
+            .stderr(log.try_clone().expect("a second handle"))
             .spawn()
             .expect("the binary starts");
-        let mut line = String::new();
         let stdout = child.stdout.take().expect("stdout is piped");
-        BufReader::new(stdout)
-            .read_line(&mut line)
-            .expect("a ready line");
+        let line = follow(stdout, log);
         let addr = |name: &str| {
             let part = line.split_whitespace().find_map(|p| p.strip_prefix(name));
             part.and_then(|a| a.parse().ok())
@@ -101,6 +100,22 @@
     }
 }
 
+/// Copies what a process writes to its log, and returns its line that begins with
+/// `ready`; empty where it ends before.
+fn follow(stdout: impl Read + Send + 'static, mut log: File) -> String {
+    let (ready, line) = channel();
+    std::thread::spawn(move || {
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            if line.starts_with("ready ") {
+                // Only the first is awaited.
+                let _ = ready.send(line.clone());
+            }
+            let _ = writeln!(log, "{line}");
+        }
+    });
+    line.recv().unwrap_or_default()
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.resume();
