--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{look, order, Ending, EndingStep, GroupView, OrderUse};
-use crate::logic::direct::{DirectState, GroupStep};
+use crate::logic::direct::{DirectState, EndpointView, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis, SeatState};
 
@@ -51,6 +51,16 @@
     state.plan.lost.keys().find(heads).cloned()
 }
 
+/// The head of a group, where the list names it by now.
+fn listed_head(state: &DirectState, group: &Arc<str>) -> Option<InstanceId> {
+    let heads = |v: &EndpointView| {
+        let seat = v.entry.seat.as_ref();
+        seat.is_some_and(|s| s.group == *group && s.rank == 0)
+    };
+    let found = state.endpoints.iter().find(|(_, v)| heads(v));
+    found.map(|(id, _)| id.clone())
+}
+
 /// Takes a group on that is to be given up.
 pub(super) fn enter(
     state: &mut DirectState,
@@ -143,6 +153,9 @@
     ending: &mut Ending,
     out: &mut Vec<Effect>,
 ) -> bool {
+    if ending.head.is_none() {
+        ending.head = listed_head(state, group);
+    }
     if stopped(state, now, group, ending) {
         state.plan.ended.insert(group.clone());
         return false;
--- a/src/logic/direct/silence.rs
+++ b/src/logic/direct/silence.rs
@@ -1,6 +1,6 @@
 //! Finds endpoints that have gone silent while they had work.
 
-use super::{end, peers, plan, send, DirectState};
+use super::{choose, end, peers, plan, send, DirectState};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis, RouteKind};
 
@@ -64,6 +64,11 @@
         .map(|(id, _)| *id)
         .collect();
     for id in waiting {
+        // Where nobody else would take it, the silent one may still come back.
+        let other = state.flights.get(&id).cloned();
+        if other.and_then(|f| choose::pick(state, now, &f)).is_none() {
+            continue;
+        }
         end::cancel(state, id, out);
         send::again(state, now, id, true, "the endpoint is silent", out);
     }
--- /dev/null
+++ b/tests/direct/adapter.rs
@@ -0,0 +1,284 @@
+//! What the adapter makes of the platform's messages.
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::BodyExt;
+use proptest::prelude::*;
+use runrail::link::Watched;
+use runrail::logic::direct::{GroupOrder, GroupStep, OrderResult, Problem, RunRequest};
+use runrail::logic::router::{Check, Put, StoreCall, StoreEntry, StoreReply};
+use runrail::platform::dialect;
+use runrail::types::{InstanceId, RouteKind, SeatState};
+
+use crate::fixture::addr;
+
+const CONFIG: &str = r#"{"Version":7,"Routes":[
+ {"Name":"r1","Host":"a.example","PathPrefix":"/x/","Kind":"streaming","TimeoutMs":8000,"SloMs":300,
+  "Priority":1,"Split":[{"Service":"m","Weight":90},{"Service":"s","Weight":10}],"MaxAttempts":2,
+  "Public":false,"Resumable":true,"GapTargetMs":300},
+ {"Name":"r2","Host":"a.example","PathPrefix":"/y/","Kind":"unsafe","TimeoutMs":600,"Service":"s"}],
+ "Services":[{"Name":"m","MaxConns":562,"Engine":{"Slots":48,"Stride":6,"step_ms":5.95,"read_per_s":50700.0,
+  "Models":[{"Name":"big","size":4,"Share":0.57,"pace":1.0,"LoadS":16.0,"WarmupS":1.6}],
+  "LoadsPerS":3.0,"loads_at_once":6,"usual":{"prompt":1038,"answer":167},"Retains":1,"FormMs":300.0}},
+  {"Name":"s","MaxConns":110}],
+ "Limits":{"IdleTimeoutMs":9000},"Tenants":[{"Name":"ann","ApiKeys":["k1","k2"],"Priority":0}],"New":1}"#;
+
+#[test]
+fn the_configuration_becomes_routing() {
+    let routing = (dialect().routing)(CONFIG).expect("readable");
+    assert_eq!(routing.version, 7);
+    let route = routing.route("a.example", "/x/1").expect("a route");
+    assert_eq!((route.kind, route.resumable), (RouteKind::Streaming, true));
+    assert_eq!(route.split.len(), 2);
+    let once = routing.route("a.example", "/y/1").expect("a route");
+    assert_eq!((once.attempts, once.repeatable()), (1, false));
+    let engine = routing.services["m"].engine.as_ref().expect("an engine");
+    assert_eq!(
+        (engine.slots, engine.load_rate, engine.step_us),
+        (48, 3_000, 5_950)
+    );
+    let model = engine.model("big").expect("a model");
+    assert_eq!((model.size, model.share, model.warm_ms), (4, 570, 1_600));
+    assert_eq!(routing.accounts["k2"].priority, Some(0));
+    assert_eq!(routing.limits.idle_ms, 9_000);
+}
+
+#[test]
+fn a_configuration_that_can_not_be_read_is_an_error_that_names_the_place() {
+    let wrong = CONFIG.replace("\"unsafe\"", "\"sometimes\"");
+    let error = (dialect().routing)(&wrong).expect_err("a fault");
+    assert!(
+        error.contains("r2") && error.contains("sometimes"),
+        "{error}"
+    );
+    assert!((dialect().routing)("{").is_err());
+}
+
+#[test]
+fn an_entry_of_the_list_becomes_an_endpoint() {
+    let entry = StoreEntry {
+        key: "servers/i-1".to_string(),
+        value: r#"{"Service":"m","Address":"10.0.0.9:80","Zone":"h","Slots":48,"State":"draining","Seq":4,
+          "Domain":"d0","Staged":["big"],"Models":[{"Name":"big","Version":1,"Adapters":[]}],
+          "group":{"Name":"g7","epoch":12,"rank":0,"State":"open"}}"#
+            .to_string(),
+        revision: 3,
+    };
+    let (id, endpoint) = (dialect().entry)(&entry).expect("readable");
+    assert_eq!(id.as_str(), "i-1");
+    assert!(endpoint.leaving);
+    let seat = endpoint.seat.expect("a place");
+    assert_eq!((seat.epoch, seat.state), (12, SeatState::Open));
+}
+
+fn call() -> http::request::Parts {
+    let request = Request::builder()
+        .method("POST")
+        .uri("/x/1?q=2")
+        .header("host", "A.example:80")
+        .header("authorization", "Bearer k1")
+        .header("x-attempt-id", "abc")
+        .header("x-tenant", "mallory")
+        .header("x-tenant", "eve")
+        .header("x-expect-instance", "other")
+        .header("x-deadline-ms", "8000")
+        .header("x-model", "big")
+        .header("x-token-counts", "1460,80")
+        .header("x-length-hint", "33")
+        .header("connection", "keep-alive, x-private")
+        .header("x-private", "1")
+        .header("x-kept", "yes")
+        .body(())
+        .expect("a request");
+    request.into_parts().0
+}
+
+#[test]
+fn a_clients_request_is_read() {
+    let read = (dialect().request)(&call());
+    assert_eq!(
+        (read.host.as_str(), read.path.as_str()),
+        ("a.example", "/x/1")
+    );
+    assert_eq!((read.prompt, read.answer), (1_460, 33));
+    assert_eq!(read.key.as_deref(), Some("k1"));
+    assert_eq!(read.wait_ms, Some(8_000));
+}
+
+#[test]
+fn a_replica_gets_the_request_unchanged_but_for_what_the_system_sets() {
+    let run = RunRequest {
+        run: 1,
+        request: 1,
+        to: InstanceId::new("i-1"),
+        addr: addr(80),
+        wait_ms: 700,
+        account: Some("ann".into()),
+        priority: 2,
+        last_event: Some(12),
+        stream: true,
+        careful: false,
+    };
+    let sent = (dialect().run)(&run, &call(), Bytes::from_static(b"body"));
+    let text = |name: &str| {
+        let values: Vec<_> = sent.headers().get_all(name).iter().collect();
+        assert!(values.len() <= 1, "{name} twice");
+        values.first().map(|v| v.to_str().unwrap_or("").to_string())
+    };
+    assert_eq!(sent.uri().to_string(), "/x/1?q=2");
+    assert_eq!(text("x-tenant").as_deref(), Some("ann"));
+    assert_eq!(text("x-expect-instance").as_deref(), Some("i-1"));
+    assert_eq!(text("x-deadline-ms").as_deref(), Some("700"));
+    assert_eq!(text("last-event-id").as_deref(), Some("12"));
+    assert_eq!(text("x-attempt-id").as_deref(), Some("abc"));
+    assert_eq!(text("x-kept").as_deref(), Some("yes"));
+    for gone in ["authorization", "connection", "x-private"] {
+        assert_eq!(text(gone), None, "{gone}");
+    }
+}
+
+#[test]
+fn an_answer_for_another_request_is_foreign_and_a_shed_is_a_promise() {
+    let head = |status: u16, headers: &[(&'static str, &str)]| {
+        let mut response = http::Response::new(());
+        *response.status_mut() = StatusCode::from_u16(status).expect("a status");
+        for (name, value) in headers {
+            let value = HeaderValue::from_str(value).expect("a value");
+            response.headers_mut().insert(*name, value);
+        }
+        (dialect().reply)(&response.into_parts().0, "abc")
+    };
+    assert!(head(200, &[("x-attempt-id", "other")]).foreign);
+    assert!(head(200, &[]).foreign);
+    assert!(
+        head(
+            200,
+            &[("x-attempt-id", "abc"), ("content-encoding", "gzip")]
+        )
+        .foreign
+    );
+    let shed = head(503, &[("x-not-run", "1")]);
+    assert!(shed.not_run && !shed.foreign);
+    assert!(head(421, &[]).not_run);
+    let ran = head(503, &[("x-attempt-id", "abc")]);
+    assert!(!ran.not_run);
+    let stream = [
+        ("x-attempt-id", "abc"),
+        ("content-type", "text/event-stream"),
+    ];
+    assert!(head(200, &stream).stream);
+}
+
+#[test]
+fn only_what_did_not_run_is_answered_with_a_promise() {
+    let status = |p| (dialect().problem)(p).status().as_u16();
+    assert_eq!(status(Problem::NotRun(500)), 503);
+    assert_eq!(status(Problem::NotYet), 503);
+    assert_eq!(status(Problem::Unknown), 502);
+    assert_eq!(status(Problem::TimedOut), 504);
+    let answer = (dialect().problem)(Problem::NotRun(1_250));
+    assert_eq!(answer.headers()["retry-after"], "1.250");
+}
+
+#[test]
+fn orders_and_their_answers() {
+    let order = GroupOrder {
+        what: GroupStep::Join {
+            group: "g7".into(),
+            epoch: 12,
+            model: "big".into(),
+            members: vec![InstanceId::new("i-1"), InstanceId::new("i-2")],
+        },
+        fence: 9,
+    };
+    let request = (dialect().order)(&InstanceId::new("i-1"), "10.0.0.1:80", &order);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .expect("a runtime");
+    let body = runtime
+        .block_on(request.into_body().collect())
+        .expect("a body")
+        .to_bytes();
+    let body: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+    assert_eq!(body["Operation"], "join");
+    assert_eq!(body["Members"][0], "i-1");
+    assert_eq!(body["Fence"], 9);
+    let read = |status| (dialect().ordered)(StatusCode::from_u16(status).expect("a status"));
+    assert_eq!(read(202), OrderResult::Begun);
+    assert_eq!(read(200), OrderResult::Done);
+    assert_eq!(read(409), OrderResult::Unfit);
+    assert_eq!(read(412), OrderResult::Outdated);
+    assert_eq!(read(421), OrderResult::Gone);
+    assert_eq!(read(503), OrderResult::Unanswered);
+}
+
+#[test]
+fn calls_to_the_store_and_their_answers() {
+    let swap = StoreCall::Swap {
+        checks: vec![Check {
+            key: "k".to_string(),
+            revision: 0,
+        }],
+        puts: vec![Put {
+            key: "k".to_string(),
+            value: "v".to_string(),
+            lease: Some(4),
+        }],
+        deletes: Vec::new(),
+        reads: Vec::new(),
+    };
+    let reply = |status, body: &str| {
+        let status = StatusCode::from_u16(status).expect("a status");
+        (dialect().reply_of)(&swap, status, body.as_bytes())
+    };
+    let done = reply(200, r#"{"Revision":412}"#).expect("an answer");
+    assert!(matches!(
+        done,
+        StoreReply::Swapped {
+            done: true,
+            revision: 412,
+            ..
+        }
+    ));
+    let held = r#"{"Items":[{"Key":"k","Value":"eA==","Revision":5,"Created":5,"Lease":0}]}"#;
+    let refused = reply(412, held).expect("an answer");
+    assert!(
+        matches!(refused, StoreReply::Swapped { done: false, ref entries, .. } if entries[0].value == "x")
+    );
+    assert!(reply(503, "").is_err() && reply(429, "").is_err());
+    let ended = (dialect().reply_of)(&StoreCall::Renew { lease: 4 }, StatusCode::NOT_FOUND, b"");
+    assert_eq!(ended, Ok(StoreReply::Lease { lease: 4, ttl_s: 0 }));
+    let gone = (dialect().watched)(StatusCode::GONE, b"{}");
+    assert_eq!(gone, Watched::Forgotten);
+    let events = br#"{"events":[{"Key":"a","Value":"eA==","Revision":4},{"Key":"b","Revision":5,"Removed":true}],"AsOf":6}"#;
+    match (dialect().watched)(StatusCode::OK, events) {
+        Watched::Changes { revision, changes } => {
+            assert_eq!(revision, 6);
+            assert_eq!(changes[0].value.as_deref(), Some("x"));
+            assert_eq!(changes[1].value, None);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+proptest! {
+    #[test]
+    fn nothing_that_arrives_makes_the_adapter_panic(bytes in prop::collection::vec(any::<u8>(), 0..300), status in 100u16..600) {
+        let status = StatusCode::from_u16(status).expect("a status");
+        let text = String::from_utf8_lossy(&bytes).to_string();
+        let _ = (dialect().routing)(&text);
+        let entry = StoreEntry { key: text.clone(), value: text, revision: 1 };
+        let _ = (dialect().entry)(&entry);
+        let _ = (dialect().paged)(status, &bytes);
+        let _ = (dialect().watched)(status, &bytes);
+        let _ = (dialect().looked)(status, &bytes);
+        let _ = (dialect().reply_of)(&StoreCall::Grant { ttl_s: 1 }, status, &bytes);
+    }
+
+    #[test]
+    fn a_configuration_cut_anywhere_is_refused_not_taken(cut in 1usize..1_200) {
+        if cut < CONFIG.trim_end().len() {
+            prop_assert!((dialect().routing)(&CONFIG[..cut]).is_err());
+        }
+    }
+}
--- /dev/null
+++ b/tests/direct/answers.rs
@@ -0,0 +1,144 @@
+//! Answers, retries and resumed streams.
+
+use runrail::logic::direct::{DirectEffect, DirectEvent, Problem, RunPart};
+
+use crate::fixture::{open_group, piece, plain, problem, run, Router};
+
+fn two_groups() -> Router {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend(open_group("h", [4, 5, 6]));
+    Router::new(entries)
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_another_head_and_no_event_comes_twice() {
+    let mut router = two_groups();
+    let first = run(&router.ask(1, "/stream/x"));
+    assert_eq!(router.part(first.run, RunPart::Head).len(), 1);
+    router.part(first.run, piece(1));
+    router.part(first.run, piece(2));
+    let second = run(&router.part(first.run, RunPart::Broken));
+    assert_ne!(second.to, first.to);
+    assert_eq!(second.last_event, Some(2));
+    let head = router.part(second.run, RunPart::Head);
+    assert!(head.is_empty(), "the first head stands: {head:?}");
+    assert!(router.part(second.run, piece(2)).is_empty());
+    assert_eq!(router.part(second.run, piece(3)).len(), 1);
+    let end = router.part(second.run, RunPart::End);
+    assert_eq!(end, vec![DirectEffect::Finish(1)]);
+}
+
+#[test]
+fn parts_of_a_run_that_was_left_change_nothing() {
+    let mut router = two_groups();
+    let first = run(&router.ask(1, "/stream/x"));
+    router.part(first.run, RunPart::Head);
+    router.part(first.run, RunPart::Broken);
+    assert!(router.part(first.run, piece(1)).is_empty());
+    assert!(router.part(first.run, RunPart::End).is_empty());
+}
+
+#[test]
+fn what_may_not_be_repeated_is_sent_again_only_where_it_did_not_run() {
+    let mut router = Router::new(vec![plain(1), plain(2)]);
+    let first = run(&router.ask(1, "/once/x"));
+    assert!(first.careful, "only a connection that is sure to be open");
+    let shed = RunPart::Whole {
+        status: 503,
+        not_run: true,
+    };
+    let second = run(&router.part(first.run, shed));
+    assert_ne!(second.to, first.to);
+    let end = router.part(second.run, RunPart::Broken);
+    assert_eq!(problem(&end), Some(Problem::Unknown), "never a promise");
+}
+
+#[test]
+fn an_endpoints_own_failure_is_passed_on_where_nothing_may_be_repeated() {
+    let mut router = Router::new(vec![plain(1), plain(2)]);
+    let failed = |not_run| RunPart::Whole {
+        status: 500,
+        not_run,
+    };
+    let once = run(&router.ask(1, "/once/x"));
+    let passed = router.part(once.run, failed(false));
+    assert!(matches!(passed[..], [DirectEffect::PassWhole { .. }]));
+    let safe = run(&router.ask(2, "/safe/x"));
+    let again = run(&router.part(safe.run, failed(false)));
+    assert_ne!(again.to, safe.to);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_run_at_once() {
+    let mut router = two_groups();
+    let sent = run(&router.ask(1, "/stream/x"));
+    router.tell(DirectEvent::Gone(1));
+    assert_eq!(router.take(), vec![DirectEffect::Cancel(sent.run)]);
+}
+
+#[test]
+fn a_request_ends_at_its_time_and_is_not_held_without_hope() {
+    let mut router = two_groups();
+    router.ask(1, "/stream/x");
+    router.pass(5_100);
+    assert_eq!(problem(&router.take()), Some(Problem::TimedOut));
+    let mut empty = Router::new(Vec::new());
+    empty.ask(1, "/stream/x");
+    empty.pass(140);
+    let told = problem(&empty.take());
+    assert!(
+        matches!(told, Some(Problem::NotRun(ms)) if ms > 0),
+        "{told:?}"
+    );
+}
+
+#[test]
+fn streams_of_a_silent_head_move_after_twice_the_limit() {
+    let mut router = two_groups();
+    let first = run(&router.ask(1, "/stream/x"));
+    router.part(first.run, RunPart::Head);
+    router.part(first.run, piece(1));
+    router.pass(600);
+    let effects = router.take();
+    assert!(effects.contains(&DirectEffect::Cancel(first.run)));
+    assert_eq!(run(&effects).last_event, Some(1));
+}
+
+#[test]
+fn a_stream_stays_with_a_silent_head_where_nobody_else_would_take_it() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let first = run(&router.ask(1, "/stream/x"));
+    router.part(first.run, RunPart::Head);
+    router.pass(1_500);
+    let ends = |e: &DirectEffect| matches!(e, DirectEffect::Cancel(_) | DirectEffect::Cut(_));
+    assert!(!router.take().iter().any(ends));
+    assert_eq!(router.part(first.run, piece(1)).len(), 1);
+}
+
+#[test]
+fn an_endpoint_that_leaves_gets_nothing_new() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries[0].1.leaving = true;
+    let mut router = Router::new(entries);
+    router.ask(1, "/stream/x");
+    router.pass(140);
+    assert!(matches!(problem(&router.take()), Some(Problem::NotRun(_))));
+}
+
+#[test]
+fn retries_keep_to_a_share_of_the_requests() {
+    let mut router = Router::new((1..30).map(plain).collect());
+    let mut again = 0;
+    for id in 0..400 {
+        let sent = run(&router.ask(id, "/safe/x"));
+        let failed = RunPart::Whole {
+            status: 500,
+            not_run: false,
+        };
+        let effects = router.part(sent.run, failed);
+        again += usize::from(effects.iter().any(|e| matches!(e, DirectEffect::Run(_))));
+        router.pass(20);
+    }
+    // 200 in 1,000 requests and a sixteenth of 160, in any ten seconds.
+    assert!((60..=115).contains(&again), "{again}");
+}
--- /dev/null
+++ b/tests/direct/fixture.rs
@@ -0,0 +1,325 @@
+//! A router over its reducer, with a small fleet around it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use runrail::logic::direct::{
+    DirectEffect, DirectEvent, DirectKnobs, DirectRequest, DirectState, GroupOrder, GroupStep,
+    LookResult, OrderResult, Problem, RunPart, RunRequest,
+};
+use runrail::logic::router::{StoreCall, StoreReply};
+use runrail::logic::{step, Effect, Event, Node};
+use runrail::types::{
+    EndpointEntry, EngineModel, EngineSpec, GroupSeat, InstanceId, KeyedAccount, RouteKind,
+    RouteSpec, Routing, SeatState, ServiceSpec,
+};
+
+/// Name of the large model.
+pub const MODEL: &str = "big";
+/// Fence that the planner gets.
+pub const FENCE: i64 = 7;
+
+/// A router, its time and what it has done since the last look.
+pub struct Router {
+    node: Node,
+    pub now: u64,
+    pub done: Vec<Effect>,
+}
+
+impl Router {
+    /// A router that knows the routing and the list, without the planner's duty.
+    pub fn new(entries: Vec<(InstanceId, EndpointEntry)>) -> Self {
+        let mut router = Self::bare();
+        router.tell(DirectEvent::Routing(Arc::new(routing(1))));
+        router.tell(DirectEvent::List(entries));
+        router
+    }
+
+    /// A router that knows nothing yet.
+    pub fn bare() -> Self {
+        let me = InstanceId::new("r1");
+        let mut state = DirectState::new(me, "h1", 5, DirectKnobs::default());
+        state.addr = Some(addr(900));
+        Self {
+            node: Node::Direct(Box::new(state)),
+            now: 1_000,
+            done: Vec::new(),
+        }
+    }
+
+    /// The same with the planner's duty.
+    pub fn planner(entries: Vec<(InstanceId, EndpointEntry)>) -> Self {
+        let mut router = Self::new(entries);
+        router.state().plan.traffic = true;
+        router.pass(400);
+        assert!(router.holds(), "the duty was taken");
+        router
+    }
+
+    pub fn holds(&mut self) -> bool {
+        let now = self.now;
+        self.state().plan.duty.holds(now)
+    }
+
+    pub fn state(&mut self) -> &mut DirectState {
+        match &mut self.node {
+            Node::Direct(state) => state,
+            _ => unreachable!("a router with direct links"),
+        }
+    }
+
+    /// Feeds an event; the key-value service answers at once.
+    pub fn feed(&mut self, event: Event) {
+        let effects = step(&mut self.node, self.now, event);
+        for effect in effects {
+            if let Effect::Store { call, op } = &effect {
+                let reply = match op {
+                    StoreCall::Read { .. } => StoreReply::Entries {
+                        revision: 1,
+                        entries: Vec::new(),
+                    },
+                    StoreCall::Swap { .. } => StoreReply::Swapped {
+                        done: true,
+                        revision: FENCE,
+                        entries: Vec::new(),
+                    },
+                    StoreCall::Grant { ttl_s } => StoreReply::Lease {
+                        lease: 3,
+                        ttl_s: *ttl_s,
+                    },
+                    StoreCall::Renew { lease } | StoreCall::Revoke { lease } => StoreReply::Lease {
+                        lease: *lease,
+                        ttl_s: 1,
+                    },
+                };
+                let event = Event::Store {
+                    call: *call,
+                    result: Ok(reply),
+                };
+                self.feed(event);
+            }
+            self.done.push(effect);
+        }
+    }
+
+    pub fn tell(&mut self, event: DirectEvent) {
+        self.feed(Event::Direct(event));
+    }
+
+    /// Lets time pass in ticks.
+    pub fn pass(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now = (self.now + 20).min(end);
+            self.feed(Event::Tick);
+        }
+    }
+
+    pub fn take(&mut self) -> Vec<DirectEffect> {
+        let done = std::mem::take(&mut self.done);
+        done.into_iter()
+            .filter_map(|e| match e {
+                Effect::Direct(effect) => Some(effect),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Sends a request and returns what the router did about it.
+    pub fn ask(&mut self, id: u64, path: &str) -> Vec<DirectEffect> {
+        self.take();
+        self.tell(DirectEvent::Request(Box::new(request(id, path))));
+        self.take()
+    }
+
+    pub fn part(&mut self, run: u64, part: RunPart) -> Vec<DirectEffect> {
+        self.tell(DirectEvent::Part { run, part });
+        self.take()
+    }
+
+    pub fn change(&mut self, id: &str, entry: Option<EndpointEntry>) {
+        let id = InstanceId::new(id);
+        self.tell(DirectEvent::Changes(vec![(id, entry)]));
+    }
+
+    pub fn looked(&mut self, id: &str, result: LookResult) {
+        let id = InstanceId::new(id);
+        self.tell(DirectEvent::Looked { id, result });
+    }
+
+    /// Joins ordered so far, with their members.
+    pub fn joins(&mut self) -> Vec<(String, Vec<String>)> {
+        let effects = self.take();
+        let mut joins: Vec<(String, Vec<String>)> = Vec::new();
+        for effect in effects {
+            if let Some((_, _, GroupStep::Join { group, members, .. })) = order(&effect) {
+                let members: Vec<_> = members.iter().map(|m| m.to_string()).collect();
+                if members.len() > 1 && joins.iter().all(|(g, _)| *g != **group) {
+                    joins.push((group.to_string(), members));
+                }
+            }
+        }
+        joins
+    }
+
+    pub fn answer_order(&mut self, order: u64, result: OrderResult) {
+        self.tell(DirectEvent::Ordered { order, result });
+    }
+}
+
+/// The order in an effect: its number, its endpoint, what is to be done.
+pub fn order(effect: &DirectEffect) -> Option<(u64, String, &GroupStep)> {
+    match effect {
+        DirectEffect::Order {
+            order,
+            id,
+            body: GroupOrder { what, .. },
+            ..
+        } => Some((*order, id.to_string(), what)),
+        _ => None,
+    }
+}
+
+/// The only run in some effects.
+pub fn run(effects: &[DirectEffect]) -> RunRequest {
+    let mut runs = effects.iter().filter_map(|e| match e {
+        DirectEffect::Run(run) => Some((**run).clone()),
+        _ => None,
+    });
+    runs.next().expect("a run")
+}
+
+/// The problem that a caller was told, if any.
+pub fn problem(effects: &[DirectEffect]) -> Option<Problem> {
+    effects.iter().find_map(|e| match e {
+        DirectEffect::Refuse { problem, .. } => Some(*problem),
+        _ => None,
+    })
+}
+
+pub fn piece(id: u64) -> RunPart {
+    RunPart::Piece {
+        id: Some(id),
+        bytes: Bytes::from(format!("id: {id}\n\n")),
+    }
+}
+
+pub fn addr(port: u16) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn request(id: u64, path: &str) -> DirectRequest {
+    DirectRequest {
+        id,
+        label: format!("q{id}"),
+        host: "a.example".to_string(),
+        path: path.to_string(),
+        key: Some("key-1".to_string()),
+        wait_ms: Some(5_000),
+        model: Some(MODEL.into()),
+        prompt: 100,
+        answer: 50,
+        last_event: None,
+    }
+}
+
+/// Routes `/stream/`, `/once/` and `/safe/`, and one model of three instances.
+pub fn routing(version: u64) -> Routing {
+    let mut routing = Routing {
+        version,
+        keyed: true,
+        ..Routing::default()
+    };
+    let route = |prefix: &str, kind, service: &str| RouteSpec {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        kind,
+        resumable: kind == RouteKind::Streaming,
+        timeout_ms: 5_000,
+        target_ms: 400,
+        gap_ms: 300,
+        attempts: 2,
+        priority: 1,
+        open: false,
+        split: vec![(service.into(), 1)],
+    };
+    routing.add_route("a.example", route("/stream/", RouteKind::Streaming, "pool"));
+    routing.add_route("a.example", route("/once/", RouteKind::Unsafe, "gate"));
+    routing.add_route("a.example", route("/safe/", RouteKind::Safe, "gate"));
+    let account = Arc::new(KeyedAccount {
+        name: "ann".into(),
+        priority: None,
+    });
+    routing.accounts.insert("key-1".into(), account);
+    let model = |name: &str, size, share| EngineModel {
+        name: name.into(),
+        size,
+        pace: 1_000,
+        share,
+        load_ms: 12_000,
+        warm_ms: 1_000,
+    };
+    let engine = EngineSpec {
+        slots: 48,
+        stride: 6,
+        step_us: 6_000,
+        read_rate: 50_000,
+        load_rate: 3_000,
+        loads_at_once: 6,
+        keeps: 1,
+        form_ms: 300,
+        models: vec![model(MODEL, 3, 600), model("small", 2, 400)],
+        ..EngineSpec::default()
+    };
+    for (name, engine) in [("pool", Some(engine)), ("gate", None)] {
+        let spec = ServiceSpec {
+            name: name.into(),
+            connections: 100,
+            engine,
+        };
+        routing.services.insert(name.into(), Arc::new(spec));
+    }
+    routing
+}
+
+/// An endpoint of the plain service.
+pub fn plain(n: u16) -> (InstanceId, EndpointEntry) {
+    let (id, mut entry) = engine(n, None);
+    entry.service = "gate".into();
+    entry.domain = "".into();
+    entry.model = None;
+    entry.staged = Vec::new();
+    (InstanceId::new(&format!("p{}", id)), entry)
+}
+
+/// An engine that holds the model, with a place in a group where one is given.
+pub fn engine(n: u16, seat: Option<GroupSeat>) -> (InstanceId, EndpointEntry) {
+    let entry = EndpointEntry {
+        service: "pool".into(),
+        addr: addr(1_000 + n),
+        hall: "h1".into(),
+        slots: 48,
+        leaving: false,
+        beats: 1,
+        domain: "d1".into(),
+        staged: vec![MODEL.into()],
+        model: Some(MODEL.into()),
+        seat,
+    };
+    (InstanceId::new(&format!("e{n}")), entry)
+}
+
+pub fn seat(group: &str, rank: usize, state: SeatState) -> Option<GroupSeat> {
+    Some(GroupSeat {
+        group: group.into(),
+        epoch: 3,
+        rank,
+        state,
+    })
+}
+
+/// An open group of three, first of the numbers being the head.
+pub fn open_group(name: &str, numbers: [u16; 3]) -> Vec<(InstanceId, EndpointEntry)> {
+    let member = |(rank, n): (usize, u16)| engine(n, seat(name, rank, SeatState::Open));
+    numbers.into_iter().enumerate().map(member).collect()
+}
--- /dev/null
+++ b/tests/direct/limits.rs
@@ -0,0 +1,50 @@
+//! How much goes to one head.
+
+use runrail::logic::direct::{DirectEffect, DirectEvent, Problem, RunPart};
+
+use crate::fixture::{open_group, problem, request, run, Router};
+
+#[test]
+fn requests_that_begin_late_lower_the_limit_and_the_rest_is_refused_early() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let mut runs = Vec::new();
+    for id in 0..40 {
+        runs.push(run(&router.ask(id, "/stream/x")).run);
+    }
+    for run in runs.drain(..20) {
+        router.pass(200);
+        router.part(run, RunPart::Head);
+    }
+    router.take();
+    router.tell(DirectEvent::Request(Box::new(request(100, "/stream/x"))));
+    let held = router.take();
+    assert!(held.is_empty(), "it may wait a moment: {held:?}");
+    router.pass(140);
+    assert!(matches!(problem(&router.take()), Some(Problem::NotRun(_))));
+}
+
+#[test]
+fn what_was_refused_before_has_room() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    for id in 0..48 {
+        router.ask(id, "/stream/x");
+    }
+    let mut back = request(100, "/stream/x");
+    back.wait_ms = Some(3_000);
+    router.take();
+    router.tell(DirectEvent::Request(Box::new(back)));
+    assert_eq!(run(&router.take()).priority, 1, "and goes before others");
+}
+
+#[test]
+fn a_request_that_waits_goes_out_when_room_is_made() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let first = run(&router.ask(0, "/stream/x"));
+    for id in 1..48 {
+        router.ask(id, "/stream/x");
+    }
+    assert!(router.ask(100, "/stream/x").is_empty());
+    let effects = router.part(first.run, RunPart::End);
+    let sent = |e: &&DirectEffect| matches!(e, DirectEffect::Run(r) if r.request == 100);
+    assert_eq!(effects.iter().filter(sent).count(), 1);
+}
--- /dev/null
+++ b/tests/direct/main.rs
@@ -0,0 +1,14 @@
+//! Routers with direct links: decisions, adapter and links, without the bench.
+
+mod adapter;
+mod answers;
+mod duty;
+mod fixture;
+mod limits;
+mod logs;
+mod names;
+mod placing;
+mod repair;
+mod routes;
+mod splitting;
+mod stopping;
--- /dev/null
+++ b/tests/direct/repair.rs
@@ -0,0 +1,218 @@
+//! Groups: found lost, given up, formed anew. Rules TWO and PARTIAL.
+
+use runrail::logic::direct::{
+    DirectEffect, DirectEvent, GroupStep, LookResult, OrderResult, PeerMessage,
+};
+use runrail::types::{InstanceId, SeatState};
+
+use crate::fixture::{addr, engine, open_group, order, seat, Router};
+
+/// Three open, two spares that hold the model.
+fn fleet() -> Vec<(InstanceId, runrail::types::EndpointEntry)> {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend([engine(4, None), engine(5, None)]);
+    entries
+}
+
+/// Makes the planner miss an endpoint.
+fn lose(router: &mut Router, id: &str) {
+    router.looked(id, LookResult::Silent);
+    router.looked(id, LookResult::Silent);
+}
+
+fn alive() -> LookResult {
+    LookResult::Alive {
+        seat: None,
+        pace: 1_000,
+    }
+}
+
+/// Numbers of the orders to leave a group, by endpoint.
+fn leaves(effects: &[DirectEffect]) -> Vec<(u64, String)> {
+    let leave = |e| match order(e) {
+        Some((n, id, GroupStep::Leave { .. })) => Some((n, id)),
+        _ => None,
+    };
+    effects.iter().filter_map(leave).collect()
+}
+
+#[test]
+fn a_group_with_a_lost_member_leaves_first_and_is_formed_from_survivors_and_a_spare() {
+    let mut router = Router::planner(fleet());
+    router.take();
+    lose(&mut router, "e3");
+    router.pass(60);
+    let effects = router.take();
+    let left = leaves(&effects);
+    assert_eq!(left.len(), 1, "{effects:?}");
+    assert_eq!(left[0].1, "e1", "the head is told");
+    assert!(!effects.iter().any(
+        |e| matches!(order(e), Some((_, _, GroupStep::Join { members, .. })) if members.len() > 1)
+    ));
+    router.answer_order(left[0].0, OrderResult::Done);
+    router.pass(60);
+    let joins = router.joins();
+    assert_eq!(joins.len(), 1);
+    assert_eq!(joins[0].1.len(), 3);
+    assert!(!joins[0].1.contains(&"e3".to_string()));
+}
+
+#[test]
+fn an_outdated_order_to_leave_frees_nobody() {
+    let mut router = Router::planner(fleet());
+    router.take();
+    lose(&mut router, "e3");
+    router.pass(60);
+    let left = leaves(&router.take());
+    router.answer_order(left[0].0, OrderResult::Outdated);
+    router.pass(200);
+    assert!(
+        router.joins().is_empty(),
+        "another planner gives orders now"
+    );
+}
+
+#[test]
+fn a_silent_head_counts_as_open_until_other_routers_miss_it_too() {
+    for agree in [true, false] {
+        let mut router = Router::planner(fleet());
+        for n in [1, 2, 3] {
+            router
+                .state()
+                .peers
+                .insert(InstanceId::new(&format!("r{n}")), addr(800 + n));
+        }
+        router.take();
+        lose(&mut router, "e1");
+        let asked: Vec<u64> = router
+            .take()
+            .iter()
+            .filter_map(|e| match e {
+                DirectEffect::Tell {
+                    message: PeerMessage::Ask { number, .. },
+                    ..
+                } => Some(*number),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(asked.len(), 3);
+        for number in asked {
+            let message = PeerMessage::Seen {
+                number,
+                alive: !agree,
+            };
+            let from = addr(801);
+            router.tell(DirectEvent::Peer { from, message });
+        }
+        router.pass(200);
+        assert_eq!(!router.joins().is_empty(), agree);
+    }
+}
+
+#[test]
+fn a_head_that_nobody_vouches_for_counts_as_open_until_it_must_have_broken() {
+    let mut router = Router::planner(fleet());
+    router.take();
+    lose(&mut router, "e1");
+    router.pass(1_000);
+    let effects = router.take();
+    let told: Vec<_> = leaves(&effects).into_iter().map(|(_, id)| id).collect();
+    assert!(told.contains(&"e2".to_string()) && told.contains(&"e3".to_string()));
+    router.pass(3_500);
+    assert!(router.joins().is_empty(), "the head may still be open");
+    router.pass(1_000);
+    assert!(!router.joins().is_empty());
+}
+
+/// Found on kyklos-hq trouble-2: after a restart of all routers the list lacked
+/// a living head.
+#[test]
+fn a_head_that_the_list_lacks_is_not_a_lost_head() {
+    let mut entries = fleet();
+    entries.remove(0);
+    let mut router = Router::planner(entries);
+    router.take();
+    router.pass(2_500);
+    assert!(router.joins().is_empty());
+    let (id, head) = open_group("g", [1, 2, 3]).remove(0);
+    router.change(id.as_str(), Some(head));
+    router.pass(300);
+    let told = leaves(&router.take());
+    assert!(
+        told.iter().any(|(_, id)| id == "e1"),
+        "it is told to leave: {told:?}"
+    );
+}
+
+/// Found by a hunt, kyklos-hq scale-1 1098609848397.
+#[test]
+fn a_report_does_not_free_a_member_that_the_list_shows_in_an_open_group() {
+    let mut router = Router::planner(fleet());
+    router.take();
+    for id in ["e1", "e2", "e3"] {
+        router.looked(id, alive());
+    }
+    router.pass(300);
+    assert!(router.joins().is_empty());
+    let orders: Vec<_> = router
+        .take()
+        .iter()
+        .filter_map(|e| order(e).map(|o| o.1))
+        .collect();
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
+#[test]
+fn a_group_opens_only_when_every_member_is_ready() {
+    let entries = vec![
+        engine(1, seat("g", 0, SeatState::Ready)),
+        engine(2, seat("g", 1, SeatState::Joining)),
+        engine(3, seat("g", 2, SeatState::Ready)),
+    ];
+    let mut router = Router::planner(entries);
+    router.pass(300);
+    let opens = |effects: &[DirectEffect]| {
+        let open = |e| matches!(order(e), Some((_, _, GroupStep::Open { .. })));
+        effects.iter().filter(|e| open(e)).count()
+    };
+    assert_eq!(opens(&router.take()), 0);
+    let (_, ready) = engine(2, seat("g", 1, SeatState::Ready));
+    router.change("e2", Some(ready));
+    router.pass(60);
+    assert_eq!(
+        opens(&router.take()),
+        1,
+        "another planner's group is finished"
+    );
+}
+
+#[test]
+fn an_endpoint_that_left_the_list_is_looked_at_before_its_group_is_touched() {
+    let mut router = Router::planner(fleet());
+    for id in ["e1", "e2", "e3"] {
+        router.looked(id, alive());
+    }
+    router.pass(500);
+    router.take();
+    router.change("e2", None);
+    router.pass(60);
+    let effects = router.take();
+    assert!(leaves(&effects).is_empty());
+    let looks =
+        |e: &&DirectEffect| matches!(e, DirectEffect::Look { id, .. } if id.as_str() == "e2");
+    assert_eq!(effects.iter().filter(looks).count(), 1);
+}
+
+#[test]
+fn a_member_that_is_leaving_drains_its_group_before_it_is_given_up() {
+    let mut router = Router::planner(fleet());
+    router.take();
+    let (_, mut entry) = open_group("g", [1, 2, 3]).remove(1);
+    entry.leaving = true;
+    router.change("e2", Some(entry));
+    router.pass(60);
+    let effects = router.take();
+    let closes = |e: &&DirectEffect| matches!(order(e), Some((_, _, GroupStep::Close { .. })));
+    assert_eq!(effects.iter().filter(closes).count(), 1);
+    assert!(leaves(&effects).is_empty());
+}
--- /dev/null
+++ b/tests/direct/routes.rs
@@ -0,0 +1,54 @@
+//! Routes, accounts and versions.
+
+use std::sync::Arc;
+
+use runrail::logic::direct::{DirectEvent, Problem};
+use runrail::types::RouteKind;
+
+use crate::fixture::{open_group, plain, problem, routing, run, Router};
+
+#[test]
+fn a_router_that_knows_nothing_says_come_back_never_no_such_route() {
+    let mut router = Router::bare();
+    assert_eq!(problem(&router.ask(1, "/stream/x")), Some(Problem::NotYet));
+    router.tell(DirectEvent::Routing(Arc::new(routing(1))));
+    assert_eq!(problem(&router.ask(2, "/none/x")), Some(Problem::NotYet));
+}
+
+#[test]
+fn the_longest_prefix_wins_and_an_older_version_changes_nothing() {
+    let mut router = Router::new(vec![plain(1)]);
+    let mut newer = routing(5);
+    let mut longer = (**newer.route("a.example", "/safe/x").expect("a route")).clone();
+    longer.prefix = "/safe/x/".into();
+    longer.split = vec![("nowhere".into(), 1)];
+    newer.add_route("a.example", longer);
+    router.tell(DirectEvent::Routing(Arc::new(newer)));
+    router.tell(DirectEvent::Routing(Arc::new(routing(4))));
+    let version = router.state().routing.as_ref().map(|r| r.version);
+    assert_eq!(version, Some(5));
+    assert!(matches!(run(&router.ask(1, "/safe/y")).to.as_str(), "pe1"));
+    let nowhere = router.ask(2, "/safe/x/y");
+    assert!(!nowhere.iter().any(|e| format!("{e:?}").starts_with("Run")));
+}
+
+#[test]
+fn an_unknown_key_is_refused_and_a_known_one_becomes_its_account() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let mut stranger = crate::fixture::request(1, "/stream/x");
+    stranger.key = Some("other".to_string());
+    router.tell(DirectEvent::Request(Box::new(stranger)));
+    assert_eq!(problem(&router.take()), Some(Problem::NoAccount));
+    let sent = run(&router.ask(2, "/stream/x"));
+    assert_eq!(sent.account.as_deref(), Some("ann"));
+    assert_eq!(sent.to.as_str(), "e1", "only the head takes requests");
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let mut route = (**routing(1).route("a.example", "/safe/").expect("a route")).clone();
+    assert_eq!(route.kind, RouteKind::Safe);
+    route.split = vec![("a".into(), 90), ("b".into(), 10)];
+    let to_b = (0..100).filter(|n| route.service(*n).is_some_and(|s| &**s == "b"));
+    assert_eq!(to_b.count(), 10);
+}
