Silence: a silent head is left at once only with another sign, else after four limits

Cause: under load all heads pause together; streams were moved among slow heads after two limits, which adds their prompts to the load.

--- a/src/logic/direct/silence.rs
+++ b/src/logic/direct/silence.rs
@@ -10,6 +10,10 @@
 /// Time between two words to the planner about one endpoint.
 const WARN_MS: Millis = 300;
 
+/// Times the limit after which a silent head is left without any other sign. Under
+/// load heads are slow together, and moving streams among them adds to it.
+const SURE: u64 = 4;
+
 /// Looks for silent heads and moves what waits for them.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let silence = state.knobs.silence_ms;
@@ -36,7 +40,7 @@
         if warn {
             view.warned = now;
         }
-        found.push((id.clone(), still >= limit * 2 || !view.heads(), warn));
+        found.push((id.clone(), still >= limit * SURE || !view.heads(), warn));
     }
     for (id, sure, warn) in found {
         if state.plan.duty.holds(now) {
