--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -7,6 +7,10 @@
 /// Time that an endpoint which has left the list is remembered.
 const REMEMBERED_MS: Millis = 15_000;
 
+/// Shortest pause that lies between two passes of an engine; what comes sooner
+/// belongs to the same pass.
+const PASS_MS: Millis = 15;
+
 /// Time that a full endpoint gets nothing new.
 const FULL_MS: Millis = 60;
 
@@ -97,7 +101,9 @@
         return;
     };
     let pause = now.saturating_sub(view.heard);
-    view.pause = pause.max(view.pause - view.pause / 16);
+    if pause >= PASS_MS {
+        view.pause = pause.max(view.pause - view.pause / 16);
+    }
     view.heard = now;
     view.silent = None;
 }
