--- a/src/logic/direct/limit.rs
+++ b/src/logic/direct/limit.rs
@@ -25,9 +25,15 @@
 /// Part of the objective within which a request begins well.
 const WELL: u64 = 2;
 
+/// How far what is urgent may go beyond the limit, in hundredths: refusing a
+/// request twice costs its caller most, but letting all in makes all late.
+const URGENT: u64 = 150;
+
 /// Whether an endpoint has room for one more run.
 pub(super) fn room(view: &EndpointView, routers: u64, urgent: bool) -> bool {
-    urgent || u64::from(view.running) * ONE < current(view, routers)
+    let limit = current(view, routers);
+    let limit = if urgent { limit * URGENT / 100 } else { limit };
+    u64::from(view.running) * ONE < limit
 }
 
 /// The limit in force: at first each router's even part of the slots.
