Planner: trades a group for others that add clearly more; readiest join first

Cause: after a domain's return one model stood with four groups and the other with one; and a group of four waited 2 s for one cold member while warm ones were free.

--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -5,10 +5,10 @@
 
 use super::mix::{best_mix, use_of};
 use super::survey::{self, Place};
-use super::{form, place, PlaceInput, PlaceModel};
+use super::{form, place, retire, GroupView, PlaceInput, PlaceModel};
 use crate::logic::direct::DirectState;
-use crate::logic::Effect;
-use crate::types::{EngineModel, EngineSpec, InstanceId, Millis};
+use crate::logic::{Effect, Note, NoteCode};
+use crate::types::{EngineModel, EngineSpec, InstanceId, Millis, SeatState};
 
 /// Time without a new endpoint after which the first placement is made.
 const SETTLED_MS: Millis = 500;
@@ -19,6 +19,12 @@
 /// Time of a join where the endpoint held the model just before.
 const AGAIN_MS: Millis = 200;
 
+/// What a trade must add at least, as part of all that a service does.
+const TRADE: f64 = 0.06;
+
+/// Shortest time between two trades.
+const TRADES_MS: Millis = 3_000;
+
 /// Forms what can be formed.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let free = survey::free(state);
@@ -34,6 +40,23 @@
         };
         repair(state, now, &place, &free, &engine, out);
     }
+    trades(state, now, out);
+}
+
+/// Looks for a group to trade where nothing else is being done.
+fn trades(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let busy = !state.plan.forming.is_empty() || !state.plan.ending.is_empty();
+    if busy || now < state.plan.traded + TRADES_MS {
+        return;
+    }
+    for (place, free) in survey::free(state) {
+        if let Some(engine) = engine(state, &place.0) {
+            trade(state, now, &place, &free, &engine, out);
+        }
+        if state.plan.traded == now {
+            return;
+        }
+    }
 }
 
 /// Whether loads are cheap: the system is new and no caller has come yet.
@@ -136,31 +159,11 @@
     engine: &EngineSpec,
     out: &mut Vec<Effect>,
 ) {
-    let able: Vec<Vec<u8>> = free
-        .iter()
-        .map(|id| {
-            let ready = |m: &EngineModel| readiness(state, id, &m.name);
-            engine.models.iter().map(ready).collect()
-        })
-        .collect();
-    let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
     let counts = counts(state, &place.0, engine);
-    let all = state.plan.most.max(1);
-    let weights: Vec<f64> = engine
-        .models
-        .iter()
-        .map(|m| weight(state, m, engine))
-        .collect();
-    let worth = |mix: &[usize]| {
-        let parts = engine.models.iter().zip(&counts).zip(mix).zip(&weights);
-        parts
-            .map(|(((m, c), n), w)| use_of(m, c + n, all, *w))
-            .sum::<f64>()
-    };
-    let Some(mix) = best_mix(&able, &sizes, worth) else {
-        return;
-    };
-    for (members, model) in mix.into_iter().zip(&engine.models) {
+    let able = able(state, free, engine);
+    let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
+    let mix = best_mix(&able, &sizes, worth(state, engine, &counts));
+    for (members, model) in mix.into_iter().flatten().zip(&engine.models) {
         for members in members {
             let warm = members.iter().any(|n| able[*n][index(engine, model)] > 0);
             let load = if warm { model.warm_ms } else { AGAIN_MS };
@@ -171,6 +174,93 @@
     }
 }
 
+/// Gives an open group up where its members and the free endpoints of its place
+/// would add clearly more as other groups.
+fn trade(
+    state: &mut DirectState,
+    now: Millis,
+    place: &Place,
+    free: &[InstanceId],
+    engine: &EngineSpec,
+    out: &mut Vec<Effect>,
+) {
+    let counts = counts(state, &place.0, engine);
+    let none = vec![0; engine.models.len()];
+    let before = worth(state, engine, &counts)(&none);
+    let mut best: Option<(f64, Arc<str>, GroupView)> = None;
+    for (name, group) in survey::groups(state) {
+        let here = group.service == place.0 && group.domain == place.1;
+        let open = group.head().is_some_and(|h| h.state == SeatState::Open);
+        if here && open {
+            let gain = without(state, &group, free, engine, &counts) - before;
+            if gain > TRADE && best.as_ref().is_none_or(|(g, ..)| gain > *g) {
+                best = Some((gain, name, group));
+            }
+        }
+    }
+    let Some((gain, name, group)) = best else {
+        return;
+    };
+    state.plan.traded = now;
+    let note = Note::new(NoteCode::GroupTraded)
+        .with("group", &name)
+        .with("gain", format!("{gain:.3}"));
+    out.push(Effect::Note(note));
+    retire::begin(state, now, &name, &group, true, out);
+}
+
+/// Worth of a service if a group's members and the free endpoints formed anew.
+fn without(
+    state: &DirectState,
+    group: &GroupView,
+    free: &[InstanceId],
+    engine: &EngineSpec,
+    counts: &[usize],
+) -> f64 {
+    let at = engine
+        .models
+        .iter()
+        .position(|m| Some(&m.name) == group.model.as_ref());
+    let Some(at) = at.filter(|at| counts[*at] > 0) else {
+        return 0.0;
+    };
+    let mut fewer = counts.to_vec();
+    fewer[at] -= 1;
+    let mut all = free.to_vec();
+    all.extend(group.seats.values().map(|s| s.id.clone()));
+    let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
+    let worth = worth(state, engine, &fewer);
+    let mix = best_mix(&able(state, &all, engine), &sizes, &worth);
+    let mix = mix.map(|m| m.iter().map(Vec::len).collect::<Vec<_>>());
+    mix.map_or(0.0, |mix| worth(&mix))
+}
+
+/// Readiness of endpoints for each model.
+fn able(state: &DirectState, ids: &[InstanceId], engine: &EngineSpec) -> Vec<Vec<u8>> {
+    let one = |id: &InstanceId| {
+        let ready = |m: &EngineModel| readiness(state, id, &m.name);
+        engine.models.iter().map(ready).collect()
+    };
+    ids.iter().map(one).collect()
+}
+
+/// Worth of a service with some groups of each model, and a mix beside.
+fn worth<'a>(
+    state: &DirectState,
+    engine: &'a EngineSpec,
+    counts: &'a [usize],
+) -> impl Fn(&[usize]) -> f64 + 'a {
+    let all = state.plan.most.max(1);
+    let of = |m: &EngineModel| weight(state, m, engine);
+    let weights: Vec<f64> = engine.models.iter().map(of).collect();
+    move |mix: &[usize]| {
+        let parts = engine.models.iter().zip(counts).zip(mix).zip(&weights);
+        parts
+            .map(|(((m, c), n), w)| use_of(m, c + n, all, *w))
+            .sum()
+    }
+}
+
 /// What the work of a model counts: halfway between its published part of the
 /// instances and its part of the requests seen here.
 fn weight(state: &DirectState, model: &EngineModel, engine: &EngineSpec) -> f64 {
--- a/src/logic/direct/plan/mix.rs
+++ b/src/logic/direct/plan/mix.rs
@@ -64,29 +64,43 @@
     mixes
 }
 
-/// Gives endpoints to the groups of a mix: those first that can do least, each
-/// to the model that it is readiest for. `None` where they can't serve it.
+/// Gives endpoints to the groups of a mix: the readiest first, or, where that
+/// doesn't come out, those first that can do least. `None` where neither does.
 fn assign(able: &[Vec<u8>], sizes: &[usize], mix: &[usize]) -> Option<Vec<Vec<Vec<usize>>>> {
-    let mut open: Vec<usize> = mix.iter().zip(sizes).map(|(c, s)| c * s).collect();
-    let mut given: Vec<Vec<usize>> = vec![Vec::new(); sizes.len()];
-    let mut order: Vec<usize> = (0..able.len()).collect();
     let choices = |n: &usize| able[*n].iter().filter(|r| **r < COLD).count();
     let quickest = |n: &usize| able[*n].iter().min().copied().unwrap_or(COLD);
-    order.sort_by_key(|n| (choices(n), quickest(n)));
+    let mut order: Vec<usize> = (0..able.len()).collect();
+    order.sort_by_key(|n| (quickest(n), choices(n)));
+    let ready = assign_in(&order, able, sizes, mix);
+    ready.or_else(|| {
+        order.sort_by_key(|n| (choices(n), quickest(n)));
+        assign_in(&order, able, sizes, mix)
+    })
+}
+
+/// Gives endpoints, in this order, each to the model that it is readiest for.
+fn assign_in(
+    order: &[usize],
+    able: &[Vec<u8>],
+    sizes: &[usize],
+    mix: &[usize],
+) -> Option<Vec<Vec<Vec<usize>>>> {
+    let mut open: Vec<usize> = mix.iter().zip(sizes).map(|(c, s)| c * s).collect();
+    let mut given: Vec<Vec<usize>> = vec![Vec::new(); sizes.len()];
     for n in order {
-        let fits = |m: &usize| open[*m] > 0 && able[n][*m] < COLD;
-        let model = (0..sizes.len()).filter(fits).min_by_key(|m| able[n][*m]);
+        let fits = |m: &usize| open[*m] > 0 && able[*n][*m] < COLD;
+        let model = (0..sizes.len()).filter(fits).min_by_key(|m| able[*n][*m]);
         if let Some(model) = model {
             open[model] -= 1;
-            given[model].push(n);
+            given[model].push(*n);
         }
     }
     if open.iter().any(|n| *n > 0) {
         return None;
     }
-    let groups = given.into_iter().zip(sizes).map(|(mut members, size)| {
-        let ready = std::mem::take(&mut members);
-        ready.chunks(*size).map(<[usize]>::to_vec).collect()
-    });
+    let groups = given
+        .into_iter()
+        .zip(sizes)
+        .map(|(members, size)| members.chunks(*size).map(<[usize]>::to_vec).collect());
     Some(groups.collect())
 }
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -31,6 +31,8 @@
     pub orders: BTreeMap<u64, OrderUse>,
     /// Loads from the weight store that this planner has caused lately.
     pub loads: VecDeque<Millis>,
+    /// When a group was last traded for others.
+    pub traded: Millis,
     /// Groups named so far under this fence.
     pub named: u64,
     /// Endpoints of engines at the last look, and when their number last changed.
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -133,6 +133,7 @@
     GroupEnding = 633 Info "group given up";
     OrderFailed = 634 Warn "order not taken";
     StageOrdered = 635 Info "endpoint told to load a model to its host";
+    GroupTraded = 636 Info "group given up for others that add more";
     FlightSent = 640 Debug "request sent to an endpoint";
     FlightMoved = 641 Info "request sent again";
     FlightAnswered = 642 Debug "request answered whole";
