--- a/src/cli/check_command.rs
+++ b/src/cli/check_command.rs
@@ -4,7 +4,7 @@
 
 use super::command::{no_more, optional};
 use super::{CliError, CliErrorKind};
-use crate::settings::{AgentSettings, RouterSettings};
+use crate::settings::{AgentSettings, DirectSettings, RouterSettings};
 use crate::types::{BundleBody, BundleFault};
 
 /// Checks files and lists all their faults.
@@ -45,14 +45,17 @@
     let text = std::fs::read_to_string(path).unwrap_or_default();
     let guessed = if text.contains("[endpoint]") {
         "agent"
+    } else if DirectSettings::is_meant(path) {
+        "direct"
     } else {
         "router"
     };
     let result = match role.unwrap_or(guessed) {
         "router" => RouterSettings::load(path).map(|_| ()),
         "agent" => AgentSettings::load(path).map(|_| ()),
+        "direct" => DirectSettings::load(path).map(|_| ()),
         other => {
-            let message = format!("--role: found {other:?}, expected router or agent");
+            let message = format!("--role: found {other:?}, expected router, direct or agent");
             return Err(CliError::usage(message, "check"));
         }
     };
--- a/src/cli/explain_command.rs
+++ b/src/cli/explain_command.rs
@@ -1,6 +1,9 @@
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+
 use pico_args::Arguments;
 
-use super::command::no_more;
+use super::command::{no_more, optional};
 use super::operator_client::OperatorClient;
 use super::{CliError, CliErrorKind};
 use crate::observe::LoggedNote;
@@ -8,6 +11,9 @@
 /// Shows the events that mention a subject.
 pub(super) fn explain(mut args: Arguments) -> Result<(), CliError> {
     let json = args.contains("--json");
+    if let Some(file) = optional(&mut args, "--log", "explain")? {
+        return explain_log(args, &file);
+    }
     let client = OperatorClient::from_args(&mut args, "explain")?;
     let subject: String = args
         .free_from_str()
@@ -28,3 +34,37 @@
     }
     Ok(())
 }
+
+/// Shows the lines of a log that mention a subject; `-` is standard input.
+fn explain_log(args: Arguments, file: &str) -> Result<(), CliError> {
+    let mut args = args;
+    let subject: String = args
+        .free_from_str()
+        .map_err(|_| CliError::usage("SUBJECT is missing", "explain"))?;
+    no_more(args, "explain")?;
+    let lines: Box<dyn BufRead> = if file == "-" {
+        Box::new(io::stdin().lock())
+    } else {
+        let open = File::open(file);
+        let open = open.map_err(|e| CliError::new(CliErrorKind::File, format!("{file}: {e}")))?;
+        Box::new(BufReader::new(open))
+    };
+    let mut found = 0;
+    for line in lines.lines().map_while(Result::ok) {
+        if mentions(&line, &subject) {
+            println!("{line}");
+            found += 1;
+        }
+    }
+    if found == 0 {
+        println!("no line about {subject}; look at the other routers' logs, too");
+    }
+    Ok(())
+}
+
+/// Whether a value of a logged event is the subject, or a list with it.
+fn mentions(line: &str, subject: &str) -> bool {
+    let values = line.split('"').skip(1).step_by(2);
+    let mut parts = values.flat_map(|v| v.split(','));
+    parts.any(|part| part == subject)
+}
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -104,6 +104,7 @@
 Show what a router did about a group, an instance, a bundle or a request
 
 Usage: runrail explain SUBJECT [--json] [--router ADDR] [--token-file FILE]
+       runrail explain SUBJECT --log FILE    (`-` reads standard input)
 
 SUBJECT is a group's id (as in `runrail status`), an instance's name or a
 request's id (header `Runrail-Request`).
--- a/src/logic/direct/end.rs
+++ b/src/logic/direct/end.rs
@@ -80,7 +80,19 @@
         out.push(Effect::Direct(DirectEffect::Cut(id)));
         return;
     }
-    refuse(id, &flight.label, problem, why, out);
+    let note = Note::new(NoteCode::FlightRefused)
+        .with("request", &flight.label)
+        .with("problem", problem.name())
+        .with("why", why)
+        .with("model", flight.model.as_deref().unwrap_or("-"))
+        .with("sends", flight.tried.len())
+        .with("runs", flight.runs)
+        .with("returned", flight.urgent);
+    out.push(Effect::Note(note));
+    out.push(Effect::Direct(DirectEffect::Refuse {
+        request: id,
+        problem,
+    }));
 }
 
 /// Gives a caller a final answer of the router's own.
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -33,6 +33,7 @@
         return end::give_up(state, now, id, "no endpoint takes it", out);
     };
     let run = state.number();
+    let version = state.routing.as_ref().map_or(0, |r| r.version);
     let Some(view) = state.endpoints.get_mut(&to) else {
         return;
     };
@@ -48,7 +49,8 @@
         .with("running", view.running)
         .with("returned", flight.urgent)
         .with("limit", view.limit)
-        .with("beat_age", now.saturating_sub(view.beat_at));
+        .with("beat_age", now.saturating_sub(view.beat_at))
+        .with("version", version);
     out.push(Effect::Note(note));
     out.push(Effect::Direct(DirectEffect::Run(Box::new(RunRequest {
         run,
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -134,10 +134,10 @@
     OrderFailed = 634 Warn "order not taken";
     StageOrdered = 635 Info "endpoint told to load a model to its host";
     GroupTraded = 636 Info "group given up for others that add more";
-    FlightSent = 640 Debug "request sent to an endpoint";
+    FlightSent = 640 Info "request sent to an endpoint";
     FlightMoved = 641 Info "request sent again";
-    FlightAnswered = 642 Debug "request answered whole";
+    FlightAnswered = 642 Info "request answered whole";
     FlightRefused = 643 Info "request refused";
     FlightCut = 644 Warn "stream broken off";
-    FlightLeft = 645 Debug "caller left";
+    FlightLeft = 645 Info "caller left";
 }
--- /dev/null
+++ b/tests/direct/command_line.rs
@@ -0,0 +1,48 @@
+//! Settings and the command line for direct links.
+
+use std::process::{Command, Output};
+
+fn run(args: &[&str]) -> Output {
+    let command = Command::new(env!("CARGO_BIN_EXE_runrail"))
+        .args(args)
+        .output();
+    command.expect("the binary runs")
+}
+
+#[test]
+fn the_sample_settings_are_good() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/settings/direct.ini");
+    let output = run(&["check", "--settings", file]);
+    assert!(output.status.success(), "{output:?}");
+}
+
+#[test]
+fn five_faults_are_named_in_one_go() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("wrong.ini");
+    let text = "[instance]\nid = a\n[listen]\ncallers = here\n[direct]\nstore = 1.2.3.4\nfirst_start = maybe\n\
+                [planner]\nlease_ms = 5\n";
+    std::fs::write(&file, text).expect("a file");
+    let output = run(&["check", "--settings", &file.display().to_string()]);
+    assert_eq!(output.status.code(), Some(2));
+    let told = String::from_utf8_lossy(&output.stderr).to_string();
+    for place in ["hall", "callers", "store", "first_start", "lease_ms"] {
+        assert!(told.contains(place), "{place}: {told}");
+    }
+}
+
+#[test]
+fn a_log_is_explained_by_id_from_a_file() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("log");
+    let text = "INFO t runrail E640 request sent to an endpoint request=\"ab\" endpoint=\"e1\"\n\
+                INFO t runrail E640 request sent to an endpoint request=\"abc\" endpoint=\"e1\"\n\
+                INFO t runrail E630 group is being formed group=\"g\" members=\"e1,e2\"\n";
+    std::fs::write(&file, text).expect("a file");
+    let file = file.display().to_string();
+    let lines = |subject: &str| {
+        let output = run(&["explain", subject, "--log", &file]);
+        String::from_utf8_lossy(&output.stdout).lines().count()
+    };
+    assert_eq!((lines("ab"), lines("e2"), lines("e1")), (1, 1, 3));
+}
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod answers;
+mod command_line;
 mod duty;
 mod fixture;
 mod limits;
