Peers: a router that is asked looks, it doesn't answer from memory

Ruled out: load (the same answer shows in a test of the reducer alone). Change: it looks. Test: a_router_that_is_asked_looks..., failed first.

--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -28,9 +28,6 @@
 /// Pause after a call that failed.
 const AGAIN_MS: Millis = 500;
 
-/// How fresh a sign of life must be to answer for an endpoint without a look.
-const FRESH_MS: Millis = 150;
-
 /// State of a router's own address in the key-value service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Presence {
@@ -159,10 +156,6 @@
 ) {
     match message {
         PeerMessage::Ask { number, id, addr } => {
-            let view = state.endpoints.get(&id);
-            if view.is_some_and(|v| v.running > 0 && now < v.heard + FRESH_MS) {
-                return tell(from, number, true, out);
-            }
             state
                 .asked
                 .entry(id.clone())
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -224,3 +224,29 @@
     assert_eq!(effects.iter().filter(closes).count(), 1);
     assert!(leaves(&effects).is_empty());
 }
+
+/// Found by the whole path over real processes: a router that had heard the head
+/// just before it died vouched for it, and the repair took 4 s longer.
+#[test]
+fn a_router_that_is_asked_looks_and_does_not_answer_from_memory() {
+    let mut router = Router::new(fleet());
+    let sent = crate::fixture::run(&router.ask(1, "/stream/x"));
+    router.part(sent.run, runrail::logic::direct::RunPart::Head);
+    let message = PeerMessage::Ask {
+        number: 77,
+        id: InstanceId::new("e1"),
+        addr: addr(1_001),
+    };
+    let from = addr(802);
+    router.tell(DirectEvent::Peer { from, message });
+    let effects = router.take();
+    let looks = |e: &DirectEffect| matches!(e, DirectEffect::Look { .. });
+    assert!(effects.iter().any(looks), "{effects:?}");
+    router.looked("e1", LookResult::Silent);
+    let message = PeerMessage::Seen {
+        number: 77,
+        alive: false,
+    };
+    let told = DirectEffect::Tell { to: from, message };
+    assert!(router.take().contains(&told));
+}
