Silence ends with the group, and is forgiven; the planner's look without squares

Cause 1 (soak test a_lost_member..., once in six runs; traced with its logs): a head that formed anew while a router missed it stayed marked silent there, got nothing, and a half given stream that could only go there was cut. Change: marks of an endpoint end with its group; silence without work is forgiven after a second; counts are made once a look; the first placement takes what holds its model, loads under way are bounded, routers tell the planner of the first caller. Tests: both new ones failed before.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{end, send, DirectRequest, DirectState, EndStage, Flight, Problem};
+use super::{end, peers, send, DirectRequest, DirectState, EndStage, Flight, Problem};
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
 
@@ -84,7 +84,10 @@
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
     let returned = wait < route.timeout_ms * RETURNED / 100;
-    state.plan.traffic = true;
+    if !state.plan.traffic {
+        state.plan.traffic = true;
+        peers::traffic(state, out);
+    }
     if let Some(model) = &request.model {
         *state.asked_for.entry(model.clone()).or_default() += 1;
     }
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -70,8 +70,15 @@
     if entry.beats != view.entry.beats {
         view.beat_at = now;
     }
-    if view.entry.seat != entry.seat {
+    let group = |e: &EndpointEntry| e.seat.as_ref().map(|s| s.epoch);
+    if group(&view.entry) != group(&entry) {
+        // In another group it is as good as another endpoint.
         view.limit = 0;
+        view.silent = None;
+        view.heard = now;
+        view.pause = 0;
+        view.shunned = 0;
+        view.failures = 0;
     }
     view.listed = true;
     view.last = entry.model.clone().or_else(|| view.last.take());
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -21,6 +21,8 @@
         /// The endpoint.
         id: InstanceId,
     },
+    /// The first caller has come to the sender; for the planner.
+    Traffic,
     /// What was seen.
     Seen {
         /// Number of the question.
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -163,6 +163,7 @@
                 .push((from, number));
             out.push(Effect::Direct(DirectEffect::Look { id, addr }));
         }
+        PeerMessage::Traffic => state.plan.traffic = true,
         PeerMessage::Silent { id } => plan::suspect(state, now, &id, out),
         PeerMessage::Seen { number, alive } => plan::seen(state, number, alive),
     }
@@ -170,9 +171,17 @@
 
 /// Tells the planner that an endpoint is silent here.
 pub(super) fn warn(state: &DirectState, id: &InstanceId, out: &mut Vec<Effect>) {
+    tell_planner(state, PeerMessage::Silent { id: id.clone() }, out);
+}
+
+/// Tells the planner that the first caller has come.
+pub(super) fn traffic(state: &DirectState, out: &mut Vec<Effect>) {
+    tell_planner(state, PeerMessage::Traffic, out);
+}
+
+fn tell_planner(state: &DirectState, message: PeerMessage, out: &mut Vec<Effect>) {
     let holder = state.plan.duty.holder.as_deref().map(InstanceId::new);
     if let Some(to) = holder.and_then(|h| state.peers.get(&h)).copied() {
-        let message = PeerMessage::Silent { id: id.clone() };
         out.push(Effect::Direct(DirectEffect::Tell { to, message }));
     }
 }
--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -13,9 +13,6 @@
 /// Time without a new endpoint after which the first placement is made.
 const SETTLED_MS: Millis = 500;
 
-/// Times that loads are faster before the first request.
-const CHEAP: Millis = 10;
-
 /// Time of a join where the endpoint held the model just before.
 const AGAIN_MS: Millis = 200;
 
@@ -122,7 +119,7 @@
     targets
 }
 
-/// The first placement: loads are cheap, so every endpoint will do.
+/// The first placement, from endpoints that hold what they need.
 fn first(
     state: &mut DirectState,
     now: Millis,
@@ -130,6 +127,7 @@
     out: &mut Vec<Effect>,
 ) {
     let targets = targets(state);
+    let mut standing = standing(state);
     for (place, mut free) in free {
         let Some(engine) = engine(state, &place.0) else {
             continue;
@@ -137,12 +135,16 @@
         for model in &engine.models {
             let key = (place.clone(), model.name.clone());
             let wanted = targets.get(&key).copied().unwrap_or(0);
-            while standing(state).get(&key).copied().unwrap_or(0) < wanted
-                && free.len() >= model.size
-            {
+            let stands = standing.entry(key).or_default();
+            while *stands < wanted {
                 sort(state, &mut free, &model.name);
+                let ready = |id: &InstanceId| readiness(state, id, &model.name) < COLD;
+                if free.iter().take_while(|id| ready(id)).count() < model.size {
+                    break;
+                }
+                *stands += 1;
                 let members = free.drain(..model.size).collect();
-                let takes = model.load_ms / CHEAP + engine.form_ms;
+                let takes = model.warm_ms + engine.form_ms;
                 form::begin(state, now, &place, model.name.clone(), members, takes, out);
             }
         }
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -4,7 +4,7 @@
 //! model joins a group of that model almost at once.
 
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::survey::{self, Place};
@@ -19,6 +19,9 @@
 /// Time after which an order to load that shows no effect is given again.
 const AGAIN_MS: Millis = 3_000;
 
+/// Times the loads at once that may be under way while loads are cheap.
+const PARALLEL: usize = 3;
+
 /// Part of the loads at once that members' second models may take.
 const MEMBERS_PART: u32 = 2;
 
@@ -31,6 +34,7 @@
 
 /// Tells spares that hold no model to hold one.
 fn spares(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let heads = heads(state);
     for (place, free) in survey::free(state) {
         let Some(engine) = fill::engine(state, &place.0) else {
             continue;
@@ -47,7 +51,7 @@
             if !warm && !room(state, &engine) {
                 continue;
             }
-            if let Some(model) = choose(state, &place, &free, id, &engine) {
+            if let Some(model) = choose(state, &place, &free, id, &engine, &heads) {
                 give(state, now, id, &model.name, !warm, out);
             }
         }
@@ -61,6 +65,7 @@
 /// have their turn while loads are cheap, or while nobody else loads.
 fn second(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let free: BTreeSet<InstanceId> = survey::free(state).into_values().flatten().collect();
+    let mut engines: BTreeMap<Arc<str>, Option<(EngineSpec, Vec<EngineModel>)>> = BTreeMap::new();
     let mut waiting = Vec::new();
     for (id, view) in &state.endpoints {
         let told = state.plan.staging.contains_key(id);
@@ -68,31 +73,34 @@
             continue;
         };
         let other = view.entry.staged.iter().any(|m| *m != held);
-        if survey::usable(state, id, view) && !other {
-            let member = !free.contains(id);
-            let service = view.entry.service.clone();
-            let size = fill::engine(state, &service)
-                .and_then(|e| Some(e.model(&held)?.size))
-                .unwrap_or(0);
-            // Members of large groups first: more of them are left over.
-            waiting.push((member, Reverse(size), id.clone(), service, held));
+        if other || !survey::usable(state, id, view) {
+            continue;
         }
+        let service = view.entry.service.clone();
+        let engine = engines.entry(service.clone()).or_insert_with(|| {
+            let engine = fill::engine(state, &service)?;
+            let models = fill::by_need(state, &service, &engine);
+            Some((engine, models))
+        });
+        let size = engine.as_ref().and_then(|(e, _)| e.model(&held));
+        // Members of large groups first: more of them are left over.
+        let order = (!free.contains(id), Reverse(size.map_or(0, |m| m.size)));
+        waiting.push((order, id.clone(), service, held));
     }
     waiting.sort();
-    for (member, _, id, service, held) in waiting {
-        let Some(engine) = fill::engine(state, &service) else {
+    let cheap = fill::cheap(state);
+    for (order, id, service, held) in waiting {
+        let Some(Some((engine, models))) = engines.get(&service) else {
             continue;
         };
-        let busy = state.plan.staging.len() as u32;
-        let most = match (member, fill::cheap(state)) {
+        let most = match (order.0, cheap) {
             (true, false) => engine.loads_at_once / MEMBERS_PART,
             _ => engine.loads_at_once,
         };
-        if busy >= most || !room(state, &engine) {
+        if state.plan.staging.len() as u32 >= most || !room(state, engine) {
             return;
         }
-        let models = fill::by_need(state, &service, &engine);
-        if let Some(model) = models.into_iter().find(|m| m.name != held) {
+        if let Some(model) = models.iter().find(|m| m.name != held) {
             let step = GroupStep::Stage {
                 model: model.name.clone(),
             };
@@ -137,7 +145,24 @@
 /// Whether another load may begin within the published rate.
 fn room(state: &DirectState, engine: &EngineSpec) -> bool {
     let most = engine.load_rate * WINDOW_MS / 1_000_000;
-    fill::cheap(state) || (state.plan.loads.len() as u64) < most
+    // Before the first request loads don't count; but what is under way when it
+    // comes does not get cheaper.
+    let few = state.plan.staging.len() < PARALLEL * engine.loads_at_once as usize;
+    (fill::cheap(state) && few) || (state.plan.loads.len() as u64) < most
+}
+
+/// Open groups by domain and model.
+type Heads = BTreeMap<(Arc<str>, Arc<str>), usize>;
+
+fn heads(state: &DirectState) -> Heads {
+    let mut heads = Heads::new();
+    for view in state.endpoints.values().filter(|v| v.heads()) {
+        if let Some(model) = &view.entry.model {
+            let key = (view.entry.domain.clone(), model.clone());
+            *heads.entry(key).or_default() += 1;
+        }
+    }
+    heads
 }
 
 /// The model that a spare of this place is most likely to be needed for.
@@ -147,6 +172,7 @@
     free: &[InstanceId],
     id: &InstanceId,
     engine: &EngineSpec,
+    heads: &Heads,
 ) -> Option<EngineModel> {
     let warm = |m: &&EngineModel| fill::readiness(state, id, &m.name) < fill::COLD;
     let quickest = |m: &&EngineModel| fill::readiness(state, id, &m.name);
@@ -161,10 +187,8 @@
         free.iter().filter(staged).count()
     };
     let groups = |m: &EngineModel| {
-        let here = |v: &&EndpointView| {
-            v.heads() && v.entry.domain == place.1 && v.entry.model.as_ref() == Some(&m.name)
-        };
-        state.endpoints.values().filter(here).count()
+        let key = (place.1.clone(), m.name.clone());
+        heads.get(&key).copied().unwrap_or(0)
     };
     if engine.models.iter().all(|m| groups(m) == 0) {
         // Nothing stands yet: as the work is shared.
--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -1,6 +1,6 @@
 //! Reads groups and free endpoints from the list.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::{GroupView, Seat};
@@ -47,9 +47,11 @@
 
 /// Endpoints of engines that aren't needed by any group, by service and domain.
 pub(super) fn free(state: &DirectState) -> BTreeMap<Place, Vec<InstanceId>> {
+    let forming = state.plan.forming.values().flat_map(|f| &f.members);
+    let forming: BTreeSet<&InstanceId> = forming.collect();
     let mut free: BTreeMap<Place, Vec<InstanceId>> = BTreeMap::new();
     for (id, view) in &state.endpoints {
-        if usable(state, id, view) && !engaged(state, id, view) {
+        if usable(state, id, view) && !forming.contains(id) && !seated(state, view) {
             let place = (view.entry.service.clone(), view.entry.domain.clone());
             free.entry(place).or_default().push(id.clone());
         }
@@ -63,10 +65,9 @@
     engine && view.listed && !view.entry.leaving && !state.plan.lost.contains_key(id)
 }
 
-/// Whether an endpoint belongs to a group, or is about to.
-fn engaged(state: &DirectState, id: &InstanceId, view: &EndpointView) -> bool {
-    let forming = state.plan.forming.values().any(|f| f.members.contains(id));
-    let seat = view.entry.seat.as_ref();
+/// Whether an endpoint has a place in a group that isn't over.
+fn seated(state: &DirectState, view: &EndpointView) -> bool {
     let over = |group: &Arc<str>| group.starts_with(ALONE) || state.plan.ended.contains(group);
-    forming || seat.is_some_and(|s| !over(&s.group))
+    let seat = view.entry.seat.as_ref();
+    seat.is_some_and(|s| !over(&s.group))
 }
--- a/src/logic/direct/silence.rs
+++ b/src/logic/direct/silence.rs
@@ -7,6 +7,10 @@
 /// Times its usual longest pause that a head may be silent.
 const PAUSES: u64 = 3;
 
+/// Time after which a silent endpoint that has no more work here may be tried
+/// again, if it still heads a group.
+const FORGIVEN_MS: Millis = 1_000;
+
 /// Time between two words to the planner about one endpoint.
 const WARN_MS: Millis = 300;
 
@@ -19,7 +23,13 @@
     let silence = state.knobs.silence_ms;
     let mut found = Vec::new();
     for (id, view) in &mut state.endpoints {
-        if view.running == 0 || view.entry.domain.is_empty() {
+        if view.running == 0 {
+            // Nobody waits for it here any more: it may be tried again.
+            let since = view.silent.filter(|since| now >= since + FORGIVEN_MS);
+            view.silent = view.silent.filter(|_| since.is_none());
+            continue;
+        }
+        if view.entry.domain.is_empty() {
             continue;
         }
         let still = now.saturating_sub(view.heard);
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -148,3 +148,42 @@
     // 200 in 1,000 requests and a sixteenth of 160, in any ten seconds.
     assert!((60..=115).contains(&again), "{again}");
 }
+
+/// Found by the whole path over real processes, once in six runs: a head that
+/// formed anew while its router missed it got nothing any more.
+#[test]
+fn a_head_that_was_silent_is_used_again_in_its_next_group() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let first = run(&router.ask(1, "/stream/x"));
+    router.part(first.run, RunPart::Head);
+    router.part(first.run, piece(1));
+    router.pass(400);
+    router.take();
+    let (id, mut entry) = open_group("h", [1, 2, 3]).remove(0);
+    if let Some(seat) = &mut entry.seat {
+        seat.epoch = 9;
+    }
+    router.change(id.as_str(), Some(entry));
+    router.pass(40);
+    let moved = run(&router.take());
+    assert_eq!((moved.to.as_str(), moved.last_event), ("e1", Some(1)));
+}
+
+#[test]
+fn a_silent_head_without_work_here_is_tried_again_after_a_while() {
+    let mut router = two_groups();
+    let first = run(&router.ask(1, "/stream/x"));
+    router.tell(DirectEvent::Gone(1));
+    router
+        .state()
+        .endpoints
+        .values_mut()
+        .for_each(|v| v.silent = Some(1_000));
+    assert!(!router
+        .ask(2, "/stream/x")
+        .iter()
+        .any(|e| matches!(e, DirectEffect::Run(_))));
+    router.pass(1_100);
+    assert!(!run(&router.ask(3, "/stream/x")).to.as_str().is_empty());
+    assert!(first.run > 0);
+}
--- a/tests/direct/soak.rs
+++ b/tests/direct/soak.rs
@@ -71,12 +71,26 @@
         .args(["router", "--settings"])
         .arg(settings)
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
+        .stdout(log(settings))
         .stderr(Stdio::null())
         .spawn()
         .expect("the binary starts")
 }
 
+/// Where a router's log goes: beside its settings, appended over its lives.
+fn log(settings: &std::path::Path) -> std::fs::File {
+    let path = settings.with_extension("log");
+    let mut open = std::fs::OpenOptions::new();
+    open.create(true).append(true).open(path).expect("a log")
+}
+
+/// The routers' logs, for a failure.
+fn logs(dir: &std::path::Path) -> String {
+    let read =
+        |id: &str| std::fs::read_to_string(dir.join(format!("{id}.log"))).unwrap_or_default();
+    format!("r1:\n{}\nr2:\n{}", read("r1"), read("r2"))
+}
+
 #[derive(Debug)]
 struct Answer {
     status: u16,
@@ -189,7 +203,7 @@
         standin.kill(victim);
         let answer = streaming.join().expect("a thread").expect("an answer");
         let wanted: Vec<u64> = (1..=EVENTS).collect();
-        assert!(answer.complete, "{answer:?}");
+        assert!(answer.complete, "{answer:?}\n{}", logs(dir.path()));
         assert_eq!(answer.events(), wanted, "no event lost, none twice");
         until("the group is back", Duration::from_secs(20), || {
             standin.open_groups().iter().any(|g| !g.contains(victim))
