Planner: staging waits behind groups, looks take their time by fleet size

Change: nothing is staged while many orders are unanswered; a look follows the last one by a time that grows with the fleet.

--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -22,14 +22,22 @@
 /// Times the loads at once that may be under way while loads are cheap.
 const PARALLEL: usize = 3;
 
+/// Unanswered orders beyond which nothing more is staged: groups come first, and
+/// each order costs this router time.
+const BACKLOG: usize = 256;
+
 /// Part of the loads at once that members' second models may take.
 const MEMBERS_PART: u32 = 2;
 
 /// Sees to it that endpoints hold models ready.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     forget(state, now);
-    spares(state, now, out);
-    second(state, now, out);
+    if state.plan.orders.len() < BACKLOG {
+        spares(state, now, out);
+    }
+    if state.plan.orders.len() < BACKLOG / 4 {
+        second(state, now, out);
+    }
 }
 
 /// Tells spares that hold no model to hold one.
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -3,6 +3,9 @@
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
 
+/// Endpoints that a look may cover for each millisecond until the next one.
+const LOOKED_IN_A_MS: Millis = 10;
+
 /// Looks after the duty and, where it is held, after the groups.
 pub(in crate::logic::direct) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     duty::tend(state, now, out);
@@ -21,7 +24,9 @@
     if !holds || !state.listed || state.routing.is_none() || now < state.plan.look_at {
         return;
     }
-    state.plan.look_at = now + state.knobs.plan_ms;
+    // A look costs time by endpoint: large fleets are looked at less often.
+    let rest = state.endpoints.len() as Millis / LOOKED_IN_A_MS;
+    state.plan.look_at = now + state.knobs.plan_ms.max(rest);
     count(state, now);
     look::tend(state, now, out);
     form::tend(state, now, out);
