--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! Serving system for large models whose replicas span several instances.
 //!
 //! The crate is one binary with two roles. A *router* runs on each entry
-//! instance, an *agent* beside each endpoint. All decisions are made by one
+//! instance, an *agent* beside each endpoint; routers with direct links need no agent. All decisions are made by one
 //! pure reducer, [`logic::step`]; everything else carries out its effects.
 
 pub mod cli;
