Store: watches rest longer the more routers there are

Change: every watch rests so long that all routers together use at most half of the published rate for it; the rate comes by the template. Also: one function for the mixes that fit, for place and mix.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -57,6 +57,9 @@
         for effect in step(&mut self.node, self.clock.now(), event) {
             self.carry_out(effect);
         }
+        if let Node::Direct(state) = &self.node {
+            self.shared.routers.set(state.peers.len() + 1);
+        }
     }
 
     fn note(&mut self, note: &Note) {
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -53,6 +53,8 @@
         callers: RefCell::new(HashMap::new()),
         runs: RefCell::new(HashMap::new()),
         limits: Cell::new(CallerLimits::default()),
+        routers: Cell::new(1),
+        reads: settings.reads,
         ready: Cell::new(false),
         stopping: Cell::new(false),
         closed: Cell::new(false),
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -2,6 +2,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{response, Response};
@@ -17,6 +18,9 @@
 use crate::logic::Event;
 use crate::types::CallerLimits;
 
+/// Milliseconds of pause for each router and each reading call in a second.
+const SPREAD_MS: u64 = 2_000;
+
 /// The way of events to the actor.
 pub(super) type Sink = Box<dyn Fn(LinkEvent)>;
 
@@ -34,6 +38,11 @@
     pub runs: RefCell<HashMap<u64, RunSlot>>,
     /// What callers may send.
     pub limits: Cell<CallerLimits>,
+    /// Routers of the fleet, this one included.
+    pub routers: Cell<usize>,
+    /// Reading calls that the store takes in a second from all routers; 0 where
+    /// that isn't known.
+    pub reads: u64,
     /// Whether this router takes callers.
     pub ready: Cell<bool>,
     /// Whether it is about to stop.
@@ -75,6 +84,14 @@
 }
 
 impl Shared {
+    /// Shortest pause between two readings of one watch, so that all routers
+    /// together use at most half of what the store takes for each.
+    pub fn spread(&self) -> Duration {
+        let routers = self.routers.get() as u64;
+        let ms = (routers * SPREAD_MS).checked_div(self.reads);
+        Duration::from_millis(ms.unwrap_or(0))
+    }
+
     /// Hands an event to the actor.
     pub fn send(&self, event: LinkEvent) {
         if let Some(sink) = &*self.sink.borrow() {
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -70,7 +70,7 @@
                 revision = upto;
                 if !changes.is_empty() {
                     changed(changes);
-                    sleep(pace.pause).await;
+                    sleep(pace.pause.max(shared.spread())).await;
                 }
             }
             Watched::Forgotten => return,
--- a/src/logic/direct/plan/mix.rs
+++ b/src/logic/direct/plan/mix.rs
@@ -3,7 +3,7 @@
 use crate::types::EngineModel;
 
 /// Most mixes that are weighed.
-const MIXES: usize = 2_000;
+const MIXES: usize = 4_000;
 
 /// Readiness of an endpoint that can't join a group of a model now.
 const COLD: u8 = 2;
@@ -45,8 +45,8 @@
     best
 }
 
-/// All mixes of groups that fit `n` endpoints.
-fn mixes(n: usize, sizes: &[usize]) -> Vec<Vec<usize>> {
+/// All mixes of groups of these sizes that fit `n` endpoints.
+pub(super) fn mixes(n: usize, sizes: &[usize]) -> Vec<Vec<usize>> {
     let mut mixes = vec![Vec::new()];
     for size in sizes {
         let mut longer = Vec::new();
--- a/src/logic/direct/plan/place.rs
+++ b/src/logic/direct/plan/place.rs
@@ -1,11 +1,10 @@
 use std::collections::BTreeMap;
 
+use super::mix::mixes;
+
 /// Most rounds of improvement.
 const ROUNDS: usize = 12;
 
-/// Most mixes of one domain that are weighed.
-const MIXES: usize = 4_000;
-
 /// Part of the wanted capacity at which a model is half as useful as it can be.
 const HALF: f64 = 0.35;
 
@@ -38,18 +37,17 @@
 /// Weighs capacity by model as it is and after the loss of any one domain, room
 /// for repairs, and that spares fit where a domain has few models.
 pub fn place(input: &PlaceInput) -> Vec<Vec<usize>> {
-    let mut mixes: BTreeMap<usize, Vec<Vec<usize>>> = BTreeMap::new();
+    let sizes: Vec<usize> = input.models.iter().map(|m| m.size).collect();
+    let mut fits: BTreeMap<usize, Vec<Vec<usize>>> = BTreeMap::new();
     for n in &input.domains {
-        mixes
-            .entry(*n)
-            .or_insert_with(|| mixes_of(*n, &input.models));
+        fits.entry(*n).or_insert_with(|| mixes(*n, &sizes));
     }
     let mut chosen = vec![vec![0; input.models.len()]; input.domains.len()];
     let mut best = worth(input, &chosen);
     for _ in 0..ROUNDS {
         let mut better = false;
         for d in 0..chosen.len() {
-            for mix in &mixes[&input.domains[d]] {
+            for mix in &fits[&input.domains[d]] {
                 let before = std::mem::replace(&mut chosen[d], mix.clone());
                 let now = worth(input, &chosen);
                 if now > best + 1e-9 {
@@ -67,25 +65,6 @@
     chosen
 }
 
-/// All mixes of groups that fit `n` instances.
-fn mixes_of(n: usize, models: &[PlaceModel]) -> Vec<Vec<usize>> {
-    let mut mixes = vec![Vec::new()];
-    for model in models {
-        let mut longer = Vec::new();
-        for mix in mixes {
-            let used: usize = mix.iter().zip(models).map(|(c, m)| c * m.size).sum();
-            for count in 0..=(n - used.min(n)) / model.size.max(1) {
-                let mut next: Vec<usize> = mix.clone();
-                next.push(count);
-                longer.push(next);
-            }
-        }
-        longer.truncate(MIXES);
-        mixes = longer;
-    }
-    mixes
-}
-
 /// Worth of a placement; only differences count.
 fn worth(input: &PlaceInput, chosen: &[Vec<usize>]) -> f64 {
     let whole = capacity(input, chosen, None);
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -28,6 +28,8 @@
     pub watch_ms: u64,
     /// Pause between two readings of the list's changes, in milliseconds.
     pub list_ms: u64,
+    /// Reading calls that the store takes in a second; 0 where that isn't known.
+    pub reads: u64,
     /// Numbers that decisions are made by.
     pub knobs: DirectKnobs,
 }
@@ -45,6 +47,7 @@
             first_start: false,
             watch_ms: 2_000,
             list_ms: 150,
+            reads: 0,
             knobs: DirectKnobs::default(),
         }
     }
@@ -81,6 +84,7 @@
                 "milliseconds",
             ),
             list_ms: ini.number("direct", "list_ms", d.list_ms, 0..=10_000, "milliseconds"),
+            reads: ini.number("direct", "reads_per_s", d.reads, 0..=100_000_000, "calls"),
             knobs: read_knobs(&mut ini),
         };
         ini.finish()?;
