Repair: a member that the list lags behind is not free once its group is open

Ruled out: other planners (both groups of one fence), late orders. Change: members that told their place keep it until the list says otherwise.

--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -19,7 +19,7 @@
 use super::{callers, peers, ready, Dialect};
 use crate::logic::direct::{DirectEvent, DirectState};
 use crate::logic::router::StoreChange;
-use crate::logic::{Event, Node};
+use crate::logic::{Event, Node, Note, NoteCode};
 use crate::observe::Metrics;
 use crate::settings::DirectSettings;
 use crate::types::{CallerLimits, InstanceId};
@@ -142,7 +142,7 @@
                 shared.limits.set(routing.limits);
                 shared.tell(DirectEvent::Routing(routing.into()));
             }
-            Err(why) => log::error!(target: "runrail", "E601 routing can't be read why={why:?}"),
+            Err(why) => note(NoteCode::RoutingUnread, &why),
         }
     };
     let all = |page: super::Page| page.entries.iter().for_each(|e| take(&e.key, &e.value));
@@ -166,7 +166,7 @@
     let read = |entry: &crate::logic::router::StoreEntry| match (shared.dialect.entry)(entry) {
         Ok(read) => Some(read),
         Err(why) => {
-            log::warn!(target: "runrail", "E617 entry of the list can't be read why={why:?}");
+            note(NoteCode::EntryUnread, &why);
             None
         }
     };
@@ -217,13 +217,19 @@
                 _ = term.recv() => stop(&shared),
                 _ = interrupt.recv() => stop(&shared),
                 _ = hup.recv() => {
-                    log::info!(target: "runrail", "E103 settings changed; they count from the next start");
+                    note(NoteCode::SettingsChanged, "SIGHUP");
                 }
             }
         }
     })
 }
 
+/// Writes an event of the host itself to the log.
+fn note(code: NoteCode, why: &str) {
+    let note = Note::new(code).with("why", why);
+    log::log!(target: "runrail", code.level(), "{note}");
+}
+
 fn stop(shared: &Rc<Shared>) {
     shared.send(LinkEvent::Step(Event::Stop));
 }
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -122,6 +122,7 @@
             .with("group", group)
             .with("took", now.saturating_sub(forming.since));
         out.push(Effect::Note(note));
+        seat_all(state, group, forming);
         return false;
     }
     let lost = forming
@@ -166,6 +167,24 @@
     true
 }
 
+/// Members that told of their place themselves keep it, though the list, which
+/// they may be cut off from, still shows another one.
+fn seat_all(state: &mut DirectState, group: &Arc<str>, forming: &Forming) {
+    for (rank, id) in forming.members.iter().enumerate() {
+        if seat(state, id, group).is_some() {
+            continue;
+        }
+        if let Some(view) = state.endpoints.get_mut(id) {
+            view.entry.seat = Some(GroupSeat {
+                group: group.clone(),
+                epoch: forming.epoch,
+                rank,
+                state: SeatState::Ready,
+            });
+        }
+    }
+}
+
 /// Gives a group up that isn't open; its members are free once nothing can open it.
 pub(super) fn give_up(
     state: &mut DirectState,
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -75,6 +75,8 @@
     Started = 100 Info "process started";
     Stopping = 101 Info "process asked to stop";
     Stopped = 102 Info "process ends with nothing left to do";
+    SettingsChanged = 103 Info "settings changed; they count from the next start";
+    LinesLeftOut = 105 Warn "log lines left out";
     SessionUp = 110 Debug "session opened";
     SessionDown = 111 Info "session closed";
     SessionRefused = 112 Warn "session refused";
@@ -118,6 +120,7 @@
     ClaimFound = 511 Info "claim exists already";
     ClaimRebound = 512 Info "claim bound to another attempt";
     RoutingInForce = 600 Info "routing in force";
+    RoutingUnread = 601 Error "routing can't be read";
     EndpointListed = 610 Info "endpoint listed";
     EndpointUnlisted = 611 Info "endpoint no longer listed";
     EndpointLeaving = 612 Info "endpoint is leaving";
@@ -125,6 +128,7 @@
     EndpointSilent = 614 Warn "endpoint silent while it has work";
     EndpointLost = 615 Warn "endpoint lost";
     EndpointFound = 616 Info "lost endpoint answers again";
+    EntryUnread = 617 Warn "entry of the list can't be read";
     DutyTaken = 620 Info "planner's duty taken";
     DutyLost = 621 Warn "planner's duty lost";
     GroupForming = 630 Info "group is being formed";
--- a/src/observe/log_writer.rs
+++ b/src/observe/log_writer.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::logic::{Note, NoteCode};
+
 /// Most lines that wait to be written.
 const WAITING: u64 = 1_024;
 
@@ -58,7 +60,8 @@
         let left_out = counts.left_out.swap(0, Ordering::Relaxed);
         if left_out > 0 {
             // Where the line itself can't be written, nor can this.
-            let _ = writeln!(out, "WARN E105 log lines left out count=\"{left_out}\"");
+            let note = Note::new(NoteCode::LinesLeftOut).with("count", left_out);
+            let _ = writeln!(out, "{} {note}", note.code.level());
         }
         // A reader that has gone wants no more lines.
         let _ = out.write_all(&line).and_then(|()| out.flush());
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -250,3 +250,30 @@
     let told = DirectEffect::Tell { to: from, message };
     assert!(router.take().contains(&told));
 }
+
+/// Found on dop-brno-grown scale-1: a member that was cut from the store had told
+/// itself that it was ready; once the group was open it counted as free.
+#[test]
+fn a_member_that_the_list_lags_behind_is_not_free_once_its_group_is_open() {
+    let entries = vec![
+        engine(1, seat("g", 0, SeatState::Ready)),
+        engine(2, seat("g", 1, SeatState::Ready)),
+        engine(3, seat("g", 2, SeatState::Ready)),
+        engine(4, None),
+        engine(5, None),
+    ];
+    let mut router = Router::planner(entries);
+    router.pass(100);
+    // The list's word on the third member is from before it joined.
+    router.change("e3", Some(engine(3, None).1));
+    let told = seat("g", 2, SeatState::Ready);
+    let told = LookResult::Alive {
+        seat: told,
+        pace: 1_000,
+    };
+    router.looked("e3", told);
+    router.take();
+    router.change("e1", Some(engine(1, seat("g", 0, SeatState::Open)).1));
+    router.pass(300);
+    assert!(router.joins().is_empty(), "it belongs to the open group");
+}
