Staging: a spare that has a model of this life isn't told to hold one again

Ruled out: the list (it shows the staged model change with the join). Change: only an endpoint without a model in this life is told to hold one. Test failed first.

--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -50,11 +50,11 @@
         for id in &free {
             let idle = !state.plan.staging.contains_key(id);
             let view = state.endpoints.get(id);
-            let holds = view.is_some_and(|v| v.entry.model.is_some());
+            // To hold a model again would drive the second one from its host.
+            let holds = view.is_some_and(|v| v.last.is_some());
             if !idle || holds {
                 continue;
             }
-            // Whoever has left a group shows what it held by holding it again.
             let warm = holds_any(state, id, &engine, 1);
             if !warm && !room(state, &engine) {
                 continue;
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -13,5 +13,6 @@
 mod routes;
 mod soak;
 mod splitting;
+mod staging;
 mod standin;
 mod stopping;
--- /dev/null
+++ b/tests/direct/staging.rs
@@ -0,0 +1,46 @@
+//! Which models spares and members hold ready.
+
+use runrail::logic::direct::{DirectEffect, GroupStep};
+use runrail::types::{EndpointEntry, InstanceId};
+
+use crate::fixture::{engine, open_group, order, Router};
+
+/// A spare that has left a group of the model while its host holds another one.
+fn spare_with_two(n: u16) -> (InstanceId, EndpointEntry) {
+    let (id, mut entry) = engine(n, None);
+    entry.model = None;
+    entry.staged = vec!["small".into()];
+    (id, entry)
+}
+
+/// Models that endpoints were told to hold, in a group of their own.
+fn held(effects: &[DirectEffect]) -> Vec<(String, String)> {
+    let alone = |e| match order(e) {
+        Some((_, id, GroupStep::Join { members, model, .. })) if members.len() == 1 => {
+            Some((id, model.to_string()))
+        }
+        _ => None,
+    };
+    effects.iter().filter_map(alone).collect()
+}
+
+#[test]
+fn a_spare_that_can_serve_two_models_is_not_told_to_hold_one() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.push(engine(4, None));
+    let mut router = Router::planner(entries);
+    router.take();
+    let (id, entry) = spare_with_two(4);
+    router.change(id.as_str(), Some(entry));
+    router.pass(300);
+    assert_eq!(held(&router.take()), [], "holding it would drop the other");
+}
+
+#[test]
+fn a_spare_that_has_just_started_holds_what_its_host_keeps() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.push(spare_with_two(4));
+    let mut router = Router::planner(entries);
+    let held = held(&router.take());
+    assert_eq!(held[0], ("e4".to_string(), "small".to_string()));
+}
