Planner: a group whose model isn't shown yet is not complete (rule PARTIAL)

Ruled out: that orders were late (they were answered), the list (it was 80 ms old). Change: the size of a group is known by its model only; until a member shows it the group is waited for (5 s), and a ready head whose member isn't listed is waited for as long as one that joins (1.5 s).

--- a/src/logic/direct/plan/inspect.rs
+++ b/src/logic/direct/plan/inspect.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::{look, retire, survey, Ending, EndingStep, Forming, GroupView};
+use super::{look, retire, survey, Ending, EndingStep, Forming, GroupView, Seat};
 use crate::logic::direct::DirectState;
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, SeatState};
@@ -36,9 +36,15 @@
     group: &GroupView,
     out: &mut Vec<Effect>,
 ) {
-    if !group.complete(size(state, group)) {
+    let size = size(state, group);
+    if !size.is_some_and(|size| group.complete(size)) {
         let since = *state.plan.partial.entry(name.clone()).or_insert(now);
-        if !may_come(state, name, group) || now >= since + PARTIAL_MS {
+        let limit = if size.is_some() {
+            PARTIAL_MS
+        } else {
+            ADOPTED_MS
+        };
+        if !may_come(state, name, group) || now >= since + limit {
             retire::begin(state, now, name, group, false, out);
         }
         return;
@@ -69,19 +75,17 @@
         .lost
         .keys()
         .any(|id| seat_of(id).is_some_and(|s| s.group == *name));
-    match group.head() {
-        Some(head) => head.state == SeatState::Joining || !group.loaded(),
-        None => !missed,
-    }
+    let begun = |s: SeatState| matches!(s, SeatState::Joining | SeatState::Ready);
+    let under_way = |head: &Seat| begun(head.state) || !group.loaded();
+    !missed && group.head().is_none_or(under_way)
 }
 
-/// Instances that a group needs: those of its model, or those that are there.
-fn size(state: &DirectState, group: &GroupView) -> usize {
-    let routing = state.routing.as_ref();
-    let service = routing.and_then(|r| r.services.get(&group.service));
-    let engine = service.and_then(|s| s.engine.as_ref());
-    let model = group.model.as_ref().and_then(|m| engine?.model(m));
-    model.map_or(group.seats.len().max(1), |m| m.size)
+/// Instances that a group needs; unknown while no member shows its model, as those
+/// that are listed by then may not be all.
+fn size(state: &DirectState, group: &GroupView) -> Option<usize> {
+    let routing = state.routing.as_ref()?;
+    let engine = routing.services.get(&group.service)?.engine.as_ref()?;
+    Some(engine.model(group.model.as_ref()?)?.size)
 }
 
 /// Goes on with a group that another planner has begun.
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -5,7 +5,7 @@
 };
 use runrail::types::{InstanceId, SeatState};
 
-use crate::fixture::{addr, engine, open_group, order, seat, Router};
+use crate::fixture::{addr, engine, open_group, order, run, seat, Router};
 
 /// Three open, two spares that hold the model.
 fn fleet() -> Vec<(InstanceId, runrail::types::EndpointEntry)> {
@@ -277,3 +277,61 @@
     router.pass(300);
     assert!(router.joins().is_empty(), "it belongs to the open group");
 }
+
+/// Members that join a group; what they join for isn't shown yet.
+fn joining(numbers: &[u16]) -> Vec<(InstanceId, runrail::types::EndpointEntry)> {
+    let member = |(rank, n): (usize, &u16)| {
+        let (id, mut entry) = engine(*n, seat("g", rank, SeatState::Joining));
+        entry.model = None;
+        (id, entry)
+    };
+    numbers.iter().enumerate().map(member).collect()
+}
+
+#[test]
+fn a_group_that_another_planner_began_opens_only_with_every_member() {
+    let mut router = Router::planner(joining(&[1, 2]));
+    router.take();
+    for (rank, n) in [1, 2].into_iter().enumerate() {
+        let (id, entry) = engine(n, seat("g", rank, SeatState::Ready));
+        router.change(id.as_str(), Some(entry));
+    }
+    router.pass(1_000);
+    let opens = |e: &DirectEffect| matches!(order(e), Some((_, _, GroupStep::Open { .. })));
+    assert!(
+        !router.take().iter().any(opens),
+        "the third isn't listed yet"
+    );
+    let (id, entry) = engine(3, seat("g", 2, SeatState::Ready));
+    router.change(id.as_str(), Some(entry));
+    router.pass(300);
+    assert!(router.take().iter().any(opens), "now all are ready");
+}
+
+#[test]
+fn a_group_whose_model_no_member_shows_yet_is_waited_for() {
+    let mut router = Router::planner(joining(&[1, 2, 3]));
+    router.pass(3_000);
+    assert_eq!(leaves(&router.take()), [], "they load");
+}
+
+#[test]
+fn a_pause_of_a_working_head_has_its_members_looked_at_and_moves_nothing() {
+    let mut router = Router::planner(fleet());
+    for id in ["e1", "e2", "e3"] {
+        router.looked(id, alive());
+    }
+    router.pass(500);
+    let effects = router.ask(1, "/stream/x");
+    assert_eq!(run(&effects).to.as_str(), "e1");
+    router.pass(180);
+    let looked = |e: &DirectEffect| match e {
+        DirectEffect::Look { id, .. } => Some(id.to_string()),
+        _ => None,
+    };
+    let mut ids: Vec<_> = router.take().iter().filter_map(looked).collect();
+    ids.sort();
+    assert_eq!(ids, ["e1", "e2", "e3"]);
+    let effects = router.ask(2, "/stream/x");
+    assert_eq!(run(&effects).to.as_str(), "e1", "a pause is no silence");
+}
