Silence: the members of a head that pauses are looked at before it is silent

Change: looks begin after one and a half usual pauses, at least 150 ms. A look moves nothing; requests still go there.

--- a/src/logic/direct/silence.rs
+++ b/src/logic/direct/silence.rs
@@ -11,6 +11,13 @@
 /// again, if it still heads a group.
 const FORGIVEN_MS: Millis = 1_000;
 
+/// Shortest pause of a working head after which its group is looked at. A look is
+/// cheap and moves nothing.
+const DOUBT_MS: Millis = 150;
+
+/// Part of its usual longest pause after which a head is looked at, in hundredths.
+const DOUBT: u64 = 150;
+
 /// Time between two words to the planner about one endpoint.
 const WARN_MS: Millis = 300;
 
@@ -22,6 +29,7 @@
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let silence = state.knobs.silence_ms;
     let mut found = Vec::new();
+    let mut doubted = Vec::new();
     for (id, view) in &mut state.endpoints {
         if view.running == 0 {
             // Nobody waits for it here any more: it may be tried again.
@@ -33,6 +41,11 @@
             continue;
         }
         let still = now.saturating_sub(view.heard);
+        let doubt = still >= DOUBT_MS.max(view.pause * DOUBT / 100) && now >= view.warned + WARN_MS;
+        if doubt {
+            view.warned = now;
+            doubted.push(id.clone());
+        }
         let limit = silence.max((view.pause * PAUSES).min(silence * 5));
         if still < limit {
             continue;
@@ -46,19 +59,17 @@
                 .with("running", view.running);
             out.push(Effect::Note(note));
         }
-        let warn = now >= view.warned + WARN_MS;
-        if warn {
-            view.warned = now;
-        }
-        found.push((id.clone(), still >= limit * SURE || !view.heads(), warn));
+        found.push((id.clone(), still >= limit * SURE || !view.heads()));
     }
     outlived(state, now, out);
-    for (id, sure, warn) in found {
+    for id in doubted {
         if state.plan.duty.holds(now) {
             plan::suspect(state, now, &id, out);
-        } else if warn {
+        } else {
             peers::warn(state, &id, out);
         }
+    }
+    for (id, sure) in found {
         if sure || plan::given_up(state, &id) {
             leave(state, now, &id, false, out);
         }
