Limits: a head gets no more prompts at once than its streams can bear

Cause: when a group is lost its streams go to the others together, each with a prompt to read anew. A pass reads up to six chunks, 290 ms; every stream there then pauses beyond what its route allows, and what was one group's loss makes all late. Ruled out: fewer requests at once (the limit by head counts requests, and long prompts are what takes the pass's time). Change: unread tokens of one router at a head stay below what 60 in 100 of the route's pause can read, shared by the routers, twice the even part.

--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -35,7 +35,10 @@
         if !allowed(&(id.clone(), view.epoch())) || !takes(view, now, flight, engine.is_some()) {
             continue;
         }
-        if engine.is_some() && !limit::room(view, routers, flight.urgent) {
+        let room = |e: &EngineSpec| {
+            limit::room(view, routers, flight.urgent) && limit::reads(view, routers, flight, e)
+        };
+        if !engine.is_none_or(room) {
             continue;
         }
         let far = if view.entry.hall == state.hall {
--- a/src/logic/direct/limit.rs
+++ b/src/logic/direct/limit.rs
@@ -4,8 +4,8 @@
 //! while requests begin well within their objective and lowers it when they
 //! begin late, so that together they keep a head just short of queueing.
 
-use super::{DirectState, EndpointView};
-use crate::types::{InstanceId, Millis};
+use super::{DirectState, EndpointView, Flight};
+use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// One run, in the unit of limits.
 const ONE: u64 = 1_000;
@@ -29,6 +29,28 @@
 /// request twice costs its caller most, but letting all in makes all late.
 const URGENT: u64 = 150;
 
+/// Part of the wanted pause that reading may take within one pass, in hundredths.
+const READING: u64 = 60;
+
+/// Times its even part that one router may have read at a head: routers seldom
+/// send to the same one at once.
+const UNEVEN: u64 = 2;
+
+/// Whether a head may get one more prompt to read: what is read in a pass holds up
+/// every stream there, so that too much at once makes all of them late.
+pub(super) fn reads(
+    view: &EndpointView,
+    routers: u64,
+    flight: &Flight,
+    engine: &EngineSpec,
+) -> bool {
+    let model = view.entry.model.as_ref().and_then(|m| engine.model(m));
+    let pace = model.map_or(1_000, |m| m.pace).max(1);
+    let in_a_ms = engine.read_rate / pace;
+    let most = flight.route.gap_ms * READING / 100 * in_a_ms * UNEVEN / routers.max(1);
+    view.unread == 0 || view.unread + u64::from(flight.prompt) <= most
+}
+
 /// Whether an endpoint has room for one more run.
 pub(super) fn room(view: &EndpointView, routers: u64, urgent: bool) -> bool {
     let limit = current(view, routers);
--- a/tests/direct/limits.rs
+++ b/tests/direct/limits.rs
@@ -48,3 +48,18 @@
     let sent = |e: &&DirectEffect| matches!(e, DirectEffect::Run(r) if r.request == 100);
     assert_eq!(effects.iter().filter(sent).count(), 1);
 }
+
+#[test]
+fn a_head_gets_no_more_prompts_at_once_than_its_streams_can_bear() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let mut sent = 0;
+    for id in 0..6 {
+        let mut request = request(id, "/stream/x");
+        request.prompt = 6_000;
+        router.tell(DirectEvent::Request(Box::new(request)));
+    }
+    let runs = |e: &DirectEffect| matches!(e, DirectEffect::Run(_));
+    sent += router.take().iter().filter(|e| runs(e)).count();
+    // 60 in 100 of a pause of 300 ms at 50 tokens a ms are 9,000, twice for one router.
+    assert_eq!(sent, 3);
+}
