Planner: a group forms from those that are readiest for its model

Members were taken in the order of their readiness for any model, so that a spare that held another one went before a survivor. Ruled out: slow orders (answered in ms), warm-up of the spares that should be used. Change: each model in turn takes those readiest for it, those with least other use first; of the turns the one with least to load. Test failed first.

--- a/src/logic/direct/plan/mix.rs
+++ b/src/logic/direct/plan/mix.rs
@@ -64,43 +64,60 @@
     mixes
 }
 
-/// Gives endpoints to the groups of a mix: the readiest first, or, where that
-/// doesn't come out, those first that can do least. `None` where neither does.
+/// Gives endpoints to the groups of a mix, so that their members have least to
+/// load. `None` where the endpoints can't form it.
 fn assign(able: &[Vec<u8>], sizes: &[usize], mix: &[usize]) -> Option<Vec<Vec<Vec<usize>>>> {
-    let choices = |n: &usize| able[*n].iter().filter(|r| **r < COLD).count();
-    let quickest = |n: &usize| able[*n].iter().min().copied().unwrap_or(COLD);
-    let mut order: Vec<usize> = (0..able.len()).collect();
-    order.sort_by_key(|n| (quickest(n), choices(n)));
-    let ready = assign_in(&order, able, sizes, mix);
-    ready.or_else(|| {
-        order.sort_by_key(|n| (choices(n), quickest(n)));
-        assign_in(&order, able, sizes, mix)
-    })
+    let models: Vec<usize> = (0..sizes.len()).filter(|m| mix[*m] > 0).collect();
+    let orders = orders(&models);
+    let ways = orders.iter().filter_map(|order| {
+        let members = assign_in(order, able, sizes, mix)?;
+        Some((loads(able, &members), members))
+    });
+    let members = ways.min_by_key(|(loads, _)| *loads)?.1;
+    let groups = members
+        .into_iter()
+        .zip(sizes)
+        .map(|(members, size)| members.chunks(*size).map(<[usize]>::to_vec).collect());
+    Some(groups.collect())
+}
+
+/// Each model once in front of the others.
+fn orders(models: &[usize]) -> Vec<Vec<usize>> {
+    let turned = |n: usize| {
+        let mut order = models.to_vec();
+        order.rotate_left(n);
+        order
+    };
+    (0..models.len()).map(turned).collect()
+}
+
+/// What the members of each model have to load, in all.
+fn loads(able: &[Vec<u8>], members: &[Vec<usize>]) -> u32 {
+    let of = |(model, members): (usize, &Vec<usize>)| -> u32 {
+        members.iter().map(|n| u32::from(able[*n][model])).sum()
+    };
+    members.iter().enumerate().map(of).sum()
 }
 
-/// Gives endpoints, in this order, each to the model that it is readiest for.
+/// Gives each model in turn the endpoints that are readiest for it, first those
+/// that can do least else.
 fn assign_in(
     order: &[usize],
     able: &[Vec<u8>],
     sizes: &[usize],
     mix: &[usize],
-) -> Option<Vec<Vec<Vec<usize>>>> {
-    let mut open: Vec<usize> = mix.iter().zip(sizes).map(|(c, s)| c * s).collect();
+) -> Option<Vec<Vec<usize>>> {
+    let choices = |n: usize| able[n].iter().filter(|r| **r < COLD).count();
+    let mut free: Vec<usize> = (0..able.len()).collect();
     let mut given: Vec<Vec<usize>> = vec![Vec::new(); sizes.len()];
-    for n in order {
-        let fits = |m: &usize| open[*m] > 0 && able[*n][*m] < COLD;
-        let model = (0..sizes.len()).filter(fits).min_by_key(|m| able[*n][*m]);
-        if let Some(model) = model {
-            open[model] -= 1;
-            given[model].push(*n);
+    for model in order {
+        let needed = mix[*model] * sizes[*model];
+        free.sort_by_key(|n| (able[*n][*model], choices(*n)));
+        let fits = free.iter().take_while(|n| able[**n][*model] < COLD);
+        if fits.count() < needed {
+            return None;
         }
+        given[*model] = free.drain(..needed).collect();
     }
-    if open.iter().any(|n| *n > 0) {
-        return None;
-    }
-    let groups = given
-        .into_iter()
-        .zip(sizes)
-        .map(|(members, size)| members.chunks(*size).map(<[usize]>::to_vec).collect());
-    Some(groups.collect())
+    Some(given)
 }
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -1,11 +1,13 @@
 //! Groups: found lost, given up, formed anew. Rules TWO and PARTIAL.
 
+use std::sync::Arc;
+
 use runrail::logic::direct::{
     DirectEffect, DirectEvent, GroupStep, LookResult, OrderResult, PeerMessage,
 };
-use runrail::types::{InstanceId, SeatState};
+use runrail::types::{InstanceId, Routing, SeatState};
 
-use crate::fixture::{addr, engine, open_group, order, run, seat, Router};
+use crate::fixture::{addr, engine, open_group, order, routing, run, seat, Router, MODEL};
 
 /// Three open, two spares that hold the model.
 fn fleet() -> Vec<(InstanceId, runrail::types::EndpointEntry)> {
@@ -335,3 +337,39 @@
     let effects = router.ask(2, "/stream/x");
     assert_eq!(run(&effects).to.as_str(), "e1", "a pause is no silence");
 }
+
+/// Routing where nobody asks for the small model.
+fn routing_for_one_model() -> Routing {
+    let mut routing = routing(2);
+    let pool = routing.services.get_mut("pool").expect("the pool");
+    let mut spec = (**pool).clone();
+    for model in spec.engine.iter_mut().flat_map(|e| &mut e.models) {
+        model.share = if &*model.name == MODEL { 1_000 } else { 0 };
+    }
+    *pool = Arc::new(spec);
+    routing
+}
+
+#[test]
+fn a_group_forms_anew_from_those_that_need_not_load() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend([engine(4, None), engine(5, None)]);
+    for (_, entry) in &mut entries {
+        entry.staged = vec!["small".into()];
+    }
+    entries[3].1.model = Some("small".into());
+    entries[3].1.staged = vec![MODEL.into()];
+    let mut router = Router::new(entries);
+    router.tell(DirectEvent::Routing(Arc::new(routing_for_one_model())));
+    router.state().plan.traffic = true;
+    router.pass(400);
+    router.take();
+    lose(&mut router, "e3");
+    router.pass(60);
+    let left = leaves(&router.take());
+    router.answer_order(left[0].0, OrderResult::Done);
+    router.pass(60);
+    let mut members = router.joins().remove(0).1;
+    members.sort();
+    assert_eq!(members, ["e1", "e2", "e5"], "e4 would load from its host");
+}
