--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -113,6 +113,8 @@
         run: None,
         headed: false,
         last_event: request.last_event,
+        first: 0,
+        paused: 0,
         moved: now,
         route,
     };
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -55,6 +55,7 @@
     };
     if !flight.headed {
         flight.headed = true;
+        flight.first = now.saturating_sub(flight.arrived);
         flight.moved = now;
         out.push(Effect::Direct(DirectEffect::PassHead { request: id, run }));
     }
@@ -76,6 +77,7 @@
         return;
     }
     flight.last_event = event.or(flight.last_event);
+    flight.paused = flight.paused.max(now.saturating_sub(flight.moved));
     flight.moved = now;
     out.push(Effect::Direct(DirectEffect::Piece { request: id, bytes }));
 }
--- a/src/logic/direct/end.rs
+++ b/src/logic/direct/end.rs
@@ -23,6 +23,8 @@
         Note::new(NoteCode::FlightAnswered)
             .with("request", &flight.label)
             .with("took", now.saturating_sub(flight.arrived))
+            .with("first", flight.first)
+            .with("paused", flight.paused)
             .with("sends", flight.tried.len()),
     ));
     out.push(Effect::Measure {
--- a/src/logic/direct/flight.rs
+++ b/src/logic/direct/flight.rs
@@ -40,6 +40,10 @@
     pub headed: bool,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
+    /// Time until the answer began, in milliseconds.
+    pub first: Millis,
+    /// Longest pause between two events that went to the caller, in milliseconds.
+    pub paused: Millis,
     /// When an event last went to the caller.
     pub moved: Millis,
 }
