List: only the planner reads it often; it tells the others what matters

Ruled out: watches of a longer wait (they return at once with each heartbeat), stale reads (they may be seconds old, and a leaving endpoint must be known within a bound). Change: a router that doesn't plan, while somebody does, reads changes twice in the time to drain, 2 s at most; the planner tells others by datagram of each head that opens or stops and of each endpoint that leaves. Heartbeats order the two sources. The planner acts only once its list is as new as its duty (the list's revision).

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -118,6 +118,13 @@
                 body,
             } => looks::order(&self.shared, order, id, addr, body),
             DirectEffect::Tell { to, message } => peers::tell(&self.shared, to, &message),
+            DirectEffect::WatchList { often } => {
+                let (now, begin) = &self.shared.list_often;
+                now.set(often);
+                if often {
+                    begin.notify_waiters();
+                }
+            }
             DirectEffect::CloseDoors => {
                 self.shared.closed.set(true);
                 self.shared.stop.notify_waiters();
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -59,6 +59,7 @@
         stopping: Cell::new(false),
         closed: Cell::new(false),
         stop: Notify::new(),
+        list_often: (Cell::new(true), Notify::new()),
         watch_own: (Cell::new(0), Notify::new()),
         exit: Notify::new(),
         open: Rc::new(()),
@@ -79,7 +80,7 @@
     tokio::task::spawn_local(reap(shared.clone()));
     tokio::task::spawn_local(follow_routing(shared.clone(), settings.routing_pace()));
     tokio::task::spawn_local(follow_list(shared.clone(), settings.list_pace()));
-    tokio::task::spawn_local(follow_own(shared.clone(), settings.routing_pace()));
+    tokio::task::spawn_local(follow_own(shared.clone(), settings.own_pace()));
     tokio::task::spawn_local(signals(shared.clone())?);
     shared.exit.notified().await;
     last_bytes(&shared).await;
@@ -146,7 +147,7 @@
         }
     };
     let all = |page: super::Page| page.entries.iter().for_each(|e| take(&e.key, &e.value));
-    let changed = |changes: Vec<StoreChange>| {
+    let changed = |_, changes: Vec<StoreChange>| {
         let newest = changes.iter().rev().find(|c| c.value.is_some());
         if let Some((key, value)) = newest.and_then(|c| Some((&c.key, c.value.as_ref()?))) {
             take(key, value);
@@ -172,9 +173,10 @@
     };
     let all = |page: super::Page| {
         let entries = page.entries.iter().filter_map(read).collect();
-        shared.tell(DirectEvent::List(entries));
+        let revision = page.revision;
+        shared.tell(DirectEvent::List { revision, entries });
     };
-    let changed = |changes: Vec<StoreChange>| {
+    let changed = |revision, changes: Vec<StoreChange>| {
         let changes = changes.iter().filter_map(|c| match watches::as_entry(c) {
             Some(entry) => read(&entry).map(|(id, entry)| (id, Some(entry))),
             None => {
@@ -182,7 +184,8 @@
                 Some((InstanceId::new(id), None))
             }
         });
-        shared.tell(DirectEvent::Changes(changes.collect()));
+        let changes = changes.collect();
+        shared.tell(DirectEvent::Changes { revision, changes });
     };
     watches::follow(
         shared.clone(),
@@ -199,7 +202,11 @@
     let (revision, begin) = &shared.watch_own;
     loop {
         begin.notified().await;
-        let mut changed = |changes| shared.send(LinkEvent::Step(Event::Watch(changes)));
+        let mut changed = |_, changes: Vec<StoreChange>| {
+            if !changes.is_empty() {
+                shared.send(LinkEvent::Step(Event::Watch(changes)));
+            }
+        };
         let prefix = shared.dialect.own_prefix;
         watches::changes(&shared, prefix, pace, revision.get(), &mut changed).await;
         shared.send(LinkEvent::Step(Event::WatchLost));
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -18,6 +18,8 @@
     pub wait_ms: u64,
     /// Pause after changes, so that many come at once.
     pub pause: Duration,
+    /// The pause while the reducer wants this prefix read only now and then.
+    pub rest: Option<Duration>,
 }
 
 /// Pause after a call that failed.
@@ -32,7 +34,7 @@
     prefix: &'static str,
     pace: WatchPace,
     mut all: impl FnMut(Page),
-    mut changed: impl FnMut(Vec<StoreChange>),
+    mut changed: impl FnMut(i64, Vec<StoreChange>),
 ) {
     loop {
         let Some(page) = read_all(&shared, prefix).await else {
@@ -51,7 +53,7 @@
     prefix: &str,
     pace: WatchPace,
     mut revision: i64,
-    changed: &mut impl FnMut(Vec<StoreChange>),
+    changed: &mut impl FnMut(i64, Vec<StoreChange>),
 ) {
     let host = shared.store.to_string();
     let longest = Duration::from_millis(pace.wait_ms) + SLACK;
@@ -68,9 +70,10 @@
                 changes,
             } => {
                 revision = upto;
-                if !changes.is_empty() {
-                    changed(changes);
-                    sleep(pace.pause.max(shared.spread())).await;
+                let any = !changes.is_empty();
+                changed(upto, changes);
+                if any {
+                    rest(shared, pace).await;
                 }
             }
             Watched::Forgotten => return,
@@ -79,6 +82,18 @@
     }
 }
 
+/// Pauses between two readings of a watch.
+async fn rest(shared: &Shared, pace: WatchPace) {
+    let (often, begin) = &shared.list_often;
+    let shortest = pace.pause.max(shared.spread());
+    sleep(shortest).await;
+    let longer = pace.rest.filter(|_| !often.get());
+    if let Some(rest) = longer.and_then(|r| r.checked_sub(shortest)) {
+        // Over either way: the pause has passed, or the list is wanted often.
+        let _ = timeout(rest, begin.notified()).await;
+    }
+}
+
 /// Changes as entries: what was removed comes without a value.
 pub(super) fn as_entry(change: &StoreChange) -> Option<StoreEntry> {
     Some(StoreEntry {
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -69,6 +69,11 @@
         /// What is said.
         message: PeerMessage,
     },
+    /// Read changes of the list as often as may be, or only now and then.
+    WatchList {
+        /// Whether often.
+        often: bool,
+    },
     /// Take no more connections, and close those that rest.
     CloseDoors,
     /// Tell the balancer whether to send callers here.
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -10,9 +10,20 @@
     /// A version of the routing has been read.
     Routing(Arc<Routing>),
     /// The list of endpoints was read whole; what isn't named is gone.
-    List(Vec<(InstanceId, EndpointEntry)>),
-    /// Entries of the list have changed; an absent entry is gone.
-    Changes(Vec<(InstanceId, Option<EndpointEntry>)>),
+    List {
+        /// The store's revision when the reading began.
+        revision: i64,
+        /// Every entry.
+        entries: Vec<(InstanceId, EndpointEntry)>,
+    },
+    /// Entries of the list have changed; an absent entry is gone. There may be
+    /// none, up to this revision.
+    Changes {
+        /// The store's revision that the changes go up to.
+        revision: i64,
+        /// What has changed, in order.
+        changes: Vec<(InstanceId, Option<EndpointEntry>)>,
+    },
     /// A caller has sent a request.
     Request(Box<DirectRequest>),
     /// A caller has hung up.
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -25,6 +25,10 @@
     pub routing: Option<Arc<Routing>>,
     /// Whether the list was read since the start.
     pub listed: bool,
+    /// The store's revision that the list is known up to.
+    pub list_revision: i64,
+    /// Whether changes of the list are read often.
+    pub often: bool,
     /// Endpoints by id.
     pub endpoints: BTreeMap<InstanceId, EndpointView>,
     /// Requests without a final answer.
@@ -66,6 +70,8 @@
             seed,
             routing: None,
             listed: false,
+            list_revision: 0,
+            often: true,
             endpoints: BTreeMap::new(),
             flights: BTreeMap::new(),
             waiting: BTreeSet::new(),
--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use crate::types::{EndpointEntry, Millis, SeatState};
+use crate::types::{EndpointEntry, Millis};
 
 /// One endpoint as this router sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -63,7 +63,6 @@
 
     /// Whether it heads a group that takes requests.
     pub fn heads(&self) -> bool {
-        let open = |s: &crate::types::GroupSeat| s.rank == 0 && s.state == SeatState::Open;
-        self.entry.seat.as_ref().is_some_and(open)
+        self.entry.open_epoch().is_some()
     }
 }
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,6 +1,6 @@
 //! What this router knows of endpoints: the list and its own experience.
 
-use super::{limit, DirectState, EndpointView};
+use super::{limit, peers, DirectState, EndpointView, EntryNews};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EndpointEntry, InstanceId, Millis};
 
@@ -62,6 +62,7 @@
         state.endpoints.insert(id, EndpointView::new(entry, now));
         return;
     };
+    let news = EntryNews::of(&id, &view.entry, &entry);
     if entry.leaving && !view.entry.leaving {
         out.push(Effect::Note(
             Note::new(NoteCode::EndpointLeaving).with("endpoint", &id),
@@ -83,6 +84,18 @@
     view.listed = true;
     view.last = entry.model.clone().or_else(|| view.last.take());
     view.entry = entry;
+    if let Some(news) = news.filter(|_| state.plan.duty.holds(now)) {
+        peers::spread(state, news, out);
+    }
+}
+
+/// The planner has told of an entry.
+pub(super) fn told(state: &mut DirectState, now: Millis, news: EntryNews, out: &mut Vec<Effect>) {
+    let id = news.id.clone();
+    let known = state.endpoints.get(&id).filter(|v| v.listed);
+    if let Some(entry) = known.and_then(|v| news.onto(&v.entry)) {
+        changed(state, now, id, Some(entry), out);
+    }
 }
 
 /// Forgets endpoints that left the list long ago.
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::EntryNews;
 use crate::types::InstanceId;
 
 /// What routers with direct links say to each other, one datagram each.
@@ -23,6 +24,9 @@
     },
     /// The first caller has come to the sender; for the planner.
     Traffic,
+    /// What the list shows of an endpoint that takes requests or no longer does;
+    /// from the planner, which reads the list more often than others.
+    Entry(EntryNews),
     /// What was seen.
     Seen {
         /// Number of the question.
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use super::{plan, DirectEffect, DirectState, LookResult, PeerMessage};
+use super::{endpoints, plan, DirectEffect, DirectState, EntryNews, LookResult, PeerMessage};
 use crate::logic::router::{
     CallId, Put, StoreCall, StoreChange, StoreEntry, StoreReply, StoreResult,
 };
@@ -163,6 +163,7 @@
                 .push((from, number));
             out.push(Effect::Direct(DirectEffect::Look { id, addr }));
         }
+        PeerMessage::Entry(news) => endpoints::told(state, now, news, out),
         PeerMessage::Traffic => state.plan.traffic = true,
         PeerMessage::Silent { id } => plan::suspect(state, now, &id, out),
         PeerMessage::Seen { number, alive } => plan::seen(state, number, alive),
@@ -179,6 +180,14 @@
     tell_planner(state, PeerMessage::Traffic, out);
 }
 
+/// Tells every other router what the list shows of an endpoint.
+pub(super) fn spread(state: &DirectState, news: EntryNews, out: &mut Vec<Effect>) {
+    for to in state.peers.values() {
+        let message = PeerMessage::Entry(news.clone());
+        out.push(Effect::Direct(DirectEffect::Tell { to: *to, message }));
+    }
+}
+
 fn tell_planner(state: &DirectState, message: PeerMessage, out: &mut Vec<Effect>) {
     let holder = state.plan.duty.holder.as_deref().map(InstanceId::new);
     if let Some(to) = holder.and_then(|h| state.peers.get(&h)).copied() {
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -21,7 +21,9 @@
             out.push(Effect::Note(note));
         }
     }
-    if !holds || !state.listed || state.routing.is_none() || now < state.plan.look_at {
+    // What earlier planners did is in the list as of the revision of the duty.
+    let read = state.listed && state.list_revision >= state.plan.duty.fence as i64;
+    if !holds || !read || state.routing.is_none() || now < state.plan.look_at {
         return;
     }
     // A look costs time by endpoint: large fleets are looked at less often.
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -27,13 +27,18 @@
         send::waiting(state, now, out);
     }
     tell_ready(state, out);
+    tell_pace(state, now, out);
 }
 
 fn direct(state: &mut DirectState, now: Millis, event: DirectEvent, out: &mut Vec<Effect>) {
     match event {
         DirectEvent::Routing(routing) => routed(state, routing, out),
-        DirectEvent::List(entries) => endpoints::listed(state, now, entries, out),
-        DirectEvent::Changes(changes) => {
+        DirectEvent::List { revision, entries } => {
+            state.list_revision = state.list_revision.max(revision);
+            endpoints::listed(state, now, entries, out);
+        }
+        DirectEvent::Changes { revision, changes } => {
+            state.list_revision = state.list_revision.max(revision);
             for (id, entry) in changes {
                 endpoints::changed(state, now, id, entry, out);
             }
@@ -102,6 +107,17 @@
     }
 }
 
+/// Reads the list often while this router plans, or while nobody does; else the
+/// planner tells what matters, and the list is read to be sure.
+fn tell_pace(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let duty = &state.plan.duty;
+    let often = duty.fence > 0 || duty.holder.is_none() || duty.holds(now);
+    if often != state.often {
+        state.often = often;
+        out.push(Effect::Direct(DirectEffect::WatchList { often }));
+    }
+}
+
 fn tell_ready(state: &mut DirectState, out: &mut Vec<Effect>) {
     let ready = state.routing.is_some() && state.listed && state.stopping.is_none();
     if ready != state.ready {
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -28,12 +28,26 @@
     pub watch_ms: u64,
     /// Pause between two readings of the list's changes, in milliseconds.
     pub list_ms: u64,
+    /// Time within which an endpoint that leaves gets nothing new, in milliseconds.
+    pub drain_ms: u64,
     /// Reading calls that the store takes in a second; 0 where that isn't known.
     pub reads: u64,
     /// Numbers that decisions are made by.
     pub knobs: DirectKnobs,
 }
 
+/// Times the wait of other watches that the one of own keys has.
+const OWN_WAIT: u64 = 3;
+
+/// Longest wait of a watch, in milliseconds.
+const LONGEST_WAIT: u64 = 30_000;
+
+/// Part of the time to drain that a router may rest between two readings of the list.
+const REST_PART: u64 = 2;
+
+/// Longest rest between two readings of the list.
+const LONGEST_REST: Duration = Duration::from_secs(2);
+
 impl Default for DirectSettings {
     fn default() -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -47,6 +61,7 @@
             first_start: false,
             watch_ms: 2_000,
             list_ms: 150,
+            drain_ms: 2_000,
             reads: 0,
             knobs: DirectKnobs::default(),
         }
@@ -84,6 +99,13 @@
                 "milliseconds",
             ),
             list_ms: ini.number("direct", "list_ms", d.list_ms, 0..=10_000, "milliseconds"),
+            drain_ms: ini.number(
+                "direct",
+                "drain_ms",
+                d.drain_ms,
+                0..=600_000,
+                "milliseconds",
+            ),
             reads: ini.number("direct", "reads_per_s", d.reads, 0..=100_000_000, "calls"),
             knobs: read_knobs(&mut ini),
         };
@@ -96,6 +118,16 @@
         WatchPace {
             wait_ms: self.watch_ms,
             pause: Duration::from_millis(50),
+            rest: None,
+        }
+    }
+
+    /// How the routers' own keys are watched: the store holds the call for longer,
+    /// as nothing that they tell has to be in force within a bound.
+    pub(crate) fn own_pace(&self) -> WatchPace {
+        WatchPace {
+            wait_ms: (self.watch_ms * OWN_WAIT).min(LONGEST_WAIT),
+            ..self.routing_pace()
         }
     }
 
@@ -104,6 +136,7 @@
         WatchPace {
             wait_ms: self.watch_ms,
             pause: Duration::from_millis(self.list_ms),
+            rest: Some(Duration::from_millis(self.drain_ms / REST_PART).min(LONGEST_REST)),
         }
     }
 }
--- a/src/types/endpoint_entry.rs
+++ b/src/types/endpoint_entry.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::GroupSeat;
+use super::{GroupSeat, SeatState};
 
 /// One endpoint as the platform's list shows it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -27,3 +27,11 @@
     /// Its place in a group.
     pub seat: Option<GroupSeat>,
 }
+
+impl EndpointEntry {
+    /// Epoch of the group that it takes requests for; absent where it heads none.
+    pub fn open_epoch(&self) -> Option<u64> {
+        let open = |s: &&GroupSeat| s.rank == 0 && s.state == SeatState::Open;
+        self.seat.as_ref().filter(open).map(|s| s.epoch)
+    }
+}
--- a/src/types/group_seat.rs
+++ b/src/types/group_seat.rs
@@ -1,9 +1,11 @@
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use super::SeatState;
 
 /// An instance's place in a group, as its engine tells it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct GroupSeat {
     /// Name of the group.
     pub group: Arc<str>,
--- a/src/types/seat_state.rs
+++ b/src/types/seat_state.rs
@@ -1,5 +1,7 @@
+use serde::{Deserialize, Serialize};
+
 /// How far an instance is with its place in a group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum SeatState {
     /// It loads.
     Joining,
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -31,7 +31,10 @@
     pub fn new(entries: Vec<(InstanceId, EndpointEntry)>) -> Self {
         let mut router = Self::bare();
         router.tell(DirectEvent::Routing(Arc::new(routing(1))));
-        router.tell(DirectEvent::List(entries));
+        router.tell(DirectEvent::List {
+            revision: FENCE,
+            entries,
+        });
         router
     }
 
@@ -139,7 +142,10 @@
 
     pub fn change(&mut self, id: &str, entry: Option<EndpointEntry>) {
         let id = InstanceId::new(id);
-        self.tell(DirectEvent::Changes(vec![(id, entry)]));
+        self.tell(DirectEvent::Changes {
+            revision: FENCE,
+            changes: vec![(id, entry)],
+        });
     }
 
     pub fn looked(&mut self, id: &str, result: LookResult) {
