Planner: what an endpoint could add to another model is weighed before it joins

Change: a mix is worth what it adds less half of what its members could have added, by their part, to one more group of another model that they hold ready.

--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -165,7 +165,10 @@
     let able = able(state, free, engine);
     let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
     let mix = best_mix(&able, &sizes, worth(state, engine, &counts));
-    for (members, model) in mix.into_iter().flatten().zip(&engine.models) {
+    let Some((_, mix)) = mix else {
+        return;
+    };
+    for (members, model) in mix.into_iter().zip(&engine.models) {
         for members in members {
             let warm = members.iter().any(|n| able[*n][index(engine, model)] > 0);
             let load = if warm { model.warm_ms } else { AGAIN_MS };
@@ -232,9 +235,8 @@
     all.extend(group.seats.values().map(|s| s.id.clone()));
     let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
     let worth = worth(state, engine, &fewer);
-    let mix = best_mix(&able(state, &all, engine), &sizes, &worth);
-    let mix = mix.map(|m| m.iter().map(Vec::len).collect::<Vec<_>>());
-    mix.map_or(0.0, |mix| worth(&mix))
+    let mix = best_mix(&able(state, &all, engine), &sizes, worth);
+    mix.map_or(0.0, |(value, _)| value)
 }
 
 /// Readiness of endpoints for each model.
--- a/src/logic/direct/plan/mix.rs
+++ b/src/logic/direct/plan/mix.rs
@@ -8,6 +8,10 @@
 /// Readiness of an endpoint that can't join a group of a model now.
 const COLD: u8 = 2;
 
+/// Part that counts of what an endpoint could add to another model: the other
+/// members that it would need may not be there.
+const OPTION: f64 = 0.5;
+
 /// What each group beyond the wanted capacity still adds.
 const SURPLUS: f64 = 0.05;
 
@@ -23,28 +27,62 @@
     weight * (1.0 - short * short + SURPLUS * ratio.min(2.0))
 }
 
-/// Members of each group to form, by model: the mix with the highest worth that
-/// the endpoints can serve. `able` tells their readiness for each model.
+/// Members of each group to form, by model, and what the mix is worth: the best one
+/// that the endpoints can serve. `able` tells their readiness for each model.
+///
+/// Whoever joins a group of one model can serve no other soon: what it could add to
+/// one more group of another is taken off.
 pub(super) fn best_mix(
     able: &[Vec<u8>],
     sizes: &[usize],
     worth: impl Fn(&[usize]) -> f64,
-) -> Option<Vec<Vec<Vec<usize>>>> {
+) -> Option<(f64, Vec<Vec<Vec<usize>>>)> {
+    let none = vec![0; sizes.len()];
+    let options = options(sizes, &worth);
     let mut best = None;
-    let mut most = worth(&vec![0; sizes.len()]) + 1e-9;
+    let mut most = worth(&none) + 1e-9;
     for mix in mixes(able.len(), sizes) {
         let value = worth(&mix);
         if value <= most {
             continue;
         }
-        if let Some(members) = assign(able, sizes, &mix) {
+        let Some(members) = assign(able, sizes, &mix) else {
+            continue;
+        };
+        let value = value - OPTION * given_up(able, &members, &options);
+        if value > most {
             most = value;
-            best = Some(members);
+            best = Some((value, members));
         }
     }
     best
 }
 
+/// What one endpoint adds that can serve a model, as its part of one more group.
+fn options(sizes: &[usize], worth: &impl Fn(&[usize]) -> f64) -> Vec<f64> {
+    let mut one = vec![0; sizes.len()];
+    let before = worth(&one);
+    let mut of = |model: usize| {
+        one[model] = 1;
+        let more = worth(&one) - before;
+        one[model] = 0;
+        more / sizes[model].max(1) as f64
+    };
+    (0..sizes.len()).map(&mut of).collect()
+}
+
+/// What members could have added to other models than that of their group.
+fn given_up(able: &[Vec<u8>], members: &[Vec<Vec<usize>>], options: &[f64]) -> f64 {
+    let mut sum = 0.0;
+    for (model, groups) in members.iter().enumerate() {
+        for n in groups.iter().flatten() {
+            let others = (0..options.len()).filter(|m| *m != model && able[*n][*m] < COLD);
+            sum += others.map(|m| options[m]).fold(0.0, f64::max);
+        }
+    }
+    sum
+}
+
 /// All mixes of groups of these sizes that fit `n` endpoints.
 pub(super) fn mixes(n: usize, sizes: &[usize]) -> Vec<Vec<usize>> {
     let mut mixes = vec![Vec::new()];
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -5,12 +5,12 @@
 use runrail::logic::direct::{
     DirectEffect, DirectEvent, GroupStep, LookResult, OrderResult, PeerMessage,
 };
-use runrail::types::{InstanceId, Routing, SeatState};
+use runrail::types::{EndpointEntry, InstanceId, Routing, SeatState};
 
 use crate::fixture::{addr, engine, open_group, order, routing, run, seat, Router, MODEL};
 
 /// Three open, two spares that hold the model.
-fn fleet() -> Vec<(InstanceId, runrail::types::EndpointEntry)> {
+fn fleet() -> Vec<(InstanceId, EndpointEntry)> {
     let mut entries = open_group("g", [1, 2, 3]);
     entries.extend([engine(4, None), engine(5, None)]);
     entries
@@ -281,7 +281,7 @@
 }
 
 /// Members that join a group; what they join for isn't shown yet.
-fn joining(numbers: &[u16]) -> Vec<(InstanceId, runrail::types::EndpointEntry)> {
+fn joining(numbers: &[u16]) -> Vec<(InstanceId, EndpointEntry)> {
     let member = |(rank, n): (usize, &u16)| {
         let (id, mut entry) = engine(*n, seat("g", rank, SeatState::Joining));
         entry.model = None;
@@ -373,3 +373,32 @@
     members.sort();
     assert_eq!(members, ["e1", "e2", "e5"], "e4 would load from its host");
 }
+
+/// An open group of the small model.
+fn small_group(name: &str, numbers: [u16; 2]) -> Vec<(InstanceId, EndpointEntry)> {
+    let member = |(rank, n): (usize, u16)| {
+        let (id, mut entry) = engine(n, seat(name, rank, SeatState::Open));
+        entry.model = Some("small".into());
+        entry.staged = vec!["small".into()];
+        (id, entry)
+    };
+    numbers.into_iter().enumerate().map(member).collect()
+}
+
+#[test]
+fn survivors_of_a_model_that_is_short_are_kept_for_it() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    for (_, entry) in &mut entries {
+        entry.staged = vec!["small".into()];
+    }
+    entries.extend(small_group("s", [11, 12]));
+    entries.extend(small_group("t", [13, 14]));
+    let mut router = Router::planner(entries);
+    router.take();
+    lose(&mut router, "e3");
+    router.pass(60);
+    let left = leaves(&router.take());
+    router.answer_order(left[0].0, OrderResult::Done);
+    router.pass(200);
+    assert_eq!(router.joins(), [], "one more and the large model is back");
+}
