--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -26,9 +26,6 @@
 /// each order costs this router time.
 const BACKLOG: usize = 256;
 
-/// Part of the loads at once that members' second models may take.
-const MEMBERS_PART: u32 = 2;
-
 /// Sees to it that endpoints hold models ready.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     forget(state, now);
@@ -69,8 +66,8 @@
 /// Tells endpoints to load a second model to their hosts.
 ///
 /// A member keeps the model of its group; the host holds another one ready, so
-/// that whoever is left of a group can serve either. Spares come first; members
-/// have their turn while loads are cheap, or while nobody else loads.
+/// that whoever is left of a group can serve either. Spares come first, then members of
+/// large groups.
 fn second(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let free: BTreeSet<InstanceId> = survey::free(state).into_values().flatten().collect();
     let mut engines: BTreeMap<Arc<str>, Option<(EngineSpec, Vec<EngineModel>)>> = BTreeMap::new();
@@ -96,16 +93,12 @@
         waiting.push((order, id.clone(), service, held));
     }
     waiting.sort();
-    let cheap = fill::cheap(state);
-    for (order, id, service, held) in waiting {
+    for (_, id, service, held) in waiting {
         let Some(Some((engine, models))) = engines.get(&service) else {
             continue;
         };
-        let most = match (order.0, cheap) {
-            (true, false) => engine.loads_at_once / MEMBERS_PART,
-            _ => engine.loads_at_once,
-        };
-        if state.plan.staging.len() as u32 >= most || !room(state, engine) {
+        let busy = state.plan.staging.len() as u32 >= engine.loads_at_once;
+        if busy || !room(state, engine) {
             return;
         }
         if let Some(model) = models.iter().find(|m| m.name != held) {
