Refusals: without a head at once and for longer, before the deadline, returned ones held less

Cause: most that failed had been refused twice: told to come back after 0.4 to 0.8 s while a group takes 1 to 2 s to form anew; a returned one was then held for three objectives, which kept the queue of the heads that were left long. Streams that nobody had begun ended by their deadline, held to the end. Ruled out: holding back first ones longer (they are worth a quarter when late, two thirds when refused at once and served on return). Change: come back after half to all of the third of the time left that callers heed; no holding where no head serves the model; a request that nobody has begun and that may run again ends 60 ms before its deadline, with a promise; a returned one is held for one objective.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -14,7 +14,7 @@
 const RETURNED: Millis = 97;
 
 /// Objectives that a request may wait for room which was refused before.
-const RETURNED_HELD: Millis = 3;
+const RETURNED_HELD: Millis = 1;
 
 /// Part of the objective that a request may wait for room.
 const HELD: Millis = 4;
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -19,6 +19,20 @@
     })
 }
 
+/// Whether any endpoint may take such a request, if only it had room.
+pub(super) fn any(state: &DirectState, flight: &Flight) -> bool {
+    let fits =
+        |v: &EndpointView| v.listed && v.entry.service == flight.service && serves(v, flight);
+    state.endpoints.values().any(fits)
+}
+
+/// Whether an endpoint of the right service serves what is asked for: a plain one, or
+/// the head of a group of the model.
+fn serves(view: &EndpointView, flight: &Flight) -> bool {
+    let model = flight.model.is_none() || view.entry.model == flight.model;
+    view.entry.domain.is_empty() || (view.heads() && model)
+}
+
 fn best(
     state: &mut DirectState,
     now: Millis,
@@ -32,7 +46,7 @@
     let routers = state.peers.len() as u64 + 1;
     let draws = state.random(u64::MAX);
     for (id, view) in &state.endpoints {
-        if !allowed(&(id.clone(), view.epoch())) || !takes(view, now, flight, engine.is_some()) {
+        if !allowed(&(id.clone(), view.epoch())) || !takes(view, now, flight) {
             continue;
         }
         let room = |e: &EngineSpec| {
@@ -59,14 +73,11 @@
 }
 
 /// Whether an endpoint may get this request at all.
-fn takes(view: &EndpointView, now: Millis, flight: &Flight, engine: bool) -> bool {
+fn takes(view: &EndpointView, now: Millis, flight: &Flight) -> bool {
     let entry = &view.entry;
     let fits = entry.service == flight.service && !entry.leaving && view.listed;
     let calm = view.shunned <= now && view.silent.is_none();
-    if !fits || !calm {
-        return false;
-    }
-    !engine || (view.heads() && (flight.model.is_none() || entry.model == flight.model))
+    fits && calm && serves(view, flight)
 }
 
 /// Microseconds until an endpoint is likely to begin with a request.
--- a/src/logic/direct/end.rs
+++ b/src/logic/direct/end.rs
@@ -35,6 +35,15 @@
     });
 }
 
+/// Part of the time that a caller has left up to which it waits before it comes back.
+const HEEDED: u64 = 3;
+
+/// Steps of the random part of the time to come back.
+const SPREAD: u64 = 1_000;
+
+/// Time before the deadline at which a request ends that nobody has begun.
+const LAST_MS: Millis = 60;
+
 /// Ends a request that no endpoint can be found for, or that failed for good.
 pub(super) fn give_up(
     state: &mut DirectState,
@@ -43,13 +52,14 @@
     why: &'static str,
     out: &mut Vec<Effect>,
 ) {
-    let again = state.knobs.again_ms;
-    let spread = again + state.random(again);
+    let draw = state.random(SPREAD);
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
-    let problem = if flight.runs == 0 || flight.route.repeatable() {
-        Problem::NotRun(spread.min(flight.deadline.saturating_sub(now) / 3))
+    let problem = if flight.promises() {
+        let most = flight.deadline.saturating_sub(now) / HEEDED;
+        let again = state.knobs.again_ms.min(most);
+        Problem::NotRun(again + (most - again) * (SPREAD + draw) / (2 * SPREAD))
     } else {
         Problem::Unknown
     };
@@ -57,8 +67,12 @@
 }
 
 /// Ends a request whose time is over.
-pub(super) fn out_of_time(state: &mut DirectState, id: u64, out: &mut Vec<Effect>) {
-    finish(state, id, Problem::TimedOut, "its time is over", out);
+pub(super) fn out_of_time(state: &mut DirectState, now: Millis, id: u64, out: &mut Vec<Effect>) {
+    let why = "its time is over";
+    match state.flights.get(&id) {
+        Some(f) if f.promises() && !f.headed => give_up(state, now, id, why, out),
+        _ => finish(state, id, Problem::TimedOut, why, out),
+    }
 }
 
 fn finish(
@@ -133,7 +147,10 @@
 
 /// Ends what is out of time.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    let late = |f: &super::Flight| now >= f.deadline;
+    let begun = |f: &super::Flight| f.headed || f.run.as_ref().is_some_and(|r| r.begun);
+    let left = |f: &super::Flight| f.deadline.saturating_sub(now);
+    let late =
+        |f: &super::Flight| left(f) == 0 || (left(f) <= LAST_MS && !begun(f) && f.promises());
     let over: Vec<u64> = state
         .flights
         .iter()
@@ -141,6 +158,6 @@
         .map(|(id, _)| *id)
         .collect();
     for id in over {
-        out_of_time(state, id, out);
+        out_of_time(state, now, id, out);
     }
 }
--- a/src/logic/direct/flight.rs
+++ b/src/logic/direct/flight.rs
@@ -48,6 +48,14 @@
     pub moved: Millis,
 }
 
+impl Flight {
+    /// Whether the caller may be told that the request has not run: it was never
+    /// sent, or may run again.
+    pub fn promises(&self) -> bool {
+        self.runs == 0 || self.route.repeatable()
+    }
+}
+
 /// A run that is awaited.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Run {
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -23,10 +23,11 @@
         return;
     };
     if now >= flight.deadline {
-        return end::out_of_time(state, id, out);
+        return end::out_of_time(state, now, id, out);
     }
     let Some(to) = choose::pick(state, now, &flight) else {
-        if now < flight.held {
+        let hope = flight.headed || choose::any(state, &flight);
+        if now < flight.held && hope {
             state.waiting.insert((!flight.urgent, id));
             return;
         }
