--- a/src/logic/direct/limit.rs
+++ b/src/logic/direct/limit.rs
@@ -27,7 +27,7 @@
 
 /// How far what is urgent may go beyond the limit, in hundredths: refusing a
 /// request twice costs its caller most, but letting all in makes all late.
-const URGENT: u64 = 150;
+const URGENT: u64 = 110;
 
 /// Part of the wanted pause that reading may take within one pass, in hundredths.
 const READING: u64 = 60;
