Figures: routers with direct links tell histograms and counters as text

At /metrics of the balancer's address and, where set, of one of their own (the deploy file names it): first event and whole answer by client account and class, refusals, unknown outcomes, retries, and what the router knows (groups, silent endpoints, loads under way, version of the routing).

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -11,7 +11,7 @@
 use crate::host::Clock;
 use crate::logic::direct::{DirectEffect, DirectEvent, Problem};
 use crate::logic::{step, Effect, Event, Node, Note, NoteCode};
-use crate::observe::{EventLog, Metrics};
+use crate::observe::{exposition, EventLog, Metrics};
 
 /// The actor that owns the state of a router with direct links.
 pub(super) struct DirectActor {
@@ -49,6 +49,11 @@
                 self.shared.callers.borrow_mut().insert(call.id, caller);
                 Event::Direct(DirectEvent::Request(call))
             }
+            LinkEvent::Figures(reply) => {
+                // Who asked may have left.
+                let _ = reply.send(self.figures());
+                return;
+            }
         };
         if matches!(event, Event::Stop) {
             self.note(&Note::new(NoteCode::Stopping));
@@ -62,6 +67,15 @@
         }
     }
 
+    /// Histograms, counters and what this router knows, as text.
+    fn figures(&self) -> String {
+        let figures = match &self.node {
+            Node::Direct(state) => state.figures(self.clock.now()),
+            _ => Vec::new(),
+        };
+        exposition(&self.metrics.rows(), &figures)
+    }
+
     fn note(&mut self, note: &Note) {
         self.log.write(self.clock.now(), note);
     }
--- a/src/link/link_event.rs
+++ b/src/link/link_event.rs
@@ -21,6 +21,8 @@
         /// Takes the answer.
         reply: oneshot::Sender<Response<AnswerBody>>,
     },
+    /// Somebody wants this process's figures.
+    Figures(oneshot::Sender<String>),
 }
 
 /// A caller's request as it came.
--- a/src/link/ready.rs
+++ b/src/link/ready.rs
@@ -1,4 +1,4 @@
-//! Tells the balancer whether this router takes callers, and its own figures.
+//! Tells the balancer whether this router takes callers, and scrapers its figures.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -10,9 +10,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::oneshot;
 
+use super::link_event::LinkEvent;
 use super::shared::Shared;
 
+/// Where the figures are.
+const FIGURES: &str = "/metrics";
+
 /// Answers for ever.
 pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     loop {
@@ -23,15 +28,7 @@
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: http::Request<hyper::body::Incoming>| {
-                let known = request.uri().path() == shared.dialect.ready_path;
-                let status = match (known, shared.ready.get()) {
-                    (false, _) => StatusCode::NOT_FOUND,
-                    (true, true) => StatusCode::OK,
-                    (true, false) => StatusCode::SERVICE_UNAVAILABLE,
-                };
-                let mut response = Response::new(Full::new(Bytes::new()));
-                *response.status_mut() = status;
-                std::future::ready(Ok::<_, Infallible>(response))
+                answer(shared.clone(), request.uri().path().to_string())
             });
             // The balancer asks again whatever happens to this connection.
             let _ = http1::Builder::new()
@@ -40,3 +37,25 @@
         });
     }
 }
+
+async fn answer(shared: Rc<Shared>, path: String) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (status, text) = if path == shared.dialect.ready_path {
+        match shared.ready.get() {
+            true => (StatusCode::OK, String::new()),
+            false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        }
+    } else if path == FIGURES {
+        (StatusCode::OK, figures(&shared).await)
+    } else {
+        (StatusCode::NOT_FOUND, String::new())
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    Ok(response)
+}
+
+async fn figures(shared: &Shared) -> String {
+    let (reply, text) = oneshot::channel();
+    shared.send(LinkEvent::Figures(reply));
+    text.await.unwrap_or_default()
+}
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -75,6 +75,10 @@
         tokio::task::spawn_local(peers::receive(shared.clone(), socket));
     }
     tokio::task::spawn_local(ready::serve(shared.clone(), readiness));
+    if let Some(listen) = settings.metrics {
+        let listener = TcpListener::bind(listen).await?;
+        tokio::task::spawn_local(ready::serve(shared.clone(), listener));
+    }
     tokio::task::spawn_local(callers::serve(shared.clone(), callers));
     tokio::task::spawn_local(ticks(shared.clone()));
     tokio::task::spawn_local(reap(shared.clone()));
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -1,6 +1,7 @@
 //! What endpoints answer, and what of it goes to callers.
 
 use super::{end, endpoints, limit, send, DirectEffect, DirectState, RunPart};
+use crate::logic::router::Metric;
 use crate::logic::Effect;
 use crate::types::Millis;
 
@@ -57,6 +58,7 @@
         flight.headed = true;
         flight.first = now.saturating_sub(flight.arrived);
         flight.moved = now;
+        end::measure(flight, Metric::FirstPiece, flight.first, out);
         out.push(Effect::Direct(DirectEffect::PassHead { request: id, run }));
     }
 }
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -89,6 +89,29 @@
         }
     }
 
+    /// Figures of this router by name, for its metrics address.
+    pub fn figures(&self, now: Millis) -> Vec<(&'static str, u64)> {
+        let listed = self.endpoints.values().filter(|v| v.listed);
+        let silent = self.endpoints.values().filter(|v| v.silent.is_some());
+        let heads = self.endpoints.values().filter(|v| v.listed && v.heads());
+        vec![
+            ("endpoints", listed.count() as u64),
+            ("endpoints_silent", silent.count() as u64),
+            ("groups_open", heads.count() as u64),
+            ("groups_forming", self.plan.forming.len() as u64),
+            ("groups_ending", self.plan.ending.len() as u64),
+            ("loads_under_way", self.plan.staging.len() as u64),
+            ("requests_in_flight", self.flights.len() as u64),
+            ("requests_waiting", self.waiting.len() as u64),
+            ("routers_known", self.peers.len() as u64 + 1),
+            (
+                "routing_version",
+                self.routing.as_ref().map_or(0, |r| r.version),
+            ),
+            ("plans", u64::from(self.plan.duty.holds(now))),
+        ]
+    }
+
     /// A random number below `bound`; 0 for a bound of 0.
     pub(super) fn random(&mut self, bound: u64) -> u64 {
         let mut rng = fastrand::Rng::with_seed(self.seed);
--- a/src/logic/direct/end.rs
+++ b/src/logic/direct/end.rs
@@ -1,6 +1,6 @@
 //! Last step of a request: its one final answer.
 
-use super::{endpoints, DirectEffect, DirectState, Problem};
+use super::{endpoints, DirectEffect, DirectState, Flight, Problem};
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
@@ -27,11 +27,21 @@
             .with("paused", flight.paused)
             .with("sends", flight.tried.len()),
     ));
+    measure(
+        &flight,
+        Metric::Total,
+        now.saturating_sub(flight.arrived),
+        out,
+    );
+}
+
+/// Records a value of a request.
+pub(super) fn measure(flight: &Flight, metric: Metric, value: u64, out: &mut Vec<Effect>) {
     out.push(Effect::Measure {
-        metric: Metric::Total,
-        account: flight.account.unwrap_or_else(|| "-".into()),
+        metric,
+        account: flight.account.clone().unwrap_or_else(|| "-".into()),
         class: flight.route.name.clone(),
-        value: now.saturating_sub(flight.arrived),
+        value,
     });
 }
 
@@ -86,6 +96,11 @@
     let Some(flight) = state.flights.remove(&id) else {
         return;
     };
+    let metric = match problem {
+        Problem::NotRun(_) | Problem::NotYet if !flight.headed => Metric::NotRun,
+        _ => Metric::Unknown,
+    };
+    measure(&flight, metric, 1, out);
     if flight.headed {
         let note = Note::new(NoteCode::FlightCut)
             .with("request", &flight.label)
@@ -147,10 +162,9 @@
 
 /// Ends what is out of time.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    let begun = |f: &super::Flight| f.headed || f.run.as_ref().is_some_and(|r| r.begun);
-    let left = |f: &super::Flight| f.deadline.saturating_sub(now);
-    let late =
-        |f: &super::Flight| left(f) == 0 || (left(f) <= LAST_MS && !begun(f) && f.promises());
+    let begun = |f: &Flight| f.headed || f.run.as_ref().is_some_and(|r| r.begun);
+    let left = |f: &Flight| f.deadline.saturating_sub(now);
+    let late = |f: &Flight| left(f) == 0 || (left(f) <= LAST_MS && !begun(f) && f.promises());
     let over: Vec<u64> = state
         .flights
         .iter()
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,6 +1,7 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
 use super::{choose, end, DirectEffect, DirectState, Flight, Run, RunRequest};
+use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{Millis, RouteKind};
 
@@ -125,6 +126,7 @@
             .with("runs", flight.runs)
             .with("event", flight.last_event.unwrap_or(0));
         out.push(Effect::Note(note));
+        end::measure(flight, Metric::Retry, 1, out);
     }
     next(state, now, id, out);
 }
--- a/src/observe/histograms.rs
+++ b/src/observe/histograms.rs
@@ -43,6 +43,14 @@
     pub p99: u64,
 }
 
+impl HistogramRow {
+    /// Whether it holds durations; else it counts.
+    pub fn is_duration(&self) -> bool {
+        let durations = [Metric::FirstPiece, Metric::Total];
+        durations.iter().any(|m| m.name() == self.metric)
+    }
+}
+
 impl Histograms {
     /// Records a value.
     pub fn record(&mut self, metric: Metric, account: &Arc<str>, class: &Arc<str>, value: u64) {
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -1,12 +1,14 @@
 //! What a process shows of itself: log, record of events, metrics.
 
 mod event_log;
+mod exposition;
 mod histograms;
 mod log_writer;
 mod logged_note;
 mod metrics;
 
 pub use event_log::EventLog;
+pub use exposition::exposition;
 pub use histograms::{HistogramRow, Histograms};
 pub use log_writer::{LogEnd, LogWriter};
 pub use logged_note::LoggedNote;
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -18,6 +18,8 @@
     pub callers: SocketAddr,
     /// Address at which the balancer asks.
     pub ready: SocketAddr,
+    /// Address for scrapers beside the balancer's, which tells the figures too.
+    pub metrics: Option<SocketAddr>,
     /// Address for other routers; without it none is asked.
     pub peers: Option<SocketAddr>,
     /// The platform's store.
@@ -56,6 +58,7 @@
             hall: String::new(),
             callers: any,
             ready: any,
+            metrics: None,
             peers: None,
             store: any,
             first_start: false,
@@ -88,6 +91,7 @@
             hall: ini.text("instance", "hall", "the name of the data hall"),
             callers: ini.parsed("listen", "callers", d.callers, address),
             ready: ini.parsed("listen", "ready", d.ready, address),
+            metrics: ini.optional("listen", "metrics", address),
             peers: ini.optional("listen", "peers", address),
             store: ini.parsed("direct", "store", d.store, address),
             first_start: ini.parsed("direct", "first_start", false, "true or false"),
--- /dev/null
+++ b/tests/direct/figures.rs
@@ -0,0 +1,28 @@
+//! Figures as a scraper reads them.
+
+use std::sync::Arc;
+
+use runrail::logic::router::Metric;
+use runrail::observe::{exposition, Metrics};
+
+#[test]
+fn figures_are_told_by_account_and_class() {
+    let mut metrics = Metrics::new(None).expect("metrics that go nowhere");
+    let account: Arc<str> = "ann".into();
+    let class: Arc<str> = "/stream/".into();
+    for ms in [20, 30, 400] {
+        metrics.record(Metric::Total, &account, &class, ms);
+    }
+    metrics.record(Metric::NotRun, &account, &class, 2);
+    insta::assert_snapshot!(exposition(&metrics.rows(), &[("groups_open", 3)]), @r#"
+    # TYPE runrail_total_ms summary
+    runrail_total_ms{account="ann",class="/stream/",quantile="0.5"} 30
+    runrail_total_ms{account="ann",class="/stream/",quantile="0.95"} 401
+    runrail_total_ms{account="ann",class="/stream/",quantile="0.99"} 401
+    runrail_total_ms_count{account="ann",class="/stream/"} 3
+    # TYPE runrail_not_run_total counter
+    runrail_not_run_total{account="ann",class="/stream/"} 2
+    # TYPE runrail_groups_open gauge
+    runrail_groups_open 3
+    "#);
+}
--- a/tests/direct/soak.rs
+++ b/tests/direct/soak.rs
@@ -170,6 +170,14 @@
     assert_eq!(once.status, 200, "{once:?}");
     let none = call(routers[0].callers, "GET", "/none/x", "x").expect("an answer");
     assert_eq!(none.status, 404);
+    let figures = call(routers[0].ready, "GET", "/metrics", "").expect("figures");
+    let counted = "runrail_total_ms_count{account=\"ann\",class=";
+    assert!(figures.body.contains(counted), "{}", figures.body);
+    assert!(
+        figures.body.contains("runrail_groups_open 1"),
+        "{}",
+        figures.body
+    );
     let callers = routers[0].callers;
     let streaming = std::thread::spawn(move || call(callers, "POST", "/stream/x", "last"));
     std::thread::sleep(Duration::from_millis(60));
