Planner: a trade is weighed before survivors are spread over other groups

Change: before a mix is formed, giving up one open group of the domain is weighed against it, and the free endpoints wait while that group finishes; what an endpoint could add elsewhere counts by the square of the part of that group which is there, was a half; a trade has to add 0.035 of all work, was 0.06.

--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -17,7 +17,7 @@
 const AGAIN_MS: Millis = 200;
 
 /// What a trade must add at least, as part of all that a service does.
-const TRADE: f64 = 0.06;
+const TRADE: f64 = 0.035;
 
 /// Shortest time between two trades.
 const TRADES_MS: Millis = 3_000;
@@ -40,17 +40,26 @@
     trades(state, now, out);
 }
 
+/// Whether a group of a place is being given up for others there: whoever is free
+/// waits for its members.
+fn awaits_trade(state: &DirectState, place: &Place) -> bool {
+    let group = state.plan.trades.get(place);
+    group.is_some_and(|name| state.plan.ending.contains_key(name))
+}
+
 /// Looks for a group to trade where nothing else is being done.
 fn trades(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let busy = !state.plan.forming.is_empty() || !state.plan.ending.is_empty();
-    if busy || now < state.plan.traded + TRADES_MS {
+    if busy {
         return;
     }
     for (place, free) in survey::free(state) {
-        if let Some(engine) = engine(state, &place.0) {
-            trade(state, now, &place, &free, &engine, out);
-        }
-        if state.plan.traded == now {
+        let Some(engine) = engine(state, &place.0) else {
+            continue;
+        };
+        let counts = counts(state, &place.0, &engine);
+        let value = worth(state, &engine, &counts)(&vec![0; engine.models.len()]);
+        if trade(state, now, &place, &free, &engine, value, out) {
             return;
         }
     }
@@ -161,13 +170,19 @@
     engine: &EngineSpec,
     out: &mut Vec<Effect>,
 ) {
+    if awaits_trade(state, place) {
+        return;
+    }
     let counts = counts(state, &place.0, engine);
     let able = able(state, free, engine);
     let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
     let mix = best_mix(&able, &sizes, worth(state, engine, &counts));
-    let Some((_, mix)) = mix else {
+    let Some((value, mix)) = mix else {
         return;
     };
+    if trade(state, now, place, free, engine, value, out) {
+        return;
+    }
     for (members, model) in mix.into_iter().zip(&engine.models) {
         for members in members {
             let warm = members.iter().any(|n| able[*n][index(engine, model)] > 0);
@@ -180,18 +195,20 @@
 }
 
 /// Gives an open group up where its members and the free endpoints of its place
-/// would add clearly more as other groups.
+/// would be worth clearly more as other groups than what can be had without it.
 fn trade(
     state: &mut DirectState,
     now: Millis,
     place: &Place,
     free: &[InstanceId],
     engine: &EngineSpec,
+    before: f64,
     out: &mut Vec<Effect>,
-) {
+) -> bool {
+    if now < state.plan.traded + TRADES_MS {
+        return false;
+    }
     let counts = counts(state, &place.0, engine);
-    let none = vec![0; engine.models.len()];
-    let before = worth(state, engine, &counts)(&none);
     let mut best: Option<(f64, Arc<str>, GroupView)> = None;
     for (name, group) in survey::groups(state) {
         let here = group.service == place.0 && group.domain == place.1;
@@ -204,14 +221,16 @@
         }
     }
     let Some((gain, name, group)) = best else {
-        return;
+        return false;
     };
     state.plan.traded = now;
+    state.plan.trades.insert(place.clone(), name.clone());
     let note = Note::new(NoteCode::GroupTraded)
         .with("group", &name)
         .with("gain", format!("{gain:.3}"));
     out.push(Effect::Note(note));
     retire::begin(state, now, &name, &group, true, out);
+    true
 }
 
 /// Worth of a service if a group's members and the free endpoints formed anew.
--- a/src/logic/direct/plan/mix.rs
+++ b/src/logic/direct/plan/mix.rs
@@ -8,10 +8,6 @@
 /// Readiness of an endpoint that can't join a group of a model now.
 const COLD: u8 = 2;
 
-/// Part that counts of what an endpoint could add to another model: the other
-/// members that it would need may not be there.
-const OPTION: f64 = 0.5;
-
 /// What each group beyond the wanted capacity still adds.
 const SURPLUS: f64 = 0.05;
 
@@ -31,14 +27,14 @@
 /// that the endpoints can serve. `able` tells their readiness for each model.
 ///
 /// Whoever joins a group of one model can serve no other soon: what it could add to
-/// one more group of another is taken off.
+/// one more group of another is taken off, the more the less that group lacks.
 pub(super) fn best_mix(
     able: &[Vec<u8>],
     sizes: &[usize],
     worth: impl Fn(&[usize]) -> f64,
 ) -> Option<(f64, Vec<Vec<Vec<usize>>>)> {
     let none = vec![0; sizes.len()];
-    let options = options(sizes, &worth);
+    let options = options(able, sizes, &worth);
     let mut best = None;
     let mut most = worth(&none) + 1e-9;
     for mix in mixes(able.len(), sizes) {
@@ -49,7 +45,7 @@
         let Some(members) = assign(able, sizes, &mix) else {
             continue;
         };
-        let value = value - OPTION * given_up(able, &members, &options);
+        let value = value - given_up(able, &members, &options);
         if value > most {
             most = value;
             best = Some((value, members));
@@ -58,17 +54,20 @@
     best
 }
 
-/// What one endpoint adds that can serve a model, as its part of one more group.
-fn options(sizes: &[usize], worth: &impl Fn(&[usize]) -> f64) -> Vec<f64> {
-    let mut one = vec![0; sizes.len()];
-    let before = worth(&one);
-    let mut of = |model: usize| {
+/// What one endpoint adds that can serve a model, as its part of one more group. It
+/// counts by the square of the part of that group which is there.
+fn options(able: &[Vec<u8>], sizes: &[usize], worth: &impl Fn(&[usize]) -> f64) -> Vec<f64> {
+    let none = vec![0; sizes.len()];
+    let before = worth(&none);
+    let of = |model: usize| {
+        let mut one = none.clone();
         one[model] = 1;
-        let more = worth(&one) - before;
-        one[model] = 0;
-        more / sizes[model].max(1) as f64
+        let size = sizes[model].max(1) as f64;
+        let there = able.iter().filter(|a| a[model] < COLD).count() as f64;
+        let part = (there / size).min(1.0);
+        part * part * (worth(&one) - before) / size
     };
-    (0..sizes.len()).map(&mut of).collect()
+    (0..sizes.len()).map(of).collect()
 }
 
 /// What members could have added to other models than that of their group.
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -402,3 +402,61 @@
     router.pass(200);
     assert_eq!(router.joins(), [], "one more and the large model is back");
 }
+
+/// Routing with a large model of sixteen and a small one of four, of even share.
+fn routing_for_sixteen() -> Routing {
+    let mut routing = routing(2);
+    let pool = routing.services.get_mut("pool").expect("the pool");
+    let mut spec = (**pool).clone();
+    for model in spec.engine.iter_mut().flat_map(|e| &mut e.models) {
+        model.size = if &*model.name == MODEL { 16 } else { 4 };
+        model.share = 500;
+    }
+    *pool = Arc::new(spec);
+    routing
+}
+
+/// An open group of a model in a domain, whose hosts keep the other model.
+fn group_of(model: &str, domain: &str, first: u16, size: u16) -> Vec<(InstanceId, EndpointEntry)> {
+    let other = if model == MODEL { "small" } else { MODEL };
+    let member = |rank: u16| {
+        let place = seat(&format!("g{first}"), usize::from(rank), SeatState::Open);
+        let (id, mut entry) = engine(first + rank, place);
+        entry.domain = domain.into();
+        entry.model = Some(model.into());
+        entry.staged = vec![other.into()];
+        (id, entry)
+    };
+    (0..size).map(member).collect()
+}
+
+/// Found by an incident of the users: a domain lost one member of the large group,
+/// and its other fifteen were spread over small ones.
+#[test]
+fn a_small_group_is_given_up_before_survivors_of_a_large_one_are_spread() {
+    let mut entries = group_of(MODEL, "d1", 100, 16);
+    entries.extend(group_of("small", "d1", 200, 4));
+    entries.extend(group_of(MODEL, "d2", 300, 16));
+    entries.extend(group_of(MODEL, "d3", 400, 16));
+    for n in 0..11 {
+        entries.extend(group_of("small", "d4", 500 + n * 4, 4));
+    }
+    let mut router = Router::new(entries);
+    router.tell(DirectEvent::Routing(Arc::new(routing_for_sixteen())));
+    router.state().plan.traffic = true;
+    router.pass(2_500);
+    router.take();
+    lose(&mut router, "e115");
+    router.pass(60);
+    let left = leaves(&router.take());
+    router.answer_order(left[0].0, OrderResult::Done);
+    router.pass(60);
+    let effects = router.take();
+    let closed = effects.iter().find_map(|e| match order(e) {
+        Some((_, id, GroupStep::Close { .. })) => Some(id),
+        _ => None,
+    });
+    assert_eq!(closed.as_deref(), Some("e200"), "{effects:?}");
+    router.pass(1_000);
+    assert_eq!(router.joins(), [], "they wait for it to finish");
+}
