Planner at scale: a lease by size, a fresh list for each duty, places that stand

A look at 3,000 endpoints takes longer than a third of a lease of 1 s: the duty changed hands again and again, each new planner had a list that lagged behind its duty, and entries that lagged wrote over places in groups that it had just opened. Change: the lease holds a millisecond for each endpoint where that is more than set, and as long as the store said, from when it was granted; a new planner has the list read whole when its changes are behind its duty, and waits for that; the places of a group that it has opened stand until the list shows them; a look reads the fleet once for all places; no news to more than 48 routers; others rest a third of the time to drain, and only shortly while many changes wait.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -132,6 +132,7 @@
                 body,
             } => looks::order(&self.shared, order, id, addr, body),
             DirectEffect::Tell { to, message } => peers::tell(&self.shared, to, &message),
+            DirectEffect::ReadList => self.shared.list_anew.notify_one(),
             DirectEffect::WatchList { often } => {
                 let (now, begin) = &self.shared.list_often;
                 now.set(often);
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -59,6 +59,7 @@
         stopping: Cell::new(false),
         closed: Cell::new(false),
         stop: Notify::new(),
+        list_anew: Notify::new(),
         list_often: (Cell::new(true), Notify::new()),
         watch_own: (Cell::new(0), Notify::new()),
         exit: Notify::new(),
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -51,6 +51,8 @@
     pub closed: Cell<bool>,
     /// Told when no more connections are taken.
     pub stop: Notify,
+    /// Told when the list is to be read whole.
+    pub list_anew: Notify,
     /// Whether changes of the list are read often, and a call to begin with it.
     pub list_often: (Cell<bool>, Notify),
     /// From which revision the own keys are watched, and a call to begin.
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -43,7 +43,16 @@
         };
         let revision = page.revision;
         all(page);
-        changes(&shared, prefix, pace, revision, &mut changed).await;
+        let follow = changes(&shared, prefix, pace, revision, &mut changed);
+        if pace.rest.is_some() {
+            // Only the list rests, and only the list may be wanted whole.
+            tokio::select! {
+                () = follow => {}
+                () = shared.list_anew.notified() => {}
+            }
+        } else {
+            follow.await;
+        }
     }
 }
 
@@ -70,10 +79,10 @@
                 changes,
             } => {
                 revision = upto;
-                let any = !changes.is_empty();
+                let count = changes.len();
                 changed(upto, changes);
-                if any {
-                    rest(shared, pace).await;
+                if count > 0 {
+                    rest(shared, pace, count).await;
                 }
             }
             Watched::Forgotten => return,
@@ -82,12 +91,15 @@
     }
 }
 
-/// Pauses between two readings of a watch.
-async fn rest(shared: &Shared, pace: WatchPace) {
+/// Changes in one answer from which on more are likely to wait.
+const MANY: usize = 200;
+
+/// Pauses between two readings of a watch; only shortly where many changes came.
+async fn rest(shared: &Shared, pace: WatchPace, count: usize) {
     let (often, begin) = &shared.list_often;
     let shortest = pace.pause.max(shared.spread());
     sleep(shortest).await;
-    let longer = pace.rest.filter(|_| !often.get());
+    let longer = pace.rest.filter(|_| !often.get() && count < MANY);
     if let Some(rest) = longer.and_then(|r| r.checked_sub(shortest)) {
         // Over either way: the pause has passed, or the list is wanted often.
         let _ = timeout(rest, begin.notified()).await;
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -69,6 +69,8 @@
         /// What is said.
         message: PeerMessage,
     },
+    /// Read the list whole: its changes lag.
+    ReadList,
     /// Read changes of the list as often as may be, or only now and then.
     WatchList {
         /// Whether often.
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,6 +1,6 @@
 //! What this router knows of endpoints: the list and its own experience.
 
-use super::{limit, peers, DirectState, EndpointView, EntryNews};
+use super::{limit, peers, plan, DirectState, EndpointView, EntryNews};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EndpointEntry, InstanceId, Millis};
 
@@ -53,6 +53,7 @@
         }
         return;
     };
+    let entry = plan::corrected(state, &id, entry);
     let Some(view) = state.endpoints.get_mut(&id) else {
         let note = Note::new(NoteCode::EndpointListed)
             .with("endpoint", &id)
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -25,6 +25,9 @@
 /// Time between two renewals.
 const RENEW_MS: Millis = 2_000;
 
+/// Most other routers that a planner tells what the list shows.
+const TOLD: usize = 48;
+
 /// Pause after a call that failed.
 const AGAIN_MS: Millis = 500;
 
@@ -180,8 +183,17 @@
     tell_planner(state, PeerMessage::Traffic, out);
 }
 
+/// Whether the planner tells others what the list shows: with more routers that would
+/// take more of its time than it saves.
+pub(super) fn are_told(state: &DirectState) -> bool {
+    state.peers.len() <= TOLD
+}
+
 /// Tells every other router what the list shows of an endpoint.
 pub(super) fn spread(state: &DirectState, news: EntryNews, out: &mut Vec<Effect>) {
+    if !are_told(state) {
+        return;
+    }
     for to in state.peers.values() {
         let message = PeerMessage::Entry(news.clone());
         out.push(Effect::Direct(DirectEffect::Tell { to: *to, message }));
--- a/src/logic/direct/plan/duty.rs
+++ b/src/logic/direct/plan/duty.rs
@@ -28,6 +28,10 @@
     pub revision: i64,
     /// Own lease.
     pub lease: Option<i64>,
+    /// How long the own lease holds without a renewal.
+    pub length: Millis,
+    /// When the call that granted it was sent.
+    pub granted: Millis,
     /// Fence of the own duty: the revision at which it was taken.
     pub fence: u64,
     /// Until when the own lease holds for certain.
@@ -85,12 +89,13 @@
         }
         _ if state.stopping.is_some() => return,
         (Some(lease), _) => {
-            state.plan.duty.next_at = now + state.knobs.lease_ms / RENEWALS;
+            state.plan.duty.next_at = now + duty.length / RENEWALS;
             (DutyCall::Renew(now), StoreCall::Renew { lease })
         }
         (None, Some(lease)) if free => (DutyCall::Take(lease, now), take(state, lease)),
-        (None, None) if free => {
-            let ttl_s = (state.knobs.lease_ms / 1_000).max(1);
+        // The length goes by the fleet's size, so the list is read first.
+        (None, None) if free && state.listed => {
+            let ttl_s = (lease_ms(state) / 1_000).max(1);
             (DutyCall::Grant(now), StoreCall::Grant { ttl_s })
         }
         _ if !duty.watched => (DutyCall::Read, read()),
@@ -100,6 +105,13 @@
     state.plan.duty.call = Some((call, what));
 }
 
+/// Length of the lease: as set, and a millisecond for each endpoint where that is
+/// more, as a look at all of them takes this router's time. In whole seconds.
+fn lease_ms(state: &DirectState) -> Millis {
+    let by_size = state.endpoints.len() as Millis / 1_000 * 1_000;
+    state.knobs.lease_ms.max(by_size)
+}
+
 fn read() -> StoreCall {
     StoreCall::Read {
         key: peers::PREFIX.to_string(),
@@ -135,7 +147,6 @@
         return;
     };
     state.plan.duty.call = None;
-    let lease_ms = state.knobs.lease_ms;
     if let (DutyCall::Read, Ok(StoreReply::Entries { entries, .. })) = (what, &result) {
         peers::read(state, entries);
     }
@@ -148,17 +159,21 @@
             duty.holder = found.map(|e| e.value);
             out.push(Effect::Watch { from: revision + 1 });
         }
-        (DutyCall::Grant(_), Ok(StoreReply::Lease { lease, .. })) => duty.lease = Some(lease),
-        (DutyCall::Take(lease, at), Ok(StoreReply::Swapped { done, revision, .. })) if done => {
+        (DutyCall::Grant(at), Ok(StoreReply::Lease { lease, ttl_s })) => {
+            duty.lease = Some(lease);
+            duty.length = ttl_s * 1_000;
+            duty.granted = at;
+        }
+        (DutyCall::Take(lease, _), Ok(StoreReply::Swapped { done, revision, .. })) if done => {
             duty.lease = Some(lease);
             duty.fence = u64::try_from(revision).unwrap_or(0);
-            duty.until = at + lease_ms;
+            duty.until = duty.granted + duty.length;
             duty.holder = Some(state.me.to_string());
             let note = Note::new(NoteCode::DutyTaken).with("fence", duty.fence);
             out.push(Effect::Note(note));
         }
         (DutyCall::Renew(at), Ok(StoreReply::Lease { ttl_s, .. })) if ttl_s > 0 => {
-            duty.until = at + lease_ms;
+            duty.until = at + duty.length;
         }
         (DutyCall::Renew(_), Ok(_)) | (DutyCall::Revoke, _) => {
             duty.drop_it();
--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -19,6 +19,10 @@
 /// What a trade must add at least, as part of all that a service does.
 const TRADE: f64 = 0.035;
 
+/// Part, in hundredths, of what another model has that one has at most which is
+/// clearly short of groups.
+const CLEARLY: u64 = 70;
+
 /// Shortest time between two trades.
 const TRADES_MS: Millis = 3_000;
 
@@ -31,13 +35,60 @@
         }
         return;
     }
+    let mut view = FleetView::of(state);
     for (place, free) in free {
         let Some(engine) = engine(state, &place.0) else {
             continue;
         };
-        repair(state, now, &place, &free, &engine, out);
+        let at = Offer {
+            place: &place,
+            free: &free,
+            engine: &engine,
+        };
+        repair(state, now, &mut view, &at, out);
+    }
+    trades(state, now, &view, out);
+}
+
+/// Free endpoints of one service and domain.
+struct Offer<'a> {
+    /// Where they are.
+    place: &'a Place,
+    /// The endpoints.
+    free: &'a [InstanceId],
+    /// Their engine.
+    engine: &'a EngineSpec,
+}
+
+/// What stands, read once a look: each place is weighed by it.
+struct FleetView {
+    /// Groups by place.
+    groups: BTreeMap<Place, Vec<(Arc<str>, GroupView)>>,
+    /// Groups of each model by service, those that are being formed included.
+    counts: BTreeMap<Arc<str>, Vec<usize>>,
+}
+
+impl FleetView {
+    fn of(state: &DirectState) -> Self {
+        let mut groups: BTreeMap<Place, Vec<(Arc<str>, GroupView)>> = BTreeMap::new();
+        for (name, group) in survey::groups(state) {
+            let place = (group.service.clone(), group.domain.clone());
+            groups.entry(place).or_default().push((name, group));
+        }
+        let standing = standing(state);
+        let mut counts = BTreeMap::new();
+        for (service, spec) in state.routing.iter().flat_map(|r| &r.services) {
+            if let Some(engine) = &spec.engine {
+                counts.insert(service.clone(), counts_in(&standing, service, engine));
+            }
+        }
+        Self { groups, counts }
+    }
+
+    /// Groups of each model of a service.
+    fn counts(&self, service: &Arc<str>) -> Vec<usize> {
+        self.counts.get(service).cloned().unwrap_or_default()
     }
-    trades(state, now, out);
 }
 
 /// Whether a group of a place is being given up for others there: whoever is free
@@ -48,7 +99,7 @@
 }
 
 /// Looks for a group to trade where nothing else is being done.
-fn trades(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+fn trades(state: &mut DirectState, now: Millis, view: &FleetView, out: &mut Vec<Effect>) {
     let busy = !state.plan.forming.is_empty() || !state.plan.ending.is_empty();
     if busy {
         return;
@@ -57,9 +108,14 @@
         let Some(engine) = engine(state, &place.0) else {
             continue;
         };
-        let counts = counts(state, &place.0, &engine);
+        let counts = view.counts(&place.0);
         let value = worth(state, &engine, &counts)(&vec![0; engine.models.len()]);
-        if trade(state, now, &place, &free, &engine, value, out) {
+        let at = Offer {
+            place: &place,
+            free: &free,
+            engine: &engine,
+        };
+        if trade(state, now, view, &at, value, out) {
             return;
         }
     }
@@ -165,27 +221,35 @@
 fn repair(
     state: &mut DirectState,
     now: Millis,
-    place: &Place,
-    free: &[InstanceId],
-    engine: &EngineSpec,
+    view: &mut FleetView,
+    at: &Offer,
     out: &mut Vec<Effect>,
 ) {
+    let Offer {
+        place,
+        free,
+        engine,
+    } = *at;
     if awaits_trade(state, place) {
         return;
     }
-    let counts = counts(state, &place.0, engine);
+    let counts = view.counts(&place.0);
     let able = able(state, free, engine);
     let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
     let mix = best_mix(&able, &sizes, worth(state, engine, &counts));
     let Some((value, mix)) = mix else {
         return;
     };
-    if trade(state, now, place, free, engine, value, out) {
+    if trade(state, now, view, at, value, out) {
         return;
     }
-    for (members, model) in mix.into_iter().zip(&engine.models) {
+    for (n, members) in mix.into_iter().enumerate() {
+        let model = &engine.models[n];
+        if let Some(counts) = view.counts.get_mut(&place.0) {
+            counts[n] += members.len();
+        }
         for members in members {
-            let warm = members.iter().any(|n| able[*n][index(engine, model)] > 0);
+            let warm = members.iter().any(|member| able[*member][n] > 0);
             let load = if warm { model.warm_ms } else { AGAIN_MS };
             let members = members.iter().map(|n| free[*n].clone()).collect();
             let takes = load + engine.form_ms;
@@ -199,22 +263,24 @@
 fn trade(
     state: &mut DirectState,
     now: Millis,
-    place: &Place,
-    free: &[InstanceId],
-    engine: &EngineSpec,
+    view: &FleetView,
+    at: &Offer,
     before: f64,
     out: &mut Vec<Effect>,
 ) -> bool {
+    let Offer {
+        place,
+        free,
+        engine,
+    } = *at;
     if now < state.plan.traded + TRADES_MS {
         return false;
     }
-    let counts = counts(state, &place.0, engine);
-    let mut best: Option<(f64, Arc<str>, GroupView)> = None;
-    for (name, group) in survey::groups(state) {
-        let here = group.service == place.0 && group.domain == place.1;
-        let open = group.head().is_some_and(|h| h.state == SeatState::Open);
-        if here && open {
-            let gain = without(state, &group, free, engine, &counts) - before;
+    let counts = view.counts(&place.0);
+    let mut best: Option<(f64, &Arc<str>, &GroupView)> = None;
+    for (name, group) in view.groups.get(place).into_iter().flatten() {
+        if group.head().is_some_and(|h| h.state == SeatState::Open) {
+            let gain = without(state, group, free, engine, &counts) - before;
             if gain > TRADE && best.as_ref().is_none_or(|(g, ..)| gain > *g) {
                 best = Some((gain, name, group));
             }
@@ -226,10 +292,10 @@
     state.plan.traded = now;
     state.plan.trades.insert(place.clone(), name.clone());
     let note = Note::new(NoteCode::GroupTraded)
-        .with("group", &name)
+        .with("group", name)
         .with("gain", format!("{gain:.3}"));
     out.push(Effect::Note(note));
-    retire::begin(state, now, &name, &group, true, out);
+    retire::begin(state, now, name, group, true, out);
     true
 }
 
@@ -303,7 +369,14 @@
 
 /// Groups of each model of a service.
 fn counts(state: &DirectState, service: &Arc<str>, engine: &EngineSpec) -> Vec<usize> {
-    let standing = standing(state);
+    counts_in(&standing(state), service, engine)
+}
+
+fn counts_in(
+    standing: &BTreeMap<(Place, Arc<str>), usize>,
+    service: &Arc<str>,
+    engine: &EngineSpec,
+) -> Vec<usize> {
     let of = |m: &EngineModel| {
         let here = standing
             .iter()
@@ -320,12 +393,29 @@
     engine: &EngineSpec,
 ) -> Vec<EngineModel> {
     let counts = counts(state, service, engine);
-    let groups = |m: &EngineModel| counts[index(engine, m)];
     let mut models = engine.models.clone();
-    models.sort_by_key(|m| (groups(m) * m.size * 1_000_000) as u64 / m.share.max(1));
+    models.sort_by_key(|m| served(m, counts[index(engine, m)]));
     models
 }
 
+/// The model that has clearly less of what it needs than any other.
+pub(super) fn short_of(
+    state: &DirectState,
+    service: &Arc<str>,
+    engine: &EngineSpec,
+) -> Option<Arc<str>> {
+    let counts = counts(state, service, engine);
+    let of = |m: &EngineModel| served(m, counts[index(engine, m)]);
+    let models = by_need(state, service, engine);
+    let (first, next) = (models.first()?, models.get(1)?);
+    (of(first) * 100 < of(next) * CLEARLY).then(|| first.name.clone())
+}
+
+/// Instances in groups of a model for each part of the work that is its share.
+fn served(model: &EngineModel, groups: usize) -> u64 {
+    (groups * model.size * 1_000_000) as u64 / model.share.max(1)
+}
+
 /// What an endpoint must do to serve a model: nothing, load from the host, or
 /// load from the weight store.
 pub(super) fn readiness(state: &DirectState, id: &InstanceId, model: &Arc<str>) -> u8 {
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -6,7 +6,7 @@
 use super::{look, order, retire, Ending, EndingStep, Forming, OrderUse};
 use crate::logic::direct::{DirectState, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
-use crate::types::{GroupSeat, InstanceId, Millis, SeatState};
+use crate::types::{EndpointEntry, GroupSeat, InstanceId, Millis, SeatState};
 
 /// Epochs that one fence has room for.
 const EPOCHS: u64 = 4_096;
@@ -167,24 +167,52 @@
     true
 }
 
-/// Members that told of their place themselves keep it, though the list, which
-/// they may be cut off from, still shows another one.
+/// The members of an open group keep their places, though the list may lag behind.
 fn seat_all(state: &mut DirectState, group: &Arc<str>, forming: &Forming) {
     for (rank, id) in forming.members.iter().enumerate() {
-        if seat(state, id, group).is_some() {
+        let seat = GroupSeat {
+            group: group.clone(),
+            epoch: forming.epoch,
+            rank,
+            state: if rank == 0 {
+                SeatState::Open
+            } else {
+                SeatState::Ready
+            },
+        };
+        let Some(view) = state.endpoints.get_mut(id) else {
             continue;
+        };
+        if view.epoch() < forming.epoch {
+            view.entry.seat = Some(seat.clone());
+            view.entry.model = Some(forming.model.clone());
+            state
+                .plan
+                .seats
+                .insert(id.clone(), (seat, forming.model.clone()));
         }
-        if let Some(view) = state.endpoints.get_mut(id) {
-            view.entry.seat = Some(GroupSeat {
-                group: group.clone(),
-                epoch: forming.epoch,
-                rank,
-                state: SeatState::Ready,
-            });
-        }
     }
 }
 
+/// An entry of the list, in which a place that this planner knows better stands.
+pub(in crate::logic::direct) fn corrected(
+    state: &mut DirectState,
+    id: &InstanceId,
+    mut entry: EndpointEntry,
+) -> EndpointEntry {
+    let Some((seat, model)) = state.plan.seats.get(id) else {
+        return entry;
+    };
+    let listed = entry.seat.as_ref().map_or(0, |s| s.epoch);
+    if listed >= seat.epoch || state.plan.ended.contains(&seat.group) {
+        state.plan.seats.remove(id);
+        return entry;
+    }
+    entry.seat = Some(seat.clone());
+    entry.model = Some(model.clone());
+    entry
+}
+
 /// Gives a group up that isn't open; its members are free once nothing can open it.
 pub(super) fn give_up(
     state: &mut DirectState,
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -36,6 +36,7 @@
 pub use staging::Staging;
 
 pub(super) use duty::{answered, changed, unwatched};
+pub(super) use form::corrected;
 pub(super) use look::{looked, seen, suspect};
 pub(super) use order::ordered;
 pub(super) use retire::given_up;
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use super::{Duty, Ending, Forming, Look, OrderUse, Staging};
-use crate::types::{InstanceId, Millis};
+use crate::types::{GroupSeat, InstanceId, Millis};
 
 /// What a planner knows beside the list.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -11,6 +11,8 @@
     pub duty: Duty,
     /// Whether this router has had the duty at the last look.
     pub held: bool,
+    /// When the list is read whole next, while it is older than the duty.
+    pub read_at: Millis,
     /// When the groups are looked at next.
     pub look_at: Millis,
     /// Groups that are being formed, by name.
@@ -27,6 +29,9 @@
     pub lost: BTreeMap<InstanceId, Millis>,
     /// Looks at endpoints.
     pub looks: BTreeMap<InstanceId, Look>,
+    /// Places, with their model, in groups that this planner has opened and the list
+    /// doesn't show yet.
+    pub seats: BTreeMap<InstanceId, (GroupSeat, Arc<str>)>,
     /// Orders that haven't been answered.
     pub orders: BTreeMap<u64, OrderUse>,
     /// Loads from the weight store that this planner has caused lately.
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -40,10 +40,15 @@
 /// Tells spares that hold no model to hold one.
 fn spares(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let heads = heads(state);
+    let mut services: BTreeMap<Arc<str>, Option<Needs>> = BTreeMap::new();
     for (place, free) in survey::free(state) {
-        let Some(engine) = fill::engine(state, &place.0) else {
+        let needs = services
+            .entry(place.0.clone())
+            .or_insert_with(|| Needs::of(state, &place.0));
+        let Some(needs) = needs else {
             continue;
         };
+        let engine = &needs.engine;
         for id in &free {
             let idle = !state.plan.staging.contains_key(id);
             let view = state.endpoints.get(id);
@@ -52,11 +57,11 @@
             if !idle || holds {
                 continue;
             }
-            let warm = holds_any(state, id, &engine, 1);
-            if !warm && !room(state, &engine) {
+            let warm = holds_any(state, id, engine, 1);
+            if !warm && !room(state, engine) {
                 continue;
             }
-            if let Some(model) = choose(state, &place, &free, id, &engine, &heads) {
+            if let Some(model) = choose(state, &place, &free, id, needs, &heads) {
                 give(state, now, id, &model.name, !warm, out);
             }
         }
@@ -66,47 +71,94 @@
 /// Tells endpoints to load a second model to their hosts.
 ///
 /// A member keeps the model of its group; the host holds another one ready, so
-/// that whoever is left of a group can serve either. Spares come first, then members of
-/// large groups.
+/// that whoever is left of a group can serve either. A model that is clearly short
+/// of groups comes first, where most can serve it already; then spares, then members
+/// of large groups, as more of them are left over.
 fn second(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let free: BTreeSet<InstanceId> = survey::free(state).into_values().flatten().collect();
-    let mut engines: BTreeMap<Arc<str>, Option<(EngineSpec, Vec<EngineModel>)>> = BTreeMap::new();
+    let mut services: BTreeMap<Arc<str>, Option<Needs>> = BTreeMap::new();
     let mut waiting = Vec::new();
     for (id, view) in &state.endpoints {
         let told = state.plan.staging.contains_key(id);
-        let Some(held) = view.last.clone().filter(|_| !told) else {
+        let Some(held) = view.last.as_ref().filter(|_| !told) else {
             continue;
         };
-        let other = view.entry.staged.iter().any(|m| *m != held);
+        let other = view.entry.staged.iter().any(|m| m != held);
         if other || !survey::usable(state, id, view) {
             continue;
         }
-        let service = view.entry.service.clone();
-        let engine = engines.entry(service.clone()).or_insert_with(|| {
-            let engine = fill::engine(state, &service)?;
-            let models = fill::by_need(state, &service, &engine);
-            Some((engine, models))
-        });
-        let size = engine.as_ref().and_then(|(e, _)| e.model(&held));
-        // Members of large groups first: more of them are left over.
-        let order = (!free.contains(id), Reverse(size.map_or(0, |m| m.size)));
-        waiting.push((order, id.clone(), service, held));
+        let service = &view.entry.service;
+        let needs = services
+            .entry(service.clone())
+            .or_insert_with(|| Needs::of(state, service));
+        let wanted = needs.as_ref().and_then(|n| Some((n, n.other(held)?)));
+        let Some((needs, model)) = wanted else {
+            continue;
+        };
+        let size = needs.engine.model(held).map_or(0, |m| m.size);
+        let ready = needs.ready_for(&view.entry.domain, &model);
+        let order = (Reverse(ready), !free.contains(id), Reverse(size));
+        waiting.push((order, id.clone(), service.clone(), model));
     }
     waiting.sort();
-    for (_, id, service, held) in waiting {
-        let Some(Some((engine, models))) = engines.get(&service) else {
+    for (_, id, service, model) in waiting {
+        let Some(Some(needs)) = services.get(&service) else {
             continue;
         };
-        let busy = state.plan.staging.len() as u32 >= engine.loads_at_once;
-        if busy || !room(state, engine) {
+        let busy = state.plan.staging.len() as u32 >= needs.engine.loads_at_once;
+        if busy || !room(state, &needs.engine) {
             return;
         }
-        if let Some(model) = models.iter().find(|m| m.name != held) {
-            let step = GroupStep::Stage {
-                model: model.name.clone(),
-            };
-            tell(state, now, &id, &model.name, true, step, out);
+        let step = GroupStep::Stage {
+            model: model.clone(),
+        };
+        tell(state, now, &id, &model, true, step, out);
+    }
+}
+
+/// What a service needs its hosts to hold.
+struct Needs {
+    /// Its engines.
+    engine: EngineSpec,
+    /// Models, the one with the least of what it needs first.
+    models: Vec<Arc<str>>,
+    /// The model that is clearly short of groups, if any.
+    short: Option<Arc<str>>,
+    /// Endpoints that can serve that model without a load, by domain.
+    ready: BTreeMap<Arc<str>, usize>,
+}
+
+impl Needs {
+    fn of(state: &DirectState, service: &Arc<str>) -> Option<Self> {
+        let engine = fill::engine(state, service)?;
+        let models = fill::by_need(state, service, &engine);
+        let short = fill::short_of(state, service, &engine);
+        let mut ready: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for (id, view) in &state.endpoints {
+            let usable = view.entry.service == *service && survey::usable(state, id, view);
+            let serves = |m| fill::readiness(state, id, m) < fill::COLD;
+            if usable && short.as_ref().is_some_and(serves) {
+                *ready.entry(view.entry.domain.clone()).or_default() += 1;
+            }
         }
+        Some(Self {
+            engine,
+            models: models.into_iter().map(|m| m.name).collect(),
+            short,
+            ready,
+        })
+    }
+
+    /// The model to load beside another one.
+    fn other(&self, held: &Arc<str>) -> Option<Arc<str>> {
+        self.models.iter().find(|m| *m != held).cloned()
+    }
+
+    /// Endpoints of a domain that can serve a model, where it is short; else 0.
+    fn ready_for(&self, domain: &Arc<str>, model: &Arc<str>) -> usize {
+        let short = self.short.as_ref() == Some(model);
+        let ready = self.ready.get(domain).filter(|_| short);
+        ready.map_or(usize::from(short), |n| n + 1)
     }
 }
 
@@ -172,9 +224,10 @@
     place: &Place,
     free: &[InstanceId],
     id: &InstanceId,
-    engine: &EngineSpec,
+    needs: &Needs,
     heads: &Heads,
 ) -> Option<EngineModel> {
+    let engine = &needs.engine;
     let warm = |m: &&EngineModel| fill::readiness(state, id, &m.name) < fill::COLD;
     let quickest = |m: &&EngineModel| fill::readiness(state, id, &m.name);
     if let Some(model) = engine.models.iter().filter(warm).min_by_key(quickest) {
@@ -196,11 +249,13 @@
         let filled = |m: &&EngineModel| ready(m) as u64 * 1_000_000 / m.share.max(1);
         return engine.models.iter().min_by_key(filled).cloned();
     }
-    let by_need = fill::by_need(state, &place.0, engine);
+    if let Some(short) = &needs.short {
+        return engine.model(short).cloned();
+    }
+    let by_need = needs.models.iter().filter_map(|m| engine.model(m).cloned());
     // Members that could need this spare, for each spare that is ready already.
     let use_of = |m: &EngineModel| groups(m) * m.size * 1_000 / (ready(m) + 1);
     by_need
-        .into_iter()
         .enumerate()
         .max_by_key(|(i, m)| (use_of(m), usize::MAX - i))
         .map(|(_, m)| m)
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -1,11 +1,14 @@
 use super::{duty, fill, form, inspect, look, retire, stage};
-use crate::logic::direct::DirectState;
+use crate::logic::direct::{DirectEffect, DirectState};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
 
 /// Endpoints that a look may cover for each millisecond until the next one.
 const LOOKED_IN_A_MS: Millis = 10;
 
+/// Time between two readings of the whole list for one duty.
+const READ_MS: Millis = 1_500;
+
 /// Looks after the duty and, where it is held, after the groups.
 pub(in crate::logic::direct) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     duty::tend(state, now, out);
@@ -14,6 +17,7 @@
         state.plan.held = holds;
         forget(state);
         if holds {
+            state.plan.read_at = now;
             look::all(state, now, out);
         }
         if !holds {
@@ -21,9 +25,10 @@
             out.push(Effect::Note(note));
         }
     }
-    // What earlier planners did is in the list as of the revision of the duty.
-    let read = state.listed && state.list_revision >= state.plan.duty.fence as i64;
-    if !holds || !read || state.routing.is_none() || now < state.plan.look_at {
+    if holds {
+        read_anew(state, now, out);
+    }
+    if !holds || !is_read(state) || state.routing.is_none() || now < state.plan.look_at {
         return;
     }
     // A look costs time by endpoint: large fleets are looked at less often.
@@ -39,6 +44,21 @@
     clean(state);
 }
 
+/// Whether the list is as new as the duty: what earlier planners did is in it then.
+fn is_read(state: &DirectState) -> bool {
+    state.listed && state.list_revision >= state.plan.duty.fence as i64
+}
+
+/// Has the list read whole where its changes lag behind the duty: in a large fleet
+/// that takes far less time than to catch up.
+fn read_anew(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    if is_read(state) || now < state.plan.read_at {
+        return;
+    }
+    state.plan.read_at = now + READ_MS;
+    out.push(Effect::Direct(DirectEffect::ReadList));
+}
+
 /// Forgets what an earlier term of the duty was about.
 fn forget(state: &mut DirectState) {
     let plan = &mut state.plan;
@@ -48,6 +68,7 @@
     plan.partial.clear();
     plan.staging.clear();
     plan.orders.clear();
+    plan.seats.clear();
     plan.lost.clear();
     plan.looks.clear();
 }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -107,11 +107,13 @@
     }
 }
 
-/// Reads the list often while this router plans, or while nobody does; else the
-/// planner tells what matters, and the list is read to be sure.
+/// Reads the list often while this router plans, while nobody does, or where there
+/// are too many to be told; else the planner tells what matters, and the list is
+/// read to be sure.
 fn tell_pace(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let duty = &state.plan.duty;
-    let often = duty.fence > 0 || duty.holder.is_none() || duty.holds(now);
+    let alone = duty.fence > 0 || duty.holder.is_none() || duty.holds(now);
+    let often = alone || !peers::are_told(state);
     if often != state.often {
         state.often = often;
         out.push(Effect::Direct(DirectEffect::WatchList { often }));
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -45,7 +45,7 @@
 const LONGEST_WAIT: u64 = 30_000;
 
 /// Part of the time to drain that a router may rest between two readings of the list.
-const REST_PART: u64 = 2;
+const REST_PART: u64 = 3;
 
 /// Longest rest between two readings of the list.
 const LONGEST_REST: Duration = Duration::from_secs(2);
--- a/tests/direct/soak.rs
+++ b/tests/direct/soak.rs
@@ -202,6 +202,10 @@
     let dir = tempfile::tempdir().expect("a folder");
     let (standin, routers) = fleet(5, dir.path());
     for round in 0..2 {
+        // The router may hear of the group later than the stand-in shows it.
+        until("the router serves", Duration::from_secs(5), || {
+            served(&routers[round % 2], "again")
+        });
         let group = standin.open_groups().pop().expect("a group");
         let callers = routers[round % 2].callers;
         let streaming = std::thread::spawn(move || call(callers, "POST", "/stream/x", "moved"));
