--- /dev/null
+++ b/tests/direct/lag.rs
@@ -0,0 +1,154 @@
+//! A list that lags: what the planner does not do by it, and what others are told.
+
+use runrail::logic::direct::{DirectEffect, DirectEvent, EntryNews, GroupStep, PeerMessage};
+use runrail::logic::router::StoreEntry;
+use runrail::logic::Event;
+use runrail::types::{EndpointEntry, InstanceId, SeatState};
+
+use crate::fixture::{addr, engine, open_group, order, run, seat, Router, FENCE, MODEL};
+
+/// The list as of a revision.
+fn list(router: &mut Router, revision: i64, entries: Vec<(InstanceId, EndpointEntry)>) {
+    router.tell(DirectEvent::List { revision, entries });
+}
+
+/// Makes another router known.
+fn peer(router: &mut Router, n: u16) {
+    let entry = StoreEntry {
+        key: format!("runrail/router/r{n}"),
+        value: addr(n).to_string(),
+        revision: 5,
+    };
+    router.feed(Event::Watch(vec![runrail::logic::router::StoreChange {
+        key: entry.key,
+        value: Some(entry.value),
+        revision: entry.revision,
+    }]));
+}
+
+fn joins(effects: &[DirectEffect]) -> usize {
+    let join = |e: &&DirectEffect| matches!(order(e), Some((_, _, GroupStep::Join { .. })));
+    effects.iter().filter(join).count()
+}
+
+/// Found by the sweep at 300 machines: TWO, 221 times.
+#[test]
+fn a_new_planner_waits_for_a_list_as_new_as_its_duty() {
+    let mut router = Router::bare();
+    router.tell(DirectEvent::Routing(std::sync::Arc::new(
+        crate::fixture::routing(1),
+    )));
+    let spares = || (1..=3).map(|n| engine(n, None)).collect();
+    list(&mut router, FENCE - 1, spares());
+    router.state().plan.traffic = true;
+    router.pass(600);
+    assert!(router.holds());
+    let effects = router.take();
+    assert!(effects.contains(&DirectEffect::ReadList));
+    assert_eq!(joins(&effects), 0, "others may have placed them");
+    list(&mut router, FENCE, spares());
+    router.pass(100);
+    assert_eq!(joins(&router.take()), 3);
+}
+
+#[test]
+fn a_place_in_a_group_that_was_opened_stands_against_an_entry_that_lags() {
+    let mut router = Router::planner((1..=3).map(|n| engine(n, None)).collect());
+    let effects = router.take();
+    let group = effects.iter().find_map(|e| match order(e) {
+        Some((_, _, GroupStep::Join { group, epoch, .. })) => Some((group.clone(), *epoch)),
+        _ => None,
+    });
+    let (group, epoch) = group.expect("a group is formed");
+    for (n, state) in [
+        (1, SeatState::Open),
+        (2, SeatState::Ready),
+        (3, SeatState::Ready),
+    ] {
+        let mut place = seat(&group, usize::from(n) - 1, state);
+        if let Some(place) = &mut place {
+            place.epoch = epoch;
+        }
+        // The last one is seen by its own word; the list goes on to lag.
+        if n < 3 {
+            let (id, entry) = engine(n, place);
+            router.change(id.as_str(), Some(entry));
+        }
+    }
+    router.pass(300);
+    router.take();
+    let (id, entry) = engine(3, None);
+    router.change(id.as_str(), Some(entry));
+    router.pass(2_000);
+    let orders = |e: &DirectEffect| order(e).is_some();
+    let effects = router.take();
+    assert!(
+        !effects.iter().any(orders),
+        "e3 is in the group: {effects:?}"
+    );
+}
+
+/// What the store gave, from when it was asked for.
+#[test]
+fn the_duty_lasts_as_long_as_the_store_said_and_by_the_size_of_the_fleet() {
+    for (endpoints, length) in [(3, 1_000), (2_500, 2_000)] {
+        let entries = (0..endpoints).map(|n| engine(n, None)).collect();
+        let mut router = Router::planner(entries);
+        assert_eq!(router.state().plan.duty.length, length);
+    }
+}
+
+#[test]
+fn the_planner_tells_of_heads_and_others_rest() {
+    let mut planner = Router::planner(open_group("g", [1, 2, 3]));
+    peer(&mut planner, 50);
+    planner.take();
+    let (id, mut entry) = open_group("g", [1, 2, 3]).remove(0);
+    entry.leaving = true;
+    entry.beats = 9;
+    planner.change(id.as_str(), Some(entry));
+    let news = planner.take().into_iter().find_map(|e| match e {
+        DirectEffect::Tell {
+            message: PeerMessage::Entry(news),
+            ..
+        } => Some(news),
+        _ => None,
+    });
+    let news = news.expect("the others are told");
+    let mut other = Router::new(open_group("g", [1, 2, 3]));
+    other.feed(Event::Watch(vec![runrail::logic::router::StoreChange {
+        key: "runrail/planner/fleet".to_string(),
+        value: Some("r9".to_string()),
+        revision: 6,
+    }]));
+    assert!(other
+        .take()
+        .contains(&DirectEffect::WatchList { often: false }));
+    let message = PeerMessage::Entry(news);
+    other.tell(DirectEvent::Peer {
+        from: addr(9),
+        message,
+    });
+    let effects = other.ask(1, "/stream/x");
+    assert!(
+        !effects.iter().any(|e| matches!(e, DirectEffect::Run(_))),
+        "it leaves"
+    );
+}
+
+#[test]
+fn news_that_is_older_than_the_list_changes_nothing() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let news = EntryNews {
+        id: InstanceId::new("e1"),
+        beats: 1,
+        leaving: true,
+        model: Some(MODEL.into()),
+        seat: None,
+    };
+    router.tell(DirectEvent::Peer {
+        from: addr(9),
+        message: PeerMessage::Entry(news),
+    });
+    assert_eq!(run(&router.ask(1, "/stream/x")).to.as_str(), "e1");
+}
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod duty;
 mod figures;
 mod fixture;
+mod lag;
 mod limits;
 mod logs;
 mod names;
--- a/tests/direct/staging.rs
+++ b/tests/direct/staging.rs
@@ -1,9 +1,9 @@
 //! Which models spares and members hold ready.
 
 use runrail::logic::direct::{DirectEffect, GroupStep};
-use runrail::types::{EndpointEntry, InstanceId};
+use runrail::types::{EndpointEntry, InstanceId, SeatState};
 
-use crate::fixture::{engine, open_group, order, Router};
+use crate::fixture::{engine, open_group, order, seat, Router};
 
 /// A spare that has left a group of the model while its host holds another one.
 fn spare_with_two(n: u16) -> (InstanceId, EndpointEntry) {
@@ -44,3 +44,30 @@
     let held = held(&router.take());
     assert_eq!(held[0], ("e4".to_string(), "small".to_string()));
 }
+
+/// The large model has no group; one of two keeps it in the second domain.
+#[test]
+fn loads_go_to_the_model_that_is_short_where_most_can_serve_it() {
+    let mut entries = Vec::new();
+    for (n, domain, staged) in [
+        (1, "d1", "small"),
+        (2, "d1", "small"),
+        (3, "d2", "small"),
+        (4, "d2", "big"),
+    ] {
+        let (id, mut entry) = engine(n, None);
+        entry.domain = domain.into();
+        entry.model = Some("small".into());
+        entry.staged = vec![staged.into()];
+        let rank = usize::from(1 - n % 2);
+        entry.seat = seat(&format!("s{domain}"), rank, SeatState::Open);
+        entries.push((id, entry));
+    }
+    let mut router = Router::planner(entries);
+    let staged = |e: &DirectEffect| match order(e) {
+        Some((_, id, GroupStep::Stage { model })) => Some((id, model.to_string())),
+        _ => None,
+    };
+    let first = router.take().iter().find_map(staged);
+    assert_eq!(first, Some(("e3".to_string(), "big".to_string())));
+}
