--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -60,7 +60,7 @@
     for member in &forming.members {
         state.plan.staging.remove(member);
     }
-    join(state, now, &group, &forming, out);
+    join(state, &group, &forming, out);
     state.plan.forming.insert(group, forming);
 }
 
@@ -70,13 +70,7 @@
 }
 
 /// Tells every member that hasn't taken the order yet to join.
-fn join(
-    state: &mut DirectState,
-    now: Millis,
-    group: &Arc<str>,
-    forming: &Forming,
-    out: &mut Vec<Effect>,
-) {
+fn join(state: &mut DirectState, group: &Arc<str>, forming: &Forming, out: &mut Vec<Effect>) {
     for id in &forming.members {
         if forming.taken.contains(id) {
             continue;
@@ -87,7 +81,7 @@
             model: forming.model.clone(),
             members: forming.members.clone(),
         };
-        order::give(state, now, id, step, OrderUse::Join(group.clone()), out);
+        order::give(state, id, step, OrderUse::Join(group.clone()), out);
     }
 }
 
@@ -142,7 +136,7 @@
     }
     if forming.taken.len() < forming.members.len() && now >= forming.asked + state.knobs.order_ms {
         forming.asked = now;
-        join(state, now, group, forming, out);
+        join(state, group, forming, out);
     }
     if now + SLACK_MS >= forming.limit + LATE_MS {
         for (id, seat) in forming.members.iter().zip(&seats) {
@@ -162,7 +156,7 @@
             group: group.clone(),
             epoch: forming.epoch,
         };
-        order::give(state, now, &head, step, OrderUse::Open(group.clone()), out);
+        order::give(state, &head, step, OrderUse::Open(group.clone()), out);
     }
     true
 }
--- a/src/logic/direct/plan/mix.rs
+++ b/src/logic/direct/plan/mix.rs
@@ -1,13 +1,11 @@
 //! Which groups a few free endpoints should form.
 
+use super::value::COLD;
 use crate::types::EngineModel;
 
 /// Most mixes that are weighed.
 const MIXES: usize = 4_000;
 
-/// Readiness of an endpoint that can't join a group of a model now.
-const COLD: u8 = 2;
-
 /// What each group beyond the wanted capacity still adds.
 const SURPLUS: f64 = 0.05;
 
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -5,17 +5,19 @@
 //! planner, so that whoever takes over goes on where the other one was.
 //! `survey` reads the groups, `inspect` finds those that need something,
 //! `form` and `retire` carry changes out, `place` and `fill` decide what to
-//! form, `stage` what spares hold ready.
+//! form, `trade` what to give up for others, `stage` what spares hold ready.
 
 mod duty;
 mod ending;
 mod fill;
+mod fleet_view;
 mod form;
 mod forming;
 mod group_view;
 mod inspect;
 mod look;
 mod mix;
+mod need;
 mod order;
 mod place;
 mod plan_state;
@@ -24,6 +26,8 @@
 mod staging;
 mod survey;
 mod tend;
+mod trade;
+mod value;
 
 pub use duty::{Duty, DutyCall};
 pub use ending::{Ending, EndingStep};
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -27,7 +27,6 @@
 /// Gives an order to an endpoint.
 pub(super) fn give(
     state: &mut DirectState,
-    _now: Millis,
     id: &InstanceId,
     what: GroupStep,
     used: OrderUse,
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -85,20 +85,14 @@
             ending.head.as_ref().map_or("unknown", |id| id.as_str()),
         );
     out.push(Effect::Note(note));
-    ask(state, now, group, &ending, out);
+    ask(state, group, &ending, out);
     if go_on(state, now, group, &mut ending, out) {
         state.plan.ending.insert(group.clone(), ending);
     }
 }
 
 /// Gives the orders that a step needs.
-fn ask(
-    state: &mut DirectState,
-    now: Millis,
-    group: &Arc<str>,
-    ending: &Ending,
-    out: &mut Vec<Effect>,
-) {
+fn ask(state: &mut DirectState, group: &Arc<str>, ending: &Ending, out: &mut Vec<Effect>) {
     let epoch = ending.epoch;
     let leave = |group: &Arc<str>| GroupStep::Leave {
         group: group.clone(),
@@ -110,16 +104,16 @@
                 group: group.clone(),
                 epoch,
             };
-            order::give(state, now, head, step, OrderUse::Close(group.clone()), out);
+            order::give(state, head, step, OrderUse::Close(group.clone()), out);
         }
         (EndingStep::Leaving, Some(head)) => {
             let used = OrderUse::Leave(group.clone());
-            order::give(state, now, head, leave(group), used, out);
+            order::give(state, head, leave(group), used, out);
         }
         (EndingStep::Breaking, _) => {
             for id in &ending.others {
                 let used = OrderUse::Break(group.clone(), id.clone());
-                order::give(state, now, id, leave(group), used, out);
+                order::give(state, id, leave(group), used, out);
             }
         }
         _ => {}
@@ -173,10 +167,10 @@
         ending.step = next;
         ending.since = now;
         ending.asked = now;
-        ask(state, now, group, ending, out);
+        ask(state, group, ending, out);
     } else if now >= ending.asked + state.knobs.order_ms {
         ending.asked = now;
-        ask(state, now, group, ending, out);
+        ask(state, group, ending, out);
     }
     true
 }
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use super::survey::{self, Place};
-use super::{fill, form, order, OrderUse, Staging};
+use super::{fill, form, need, order, value, OrderUse, Staging};
 use crate::logic::direct::{DirectState, EndpointView, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EngineModel, EngineSpec, InstanceId, Millis};
@@ -131,12 +131,12 @@
 impl Needs {
     fn of(state: &DirectState, service: &Arc<str>) -> Option<Self> {
         let engine = fill::engine(state, service)?;
-        let models = fill::by_need(state, service, &engine);
-        let short = fill::short_of(state, service, &engine);
+        let models = need::by_need(state, service, &engine);
+        let short = need::short_of(state, service, &engine);
         let mut ready: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         for (id, view) in &state.endpoints {
             let usable = view.entry.service == *service && survey::usable(state, id, view);
-            let serves = |m| fill::readiness(state, id, m) < fill::COLD;
+            let serves = |m| value::readiness(state, id, m) < value::COLD;
             if usable && short.as_ref().is_some_and(serves) {
                 *ready.entry(view.entry.domain.clone()).or_default() += 1;
             }
@@ -191,7 +191,7 @@
 
 /// Whether an endpoint is this ready for any model.
 fn holds_any(state: &DirectState, id: &InstanceId, engine: &EngineSpec, ready: u8) -> bool {
-    let holds = |m: &EngineModel| fill::readiness(state, id, &m.name) <= ready;
+    let holds = |m: &EngineModel| value::readiness(state, id, &m.name) <= ready;
     engine.models.iter().any(holds)
 }
 
@@ -228,15 +228,15 @@
     heads: &Heads,
 ) -> Option<EngineModel> {
     let engine = &needs.engine;
-    let warm = |m: &&EngineModel| fill::readiness(state, id, &m.name) < fill::COLD;
-    let quickest = |m: &&EngineModel| fill::readiness(state, id, &m.name);
+    let warm = |m: &&EngineModel| value::readiness(state, id, &m.name) < value::COLD;
+    let quickest = |m: &&EngineModel| value::readiness(state, id, &m.name);
     if let Some(model) = engine.models.iter().filter(warm).min_by_key(quickest) {
         return Some(model.clone());
     }
     let ready = |m: &EngineModel| {
         let staged = |id: &&InstanceId| {
             let told = state.plan.staging.get(*id).map(|s| &s.model);
-            told == Some(&m.name) || fill::readiness(state, id, &m.name) < fill::COLD
+            told == Some(&m.name) || value::readiness(state, id, &m.name) < value::COLD
         };
         free.iter().filter(staged).count()
     };
@@ -302,5 +302,5 @@
     if load {
         state.plan.loads.push_back(now);
     }
-    order::give(state, now, id, step, OrderUse::Stage(id.clone()), out);
+    order::give(state, id, step, OrderUse::Stage(id.clone()), out);
 }
--- /dev/null
+++ b/src/logic/direct/plan/trade.rs
@@ -0,0 +1,120 @@
+//! Gives open groups up for others that add more.
+
+use std::sync::Arc;
+
+use super::fill::{self, Offer};
+use super::fleet_view::FleetView;
+use super::mix::best_mix;
+use super::survey::{self, Place};
+use super::value::{able, worth};
+use super::{retire, GroupView};
+use crate::logic::direct::DirectState;
+use crate::logic::{Effect, Note, NoteCode};
+use crate::types::{EngineSpec, InstanceId, Millis, SeatState};
+
+/// What a trade must add at least, as part of all that a service does.
+const TRADE: f64 = 0.035;
+
+/// Shortest time between two trades.
+const TRADES_MS: Millis = 3_000;
+
+/// Whether a group of a place is being given up for others there: whoever is free
+/// waits for its members.
+pub(super) fn awaits_trade(state: &DirectState, place: &Place) -> bool {
+    let group = state.plan.trades.get(place);
+    group.is_some_and(|name| state.plan.ending.contains_key(name))
+}
+
+/// Looks for a group to trade where nothing else is being done.
+pub(super) fn trades(
+    state: &mut DirectState,
+    now: Millis,
+    view: &FleetView,
+    out: &mut Vec<Effect>,
+) {
+    let busy = !state.plan.forming.is_empty() || !state.plan.ending.is_empty();
+    if busy {
+        return;
+    }
+    for (place, free) in survey::free(state) {
+        let Some(engine) = fill::engine(state, &place.0) else {
+            continue;
+        };
+        let counts = view.counts(&place.0);
+        let value = worth(state, &engine, &counts)(&vec![0; engine.models.len()]);
+        let at = Offer {
+            place: &place,
+            free: &free,
+            engine: &engine,
+        };
+        if trade(state, now, view, &at, value, out) {
+            return;
+        }
+    }
+}
+
+/// Gives an open group up where its members and the free endpoints of its place
+/// would be worth clearly more as other groups than what can be had without it.
+pub(super) fn trade(
+    state: &mut DirectState,
+    now: Millis,
+    view: &FleetView,
+    at: &Offer,
+    before: f64,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let Offer {
+        place,
+        free,
+        engine,
+    } = *at;
+    if now < state.plan.traded + TRADES_MS {
+        return false;
+    }
+    let counts = view.counts(&place.0);
+    let mut best: Option<(f64, &Arc<str>, &GroupView)> = None;
+    for (name, group) in view.groups.get(place).into_iter().flatten() {
+        if group.head().is_some_and(|h| h.state == SeatState::Open) {
+            let gain = without(state, group, free, engine, &counts) - before;
+            if gain > TRADE && best.as_ref().is_none_or(|(g, ..)| gain > *g) {
+                best = Some((gain, name, group));
+            }
+        }
+    }
+    let Some((gain, name, group)) = best else {
+        return false;
+    };
+    state.plan.traded = now;
+    state.plan.trades.insert(place.clone(), name.clone());
+    let note = Note::new(NoteCode::GroupTraded)
+        .with("group", name)
+        .with("gain", format!("{gain:.3}"));
+    out.push(Effect::Note(note));
+    retire::begin(state, now, name, group, true, out);
+    true
+}
+
+/// Worth of a service if a group's members and the free endpoints formed anew.
+fn without(
+    state: &DirectState,
+    group: &GroupView,
+    free: &[InstanceId],
+    engine: &EngineSpec,
+    counts: &[usize],
+) -> f64 {
+    let at = engine
+        .models
+        .iter()
+        .position(|m| Some(&m.name) == group.model.as_ref());
+    let Some(at) = at.filter(|at| counts[*at] > 0) else {
+        return 0.0;
+    };
+    let mut fewer = counts.to_vec();
+    fewer[at] -= 1;
+    let mut all = free.to_vec();
+    all.extend(group.seats.values().map(|s| s.id.clone()));
+    let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
+    let worth = worth(state, engine, &fewer);
+    let mix = best_mix(&able(state, &all, engine), &sizes, worth);
+    mix.map_or(0.0, |(value, _)| value)
+}
