--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -43,6 +43,7 @@
         id: id.clone(),
         addr,
         body: GroupOrder { what, fence },
+        until: state.plan.duty.until,
     }));
 }
 
