Tried and reverted: orders that end with the duty

What it needs: fewer orders waiting (the duty by fabric domain), or a queue of orders that is bounded by the duty.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -130,11 +130,7 @@
                 id,
                 addr,
                 body,
-                until,
-            } => {
-                let left = until.saturating_sub(self.clock.now());
-                looks::order(&self.shared, order, id, addr, body, left);
-            }
+            } => looks::order(&self.shared, order, id, addr, body),
             DirectEffect::Tell { to, message } => peers::tell(&self.shared, to, &message),
             DirectEffect::ReadList => self.shared.list_anew.notify_one(),
             DirectEffect::WatchList { often } => {
--- a/src/link/looks.rs
+++ b/src/link/looks.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use tokio::time::{timeout, Instant};
+use tokio::time::timeout;
 
 use super::fault::Fault;
 use super::shared::Shared;
 use crate::logic::direct::{DirectEvent, GroupOrder, LookResult, OrderResult};
-use crate::types::{InstanceId, Millis};
+use crate::types::InstanceId;
 
 /// Longest time for a look.
 const LOOK: Duration = Duration::from_millis(120);
@@ -37,26 +37,18 @@
     });
 }
 
-/// Gives an endpoint an order, unless the duty that it is given under has ended by the
-/// time that it can be sent: `left` milliseconds from now.
+/// Gives an endpoint an order.
 pub(super) fn order(
     shared: &Rc<Shared>,
     order: u64,
     id: InstanceId,
     addr: SocketAddr,
     body: GroupOrder,
-    left: Millis,
 ) {
     let shared = shared.clone();
-    let end = Instant::now() + Duration::from_millis(left);
     tokio::task::spawn_local(async move {
-        let left = end.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            let result = OrderResult::Unanswered;
-            return shared.tell(DirectEvent::Ordered { order, result });
-        }
         let request = (shared.dialect.order)(&id, &addr.to_string(), &body);
-        let result = match timeout(left.min(ORDER), call(&shared, addr, request)).await {
+        let result = match timeout(ORDER, call(&shared, addr, request)).await {
             Ok(Ok((status, _))) => (shared.dialect.ordered)(status),
             _ => OrderResult::Unanswered,
         };
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use super::{GroupOrder, PeerMessage, Problem, RunRequest};
-use crate::types::{InstanceId, Millis};
+use crate::types::InstanceId;
 
 /// What the host of a router with direct links has to do.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -61,8 +61,6 @@
         addr: SocketAddr,
         /// The order.
         body: GroupOrder,
-        /// When the duty that it is given under ends: later it must not be sent.
-        until: Millis,
     },
     /// Say something to another router; it may be lost.
     Tell {
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -43,7 +43,6 @@
         id: id.clone(),
         addr,
         body: GroupOrder { what, fence },
-        until: state.plan.duty.until,
     }));
 }
 
