Platform: fields are read strictly; a figure that isn't published is told

Cause: the configuration calls the reading rate ReadPerS at the new customer, read_per_s at the earlier ones. The adapter knew one name and filled in 0, so each router let one prompt at a time be read at a head.

Names are compared without case and underscores. A field that routing needs is an error with its place (the last good version stays); a figure that tunes decisions has a named fallback, recorded in Routing::gaps, event E602 and figures_missing. Answers of the store and reports that can't be read are logged (E603), not read as zero: a lease's TtlMs, a revision, a state of a group that nobody knows.

Tests: tests/direct/fields.rs takes away, respells and mistypes every field of a configuration and of an entry in turn.

--- a/src/link/dialect.rs
+++ b/src/link/dialect.rs
@@ -38,22 +38,22 @@
     pub problem: fn(Problem) -> Response<Bytes>,
     /// Asks an endpoint for its report.
     pub look: fn(&InstanceId, &str) -> Request<Full<Bytes>>,
-    /// Reads a report.
-    pub looked: fn(StatusCode, &[u8]) -> LookResult,
+    /// Reads a report; an error tells why one that came can't be read.
+    pub looked: fn(StatusCode, &[u8]) -> Result<LookResult, String>,
     /// Writes an order to an endpoint.
     pub order: fn(&InstanceId, &str, &GroupOrder) -> Request<Full<Bytes>>,
     /// Reads the answer to an order.
     pub ordered: fn(StatusCode) -> OrderResult,
     /// Writes a call to the store.
     pub call: fn(&str, &StoreCall) -> Request<Full<Bytes>>,
-    /// Reads the answer to a call.
-    pub reply_of: fn(&StoreCall, StatusCode, &[u8]) -> StoreResult,
+    /// Reads the answer to a call; an error tells why one that came can't be read.
+    pub reply_of: fn(&StoreCall, StatusCode, &[u8]) -> Result<StoreResult, String>,
     /// Asks for a page of keys with a prefix, from behind a key.
     pub page: fn(&str, &str, Option<&str>) -> Request<Full<Bytes>>,
-    /// Reads a page.
-    pub paged: fn(StatusCode, &[u8]) -> Option<Page>,
+    /// Reads a page, where there is one; an error tells why one that came can't be read.
+    pub paged: fn(StatusCode, &[u8]) -> Result<Option<Page>, String>,
     /// Waits for changes of a prefix behind a revision, for some milliseconds.
     pub watch: fn(&str, &str, i64, u64) -> Request<Full<Bytes>>,
-    /// Reads what a watch brought.
-    pub watched: fn(StatusCode, &[u8]) -> Watched,
+    /// Reads what a watch brought; an error tells why it can't be read.
+    pub watched: fn(StatusCode, &[u8]) -> Result<Watched, String>,
 }
--- a/src/link/looks.rs
+++ b/src/link/looks.rs
@@ -12,6 +12,7 @@
 use super::fault::Fault;
 use super::shared::Shared;
 use crate::logic::direct::{DirectEvent, GroupOrder, LookResult, OrderResult};
+use crate::logic::{Note, NoteCode};
 use crate::types::InstanceId;
 
 /// Longest time for a look.
@@ -20,6 +21,9 @@
 /// Longest time for the answer to an order.
 const ORDER: Duration = Duration::from_millis(600);
 
+/// Factor on the times of an endpoint that isn't slow, in thousandths.
+const NORMAL_PACE: u64 = 1_000;
+
 /// Longest report or answer, in bytes.
 const LIMIT: usize = 256 * 1024;
 
@@ -29,7 +33,7 @@
     tokio::task::spawn_local(async move {
         let request = (shared.dialect.look)(&id, &addr.to_string());
         let result = match timeout(LOOK, call(&shared, addr, request)).await {
-            Ok(Ok((status, body))) => (shared.dialect.looked)(status, &body),
+            Ok(Ok((status, body))) => read_look(&shared, &id, status, &body),
             Ok(Err(Fault::Refused)) => LookResult::Refused,
             _ => LookResult::Silent,
         };
@@ -37,6 +41,27 @@
     });
 }
 
+/// What a report shows. Whoever sends one that can't be read is alive all the same;
+/// its place in a group stays the list's to say.
+fn read_look(shared: &Shared, id: &InstanceId, status: StatusCode, body: &[u8]) -> LookResult {
+    (shared.dialect.looked)(status, body).unwrap_or_else(|why| {
+        unread("a report", id.as_str(), &why);
+        LookResult::Alive {
+            seat: None,
+            pace: NORMAL_PACE,
+        }
+    })
+}
+
+/// Logs an answer that has arrived and can't be read.
+pub(super) fn unread(what: &str, from: &str, why: &str) {
+    let note = Note::new(NoteCode::AnswerUnread)
+        .with("what", what)
+        .with("from", from)
+        .with("why", why);
+    log::log!(target: "runrail", note.code.level(), "{note}");
+}
+
 /// Gives an endpoint an order.
 pub(super) fn order(
     shared: &Rc<Shared>,
--- a/src/link/store.rs
+++ b/src/link/store.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::timeout;
 
-use super::looks::whole;
+use super::looks::{unread, whole};
 use super::shared::Shared;
 use super::Page;
 use crate::logic::router::{CallId, StoreCall, StoreFault, StoreReply, StoreResult};
@@ -42,7 +42,13 @@
     }
     let request = (shared.dialect.call)(&shared.store.to_string(), op);
     match timeout(CALL, whole(shared, shared.store, request, LIMIT)).await {
-        Ok(Ok((status, body))) => (shared.dialect.reply_of)(op, status, &body),
+        Ok(Ok((status, body))) => {
+            (shared.dialect.reply_of)(op, status, &body).unwrap_or_else(|why| {
+                unread("an answer", "the store", &why);
+                Err(StoreFault)
+            })
+        }
+        // No answer, or one that broke off: the reducer counts the call as failed.
         _ => Err(StoreFault),
     }
 }
@@ -56,7 +62,10 @@
         let request = (shared.dialect.page)(&host, prefix, after.as_deref());
         let answer = timeout(CALL, whole(shared, shared.store, request, LIMIT)).await;
         let (status, body) = answer.ok()?.ok()?;
-        let page = (shared.dialect.paged)(status, &body)?;
+        let page = (shared.dialect.paged)(status, &body).unwrap_or_else(|why| {
+            unread(prefix, "the store", &why);
+            None
+        })?;
         if n == 0 {
             all.revision = page.revision;
         }
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::looks::whole;
+use super::looks::{unread, whole};
 use super::shared::Shared;
 use super::store::{read_all, LIMIT};
 use super::{Page, Watched};
@@ -70,7 +70,12 @@
         let request = (shared.dialect.watch)(&host, prefix, revision, pace.wait_ms);
         let answer = timeout(longest, whole(shared, shared.store, request, LIMIT)).await;
         let watched = match answer {
-            Ok(Ok((status, body))) => (shared.dialect.watched)(status, &body),
+            Ok(Ok((status, body))) => {
+                (shared.dialect.watched)(status, &body).unwrap_or_else(|why| {
+                    unread(prefix, "the store", &why);
+                    Watched::Fault
+                })
+            }
             _ => Watched::Fault,
         };
         match watched {
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -108,6 +108,10 @@
                 "routing_version",
                 self.routing.as_ref().map_or(0, |r| r.version),
             ),
+            (
+                "figures_missing",
+                self.routing.as_ref().map_or(0, |r| r.gaps.len() as u64),
+            ),
             ("plans", u64::from(self.plan.duty.holds(now))),
         ]
     }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -65,6 +65,15 @@
         .with("version", routing.version)
         .with("before", known);
     out.push(Effect::Note(note));
+    let told = state.routing.take();
+    let told = told.as_ref().map_or(&[][..], |r| &r.gaps);
+    for gap in routing.gaps.iter().filter(|gap| !told.contains(gap)) {
+        let note = Note::new(NoteCode::FigureMissing)
+            .with("place", &gap.place)
+            .with("found", &gap.found)
+            .with("used", &gap.used);
+        out.push(Effect::Note(note));
+    }
     state.routing = Some(routing);
 }
 
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -121,6 +121,8 @@
     ClaimRebound = 512 Info "claim bound to another attempt";
     RoutingInForce = 600 Info "routing in force";
     RoutingUnread = 601 Error "routing can't be read";
+    FigureMissing = 602 Warn "published figure is missing";
+    AnswerUnread = 603 Error "answer of the platform can't be read";
     EndpointListed = 610 Info "endpoint listed";
     EndpointUnlisted = 611 Info "endpoint no longer listed";
     EndpointLeaving = 612 Info "endpoint is leaving";
--- a/src/types/routing.rs
+++ b/src/types/routing.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{CallerLimits, KeyedAccount, RouteSpec, ServiceSpec};
+use super::{CallerLimits, FigureGap, KeyedAccount, RouteSpec, ServiceSpec};
 
 /// Where requests may go: the routed part of what operators have in force.
 ///
@@ -21,6 +21,8 @@
     pub accounts: BTreeMap<Arc<str>, Arc<KeyedAccount>>,
     /// What a caller may send.
     pub limits: CallerLimits,
+    /// Figures that the operators don't publish, with what stands in for them.
+    pub gaps: Vec<FigureGap>,
 }
 
 impl Routing {
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -229,7 +229,7 @@
     };
     let reply = |status, body: &str| {
         let status = StatusCode::from_u16(status).expect("a status");
-        (dialect().reply_of)(&swap, status, body.as_bytes())
+        (dialect().reply_of)(&swap, status, body.as_bytes()).expect("readable")
     };
     let done = reply(200, r#"{"Revision":412}"#).expect("an answer");
     assert!(matches!(
@@ -240,6 +240,8 @@
             ..
         }
     ));
+    let unread = (dialect().reply_of)(&swap, StatusCode::OK, b"{}").expect_err("no revision");
+    assert!(unread.contains("Revision"), "{unread}");
     let held = r#"{"Items":[{"Key":"k","Value":"eA==","Revision":5,"Created":5,"Lease":0}]}"#;
     let refused = reply(412, held).expect("an answer");
     assert!(
@@ -247,12 +249,12 @@
     );
     assert!(reply(503, "").is_err() && reply(429, "").is_err());
     let ended = (dialect().reply_of)(&StoreCall::Renew { lease: 4 }, StatusCode::NOT_FOUND, b"");
-    assert_eq!(ended, Ok(StoreReply::Lease { lease: 4, ttl_s: 0 }));
+    assert_eq!(ended, Ok(Ok(StoreReply::Lease { lease: 4, ttl_s: 0 })));
     let gone = (dialect().watched)(StatusCode::GONE, b"{}");
-    assert_eq!(gone, Watched::Forgotten);
+    assert_eq!(gone, Ok(Watched::Forgotten));
     let events = br#"{"events":[{"Key":"a","Value":"eA==","Revision":4},{"Key":"b","Revision":5,"Removed":true}],"AsOf":6}"#;
     match (dialect().watched)(StatusCode::OK, events) {
-        Watched::Changes { revision, changes } => {
+        Ok(Watched::Changes { revision, changes }) => {
             assert_eq!(revision, 6);
             assert_eq!(changes[0].value.as_deref(), Some("x"));
             assert_eq!(changes[1].value, None);
--- /dev/null
+++ b/tests/direct/fields.rs
@@ -0,0 +1,210 @@
+//! Every field of the platform's documents: taken away, misspelt, of a wrong type.
+
+use runrail::logic::router::StoreEntry;
+use runrail::platform::dialect;
+use serde_json::{json, Value};
+
+/// Fields that may be absent without a word, each with its reason.
+const OPTIONAL: [(&str, &str); 12] = [
+    ("Routes[0].Resumable", "absent means no"),
+    ("Routes[0].Public", "absent means no"),
+    ("Routes[0].Sticky", "isn't used"),
+    ("Routes[0].Priority", "the middle of the ranks"),
+    ("Routes[1].GapTargetMs", "pauses mean nothing on this route"),
+    ("Services[0].HealthPath", "isn't used"),
+    ("Services[0].Engine.chunk", "isn't used"),
+    ("Limits", "a route without limits has the usual ones"),
+    ("Tenants", "without accounts nobody needs a key"),
+    (
+        "Tenants[0].ApiKeys",
+        "an account without keys is used by nobody",
+    ),
+    ("Tenants[0].Priority", "the route's rank"),
+    ("Services[0].Engine", "a plain service"),
+];
+
+/// Lists that may be empty: an early document has no routes and no services yet.
+const LISTS: [&str; 3] = ["Routes", "Services", "Services[0].Engine.Models"];
+
+fn config() -> Value {
+    json!({
+        "Version": 7,
+        "Routes": [
+            {"Name": "r1", "Host": "a.example", "PathPrefix": "/x/", "Kind": "streaming",
+             "TimeoutMs": 8000, "SloMs": 300, "Priority": 1, "MaxAttempts": 2, "Public": false,
+             "Sticky": true, "Resumable": true, "GapTargetMs": 300,
+             "Split": [{"Service": "m", "Weight": 90}, {"Service": "s", "Weight": 10}]},
+            {"Name": "r2", "Host": "a.example", "PathPrefix": "/y/", "Kind": "unsafe",
+             "TimeoutMs": 600, "SloMs": 100, "MaxAttempts": 1, "GapTargetMs": 100,
+             "Service": "s"}],
+        "Services": [
+            {"Name": "m", "HealthPath": "/health", "MaxConns": 562, "Engine": {
+                "Slots": 48, "Stride": 6, "step_ms": 5.95, "per_seq_ms": 0.04,
+                "read_per_s": 50700.0, "LoadsPerS": 3.0, "loads_at_once": 6, "chunk": 2048,
+                "usual": {"prompt": 1038, "answer": 167}, "Retains": 1, "FormMs": 300.0,
+                "Models": [{"Name": "big", "size": 4, "Share": 0.57, "pace": 1.0,
+                            "LoadS": 16.0, "WarmupS": 1.6}]}},
+            {"Name": "s", "MaxConns": 110}],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304,
+                   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "ann", "ApiKeys": ["k1"], "Priority": 0}],
+    })
+}
+
+/// Places of all fields, lists and objects among them.
+fn places(value: &Value, at: &str, found: &mut Vec<String>) {
+    match value {
+        Value::Object(fields) => {
+            for (name, inner) in fields {
+                let place = if at.is_empty() {
+                    name.clone()
+                } else {
+                    format!("{at}.{name}")
+                };
+                found.push(place.clone());
+                places(inner, &place, found);
+            }
+        }
+        Value::Array(items) => {
+            for (n, inner) in items.iter().enumerate() {
+                places(inner, &format!("{at}[{n}]"), found);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// The object that holds a field, and the field's name.
+fn holder<'a>(document: &'a mut Value, place: &str) -> (&'a mut Value, String) {
+    let (path, name) = place.rsplit_once('.').unwrap_or(("", place));
+    let pointer: String = path
+        .replace('[', ".")
+        .replace(']', "")
+        .split('.')
+        .filter(|part| !part.is_empty())
+        .map(|part| format!("/{part}"))
+        .collect();
+    let holder = document.pointer_mut(&pointer).expect("the holder");
+    (holder, name.to_string())
+}
+
+fn all_places() -> Vec<String> {
+    let mut found = Vec::new();
+    places(&config(), "", &mut found);
+    found
+}
+
+#[test]
+fn a_field_that_is_missing_is_an_error_or_a_recorded_gap_that_names_its_place() {
+    for place in all_places() {
+        let mut document = config();
+        let (holder, name) = holder(&mut document, &place);
+        holder.as_object_mut().expect("an object").remove(&name);
+        let allowed = OPTIONAL.iter().any(|(o, _)| *o == place) || LISTS.contains(&&*place);
+        match (dialect().routing)(&document.to_string()) {
+            Err(error) => assert!(error.contains(&name) || name == "Split", "{place}: {error}"),
+            Ok(routing) => {
+                let told = routing.gaps.iter().any(|g| g.place.starts_with(&place));
+                assert!(told || allowed, "{place} was read as something else");
+            }
+        }
+    }
+}
+
+#[test]
+fn the_case_of_a_name_and_its_underscores_change_nothing() {
+    let expected = (dialect().routing)(&config().to_string()).expect("readable");
+    assert!(expected.gaps.is_empty(), "{:?}", expected.gaps);
+    let snake = |name: &str| {
+        let mut out = String::new();
+        for c in name.chars() {
+            if c.is_uppercase() && !out.is_empty() {
+                out.push('_');
+            }
+            out.extend(c.to_lowercase());
+        }
+        out
+    };
+    let camel = |name: &str| -> String {
+        name.split('_')
+            .map(|p| p[..1].to_uppercase() + &p[1..])
+            .collect()
+    };
+    for place in all_places() {
+        for spelling in [&snake as &dyn Fn(&str) -> String, &camel] {
+            let mut document = config();
+            let (holder, name) = holder(&mut document, &place);
+            let fields = holder.as_object_mut().expect("an object");
+            let value = fields.remove(&name).expect("the field");
+            fields.insert(spelling(&name), value);
+            let read = (dialect().routing)(&document.to_string()).expect("readable");
+            assert_eq!(read, expected, "{place}");
+        }
+    }
+}
+
+#[test]
+fn a_field_of_a_wrong_type_is_an_error_that_names_its_place() {
+    let unused = [
+        "Routes[0].Sticky",
+        "Services[0].HealthPath",
+        "Services[0].Engine.chunk",
+    ];
+    for place in all_places() {
+        let mut document = config();
+        let (holder, name) = holder(&mut document, &place);
+        holder[&name] = json!([[1]]);
+        let read = (dialect().routing)(&document.to_string());
+        if unused.contains(&&*place) || (place == "Routes[1].Service" && read.is_ok()) {
+            continue;
+        }
+        let error = read.expect_err(&place);
+        assert!(error.contains(&name), "{place}: {error}");
+    }
+}
+
+#[test]
+fn a_rate_of_zero_is_a_gap_and_not_a_bound_of_nothing() {
+    let mut document = config();
+    document["Services"][0]["Engine"]["read_per_s"] = json!(0.0);
+    let routing = (dialect().routing)(&document.to_string()).expect("readable");
+    let engine = routing.services["m"].engine.as_ref().expect("an engine");
+    assert!(engine.read_rate > 10_000);
+    assert_eq!(routing.gaps.len(), 1);
+    assert_eq!(routing.gaps[0].found, "0");
+}
+
+#[test]
+fn an_entry_of_the_list_without_a_field_it_needs_names_it() {
+    let entry = json!({"Service": "m", "Address": "10.0.0.9:80", "Zone": "h", "Slots": 48,
+        "State": "ready", "Seq": 4, "Domain": "d0", "Staged": ["big"],
+        "Models": [{"Name": "big"}],
+        "group": {"Name": "g7", "epoch": 12, "rank": 0, "State": "open"}});
+    let read = |value: &Value| {
+        (dialect().entry)(&StoreEntry {
+            key: "servers/i-1".to_string(),
+            value: value.to_string(),
+            revision: 3,
+        })
+    };
+    assert!(read(&entry).is_ok());
+    let mut found = Vec::new();
+    places(&entry, "", &mut found);
+    // A plain service has none of these; a place in a group without a name is none.
+    let optional = ["Domain", "Staged", "Models", "group", "group.Name"];
+    for place in found {
+        let mut entry = entry.clone();
+        let (holder, name) = holder(&mut entry, &place);
+        holder.as_object_mut().expect("an object").remove(&name);
+        match read(&entry) {
+            Ok(_) => assert!(optional.contains(&&*place), "{place}"),
+            Err(error) => assert!(
+                error.contains("servers/i-1") && error.contains(&name),
+                "{place}: {error}"
+            ),
+        }
+    }
+    let mut wrong = entry.clone();
+    wrong["State"] = json!("asleep");
+    assert!(read(&wrong).expect_err("a state").contains("asleep"));
+}
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod command_line;
 mod duty;
+mod fields;
 mod figures;
 mod fixture;
 mod lag;
