--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -35,6 +35,7 @@
             send::again(state, now, id, false, "no connection", out);
         }
         RunPart::Broken => {
+            endpoints::broke_off(state, now, id);
             endpoints::failed(state, now, id, false, out);
             endpoints::release(state, id);
             send::again(state, now, id, true, "the answer broke off", out);
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::plan::PlanState;
-use super::{DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow};
+use super::{Asked, DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow};
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, Routing};
@@ -48,7 +48,7 @@
     /// Other routers.
     pub peers: BTreeMap<InstanceId, SocketAddr>,
     /// Who wants to know what is seen of an endpoint.
-    pub asked: BTreeMap<InstanceId, Vec<(SocketAddr, u64)>>,
+    pub asked: BTreeMap<InstanceId, Vec<Asked>>,
     /// The planner's duty.
     pub plan: PlanState,
     /// What the balancer was told.
--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -15,6 +15,11 @@
     pub beat_at: Millis,
     /// When the endpoint last sent anything here.
     pub heard: Millis,
+    /// When it last sent anything here, or when a run there last ended in order; 0
+    /// before that.
+    pub spoke: Millis,
+    /// When a run of this router last broke off there; 0 before that.
+    pub broke: Millis,
     /// Runs of this router that it works on.
     pub running: u32,
     /// Tokens of prompts that it has yet to read for this router.
@@ -44,6 +49,8 @@
             listed: true,
             beat_at: now,
             heard: now,
+            spoke: 0,
+            broke: 0,
             running: 0,
             unread: 0,
             limit: 0,
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,6 +1,6 @@
 //! What this router knows of endpoints: the list and its own experience.
 
-use super::{limit, peers, plan, DirectState, EndpointView, EntryNews};
+use super::{limit, peers, plan, DirectState, EndpointView, EntryNews, LookResult, Sight};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EndpointEntry, InstanceId, Millis};
 
@@ -81,6 +81,7 @@
         view.pause = 0;
         view.shunned = 0;
         view.failures = 0;
+        view.broke = 0;
     }
     view.listed = true;
     view.last = entry.model.clone().or_else(|| view.last.take());
@@ -126,9 +127,44 @@
         view.pause = pause.max(view.pause - view.pause / 16);
     }
     view.heard = now;
+    view.spoke = now;
     view.silent = None;
 }
 
+/// Time for which a run that broke off tells that its endpoint is over, where its
+/// address refuses connections by then: what is looked at later may have begun anew.
+const BROKE_MS: Millis = 3_000;
+
+/// A run at the endpoint of a request has broken off.
+pub(super) fn broke_off(state: &mut DirectState, now: Millis, request: u64) {
+    if let Some(view) = running_at(state, request) {
+        view.broke = now;
+    }
+}
+
+/// What this router can tell of an endpoint that was looked for since `since`.
+pub(super) fn sight(
+    state: &DirectState,
+    now: Millis,
+    id: &InstanceId,
+    result: &LookResult,
+    since: Millis,
+) -> Sight {
+    let view = state.endpoints.get(id);
+    let spoke = view.is_some_and(|v| v.spoke > since);
+    let works = view.is_some_and(|v| v.running > 0);
+    let broke = view.is_some_and(|v| v.broke > 0 && now < v.broke + BROKE_MS);
+    match result {
+        LookResult::Replaced => Sight::Gone,
+        LookResult::Alive { .. } => Sight::Alive,
+        _ if spoke => Sight::Alive,
+        LookResult::Silent => Sight::Silent,
+        LookResult::Refused if works => Sight::Alive,
+        LookResult::Refused if broke => Sight::Gone,
+        LookResult::Refused => Sight::Refuses,
+    }
+}
+
 /// The endpoint has begun to answer: it has read the prompt.
 pub(super) fn begun(state: &mut DirectState, request: u64) {
     let Some(flight) = state.flights.get_mut(&request) else {
--- a/src/logic/direct/look_result.rs
+++ b/src/logic/direct/look_result.rs
@@ -10,8 +10,10 @@
         /// Factor on its times, in thousandths; over 1,000 it is slow.
         pace: u64,
     },
-    /// Nothing listens at its address, or another endpoint does.
+    /// Nothing listens at its address.
     Refused,
+    /// Another endpoint listens at its address.
+    Replaced,
     /// No answer came in time.
     Silent,
 }
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -10,6 +10,7 @@
 
 mod accept;
 mod answer;
+mod asked;
 mod choose;
 mod direct_effect;
 mod direct_event;
@@ -33,9 +34,11 @@
 mod run_part;
 mod run_request;
 mod send;
+mod sight;
 mod silence;
 mod step;
 
+pub use asked::Asked;
 pub use direct_effect::DirectEffect;
 pub use direct_event::DirectEvent;
 pub use direct_knobs::DirectKnobs;
@@ -54,4 +57,5 @@
 pub use retry_window::RetryWindow;
 pub use run_part::RunPart;
 pub use run_request::RunRequest;
+pub use sight::Sight;
 pub(crate) use step::step;
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::EntryNews;
+use super::{EntryNews, Sight};
 use crate::types::InstanceId;
 
 /// What routers with direct links say to each other, one datagram each.
@@ -31,7 +31,7 @@
     Seen {
         /// Number of the question.
         number: u64,
-        /// Whether the endpoint answers.
-        alive: bool,
+        /// What the sender can tell of the endpoint.
+        sight: Sight,
     },
 }
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -6,7 +6,9 @@
 
 use std::net::SocketAddr;
 
-use super::{endpoints, plan, DirectEffect, DirectState, EntryNews, LookResult, PeerMessage};
+use super::{
+    endpoints, plan, Asked, DirectEffect, DirectState, EntryNews, LookResult, PeerMessage,
+};
 use crate::logic::router::{
     CallId, Put, StoreCall, StoreChange, StoreEntry, StoreReply, StoreResult,
 };
@@ -159,17 +161,18 @@
 ) {
     match message {
         PeerMessage::Ask { number, id, addr } => {
-            state
-                .asked
-                .entry(id.clone())
-                .or_default()
-                .push((from, number));
+            let asked = Asked {
+                from,
+                number,
+                at: now,
+            };
+            state.asked.entry(id.clone()).or_default().push(asked);
             out.push(Effect::Direct(DirectEffect::Look { id, addr }));
         }
         PeerMessage::Entry(news) => endpoints::told(state, now, news, out),
         PeerMessage::Traffic => state.plan.traffic = true,
         PeerMessage::Silent { id } => plan::suspect(state, now, &id, out),
-        PeerMessage::Seen { number, alive } => plan::seen(state, number, alive),
+        PeerMessage::Seen { number, sight } => plan::seen(state, number, sight),
     }
 }
 
@@ -207,20 +210,20 @@
     }
 }
 
-fn tell(to: SocketAddr, number: u64, alive: bool, out: &mut Vec<Effect>) {
-    let message = PeerMessage::Seen { number, alive };
-    out.push(Effect::Direct(DirectEffect::Tell { to, message }));
-}
-
 /// An endpoint was looked at: tells those that have asked.
 pub(super) fn looked(
     state: &mut DirectState,
+    now: Millis,
     id: &InstanceId,
     result: &LookResult,
     out: &mut Vec<Effect>,
 ) {
-    let alive = matches!(result, LookResult::Alive { .. });
-    for (to, number) in state.asked.remove(id).unwrap_or_default() {
-        tell(to, number, alive, out);
+    for asked in state.asked.remove(id).unwrap_or_default() {
+        let message = PeerMessage::Seen {
+            number: asked.number,
+            sight: endpoints::sight(state, now, id, result, asked.at),
+        };
+        let to = asked.from;
+        out.push(Effect::Direct(DirectEffect::Tell { to, message }));
     }
 }
--- a/src/logic/direct/plan/look.rs
+++ b/src/logic/direct/plan/look.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::form;
-use crate::logic::direct::{peers, DirectEffect, DirectState, LookResult};
+use crate::logic::direct::{endpoints, peers, DirectEffect, DirectState, LookResult, Sight};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis};
 
@@ -20,6 +20,10 @@
 /// many. All of them must miss it as well: some may be cut off together.
 const ASKED: usize = 4;
 
+/// Time after which other routers are asked anew about a head that is missed: as
+/// long as a group waits for their answers.
+const ASK_AGAIN_MS: Millis = 400;
+
 /// Looks at one endpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Look {
@@ -31,10 +35,31 @@
     pub since: Millis,
     /// Questions to other routers that aren't answered.
     pub asked: Vec<u64>,
-    /// Other routers that miss it as well.
-    pub agreed: usize,
-    /// Whether another router sees it.
-    pub seen: bool,
+    /// When they were last asked.
+    pub asked_at: Millis,
+    /// What this router saw itself, where it missed the endpoint.
+    pub own: Option<Sight>,
+    /// What other routers saw, since they were last asked.
+    pub others: Vec<Sight>,
+}
+
+impl Look {
+    /// Whether any router knows that the endpoint lives.
+    fn alive(&self) -> bool {
+        self.sights().any(|s| s == Sight::Alive)
+    }
+
+    /// Whether what was seen shows that the endpoint is over. That it refuses
+    /// connections alone doesn't: one that stops in order does so as well while it
+    /// finishes its work.
+    fn over(&self) -> bool {
+        let any = |sight| self.sights().any(|s| s == sight);
+        !any(Sight::Alive) && (!any(Sight::Refuses) || any(Sight::Gone))
+    }
+
+    fn sights(&self) -> impl Iterator<Item = Sight> + '_ {
+        self.own.iter().chain(&self.others).copied()
+    }
 }
 
 /// A head is silent: the planner looks at all members of its group.
@@ -109,8 +134,11 @@
     if !state.plan.duty.holds(now) {
         return;
     }
+    let since = state.plan.looks.get(id).map_or(now, |l| l.since);
+    let sight = endpoints::sight(state, now, id, &result, since);
     let look = state.plan.looks.entry(id.clone()).or_default();
     look.pending = false;
+    look.own = Some(sight);
     match result {
         LookResult::Alive { seat, .. } => {
             *look = Look {
@@ -129,14 +157,16 @@
             }
             calm(state, now, id);
         }
-        LookResult::Refused => {
-            ask(state, id, out);
+        LookResult::Refused | LookResult::Replaced => {
+            ask(state, now, id, out);
             lose(state, now, id, "refused", out);
         }
+        // What it sent since then is as good as an answer.
+        LookResult::Silent if sight == Sight::Alive => look.misses = 0,
         LookResult::Silent => {
             look.misses += 1;
             let enough = look.misses >= MISSES;
-            ask(state, id, out);
+            ask(state, now, id, out);
             if enough {
                 lose(state, now, id, "silent", out);
             } else {
@@ -146,37 +176,43 @@
     }
 }
 
-/// Asks other routers about an endpoint that is missed, once.
-fn ask(state: &mut DirectState, id: &InstanceId, out: &mut Vec<Effect>) {
+/// Asks other routers about a head that is missed, once in a while.
+fn ask(state: &mut DirectState, now: Millis, id: &InstanceId, out: &mut Vec<Effect>) {
     let seat = state.endpoints.get(id).and_then(|v| v.entry.seat.as_ref());
     let head = seat.is_some_and(|s| s.rank == 0);
     let look = state.plan.looks.get(id);
-    let new = look.is_some_and(|l| l.asked.is_empty() && l.agreed == 0 && !l.seen);
-    if !head || !new {
+    let due = look.is_some_and(|l| l.asked_at == 0 || now >= l.asked_at + ASK_AGAIN_MS);
+    if !head || !due {
         return;
     }
     let asked = peers::ask(state, id, ASKED, out);
     if let Some(look) = state.plan.looks.get_mut(id) {
         look.asked = asked;
+        look.asked_at = now;
+        look.others.clear();
     }
 }
 
 /// Another router has looked.
-pub(in crate::logic::direct) fn seen(state: &mut DirectState, number: u64, alive: bool) {
+pub(in crate::logic::direct) fn seen(state: &mut DirectState, number: u64, sight: Sight) {
     for look in state.plan.looks.values_mut() {
         if let Some(at) = look.asked.iter().position(|n| *n == number) {
             look.asked.swap_remove(at);
-            look.seen |= alive;
-            look.agreed += usize::from(!alive);
+            look.others.push(sight);
         }
     }
 }
 
-/// Whether other routers agree that an endpoint is lost.
+/// Whether other routers agree that an endpoint is over.
 pub(super) fn agreed(state: &DirectState, id: &InstanceId) -> bool {
     let needed = ASKED.min(state.peers.len()).max(1);
     let look = state.plan.looks.get(id);
-    look.is_some_and(|l| !l.seen && l.agreed >= needed)
+    look.is_some_and(|l| l.others.len() >= needed && l.over())
+}
+
+/// Whether any router knows that a head which is missed still works.
+pub(super) fn works(state: &DirectState, id: &InstanceId) -> bool {
+    state.plan.looks.get(id).is_some_and(Look::alive)
 }
 
 fn lose(
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -162,6 +162,9 @@
         state.plan.ended.insert(group.clone());
         return false;
     }
+    if let (EndingStep::Confirming, Some(head)) = (ending.step, &ending.head) {
+        look::at(state, now, head, out);
+    }
     let next = next_step(state, now, group, ending);
     if next != ending.step {
         ending.step = next;
@@ -191,11 +194,23 @@
             }
         }
         EndingStep::Confirming | EndingStep::Breaking if !lost => EndingStep::Leaving,
-        EndingStep::Confirming if now >= ending.since + CONFIRM_MS => EndingStep::Breaking,
+        EndingStep::Confirming if now >= ending.since + confirming(state, head) => {
+            EndingStep::Breaking
+        }
         step => step,
     }
 }
 
+/// How long other routers get to tell that a head is over, before its members leave
+/// and break it. One that still works gets the time of an orderly end.
+fn confirming(state: &DirectState, head: Option<&InstanceId>) -> Millis {
+    if head.is_some_and(|id| look::works(state, id)) {
+        CLOSING_MS
+    } else {
+        CONFIRM_MS
+    }
+}
+
 /// Whether the head has stopped for certain.
 fn stopped(state: &DirectState, now: Millis, group: &Arc<str>, ending: &Ending) -> bool {
     let seat = ending.head.as_ref().and_then(|id| seat(state, id, group));
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -47,7 +47,7 @@
         DirectEvent::Gone(id) => end::caller_gone(state, id, out),
         DirectEvent::Part { run, part } => answer::part(state, now, run, part, out),
         DirectEvent::Looked { id, result } => {
-            peers::looked(state, &id, &result, out);
+            peers::looked(state, now, &id, &result, out);
             plan::looked(state, now, &id, result, out);
         }
         DirectEvent::Peer { from, message } => peers::said(state, now, from, message, out),
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, GroupStep, LookResult, OrderResult, PeerMessage,
+    DirectEffect, DirectEvent, GroupStep, LookResult, OrderResult, PeerMessage, RunPart, Sight,
 };
 use runrail::types::{EndpointEntry, InstanceId, Routing, SeatState};
 
@@ -74,36 +74,117 @@
     );
 }
 
+/// Four other routers.
+fn add_peers(router: &mut Router) {
+    for n in [2, 3, 4, 5] {
+        let id = InstanceId::new(&format!("r{n}"));
+        router.state().peers.insert(id, addr(800 + n));
+    }
+}
+
+/// Numbers of the questions to other routers.
+fn asked(router: &mut Router) -> Vec<u64> {
+    let number = |e: &DirectEffect| match e {
+        DirectEffect::Tell {
+            message: PeerMessage::Ask { number, .. },
+            ..
+        } => Some(*number),
+        _ => None,
+    };
+    router.take().iter().filter_map(number).collect()
+}
+
+/// Another router tells what it sees.
+fn seen(router: &mut Router, number: u64, sight: Sight) {
+    let message = PeerMessage::Seen { number, sight };
+    let from = addr(801);
+    router.tell(DirectEvent::Peer { from, message });
+}
+
+/// Found by pairs of days, further trouble-3 seed 4: a head that was taken away
+/// during an outage of the store had stopped listening and was finishing streams.
+#[test]
+fn a_head_that_every_router_finds_refusing_may_still_finish_its_streams() {
+    for (last, over) in [
+        (Sight::Refuses, false),
+        (Sight::Alive, false),
+        (Sight::Gone, true),
+    ] {
+        let mut router = Router::planner(fleet());
+        add_peers(&mut router);
+        router.take();
+        router.looked("e1", LookResult::Refused);
+        let asked = asked(&mut router);
+        for (n, number) in asked.into_iter().enumerate() {
+            let sight = if n == 3 { last } else { Sight::Refuses };
+            seen(&mut router, number, sight);
+        }
+        router.pass(300);
+        assert_eq!(!router.joins().is_empty(), over, "{last:?}");
+    }
+}
+
+#[test]
+fn a_head_that_still_works_keeps_its_members_for_as_long_as_an_orderly_end_takes() {
+    let mut router = Router::planner(fleet());
+    add_peers(&mut router);
+    router.take();
+    router.looked("e1", LookResult::Refused);
+    for number in asked(&mut router) {
+        seen(&mut router, number, Sight::Alive);
+    }
+    router.pass(2_500);
+    assert!(leaves(&router.take()).is_empty(), "its streams need them");
+    router.pass(1_000);
+    assert!(!leaves(&router.take()).is_empty());
+}
+
+/// A router tells by its own runs whether an endpoint that refuses connections has
+/// died: what runs goes on where it only stops listening, and breaks where it died.
+#[test]
+fn a_router_tells_an_endpoint_that_stops_listening_from_one_that_died() {
+    for (end, expected) in [
+        (None, Sight::Alive),
+        (Some(RunPart::End), Sight::Refuses),
+        (Some(RunPart::Broken), Sight::Gone),
+    ] {
+        let mut router = Router::new(fleet());
+        let sent = run(&router.ask(1, "/stream/x"));
+        router.part(sent.run, RunPart::Head);
+        if let Some(end) = end {
+            router.part(sent.run, end);
+        }
+        let message = PeerMessage::Ask {
+            number: 77,
+            id: sent.to.clone(),
+            addr: sent.addr,
+        };
+        let from = addr(802);
+        router.tell(DirectEvent::Peer { from, message });
+        router.looked(sent.to.as_str(), LookResult::Refused);
+        let told = |e: &DirectEffect| matches!(e, DirectEffect::Tell { message: PeerMessage::Seen { sight, .. }, .. } if *sight == expected);
+        let effects = router.take();
+        assert!(effects.iter().any(told), "{expected:?}: {effects:?}");
+    }
+}
+
 #[test]
 fn a_silent_head_counts_as_open_until_other_routers_miss_it_too() {
     for agree in [true, false] {
         let mut router = Router::planner(fleet());
-        for n in [2, 3, 4, 5] {
-            router
-                .state()
-                .peers
-                .insert(InstanceId::new(&format!("r{n}")), addr(800 + n));
-        }
+        add_peers(&mut router);
         router.take();
         lose(&mut router, "e1");
-        let asked: Vec<u64> = router
-            .take()
-            .iter()
-            .filter_map(|e| match e {
-                DirectEffect::Tell {
-                    message: PeerMessage::Ask { number, .. },
-                    ..
-                } => Some(*number),
-                _ => None,
-            })
-            .collect();
+        let asked = asked(&mut router);
         assert_eq!(asked.len(), 4);
         for (n, number) in asked.into_iter().enumerate() {
             // One that sees it is enough to keep it.
-            let alive = !agree && n == 3;
-            let message = PeerMessage::Seen { number, alive };
-            let from = addr(801);
-            router.tell(DirectEvent::Peer { from, message });
+            let sight = if !agree && n == 3 {
+                Sight::Alive
+            } else {
+                Sight::Silent
+            };
+            seen(&mut router, number, sight);
         }
         router.pass(200);
         assert_eq!(!router.joins().is_empty(), agree);
@@ -247,7 +328,7 @@
     router.looked("e1", LookResult::Silent);
     let message = PeerMessage::Seen {
         number: 77,
-        alive: false,
+        sight: Sight::Silent,
     };
     let told = DirectEffect::Tell { to: from, message };
     assert!(router.take().contains(&told));
