Limits: fresh requests before returned ones

Cause: what came back after a refusal waited four times as long for room, went a tenth beyond the limit and was read first, though a late answer earns a quarter of one in time; under overload it took most of the large model's room.

Change: a request has a turn: resumed, fresh, returned. Returned ones get room up to 60 in 100 of a limit and a third of the reading bound, wait behind fresh ones and rank behind them at the endpoint. A fresh one waits a sixth of its objective for room, was a quarter: with the way to the caller a quarter was too late to come back in time.

Ruled out: holding returned ones until there is room (the users don't accept it).

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{end, peers, send, DirectRequest, DirectState, EndStage, Flight, Problem};
+use super::{end, peers, send, DirectRequest, DirectState, EndStage, Flight, Problem, Turn};
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
 
@@ -16,8 +16,10 @@
 /// Objectives that a request may wait for room which was refused before.
 const RETURNED_HELD: Millis = 1;
 
-/// Part of the objective that a request may wait for room.
-const HELD: Millis = 4;
+/// Part of the objective that a request may wait for room: a refusal within a quarter
+/// of it leaves the caller time to be served well elsewhere, and the way to the caller
+/// takes part of that.
+const HELD: Millis = 6;
 
 /// A caller has sent a request.
 pub(super) fn arrived(
@@ -99,7 +101,11 @@
         answer: request.answer,
         account,
         priority,
-        urgent: returned,
+        turn: if returned {
+            Turn::Returned
+        } else {
+            Turn::Fresh
+        },
         held: now
             + if returned {
                 route.target_ms * RETURNED_HELD
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -50,7 +50,7 @@
             continue;
         }
         let room = |e: &EngineSpec| {
-            limit::room(view, routers, flight.urgent) && limit::reads(view, routers, flight, e)
+            limit::room(view, routers, flight.turn) && limit::reads(view, routers, flight, e)
         };
         if !engine.is_none_or(room) {
             continue;
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::plan::PlanState;
-use super::{Asked, DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow};
+use super::{Asked, DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow, Turn};
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, Routing};
@@ -33,8 +33,8 @@
     pub endpoints: BTreeMap<InstanceId, EndpointView>,
     /// Requests without a final answer.
     pub flights: BTreeMap<u64, Flight>,
-    /// Requests that wait for room: the urgent (false) first, then as they came.
-    pub waiting: BTreeSet<(bool, u64)>,
+    /// Requests that wait for room: by turn, then as they came.
+    pub waiting: BTreeSet<(Turn, u64)>,
     /// Requests by the model that they ask for.
     pub asked_for: BTreeMap<Arc<str>, u64>,
     /// Which request a run belongs to.
--- a/src/logic/direct/flight.rs
+++ b/src/logic/direct/flight.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use super::Turn;
 use crate::types::{InstanceId, Millis, RouteSpec};
 
 /// A caller's request that has no final answer yet.
@@ -21,8 +22,8 @@
     pub account: Option<Arc<str>>,
     /// Rank; 0 comes first.
     pub priority: u8,
-    /// Whether it goes before others: it was refused before, or is half done.
-    pub urgent: bool,
+    /// Whose turn it is among others.
+    pub turn: Turn,
     /// Until when it may wait for room; 0 once it was sent.
     pub held: Millis,
     /// When it arrived.
--- a/src/logic/direct/limit.rs
+++ b/src/logic/direct/limit.rs
@@ -4,7 +4,7 @@
 //! while requests begin well within their objective and lowers it when they
 //! begin late, so that together they keep a head just short of queueing.
 
-use super::{DirectState, EndpointView, Flight};
+use super::{DirectState, EndpointView, Flight, Turn};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// One run, in the unit of limits.
@@ -25,9 +25,14 @@
 /// Part of the objective within which a request begins well.
 const WELL: u64 = 2;
 
-/// How far what is urgent may go beyond the limit, in hundredths: refusing a
-/// request twice costs its caller most, but letting all in makes all late.
-const URGENT: u64 = 110;
+/// How far requests of each turn may go, in hundredths of a limit. What is half done
+/// may go a little beyond it. What has come back after a refusal leaves room for what
+/// can still be answered in time; measured on pairs of days, docs/ABLATION.md.
+const RESUMED: u64 = 110;
+const RETURNED: u64 = 60;
+
+/// Part of the reading bound, in hundredths, up to which returned requests are read.
+const RETURNED_READING: u64 = 33;
 
 /// Part of the wanted pause that reading may take within one pass, in hundredths.
 const READING: u64 = 60;
@@ -48,13 +53,21 @@
     let pace = model.map_or(1_000, |m| m.pace).max(1);
     let in_a_ms = engine.read_rate / pace;
     let most = flight.route.gap_ms * READING / 100 * in_a_ms * UNEVEN / routers.max(1);
+    let most = match flight.turn {
+        Turn::Returned => most * RETURNED_READING / 100,
+        Turn::Resumed | Turn::Fresh => most,
+    };
     view.unread == 0 || view.unread + u64::from(flight.prompt) <= most
 }
 
 /// Whether an endpoint has room for one more run.
-pub(super) fn room(view: &EndpointView, routers: u64, urgent: bool) -> bool {
+pub(super) fn room(view: &EndpointView, routers: u64, turn: Turn) -> bool {
     let limit = current(view, routers);
-    let limit = if urgent { limit * URGENT / 100 } else { limit };
+    let limit = match turn {
+        Turn::Resumed => limit * RESUMED / 100,
+        Turn::Fresh => limit,
+        Turn::Returned => limit * RETURNED / 100,
+    };
     u64::from(view.running) * ONE < limit
 }
 
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -37,6 +37,7 @@
 mod sight;
 mod silence;
 mod step;
+mod turn;
 
 pub use asked::Asked;
 pub use direct_effect::DirectEffect;
@@ -59,3 +60,4 @@
 pub use run_request::RunRequest;
 pub use sight::Sight;
 pub(crate) use step::step;
+pub use turn::Turn;
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
-use super::{choose, end, DirectEffect, DirectState, Flight, Run, RunRequest};
+use super::{choose, end, DirectEffect, DirectState, Flight, Run, RunRequest, Turn};
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{Millis, RouteKind};
@@ -8,10 +8,9 @@
 /// Highest rank that an endpoint knows.
 const LAST_RANK: u8 = 9;
 
-/// Rank at the endpoint: what was refused before, or is half done, comes first.
+/// Rank at the endpoint: that of the route, a step for each turn behind the first.
 fn rank(flight: &Flight) -> u8 {
-    let behind = u8::from(!flight.urgent);
-    (flight.priority + behind).min(LAST_RANK)
+    (flight.priority + flight.turn as u8).min(LAST_RANK)
 }
 
 /// Time that a stream which is half given waits for a head to take it up: groups
@@ -29,7 +28,7 @@
     let Some(to) = choose::pick(state, now, &flight) else {
         let hope = flight.headed || choose::any(state, &flight);
         if now < flight.held && hope {
-            state.waiting.insert((!flight.urgent, id));
+            state.waiting.insert((flight.turn, id));
             return;
         }
         return end::give_up(state, now, id, "no endpoint takes it", out);
@@ -49,7 +48,7 @@
         .with("request", &flight.label)
         .with("endpoint", &to)
         .with("running", view.running)
-        .with("returned", flight.urgent)
+        .with("turn", format!("{:?}", flight.turn))
         .with("limit", view.limit)
         .with("beat_age", now.saturating_sub(view.beat_at))
         .with("version", version);
@@ -81,7 +80,7 @@
     }
 }
 
-/// Sends what waits for room, the urgent first; what has waited for too long ends.
+/// Sends what waits for room, in turn; what has waited for too long ends.
 pub(super) fn waiting(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     for (_, id) in std::mem::take(&mut state.waiting) {
         let waits = state.flights.get(&id).is_some_and(|f| f.run.is_none());
@@ -116,7 +115,7 @@
         return end::give_up(state, now, id, why, out);
     }
     if let Some(flight) = state.flights.get_mut(&id) {
-        flight.urgent = true;
+        flight.turn = Turn::Resumed;
         if flight.headed {
             flight.held = now + RESUME_MS;
         }
