Planner: groups by what callers ask for; loads by what they add; idle instances told

Cause: the planner weighed models by the published share of all instances, halfway mixed with its own count of requests. On the new customer two models need 2.2 and 2.5 groups; the logs show second models loaded for the model that had twice what it needed, while three survivors of the other waited 17 s for a fourth.

Change, one model in place of several rules of thumb: - demand: each router counts the work that fresh requests take a group (published pass at half the slots, prompt and answer as told) and tells the others each second; the needs of models are the sum.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use super::{end, peers, send, DirectRequest, DirectState, EndStage, Flight, Problem, Turn};
+use super::{
+    demand, end, peers, send, DirectRequest, DirectState, EndStage, Flight, Problem, Turn,
+};
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
 
@@ -90,8 +92,9 @@
         state.plan.traffic = true;
         peers::traffic(state, out);
     }
-    if let Some(model) = &request.model {
-        *state.asked_for.entry(model.clone()).or_default() += 1;
+    if let Some(model) = request.model.as_ref().filter(|_| !returned) {
+        let (prompt, answer) = (request.prompt, request.answer);
+        demand::count(state, now, &service, model, prompt, answer);
     }
     let flight = Flight {
         label: request.label,
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -2,8 +2,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::plan::PlanState;
-use super::{Asked, DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow, Turn};
+use super::plan::{IdleReason, PlanState};
+use super::{
+    Asked, Demand, DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow, Turn,
+};
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, Routing};
@@ -25,6 +27,8 @@
     pub routing: Option<Arc<Routing>>,
     /// Whether the list was read since the start.
     pub listed: bool,
+    /// Whether all of a list has been taken in.
+    pub listed_once: bool,
     /// The store's revision that the list is known up to.
     pub list_revision: i64,
     /// Whether changes of the list are read often.
@@ -35,8 +39,8 @@
     pub flights: BTreeMap<u64, Flight>,
     /// Requests that wait for room: by turn, then as they came.
     pub waiting: BTreeSet<(Turn, u64)>,
-    /// Requests by the model that they ask for.
-    pub asked_for: BTreeMap<Arc<str>, u64>,
+    /// What callers ask for.
+    pub demand: Demand,
     /// Which request a run belongs to.
     pub runs: BTreeMap<u64, u64>,
     /// Number of the next run, order or call.
@@ -70,12 +74,13 @@
             seed,
             routing: None,
             listed: false,
+            listed_once: false,
             list_revision: 0,
             often: true,
             endpoints: BTreeMap::new(),
             flights: BTreeMap::new(),
             waiting: BTreeSet::new(),
-            asked_for: BTreeMap::new(),
+            demand: Demand::default(),
             runs: BTreeMap::new(),
             next: 1,
             retries: BTreeMap::new(),
@@ -112,10 +117,19 @@
                 "figures_missing",
                 self.routing.as_ref().map_or(0, |r| r.gaps.len() as u64),
             ),
+            ("idle_loads", self.idle(IdleReason::Loads)),
+            ("idle_empty", self.idle(IdleReason::Empty)),
+            ("idle_waits", self.idle(IdleReason::Waits)),
             ("plans", u64::from(self.plan.duty.holds(now))),
         ]
     }
 
+    /// Endpoints that serve in no group for a reason, as far as this router plans.
+    fn idle(&self, reason: IdleReason) -> u64 {
+        let idle = self.plan.idle.values().filter(|i| i.reason == reason);
+        idle.count() as u64
+    }
+
     /// A random number below `bound`; 0 for a bound of 0.
     pub(super) fn random(&mut self, bound: u64) -> u64 {
         let mut rng = fastrand::Rng::with_seed(self.seed);
--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -9,6 +9,9 @@
     pub entry: EndpointEntry,
     /// Model of its last group in this life of it, which it takes up again at once.
     pub last: Option<Arc<str>>,
+    /// Whether it started while this router knew the list, so that this router knows
+    /// what it holds.
+    pub new: bool,
     /// Whether the list names it now.
     pub listed: bool,
     /// When the entry last beat, or left the list.
@@ -46,6 +49,7 @@
         Self {
             last: entry.model.clone(),
             entry,
+            new: false,
             listed: true,
             beat_at: now,
             heard: now,
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -33,6 +33,7 @@
     for (id, entry) in entries {
         changed(state, now, id, Some(entry), out);
     }
+    state.listed_once = true;
 }
 
 /// One entry of the list has changed, or has gone.
@@ -60,7 +61,11 @@
             .with("domain", &entry.domain)
             .with("service", &entry.service);
         out.push(Effect::Note(note));
-        state.endpoints.insert(id, EndpointView::new(entry, now));
+        let view = EndpointView {
+            new: state.listed_once,
+            ..EndpointView::new(entry, now)
+        };
+        state.endpoints.insert(id, view);
         return;
     };
     let news = EntryNews::of(&id, &view.entry, &entry);
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{EntryNews, Sight};
+use super::{EntryNews, ModelDemand, Sight};
 use crate::types::InstanceId;
 
 /// What routers with direct links say to each other, one datagram each.
@@ -24,6 +24,8 @@
     },
     /// The first caller has come to the sender; for the planner.
     Traffic,
+    /// What the sender is asked for in a second, by model; for the planner.
+    Demand(Vec<ModelDemand>),
     /// What the list shows of an endpoint that takes requests or no longer does;
     /// from the planner, which reads the list more often than others.
     Entry(EntryNews),
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use super::{
-    endpoints, plan, Asked, DirectEffect, DirectState, EntryNews, LookResult, PeerMessage,
+    demand, endpoints, plan, Asked, DirectEffect, DirectState, EntryNews, LookResult, PeerMessage,
 };
 use crate::logic::router::{
     CallId, Put, StoreCall, StoreChange, StoreEntry, StoreReply, StoreResult,
@@ -170,6 +170,7 @@
             out.push(Effect::Direct(DirectEffect::Look { id, addr }));
         }
         PeerMessage::Entry(news) => endpoints::told(state, now, news, out),
+        PeerMessage::Demand(told) => demand::told(state, now, from, told),
         PeerMessage::Traffic => state.plan.traffic = true,
         PeerMessage::Silent { id } => plan::suspect(state, now, &id, out),
         PeerMessage::Seen { number, sight } => plan::seen(state, number, sight),
@@ -197,13 +198,27 @@
     if !are_told(state) {
         return;
     }
+    say(state, &PeerMessage::Entry(news), out);
+}
+
+/// Says something to every other router, or only to the planner where there are many.
+pub(super) fn tell_all(state: &DirectState, message: &PeerMessage, out: &mut Vec<Effect>) {
+    if are_told(state) {
+        say(state, message, out);
+    } else {
+        tell_planner(state, message.clone(), out);
+    }
+}
+
+fn say(state: &DirectState, message: &PeerMessage, out: &mut Vec<Effect>) {
     for to in state.peers.values() {
-        let message = PeerMessage::Entry(news.clone());
+        let message = message.clone();
         out.push(Effect::Direct(DirectEffect::Tell { to: *to, message }));
     }
 }
 
-fn tell_planner(state: &DirectState, message: PeerMessage, out: &mut Vec<Effect>) {
+/// Says something to the router that plans, where it is another one.
+pub(super) fn tell_planner(state: &DirectState, message: PeerMessage, out: &mut Vec<Effect>) {
     let holder = state.plan.duty.holder.as_deref().map(InstanceId::new);
     if let Some(to) = holder.and_then(|h| state.peers.get(&h)).copied() {
         out.push(Effect::Direct(DirectEffect::Tell { to, message }));
--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -149,7 +149,7 @@
     let counts = view.counts(&place.0);
     let able = able(state, free, engine);
     let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
-    let mix = best_mix(&able, &sizes, worth(state, engine, &counts));
+    let mix = best_mix(&able, &sizes, worth(state, now, engine, &counts));
     let Some((value, mix)) = mix else {
         return;
     };
--- a/src/logic/direct/plan/look.rs
+++ b/src/logic/direct/plan/look.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::form;
+use super::{cover, form};
 use crate::logic::direct::{endpoints, peers, DirectEffect, DirectState, LookResult, Sight};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis};
@@ -228,6 +228,7 @@
     view.silent.get_or_insert(now);
     let beat_age = now.saturating_sub(view.beat_at);
     if state.plan.lost.insert(id.clone(), now).is_none() {
+        cover::died(state, now);
         let note = Note::new(NoteCode::EndpointLost)
             .with("endpoint", id)
             .with("why", why)
--- a/src/logic/direct/plan/mix.rs
+++ b/src/logic/direct/plan/mix.rs
@@ -1,26 +1,10 @@
 //! Which groups a few free endpoints should form.
 
 use super::value::COLD;
-use crate::types::EngineModel;
 
 /// Most mixes that are weighed.
 const MIXES: usize = 4_000;
 
-/// What each group beyond the wanted capacity still adds.
-const SURPLUS: f64 = 0.05;
-
-/// Worth of so many groups of a model, where a service has `all` instances.
-///
-/// Grows ever more slowly up to the part of the instances that the model's work
-/// needs, then hardly any more. `weight` is what the model's work counts.
-pub(super) fn use_of(model: &EngineModel, groups: usize, all: usize, weight: f64) -> f64 {
-    let share = model.share as f64 / 1_000.0;
-    let wanted = (all as f64 * share).max(1.0);
-    let ratio = (groups * model.size) as f64 / wanted;
-    let short = (1.0 - ratio).max(0.0);
-    weight * (1.0 - short * short + SURPLUS * ratio.min(2.0))
-}
-
 /// Members of each group to form, by model, and what the mix is worth: the best one
 /// that the endpoints can serve. `able` tells their readiness for each model.
 ///
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -7,6 +7,7 @@
 //! `form` and `retire` carry changes out, `place` and `fill` decide what to
 //! form, `trade` what to give up for others, `stage` what spares hold ready.
 
+mod cover;
 mod duty;
 mod ending;
 mod fill;
@@ -14,10 +15,10 @@
 mod form;
 mod forming;
 mod group_view;
+mod idle;
 mod inspect;
 mod look;
 mod mix;
-mod need;
 mod order;
 mod place;
 mod plan_state;
@@ -33,6 +34,7 @@
 pub use ending::{Ending, EndingStep};
 pub use forming::Forming;
 pub use group_view::{GroupView, Seat};
+pub use idle::{Idle, IdleReason};
 pub use look::Look;
 pub use order::OrderUse;
 pub use place::{place, PlaceInput, PlaceModel};
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -20,6 +20,8 @@
     Leave(Arc<str>),
     /// A member leaves this group, so that its head breaks.
     Break(Arc<str>, InstanceId),
+    /// This endpoint leaves a group that is over.
+    Free(InstanceId),
     /// This endpoint loads a model to its host.
     Stage(InstanceId),
 }
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use super::{Duty, Ending, Forming, Look, OrderUse, Staging};
+use super::{Duty, Ending, Forming, Idle, Look, OrderUse, Staging};
 use crate::types::{GroupSeat, InstanceId, Millis};
 
 /// What a planner knows beside the list.
@@ -27,6 +27,10 @@
     pub staging: BTreeMap<InstanceId, Staging>,
     /// Endpoints that don't answer, since when.
     pub lost: BTreeMap<InstanceId, Millis>,
+    /// Endpoints that serve in no group, while this router plans.
+    pub idle: BTreeMap<InstanceId, Idle>,
+    /// When the needs of models are logged next.
+    pub needs_at: Millis,
     /// Looks at endpoints.
     pub looks: BTreeMap<InstanceId, Look>,
     /// Places, with their model, in groups that this planner has opened and the list
@@ -36,6 +40,8 @@
     pub orders: BTreeMap<u64, OrderUse>,
     /// Loads from the weight store that this planner has caused lately.
     pub loads: VecDeque<Millis>,
+    /// When endpoints of engines were lost lately.
+    pub deaths: VecDeque<Millis>,
     /// When a group was last traded for others.
     pub traded: Millis,
     /// The group that was last traded in each service and domain.
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -3,15 +3,15 @@
 //! A spare joins a group of its own, which never opens: whoever has held a
 //! model joins a group of that model almost at once.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::cover::{self, Cover};
 use super::survey::{self, Place};
-use super::{fill, form, need, order, value, OrderUse, Staging};
+use super::{fill, form, order, value, OrderUse, Staging};
 use crate::logic::direct::{DirectState, EndpointView, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
-use crate::types::{EngineModel, EngineSpec, InstanceId, Millis};
+use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// Span over which loads are counted.
 const WINDOW_MS: Millis = 5_000;
@@ -26,6 +26,10 @@
 /// each order costs this router time.
 const BACKLOG: usize = 256;
 
+/// Least that a load must add, as a part of what the service does, to be worth its
+/// price and the time of the weight store.
+const LEAST_VALUE: f64 = 0.001;
+
 /// Sees to it that endpoints hold models ready.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     forget(state, now);
@@ -39,16 +43,14 @@
 
 /// Tells spares that hold no model to hold one.
 fn spares(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    let heads = heads(state);
-    let mut services: BTreeMap<Arc<str>, Option<Needs>> = BTreeMap::new();
+    let mut services: BTreeMap<Arc<str>, Option<Cover>> = BTreeMap::new();
     for (place, free) in survey::free(state) {
-        let needs = services
+        let cover = services
             .entry(place.0.clone())
-            .or_insert_with(|| Needs::of(state, &place.0));
-        let Some(needs) = needs else {
+            .or_insert_with(|| Cover::of(state, now, &place.0));
+        let Some(cover) = cover else {
             continue;
         };
-        let engine = &needs.engine;
         for id in &free {
             let idle = !state.plan.staging.contains_key(id);
             let view = state.endpoints.get(id);
@@ -57,109 +59,113 @@
             if !idle || holds {
                 continue;
             }
-            let warm = holds_any(state, id, engine, 1);
-            if !warm && !room(state, engine) {
+            let warm = warm_model(state, id, &cover.engine);
+            // Whoever was there before this router may hold a model that it doesn't
+            // know of, and would lose it.
+            if warm.is_some() && !view.is_some_and(|v| v.new) {
+                continue;
+            }
+            if warm.is_none() && !room(state, &cover.engine) {
                 continue;
             }
-            if let Some(model) = choose(state, &place, &free, id, needs, &heads) {
-                give(state, now, id, &model.name, !warm, out);
+            let model = warm.or_else(|| choose(state, &place, &free, cover));
+            if let Some(m) = model {
+                let name = cover.engine.models[m].name.clone();
+                cover.loads(&place.1, m, true);
+                give(state, now, id, &name, warm.is_none(), out);
             }
         }
     }
 }
 
-/// Tells endpoints to load a second model to their hosts.
-///
-/// A member keeps the model of its group; the host holds another one ready, so
-/// that whoever is left of a group can serve either. A model that is clearly short
-/// of groups comes first, where most can serve it already; then spares, then members
-/// of large groups, as more of them are left over.
+/// A model that the endpoint's host keeps.
+fn warm_model(state: &DirectState, id: &InstanceId, engine: &EngineSpec) -> Option<usize> {
+    let ready = |m: usize| value::readiness(state, id, &engine.models[m].name);
+    let warm = (0..engine.models.len()).filter(|m| ready(*m) < value::COLD);
+    warm.min_by_key(|m| ready(*m))
+}
+
+/// The model that an empty spare of a domain should load: as the work is shared while
+/// loads are cheap or no group stands, then what adds most.
+fn choose(state: &DirectState, place: &Place, free: &[InstanceId], cover: &Cover) -> Option<usize> {
+    let models = &cover.engine.models;
+    if cover.empty() || fill::cheap(state) {
+        let filled = |m: &usize| {
+            let ready = free
+                .iter()
+                .filter(|id| cover::has(state, id, &models[*m].name));
+            ready.count() as u64 * 1_000_000 / models[*m].share.max(1)
+        };
+        return (0..models.len()).min_by_key(filled);
+    }
+    let value = |m: usize| cover.value(&place.1, m, true);
+    (0..models.len()).max_by(|a, b| value(*a).total_cmp(&value(*b)))
+}
+
+/// Tells endpoints to load a second model to their hosts, as long as one adds enough:
+/// a member keeps the model of its group, and the host holds another one ready, so
+/// that whoever is left of a group can serve either.
 fn second(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let free: BTreeSet<InstanceId> = survey::free(state).into_values().flatten().collect();
-    let mut services: BTreeMap<Arc<str>, Option<Needs>> = BTreeMap::new();
-    let mut waiting = Vec::new();
-    for (id, view) in &state.endpoints {
-        let told = state.plan.staging.contains_key(id);
-        let Some(held) = view.last.as_ref().filter(|_| !told) else {
+    let services: BTreeSet<Arc<str>> = state
+        .endpoints
+        .values()
+        .map(|v| v.entry.service.clone())
+        .collect();
+    for service in services {
+        let Some(mut cover) = Cover::of(state, now, &service) else {
             continue;
         };
-        let other = view.entry.staged.iter().any(|m| m != held);
-        if other || !survey::usable(state, id, view) {
-            continue;
+        loop {
+            let busy = state.plan.staging.len() as u32 >= cover.engine.loads_at_once;
+            if busy || !room(state, &cover.engine) {
+                break;
+            }
+            let Some((id, m)) = best_load(state, &service, &cover, &free) else {
+                break;
+            };
+            let Some(domain) = state.endpoints.get(&id).map(|v| v.entry.domain.clone()) else {
+                break;
+            };
+            cover.loads(&domain, m, free.contains(&id));
+            let model = cover.engine.models[m].name.clone();
+            let step = GroupStep::Stage {
+                model: model.clone(),
+            };
+            tell(state, now, &id, &model, true, step, out);
         }
-        let service = &view.entry.service;
-        let needs = services
-            .entry(service.clone())
-            .or_insert_with(|| Needs::of(state, service));
-        let wanted = needs.as_ref().and_then(|n| Some((n, n.other(held)?)));
-        let Some((needs, model)) = wanted else {
-            continue;
-        };
-        let size = needs.engine.model(held).map_or(0, |m| m.size);
-        let ready = needs.ready_for(&view.entry.domain, &model);
-        let order = (Reverse(ready), !free.contains(id), Reverse(size));
-        waiting.push((order, id.clone(), service.clone(), model));
     }
-    waiting.sort();
-    for (_, id, service, model) in waiting {
-        let Some(Some(needs)) = services.get(&service) else {
+}
+
+/// The endpoint and the model whose load adds most, if any adds enough.
+fn best_load(
+    state: &DirectState,
+    service: &Arc<str>,
+    cover: &Cover,
+    free: &BTreeSet<InstanceId>,
+) -> Option<(InstanceId, usize)> {
+    let mut best: Option<(f64, InstanceId, usize)> = None;
+    for (id, view) in &state.endpoints {
+        let told = state.plan.staging.contains_key(id);
+        let Some(held) = view.last.as_ref().filter(|_| !told) else {
             continue;
         };
-        let busy = state.plan.staging.len() as u32 >= needs.engine.loads_at_once;
-        if busy || !room(state, &needs.engine) {
-            return;
+        // A host keeps few models: another one there is not driven out.
+        let full = view.entry.staged.iter().any(|m| m != held);
+        if full || view.entry.service != *service || !survey::usable(state, id, view) {
+            continue;
         }
-        let step = GroupStep::Stage {
-            model: model.clone(),
-        };
-        tell(state, now, &id, &model, true, step, out);
-    }
-}
-
-/// What a service needs its hosts to hold.
-struct Needs {
-    /// Its engines.
-    engine: EngineSpec,
-    /// Models, the one with the least of what it needs first.
-    models: Vec<Arc<str>>,
-    /// The model that is clearly short of groups, if any.
-    short: Option<Arc<str>>,
-    /// Endpoints that can serve that model without a load, by domain.
-    ready: BTreeMap<Arc<str>, usize>,
-}
-
-impl Needs {
-    fn of(state: &DirectState, service: &Arc<str>) -> Option<Self> {
-        let engine = fill::engine(state, service)?;
-        let models = need::by_need(state, service, &engine);
-        let short = need::short_of(state, service, &engine);
-        let mut ready: BTreeMap<Arc<str>, usize> = BTreeMap::new();
-        for (id, view) in &state.endpoints {
-            let usable = view.entry.service == *service && survey::usable(state, id, view);
-            let serves = |m| value::readiness(state, id, m) < value::COLD;
-            if usable && short.as_ref().is_some_and(serves) {
-                *ready.entry(view.entry.domain.clone()).or_default() += 1;
+        for (m, model) in cover.engine.models.iter().enumerate() {
+            if model.name == *held {
+                continue;
+            }
+            let value = cover.value(&view.entry.domain, m, free.contains(id));
+            if value > best.as_ref().map_or(LEAST_VALUE, |b| b.0) {
+                best = Some((value, id.clone(), m));
             }
         }
-        Some(Self {
-            engine,
-            models: models.into_iter().map(|m| m.name).collect(),
-            short,
-            ready,
-        })
-    }
-
-    /// The model to load beside another one.
-    fn other(&self, held: &Arc<str>) -> Option<Arc<str>> {
-        self.models.iter().find(|m| *m != held).cloned()
-    }
-
-    /// Endpoints of a domain that can serve a model, where it is short; else 0.
-    fn ready_for(&self, domain: &Arc<str>, model: &Arc<str>) -> usize {
-        let short = self.short.as_ref() == Some(model);
-        let ready = self.ready.get(domain).filter(|_| short);
-        ready.map_or(usize::from(short), |n| n + 1)
     }
+    best.map(|(_, id, m)| (id, m))
 }
 
 /// Forgets orders that are done, and those that had no effect.
@@ -189,12 +195,6 @@
     }
 }
 
-/// Whether an endpoint is this ready for any model.
-fn holds_any(state: &DirectState, id: &InstanceId, engine: &EngineSpec, ready: u8) -> bool {
-    let holds = |m: &EngineModel| value::readiness(state, id, &m.name) <= ready;
-    engine.models.iter().any(holds)
-}
-
 /// Whether another load may begin within the published rate.
 fn room(state: &DirectState, engine: &EngineSpec) -> bool {
     let most = engine.load_rate * WINDOW_MS / 1_000_000;
@@ -204,63 +204,6 @@
     (fill::cheap(state) && few) || (state.plan.loads.len() as u64) < most
 }
 
-/// Open groups by domain and model.
-type Heads = BTreeMap<(Arc<str>, Arc<str>), usize>;
-
-fn heads(state: &DirectState) -> Heads {
-    let mut heads = Heads::new();
-    for view in state.endpoints.values().filter(|v| v.heads()) {
-        if let Some(model) = &view.entry.model {
-            let key = (view.entry.domain.clone(), model.clone());
-            *heads.entry(key).or_default() += 1;
-        }
-    }
-    heads
-}
-
-/// The model that a spare of this place is most likely to be needed for.
-fn choose(
-    state: &DirectState,
-    place: &Place,
-    free: &[InstanceId],
-    id: &InstanceId,
-    needs: &Needs,
-    heads: &Heads,
-) -> Option<EngineModel> {
-    let engine = &needs.engine;
-    let warm = |m: &&EngineModel| value::readiness(state, id, &m.name) < value::COLD;
-    let quickest = |m: &&EngineModel| value::readiness(state, id, &m.name);
-    if let Some(model) = engine.models.iter().filter(warm).min_by_key(quickest) {
-        return Some(model.clone());
-    }
-    let ready = |m: &EngineModel| {
-        let staged = |id: &&InstanceId| {
-            let told = state.plan.staging.get(*id).map(|s| &s.model);
-            told == Some(&m.name) || value::readiness(state, id, &m.name) < value::COLD
-        };
-        free.iter().filter(staged).count()
-    };
-    let groups = |m: &EngineModel| {
-        let key = (place.1.clone(), m.name.clone());
-        heads.get(&key).copied().unwrap_or(0)
-    };
-    if engine.models.iter().all(|m| groups(m) == 0) {
-        // Nothing stands yet: as the work is shared.
-        let filled = |m: &&EngineModel| ready(m) as u64 * 1_000_000 / m.share.max(1);
-        return engine.models.iter().min_by_key(filled).cloned();
-    }
-    if let Some(short) = &needs.short {
-        return engine.model(short).cloned();
-    }
-    let by_need = needs.models.iter().filter_map(|m| engine.model(m).cloned());
-    // Members that could need this spare, for each spare that is ready already.
-    let use_of = |m: &EngineModel| groups(m) * m.size * 1_000 / (ready(m) + 1);
-    by_need
-        .enumerate()
-        .max_by_key(|(i, m)| (use_of(m), usize::MAX - i))
-        .map(|(_, m)| m)
-}
-
 fn give(
     state: &mut DirectState,
     now: Millis,
--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -65,6 +65,20 @@
     engine && view.listed && !view.entry.leaving && !state.plan.lost.contains_key(id)
 }
 
+/// Model of the group that an endpoint serves in or joins; none where it is free.
+pub(super) fn model_of(
+    state: &DirectState,
+    id: &InstanceId,
+    view: &EndpointView,
+) -> Option<Arc<str>> {
+    let joins = |f: &&super::Forming| f.members.contains(id);
+    if let Some(forming) = state.plan.forming.values().find(joins) {
+        return Some(forming.model.clone());
+    }
+    let held = view.entry.model.clone();
+    held.filter(|_| seated(state, view))
+}
+
 /// Whether an endpoint has a place in a group that isn't over.
 fn seated(state: &DirectState, view: &EndpointView) -> bool {
     let over = |group: &Arc<str>| group.starts_with(ALONE) || state.plan.ended.contains(group);
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -1,4 +1,4 @@
-use super::{duty, fill, form, inspect, look, retire, stage};
+use super::{duty, fill, fleet_view, form, idle, inspect, look, retire, stage, value};
 use crate::logic::direct::{DirectEffect, DirectState};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
@@ -41,6 +41,8 @@
     inspect::tend(state, now, out);
     fill::tend(state, now, out);
     stage::tend(state, now, out);
+    idle::tend(state, now, out);
+    needs(state, now, out);
     clean(state);
 }
 
@@ -71,6 +73,36 @@
     plan.seats.clear();
     plan.lost.clear();
     plan.looks.clear();
+    plan.idle.clear();
+}
+
+/// Time between two events on what models need.
+const NEEDS_MS: Millis = 5_000;
+
+/// Logs what each model needs and has.
+fn needs(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    if now < state.plan.needs_at {
+        return;
+    }
+    state.plan.needs_at = now + NEEDS_MS;
+    let Some(routing) = state.routing.clone() else {
+        return;
+    };
+    for (service, spec) in &routing.services {
+        let Some(engine) = &spec.engine else {
+            continue;
+        };
+        let needs = value::needs(state, now, engine);
+        let counts = fleet_view::counts(state, service, engine);
+        for ((model, need), stand) in engine.models.iter().zip(needs).zip(counts) {
+            let note = Note::new(NoteCode::NeedsReckoned)
+                .with("model", &model.name)
+                .with("stand", stand)
+                .with("needed", format!("{:.2}", need.groups))
+                .with("weight", format!("{:.2}", need.weight));
+            out.push(Effect::Note(note));
+        }
+    }
 }
 
 fn count(state: &mut DirectState, now: Millis) {
--- a/src/logic/direct/plan/trade.rs
+++ b/src/logic/direct/plan/trade.rs
@@ -13,10 +13,10 @@
 use crate::types::{EngineSpec, InstanceId, Millis, SeatState};
 
 /// What a trade must add at least, as part of all that a service does.
-const TRADE: f64 = 0.035;
+const TRADE: f64 = 0.015;
 
 /// Shortest time between two trades.
-const TRADES_MS: Millis = 3_000;
+const TRADES_MS: Millis = 1_000;
 
 /// Whether a group of a place is being given up for others there: whoever is free
 /// waits for its members.
@@ -41,7 +41,7 @@
             continue;
         };
         let counts = view.counts(&place.0);
-        let value = worth(state, &engine, &counts)(&vec![0; engine.models.len()]);
+        let value = worth(state, now, &engine, &counts)(&vec![0; engine.models.len()]);
         let at = Offer {
             place: &place,
             free: &free,
@@ -68,14 +68,15 @@
         free,
         engine,
     } = *at;
-    if now < state.plan.traded + TRADES_MS {
+    let known = state.demand.known(now, state.peers.len());
+    if now < state.plan.traded + TRADES_MS || !known {
         return false;
     }
     let counts = view.counts(&place.0);
     let mut best: Option<(f64, &Arc<str>, &GroupView)> = None;
     for (name, group) in view.groups.get(place).into_iter().flatten() {
         if group.head().is_some_and(|h| h.state == SeatState::Open) {
-            let gain = without(state, group, free, engine, &counts) - before;
+            let gain = without(state, now, group, free, engine, &counts) - before;
             if gain > TRADE && best.as_ref().is_none_or(|(g, ..)| gain > *g) {
                 best = Some((gain, name, group));
             }
@@ -97,6 +98,7 @@
 /// Worth of a service if a group's members and the free endpoints formed anew.
 fn without(
     state: &DirectState,
+    now: Millis,
     group: &GroupView,
     free: &[InstanceId],
     engine: &EngineSpec,
@@ -114,7 +116,7 @@
     let mut all = free.to_vec();
     all.extend(group.seats.values().map(|s| s.id.clone()));
     let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
-    let worth = worth(state, engine, &fewer);
+    let worth = worth(state, now, engine, &fewer);
     let mix = best_mix(&able(state, &all, engine), &sizes, worth);
     mix.map_or(0.0, |(value, _)| value)
 }
--- a/src/logic/direct/plan/value.rs
+++ b/src/logic/direct/plan/value.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use super::mix::use_of;
-use crate::logic::direct::DirectState;
-use crate::types::{EngineModel, EngineSpec, InstanceId};
+use crate::logic::direct::{demand, DirectState};
+use crate::types::{EngineModel, EngineSpec, InstanceId, Millis};
 
 /// Readiness of an endpoint that has to load from the weight store.
 pub(super) const COLD: u8 = 2;
@@ -33,31 +32,72 @@
     ids.iter().map(one).collect()
 }
 
+/// Groups beyond the reckoned need, in hundredths of it, up to which one more still
+/// helps: work comes unevenly, and a group that is full serves late.
+const HEADROOM: f64 = 1.35;
+
+/// What each further group still adds beyond that, against all that are needed: it
+/// serves a little sooner, and can be given up for another one at once.
+const SURPLUS: f64 = 0.03;
+
+/// What groups of one model have to do, and what that counts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct ModelNeed {
+    /// Groups that the work takes, were it even.
+    pub(super) groups: f64,
+    /// Part of the service's worth that the model's work is.
+    pub(super) weight: f64,
+}
+
+impl ModelNeed {
+    /// Part of the service's worth that so many groups serve: ever less for each one
+    /// more, and none beyond the need with its headroom.
+    pub(super) fn served(&self, groups: usize) -> f64 {
+        let enough = (self.groups * HEADROOM).max(f64::EPSILON);
+        let ratio = groups as f64 / enough;
+        let short = (1.0 - ratio).max(0.0);
+        self.weight * (1.0 - short * short + SURPLUS * ratio.min(2.0))
+    }
+}
+
+/// What each model of a service needs: by what callers ask for, and by the published
+/// shares of all instances until that is known.
+pub(super) fn needs(state: &DirectState, now: Millis, engine: &EngineSpec) -> Vec<ModelNeed> {
+    let demand = demand::all(state, now);
+    let of = |m: &EngineModel| demand.get(&m.name).map_or((0, 0), |d| (d.work, d.value));
+    let value: u64 = engine.models.iter().map(|m| of(m).1).sum();
+    if value == 0 || !state.demand.known(now, state.peers.len()) {
+        return published(state, engine);
+    }
+    let need = |m: &EngineModel| ModelNeed {
+        groups: of(m).0 as f64 / 1e6,
+        weight: of(m).1 as f64 / value as f64,
+    };
+    engine.models.iter().map(need).collect()
+}
+
+fn published(state: &DirectState, engine: &EngineSpec) -> Vec<ModelNeed> {
+    let all = state.plan.most.max(1) as f64;
+    let need = |m: &EngineModel| {
+        let share = m.share as f64 / 1_000.0;
+        ModelNeed {
+            groups: all * share / m.size as f64 / HEADROOM,
+            weight: share,
+        }
+    };
+    engine.models.iter().map(need).collect()
+}
+
 /// Worth of a service with some groups of each model, and a mix beside.
 pub(super) fn worth<'a>(
     state: &DirectState,
-    engine: &'a EngineSpec,
+    now: Millis,
+    engine: &EngineSpec,
     counts: &'a [usize],
 ) -> impl Fn(&[usize]) -> f64 + 'a {
-    let all = state.plan.most.max(1);
-    let of = |m: &EngineModel| weight(state, m, engine);
-    let weights: Vec<f64> = engine.models.iter().map(of).collect();
+    let needs = needs(state, now, engine);
     move |mix: &[usize]| {
-        let parts = engine.models.iter().zip(counts).zip(mix).zip(&weights);
-        parts
-            .map(|(((m, c), n), w)| use_of(m, c + n, all, *w))
-            .sum()
-    }
-}
-
-/// What the work of a model counts: halfway between its published part of the
-/// instances and its part of the requests seen here.
-fn weight(state: &DirectState, model: &EngineModel, engine: &EngineSpec) -> f64 {
-    let asked = |name: &Arc<str>| state.asked_for.get(name).copied().unwrap_or(0);
-    let all: u64 = engine.models.iter().map(|m| asked(&m.name)).sum();
-    let share = model.share as f64 / 1_000.0;
-    if all == 0 {
-        return share;
+        let parts = needs.iter().zip(counts).zip(mix);
+        parts.map(|((need, c), n)| need.served(c + n)).sum()
     }
-    (share + asked(&model.name) as f64 / all as f64) / 2.0
 }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,5 +1,5 @@
 use super::{
-    accept, answer, end, endpoints, peers, plan, send, silence, DirectEffect, DirectEvent,
+    accept, answer, demand, end, endpoints, peers, plan, send, silence, DirectEffect, DirectEvent,
     DirectState, EndStage,
 };
 use crate::logic::{Effect, Event, Note, NoteCode};
@@ -86,6 +86,7 @@
     silence::tend(state, now, out);
     endpoints::tend(state, now);
     peers::tend(state, now, out);
+    demand::tend(state, now, out);
     plan::tend(state, now, out);
     wind_up(state, now, out);
 }
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -140,6 +140,8 @@
     OrderFailed = 634 Warn "order not taken";
     StageOrdered = 635 Info "endpoint told to load a model to its host";
     GroupTraded = 636 Info "group given up for others that add more";
+    EndpointIdle = 637 Info "endpoint serves in no group";
+    NeedsReckoned = 638 Info "groups that models need";
     FlightSent = 640 Info "request sent to an endpoint";
     FlightMoved = 641 Info "request sent again";
     FlightAnswered = 642 Info "request answered whole";
--- /dev/null
+++ b/tests/direct/demand.rs
@@ -0,0 +1,119 @@
+//! What callers ask for decides which groups stand.
+
+use std::sync::Arc;
+
+use runrail::logic::direct::{DirectEffect, DirectEvent, GroupStep, ModelDemand, PeerMessage};
+use runrail::types::{EndpointEntry, InstanceId, SeatState};
+
+use crate::fixture::{addr, engine, keep_busy, open_group, order, seat, Router, MODEL};
+
+/// Two open groups of the small model, whose hosts keep the large one.
+fn small_groups() -> Vec<(InstanceId, EndpointEntry)> {
+    let member = |n: u16| {
+        let rank = usize::from((n + 1) % 2);
+        let place = seat(&format!("s{}", (n + 1) / 2), rank, SeatState::Open);
+        let (id, mut entry) = engine(n, place);
+        entry.model = Some("small".into());
+        entry.staged = vec![MODEL.into()];
+        (id, entry)
+    };
+    (11..=14).map(member).collect()
+}
+
+/// Heads that were told to finish and stop.
+fn closed(effects: &[DirectEffect]) -> Vec<String> {
+    let close = |e| match order(e) {
+        Some((_, id, GroupStep::Close { .. })) => Some(id),
+        _ => None,
+    };
+    effects.iter().filter_map(close).collect()
+}
+
+/// One group of the large model, two of the small one, and a spare.
+fn fleet() -> Vec<(InstanceId, EndpointEntry)> {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend(small_groups());
+    entries.push(engine(4, None));
+    entries
+}
+
+#[test]
+fn a_group_that_callers_don_t_need_is_traded_for_one_that_they_do() {
+    let mut router = Router::planner(fleet());
+    keep_busy(&mut router, 2.0, 0.4, 4);
+    router.pass(1_000);
+    // The spare and the members of one small group make a second large one.
+    let told: Vec<String> = router
+        .state()
+        .plan
+        .trades
+        .values()
+        .map(|g| g.to_string())
+        .collect();
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert!(told[0].starts_with('s'), "{told:?}");
+}
+
+#[test]
+fn a_group_that_callers_need_is_left_alone() {
+    let mut router = Router::planner(fleet());
+    keep_busy(&mut router, 0.6, 1.8, 4);
+    router.pass(1_000);
+    assert!(router.state().plan.trades.is_empty());
+}
+
+#[test]
+fn nothing_is_traded_before_other_routers_have_told_their_part() {
+    let mut router = Router::planner(fleet());
+    router
+        .state()
+        .peers
+        .insert(InstanceId::new("r2"), addr(802));
+    keep_busy(&mut router, 2.0, 0.4, 4);
+    router.pass(1_000);
+    assert!(closed(&router.take()).is_empty());
+    assert!(router.state().plan.trades.is_empty());
+    let part = |model: &str, work| ModelDemand {
+        work,
+        value: work,
+        ..ModelDemand::none(&Arc::from(model))
+    };
+    router.tell(DirectEvent::Peer {
+        from: addr(802),
+        message: PeerMessage::Demand(vec![part(MODEL, 500_000), part("small", 100_000)]),
+    });
+    router.pass(300);
+    assert!(!router.state().plan.trades.is_empty());
+}
+
+#[test]
+fn routers_tell_each_other_what_they_are_asked_for_and_not_what_comes_back() {
+    let mut router = Router::new(fleet());
+    let mut from_router = |router: &mut Router| {
+        let effects = router.take();
+        effects.into_iter().find_map(|e| match e {
+            DirectEffect::Tell {
+                message: PeerMessage::Demand(told),
+                ..
+            } => Some(told),
+            _ => None,
+        })
+    };
+    let ask = |router: &mut Router, id, wait| {
+        let mut asked = crate::fixture::request(id, "/stream/x");
+        asked.wait_ms = Some(wait);
+        router.tell(DirectEvent::Request(Box::new(asked)));
+    };
+    router.pass(1_000);
+    let other = InstanceId::new("r2");
+    router.state().peers.insert(other, addr(802));
+    ask(&mut router, 1, 5_000);
+    router.take();
+    router.pass(1_100);
+    let once = from_router(&mut router).expect("told");
+    ask(&mut router, 2, 2_000);
+    router.pass(1_000);
+    let again = from_router(&mut router).expect("told");
+    assert_eq!(once.len(), 1);
+    assert!(again[0].work <= once[0].work, "{once:?} {again:?}");
+}
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -229,6 +229,34 @@
     }
 }
 
+/// Callers who keep so many groups of the large and of the small model busy, for some
+/// seconds; each request is answered at once. At 50 tokens a ms, 50,000 take a second.
+pub fn keep_busy(router: &mut Router, large: f64, small: f64, seconds: u64) {
+    for half in 0..seconds * 2 {
+        for (n, (model, groups)) in [(MODEL, large), ("small", small)].into_iter().enumerate() {
+            let mut asked = request(10_000 + half * 2 + n as u64, "/stream/x");
+            asked.model = Some(model.into());
+            asked.prompt = (groups * 25_000.0) as u32;
+            router.tell(DirectEvent::Request(Box::new(asked)));
+            let sent = router.take().into_iter().find_map(|e| match e {
+                DirectEffect::Run(run) => Some(run.run),
+                _ => None,
+            });
+            if let Some(run) = sent {
+                router.part(
+                    run,
+                    RunPart::Whole {
+                        status: 200,
+                        not_run: false,
+                    },
+                );
+            }
+        }
+        router.pass(500);
+    }
+    router.take();
+}
+
 /// Routes `/stream/`, `/once/` and `/safe/`, and one model of three instances.
 pub fn routing(version: u64) -> Routing {
     let mut routing = Routing {
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -3,6 +3,7 @@
 mod adapter;
 mod answers;
 mod command_line;
+mod demand;
 mod duty;
 mod fields;
 mod figures;
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -7,7 +7,9 @@
 };
 use runrail::types::{EndpointEntry, InstanceId, Routing, SeatState};
 
-use crate::fixture::{addr, engine, open_group, order, routing, run, seat, Router, MODEL};
+use crate::fixture::{
+    addr, engine, keep_busy, open_group, order, routing, run, seat, Router, MODEL,
+};
 
 /// Three open, two spares that hold the model.
 fn fleet() -> Vec<(InstanceId, EndpointEntry)> {
@@ -525,8 +527,7 @@
     let mut router = Router::new(entries);
     router.tell(DirectEvent::Routing(Arc::new(routing_for_sixteen())));
     router.state().plan.traffic = true;
-    router.pass(2_500);
-    router.take();
+    keep_busy(&mut router, 3.0, 7.0, 3);
     lose(&mut router, "e115");
     router.pass(60);
     let left = leaves(&router.take());
--- a/tests/direct/staging.rs
+++ b/tests/direct/staging.rs
@@ -38,11 +38,24 @@
 
 #[test]
 fn a_spare_that_has_just_started_holds_what_its_host_keeps() {
+    let mut router = Router::planner(open_group("g", [1, 2, 3]));
+    let (id, entry) = spare_with_two(4);
+    router.take();
+    router.change(id.as_str(), Some(entry));
+    router.pass(300);
+    let held = held(&router.take());
+    assert_eq!(held[0], ("e4".to_string(), "small".to_string()));
+}
+
+/// A planner that takes over doesn't know what a spare holds that was there before: the
+/// order to hold what its host keeps would drive that out.
+#[test]
+fn a_spare_that_was_there_before_this_router_is_not_told_to_hold_what_its_host_keeps() {
     let mut entries = open_group("g", [1, 2, 3]);
     entries.push(spare_with_two(4));
     let mut router = Router::planner(entries);
-    let held = held(&router.take());
-    assert_eq!(held[0], ("e4".to_string(), "small".to_string()));
+    router.pass(1_000);
+    assert_eq!(held(&router.take()), []);
 }
 
 /// The large model has no group; one of two keeps it in the second domain.
