--- a/tests/direct/demand.rs
+++ b/tests/direct/demand.rs
@@ -11,7 +11,7 @@
 fn small_groups() -> Vec<(InstanceId, EndpointEntry)> {
     let member = |n: u16| {
         let rank = usize::from((n + 1) % 2);
-        let place = seat(&format!("s{}", (n + 1) / 2), rank, SeatState::Open);
+        let place = seat(&format!("s{}", n.div_ceil(2)), rank, SeatState::Open);
         let (id, mut entry) = engine(n, place);
         entry.model = Some("small".into());
         entry.staged = vec![MODEL.into()];
@@ -89,7 +89,7 @@
 #[test]
 fn routers_tell_each_other_what_they_are_asked_for_and_not_what_comes_back() {
     let mut router = Router::new(fleet());
-    let mut from_router = |router: &mut Router| {
+    let from_router = |router: &mut Router| {
         let effects = router.take();
         effects.into_iter().find_map(|e| match e {
             DirectEffect::Tell {
