--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use super::{Duty, Ending, Forming, Idle, Look, OrderUse, Staging};
+use super::{Duty, Ending, Forming, Idle, LoadBudget, Look, OrderUse, Staging};
 use crate::types::{GroupSeat, InstanceId, Millis};
 
 /// What a planner knows beside the list.
@@ -38,8 +38,8 @@
     pub seats: BTreeMap<InstanceId, (GroupSeat, Arc<str>)>,
     /// Orders that haven't been answered.
     pub orders: BTreeMap<u64, OrderUse>,
-    /// Loads from the weight store that this planner has caused lately.
-    pub loads: VecDeque<Millis>,
+    /// Loads from the weight store that may begin.
+    pub budget: LoadBudget,
     /// When endpoints of engines were lost lately.
     pub deaths: VecDeque<Millis>,
     /// When a group was last traded for others.
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -13,9 +13,6 @@
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
-/// Span over which loads are counted.
-const WINDOW_MS: Millis = 5_000;
-
 /// Time after which an order to load that shows no effect is given again.
 const AGAIN_MS: Millis = 3_000;
 
@@ -33,6 +30,7 @@
 /// Sees to it that endpoints hold models ready.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     forget(state, now);
+    refill(state, now);
     if state.plan.orders.len() < BACKLOG {
         spares(state, now, out);
     }
@@ -185,23 +183,23 @@
         let late = staging.since + 2 * load(id, &staging.model) + AGAIN_MS;
         view.is_some_and(waits) && now < late
     });
-    while state
-        .plan
-        .loads
-        .front()
-        .is_some_and(|at| now >= at + WINDOW_MS)
-    {
-        state.plan.loads.pop_front();
-    }
+}
+
+/// Fills the budget of loads by the rate of the service that allows most: services
+/// that load share one weight store.
+fn refill(state: &mut DirectState, now: Millis) {
+    let services = state.routing.iter().flat_map(|r| r.served());
+    let rates = services.filter_map(|s| Some(s.engine.as_ref()?.load_rate));
+    let rate = rates.max().unwrap_or(0);
+    state.plan.budget.fill(now, rate);
 }
 
 /// Whether another load may begin within the published rate.
 fn room(state: &DirectState, engine: &EngineSpec) -> bool {
-    let most = engine.load_rate * WINDOW_MS / 1_000_000;
     // Before the first request loads don't count; but what is under way when it
     // comes does not get cheaper.
     let few = state.plan.staging.len() < PARALLEL * engine.loads_at_once as usize;
-    (fill::cheap(state) && few) || (state.plan.loads.len() as u64) < most
+    (fill::cheap(state) && few) || state.plan.budget.has_room()
 }
 
 fn give(
@@ -243,7 +241,7 @@
     };
     state.plan.staging.insert(id.clone(), staging);
     if load {
-        state.plan.loads.push_back(now);
+        state.plan.budget.take();
     }
     order::give(state, id, step, OrderUse::Stage(id.clone()), out);
 }
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -1,4 +1,4 @@
-use super::{duty, fill, fleet_view, form, idle, inspect, look, retire, stage, value};
+use super::{duty, fill, fleet_view, form, idle, inspect, look, retire, stage, value, LoadBudget};
 use crate::logic::direct::{DirectEffect, DirectState};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
@@ -18,6 +18,7 @@
         forget(state);
         if holds {
             state.plan.read_at = now;
+            state.plan.budget = LoadBudget::empty(now);
             look::all(state, now, out);
         }
         if !holds {
--- a/tests/direct/staging.rs
+++ b/tests/direct/staging.rs
@@ -77,6 +77,7 @@
         entries.push((id, entry));
     }
     let mut router = Router::planner(entries);
+    router.pass(600);
     let staged = |e: &DirectEffect| match order(e) {
         Some((_, id, GroupStep::Stage { model })) => Some((id, model.to_string())),
         _ => None,
@@ -84,3 +85,25 @@
     let first = router.take().iter().find_map(staged);
     assert_eq!(first, Some(("e3".to_string(), "big".to_string())));
 }
+
+/// Found by a day drawn just now on further-grown, fresh-1a39 (rule CEILING): loads
+/// that a planner began at once came on top of those of the planner before it.
+#[test]
+fn a_planner_that_takes_over_begins_loads_no_faster_than_the_rate() {
+    let empty = |n: u16| {
+        let (id, mut entry) = engine(n, None);
+        entry.model = None;
+        entry.staged = Vec::new();
+        (id, entry)
+    };
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend((10..60).map(empty));
+    let mut router = Router::planner(entries);
+    let mut loads = held(&router.take()).len();
+    router.pass(600);
+    loads += held(&router.take()).len();
+    assert!(loads <= 4, "{loads} in the first second at 3 a second");
+    router.pass(4_000);
+    loads += held(&router.take()).len();
+    assert!((8..=16).contains(&loads), "{loads} in five seconds");
+}
