--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -15,9 +15,6 @@
 /// has asked before.
 const RETURNED: Millis = 97;
 
-/// Objectives that a request may wait for room which was refused before.
-const RETURNED_HELD: Millis = 1;
-
 /// Part of the objective that a request may wait for room: a refusal within a quarter
 /// of it leaves the caller time to be served well elsewhere, and the way to the caller
 /// takes part of that.
@@ -109,12 +106,7 @@
         } else {
             Turn::Fresh
         },
-        held: now
-            + if returned {
-                route.target_ms * RETURNED_HELD
-            } else {
-                route.target_ms / HELD
-            },
+        held: now + route.target_ms / HELD,
         arrived: now,
         deadline: now + wait.max(LEAST_WAIT),
         tried: Vec::new(),
