Placement: a second model in a domain counts for it, not against it

Cause: one domain had two groups of the large model and nothing else; when one lost a member, its three survivors had nobody to join them before a newcomer had loaded.

Change: the sign of what a second model in a domain is worth. It was a cost from the time when members kept no second model on their hosts; now a group of one model can be given up for the other at once.

--- a/src/logic/direct/plan/place.rs
+++ b/src/logic/direct/plan/place.rs
@@ -11,8 +11,9 @@
 /// Worth of a spare that fits, against one whole model.
 const SPARE: f64 = 0.02;
 
-/// What a second model in a domain costs: its spares fit less often.
-const MIXED: f64 = 0.015;
+/// What a second model in a domain adds: a group of one can be given up for the other
+/// where that one has lost a member. Measured, docs/ABLATION.md.
+const VARIED: f64 = 0.015;
 
 /// What placement has to know of a model.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,7 +36,7 @@
 /// How many groups of each model should stand in each domain.
 ///
 /// Weighs capacity by model as it is and after the loss of any one domain, room
-/// for repairs, and that spares fit where a domain has few models.
+/// for repairs, and that groups of a domain with several models can be traded.
 pub fn place(input: &PlaceInput) -> Vec<Vec<usize>> {
     let sizes: Vec<usize> = input.models.iter().map(|m| m.size).collect();
     let mut fits: BTreeMap<usize, Vec<Vec<usize>>> = BTreeMap::new();
@@ -97,10 +98,10 @@
     sum
 }
 
-/// Worth of a domain's spares, less what a mix of models costs.
+/// Worth of a domain's spares, and of having more than one model there.
 fn room(input: &PlaceInput, mix: &[usize], n: usize) -> f64 {
     let used: usize = mix.iter().zip(&input.models).map(|(c, m)| c * m.size).sum();
     let kinds = mix.iter().filter(|c| **c > 0).count();
     let spares = n.saturating_sub(used) as f64;
-    SPARE * spares.sqrt() - MIXED * kinds.saturating_sub(1) as f64
+    SPARE * spares.sqrt() + VARIED * kinds.saturating_sub(1) as f64
 }
