--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -1,6 +1,6 @@
 //! Which endpoint a request goes to.
 
-use super::{limit, DirectState, EndpointView, Flight};
+use super::{limit, DirectState, EndpointView, Flight, Mechanism, Turn};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// What an endpoint of another data hall costs beside, in microseconds.
@@ -45,12 +45,20 @@
     let mut found: Option<(u64, u64, InstanceId)> = None;
     let routers = state.peers.len() as u64 + 1;
     let draws = state.random(u64::MAX);
+    let knobs = &state.knobs;
     for (id, view) in &state.endpoints {
         if !allowed(&(id.clone(), view.epoch())) || !takes(view, now, flight) {
             continue;
         }
+        let turn = if knobs.on(Mechanism::Turns) {
+            flight.turn
+        } else {
+            Turn::Fresh
+        };
         let room = |e: &EngineSpec| {
-            limit::room(view, routers, flight.turn) && limit::reads(view, routers, flight, e)
+            (!knobs.on(Mechanism::Limits) || limit::room(view, routers, turn))
+                && (!knobs.on(Mechanism::ReadingBound)
+                    || limit::reads(view, routers, flight, turn, e))
         };
         if !engine.is_none_or(room) {
             continue;
--- a/src/logic/direct/direct_knobs.rs
+++ b/src/logic/direct/direct_knobs.rs
@@ -1,3 +1,6 @@
+use std::collections::BTreeSet;
+
+use super::Mechanism;
 use crate::types::Millis;
 
 /// Numbers that a router with direct links decides by.
@@ -25,6 +28,15 @@
     pub grace_ms: Millis,
     /// Shortest time after which a caller is asked to come back.
     pub again_ms: Millis,
+    /// Mechanisms that are switched off, to measure what they are worth.
+    pub off: BTreeSet<Mechanism>,
+}
+
+impl DirectKnobs {
+    /// Whether a mechanism works.
+    pub(crate) fn on(&self, mechanism: Mechanism) -> bool {
+        !self.off.contains(&mechanism)
+    }
 }
 
 impl Default for DirectKnobs {
@@ -41,6 +53,7 @@
             retry_window: 10_000,
             grace_ms: 8_000,
             again_ms: 400,
+            off: BTreeSet::new(),
         }
     }
 }
--- a/src/logic/direct/limit.rs
+++ b/src/logic/direct/limit.rs
@@ -47,13 +47,14 @@
     view: &EndpointView,
     routers: u64,
     flight: &Flight,
+    turn: Turn,
     engine: &EngineSpec,
 ) -> bool {
     let model = view.entry.model.as_ref().and_then(|m| engine.model(m));
     let pace = model.map_or(1_000, |m| m.pace).max(1);
     let in_a_ms = engine.read_rate / pace;
     let most = flight.route.gap_ms * READING / 100 * in_a_ms * UNEVEN / routers.max(1);
-    let most = match flight.turn {
+    let most = match turn {
         Turn::Returned => most * RETURNED_READING / 100,
         Turn::Resumed | Turn::Fresh => most,
     };
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 
 use super::{
-    demand, endpoints, plan, Asked, DirectEffect, DirectState, EntryNews, LookResult, PeerMessage,
+    demand, endpoints, plan, Asked, DirectEffect, DirectState, EntryNews, LookResult, Mechanism,
+    PeerMessage,
 };
 use crate::logic::router::{
     CallId, Put, StoreCall, StoreChange, StoreEntry, StoreReply, StoreResult,
@@ -190,7 +191,7 @@
 /// Whether the planner tells others what the list shows: with more routers that would
 /// take more of its time than it saves.
 pub(super) fn are_told(state: &DirectState) -> bool {
-    state.peers.len() <= TOLD
+    state.peers.len() <= TOLD && state.knobs.on(Mechanism::News)
 }
 
 /// Tells every other router what the list shows of an endpoint.
@@ -203,7 +204,7 @@
 
 /// Says something to every other router, or only to the planner where there are many.
 pub(super) fn tell_all(state: &DirectState, message: &PeerMessage, out: &mut Vec<Effect>) {
-    if are_told(state) {
+    if state.peers.len() <= TOLD {
         say(state, message, out);
     } else {
         tell_planner(state, message.clone(), out);
--- a/src/logic/direct/plan/idle.rs
+++ b/src/logic/direct/plan/idle.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::{order, survey, OrderUse};
-use crate::logic::direct::{DirectState, GroupStep};
+use crate::logic::direct::{DirectState, GroupStep, Mechanism};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis};
 
@@ -62,7 +62,7 @@
         }
         let told = told || due;
         let mut left = known.and_then(|i| i.left.clone());
-        if now >= since + IDLE_MS {
+        if now >= since + IDLE_MS && state.knobs.on(Mechanism::Freeing) {
             left = leave(state, &id, left, out);
         }
         let entry = Idle {
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -9,7 +9,7 @@
 use super::cover::{self, Cover};
 use super::survey::{self, Place};
 use super::{fill, form, order, value, OrderUse, Staging};
-use crate::logic::direct::{DirectState, EndpointView, GroupStep};
+use crate::logic::direct::{DirectState, EndpointView, GroupStep, Mechanism};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
@@ -31,10 +31,10 @@
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     forget(state, now);
     refill(state, now);
-    if state.plan.orders.len() < BACKLOG {
+    if state.plan.orders.len() < BACKLOG && state.knobs.on(Mechanism::Spares) {
         spares(state, now, out);
     }
-    if state.plan.orders.len() < BACKLOG / 4 {
+    if state.plan.orders.len() < BACKLOG / 4 && state.knobs.on(Mechanism::SecondModels) {
         second(state, now, out);
     }
 }
--- a/src/logic/direct/plan/trade.rs
+++ b/src/logic/direct/plan/trade.rs
@@ -8,7 +8,7 @@
 use super::survey::{self, Place};
 use super::value::{able, worth};
 use super::{retire, GroupView};
-use crate::logic::direct::DirectState;
+use crate::logic::direct::{DirectState, Mechanism};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EngineSpec, InstanceId, Millis, SeatState};
 
@@ -68,7 +68,10 @@
         free,
         engine,
     } = *at;
-    let known = state.demand.known(now, state.peers.len());
+    let known = state.demand.known(now, state.peers.len()) || !state.knobs.on(Mechanism::Demand);
+    if !state.knobs.on(Mechanism::Trades) {
+        return false;
+    }
     if now < state.plan.traded + TRADES_MS || !known {
         return false;
     }
--- a/src/logic/direct/plan/value.rs
+++ b/src/logic/direct/plan/value.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::logic::direct::{demand, DirectState};
+use crate::logic::direct::{demand, DirectState, Mechanism};
 use crate::types::{EngineModel, EngineSpec, InstanceId, Millis};
 
 /// Readiness of an endpoint that has to load from the weight store.
@@ -66,7 +66,8 @@
     let demand = demand::all(state, now);
     let of = |m: &EngineModel| demand.get(&m.name).map_or((0, 0), |d| (d.work, d.value));
     let value: u64 = engine.models.iter().map(|m| of(m).1).sum();
-    if value == 0 || !state.demand.known(now, state.peers.len()) {
+    let known = state.demand.known(now, state.peers.len());
+    if value == 0 || !known || !state.knobs.on(Mechanism::Demand) {
         return published(state, engine);
     }
     let need = |m: &EngineModel| ModelNeed {
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
-use super::{choose, end, DirectEffect, DirectState, Flight, Run, RunRequest, Turn};
+use super::{choose, end, DirectEffect, DirectState, Flight, Mechanism, Run, RunRequest, Turn};
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{Millis, RouteKind};
@@ -114,9 +114,10 @@
     if !allowed || !sends || !pays(state, now, &service) {
         return end::give_up(state, now, id, why, out);
     }
+    let waits = state.knobs.on(Mechanism::ResumeWait);
     if let Some(flight) = state.flights.get_mut(&id) {
         flight.turn = Turn::Resumed;
-        if flight.headed {
+        if flight.headed && waits {
             flight.held = now + RESUME_MS;
         }
         let note = Note::new(NoteCode::FlightMoved)
--- a/src/logic/direct/silence.rs
+++ b/src/logic/direct/silence.rs
@@ -1,6 +1,6 @@
 //! Finds endpoints that have gone silent while they had work.
 
-use super::{choose, end, peers, plan, send, DirectState};
+use super::{choose, end, peers, plan, send, DirectState, Mechanism};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis, RouteKind};
 
@@ -28,6 +28,7 @@
 /// Looks for silent heads and moves what waits for them.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let silence = state.knobs.silence_ms;
+    let early = state.knobs.on(Mechanism::EarlyLooks);
     let mut found = Vec::new();
     let mut doubted = Vec::new();
     for (id, view) in &mut state.endpoints {
@@ -42,7 +43,7 @@
         }
         let still = now.saturating_sub(view.heard);
         let doubt = still >= DOUBT_MS.max(view.pause * DOUBT / 100) && now >= view.warned + WARN_MS;
-        if doubt {
+        if doubt && early {
             view.warned = now;
             doubted.push(id.clone());
         }
@@ -61,7 +62,6 @@
         }
         found.push((id.clone(), still >= limit * SURE || !view.heads()));
     }
-    outlived(state, now, out);
     for id in doubted {
         if state.plan.duty.holds(now) {
             plan::suspect(state, now, &id, out);
@@ -69,6 +69,10 @@
             peers::warn(state, &id, out);
         }
     }
+    if !state.knobs.on(Mechanism::Silence) {
+        return;
+    }
+    outlived(state, now, out);
     for (id, sure) in found {
         if sure || plan::given_up(state, &id) {
             leave(state, now, &id, false, out);
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -5,7 +6,7 @@
 use super::ini_reader::IniReader;
 use super::SettingsError;
 use crate::link::WatchPace;
-use crate::logic::direct::DirectKnobs;
+use crate::logic::direct::{DirectKnobs, Mechanism};
 
 /// Settings of a router that reaches endpoints by direct links.
 #[derive(Clone, Debug)]
@@ -164,5 +165,21 @@
         retry_extra: ini.number("retries", "extra", d.retry_extra, 0..=1_000_000, "retries"),
         retry_window: given(window_s * 1_000, d.retry_window),
         grace_ms: given(grace_s * 1_000, d.grace_ms),
+        off: read_off(ini),
     }
 }
+
+/// Mechanisms that are switched off: names with commas between them.
+fn read_off(ini: &mut IniReader) -> BTreeSet<Mechanism> {
+    let text: String = ini.parsed("policy", "off", String::new(), "names of mechanisms");
+    let mut off = BTreeSet::new();
+    for name in text.split(',').map(str::trim).filter(|n| !n.is_empty()) {
+        match name.parse() {
+            Ok(mechanism) => {
+                off.insert(mechanism);
+            }
+            Err(why) => ini.fault("policy", "off", why, "names with commas between them"),
+        }
+    }
+    off
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -1,11 +1,12 @@
 //! Small stand-ins for the systems that runrail meets; never shipped.
 //!
-//! They listen on loopback ports that the system chooses and record what was
+//! They listen on loopback and record what was
 //! asked of them, so that tests can judge from outside.
 
 mod engine;
 mod fleet;
 mod platform;
+mod ports;
 mod process;
 mod relay;
 mod respond;
@@ -15,6 +16,7 @@
 pub use engine::{Engine, EngineKnobs, EngineRun, Fabric};
 pub use fleet::{test_bundle, Chat, Fleet, FleetPlan, BRANCH_KEY, DESK_KEY, LONG};
 pub use platform::{ListedInstance, Platform, PlatformFault};
+pub use ports::free_addr;
 pub use process::{until, Process};
 pub use relay::Relay;
 pub use service::{Service, ServiceRun};
--- a/tests/direct/soak.rs
+++ b/tests/direct/soak.rs
@@ -1,13 +1,15 @@
 //! The whole path as real processes against the stand-in, with random faults.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use testkit::free_addr;
+
 use crate::standin::{config, Standin, EVENTS};
 
 /// A router as a real process; killed when it is dropped.
@@ -19,14 +21,9 @@
     id: String,
 }
 
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
 impl Router {
     fn start(id: &str, store: SocketAddr, dir: &std::path::Path) -> Self {
-        let (callers, ready, peers) = (free_port(), free_port(), free_port());
+        let (callers, ready, peers) = (free_addr(), free_addr(), free_addr());
         let settings = dir.join(format!("{id}.ini"));
         let text = format!(
             "[instance]\nid = {id}\nhall = h1\n[listen]\ncallers = {callers}\nready = {ready}\npeers = {peers}\n\
