Needs: a model's weight is halfway between what is asked of it and its published share

Change: half of the weight goes by the published share. What a request is worth isn't published, and callers of a rare model are served by nothing else.

--- a/src/logic/direct/plan/value.rs
+++ b/src/logic/direct/plan/value.rs
@@ -40,6 +40,11 @@
 /// serves a little sooner, and can be given up for another one at once.
 const SURPLUS: f64 = 0.03;
 
+/// Part of a model's weight that goes by what is asked of it; the rest goes by its
+/// published share. What a request is worth isn't published, and a model that is
+/// seldom asked has callers of its own, who are served by nothing else.
+const ASKED: f64 = 0.5;
+
 /// What groups of one model have to do, and what that counts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct ModelNeed {
@@ -70,9 +75,14 @@
     if value == 0 || !known || !state.knobs.on(Mechanism::Demand) {
         return published(state, engine);
     }
-    let need = |m: &EngineModel| ModelNeed {
-        groups: of(m).0 as f64 / 1e6,
-        weight: of(m).1 as f64 / value as f64,
+    let shares: u64 = engine.models.iter().map(|m| m.share).sum();
+    let need = |m: &EngineModel| {
+        let asked = of(m).1 as f64 / value as f64;
+        let share = m.share as f64 / shares.max(1) as f64;
+        ModelNeed {
+            groups: of(m).0 as f64 / 1e6,
+            weight: ASKED * asked + (1.0 - ASKED) * share,
+        }
     };
     engine.models.iter().map(need).collect()
 }
