--- a/tests/direct/command_line.rs
+++ b/tests/direct/command_line.rs
@@ -46,3 +46,34 @@
     };
     assert_eq!((lines("ab"), lines("e2"), lines("e1")), (1, 1, 3));
 }
+
+#[test]
+fn a_mechanism_that_is_unknown_is_refused_with_the_names_of_all() {
+    let sample = concat!(env!("CARGO_MANIFEST_DIR"), "/settings/direct.ini");
+    let text = std::fs::read_to_string(sample).expect("the sample");
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("off.ini");
+    for (off, code) in [("trades, turns", 0), ("trades, luck", 2)] {
+        let text = text.replace("\noff =", &format!("\noff = {off}"));
+        std::fs::write(&file, text).expect("a file");
+        let output = run(&["check", "--settings", &file.display().to_string()]);
+        assert_eq!(output.status.code(), Some(code), "{output:?}");
+        let told = String::from_utf8_lossy(&output.stderr).to_string();
+        assert!(code == 0 || (told.contains("luck") && told.contains("freeing")));
+    }
+}
+
+/// The tool that measures mechanisms, and the sample of the settings, name them all.
+#[test]
+fn the_tool_and_the_sample_name_every_mechanism() {
+    let read = |file: &str| {
+        let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(file);
+        std::fs::read_to_string(path).expect("a file")
+    };
+    for file in ["testkit/src/bin/ablate.rs", "settings/direct.ini"] {
+        let text = read(file);
+        for name in runrail::logic::direct::Mechanism::names() {
+            assert!(text.contains(name), "{name} in {file}");
+        }
+    }
+}
