--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -1,10 +1,11 @@
 //! What callers ask for, model by model, over the last seconds.
 //!
-//! Each router counts its own requests and tells the planner, which adds them up.
+//! Each router counts its own requests and tells the others; whoever plans adds them up.
 //! Only requests that come for the first time count: what was refused and comes back
 //! is the same demand.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::{peers, DirectState, ModelDemand, PeerMessage};
@@ -14,26 +15,28 @@
 /// Length of one slot of the window.
 const SLOT_MS: Millis = 500;
 
-/// Slots of the window: long enough that a group of a small model gets tens of
-/// requests within it, short against the time between two deaths of instances.
+/// Slots of the window, six seconds in all: a group of a small model gets over a hundred
+/// requests within it, and a jump of the traffic shows before a load has ended.
 const SLOTS: u64 = 12;
 
-/// Time between two reports to the planner.
+/// Time between two reports to other routers: a third of the shortest time in which a
+/// group is traded and formed anew, so that a report is never older than a decision.
 const TELL_MS: Millis = 1_000;
 
-/// Time after which a router that tells nothing is no longer counted as told.
+/// Time after which a router that tells nothing is no longer counted as told: three
+/// reports lost in a row.
 const STALE_MS: Millis = 4_000;
 
 /// Time for which requests are counted before their rate is believed in place of the
-/// published shares.
+/// published shares: four slots, over which rates differ by a few in a hundred.
 const BELIEVED_MS: Millis = 2_000;
 
-/// Part of an engine's slots at which its speed is reckoned, in hundredths: with all
-/// of them taken, pauses grow long.
+/// Part of an engine's slots at which its speed is reckoned, in hundredths. With all of
+/// them taken, pauses grow long; by the published pass a full group does a tenth more.
 const BATCH: u64 = 50;
 
-/// What a token of an answer counts against one of a prompt, as operators weigh
-/// requests of one kind.
+/// What a token of an answer counts against one of a prompt: operators weigh requests
+/// of one kind by tokens in and ten times the tokens out.
 const ANSWER_WEIGHT: u64 = 10;
 
 /// Requests of one router, by slot and model.
@@ -44,13 +47,13 @@
     /// When the first request came.
     since: Option<Millis>,
     /// What other routers have told, and when.
-    others: BTreeMap<std::net::SocketAddr, (Millis, Vec<ModelDemand>)>,
-    /// When the planner is told next.
+    others: BTreeMap<SocketAddr, (Millis, Vec<ModelDemand>)>,
+    /// When others are told next.
     tell_at: Millis,
 }
 
 impl Demand {
-    /// Requests a second of this router, by model; in the unit of [`ModelDemand`].
+    /// What this router is asked for in a second, by model.
     fn own(&self, now: Millis) -> Vec<ModelDemand> {
         let oldest = (now / SLOT_MS).saturating_sub(SLOTS);
         let mut sums: BTreeMap<Arc<str>, ModelDemand> = BTreeMap::new();
@@ -148,7 +151,7 @@
 pub(super) fn told(
     state: &mut DirectState,
     now: Millis,
-    from: std::net::SocketAddr,
+    from: SocketAddr,
     demand: Vec<ModelDemand>,
 ) {
     let others = &mut state.demand.others;
--- a/src/logic/direct/plan/cover.rs
+++ b/src/logic/direct/plan/cover.rs
@@ -14,14 +14,15 @@
 use crate::logic::direct::DirectState;
 use crate::types::{EngineSpec, InstanceId, Millis};
 
-/// Span over which deaths are counted.
+/// Span over which deaths are counted: about ten of them at the rates seen so far.
 const DEATHS_MS: Millis = 30_000;
 
 /// Worth of an endpoint that is ready in a group of another model, against a free one:
-/// its group has to be given up first.
+/// its group has to be given up first, and it may be needed where it is.
 const SEATED: f64 = 0.5;
 
-/// Times the load's own time for which its chance to be used is reckoned.
+/// Times the load's own time for which its chance to be used is reckoned: it is of use
+/// after the load, for about as long again.
 const HORIZON: f64 = 2.0;
 
 /// Readiness of one domain for one model.
--- a/src/logic/direct/plan/idle.rs
+++ b/src/logic/direct/plan/idle.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{order, survey, OrderUse};
+use super::{order, survey, IdleReason, OrderUse};
 use crate::logic::direct::{DirectState, GroupStep, Mechanism};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis};
@@ -12,30 +12,7 @@
 /// one group to the next take less.
 const IDLE_MS: Millis = 1_000;
 
-/// Why an endpoint serves in no group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum IdleReason {
-    /// It loads a model and holds none.
-    Loads,
-    /// It holds no model and waits for its turn to load one.
-    Empty,
-    /// It could serve, but too few others of its domain are ready for the same model, or
-    /// a group of them would add less than they may add elsewhere.
-    Waits,
-}
-
-impl IdleReason {
-    /// Short name, for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            IdleReason::Loads => "loads",
-            IdleReason::Empty => "empty",
-            IdleReason::Waits => "waits",
-        }
-    }
-}
-
-/// An endpoint that is free, since when, and why; `told` once it was logged.
+/// An endpoint that is free.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Idle {
     /// Since when.
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -5,7 +5,9 @@
 //! planner, so that whoever takes over goes on where the other one was.
 //! `survey` reads the groups, `inspect` finds those that need something,
 //! `form` and `retire` carry changes out, `place` and `fill` decide what to
-//! form, `trade` what to give up for others, `stage` what spares hold ready.
+//! form, `trade` what to give up for others, `stage` what is loaded in advance.
+//! `value` says what groups are worth by what callers ask for, `cover` what a load
+//! adds; `idle` tells who serves in no group, and why.
 
 mod cover;
 mod duty;
@@ -16,6 +18,7 @@
 mod forming;
 mod group_view;
 mod idle;
+mod idle_reason;
 mod inspect;
 mod load_budget;
 mod look;
@@ -35,7 +38,8 @@
 pub use ending::{Ending, EndingStep};
 pub use forming::Forming;
 pub use group_view::{GroupView, Seat};
-pub use idle::{Idle, IdleReason};
+pub use idle::Idle;
+pub use idle_reason::IdleReason;
 pub use load_budget::LoadBudget;
 pub use look::Look;
 pub use order::OrderUse;
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -77,7 +77,7 @@
     plan.idle.clear();
 }
 
-/// Time between two events on what models need.
+/// Time between two events on what models need: a few lines for a repair to be read by.
 const NEEDS_MS: Millis = 5_000;
 
 /// Logs what each model needs and has.
--- a/src/logic/direct/plan/trade.rs
+++ b/src/logic/direct/plan/trade.rs
@@ -12,10 +12,11 @@
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EngineSpec, InstanceId, Millis, SeatState};
 
-/// What a trade must add at least, as part of all that a service does.
+/// What a trade must add at least, as part of all that a service does: a group that is
+/// given up serves nothing new for one to three seconds. Measured in docs/ROUNDS.md.
 const TRADE: f64 = 0.015;
 
-/// Shortest time between two trades.
+/// Shortest time between two trades: what the first has changed is seen by then.
 const TRADES_MS: Millis = 1_000;
 
 /// Whether a group of a place is being given up for others there: whoever is free
--- a/src/logic/direct/plan/value.rs
+++ b/src/logic/direct/plan/value.rs
@@ -32,17 +32,19 @@
     ids.iter().map(one).collect()
 }
 
-/// Groups beyond the reckoned need, in hundredths of it, up to which one more still
-/// helps: work comes unevenly, and a group that is full serves late.
+/// Times the reckoned need up to which one more group still helps: work comes unevenly,
+/// and a group that is full serves late. A choice; other values were not measured.
 const HEADROOM: f64 = 1.35;
 
 /// What each further group still adds beyond that, against all that are needed: it
-/// serves a little sooner, and can be given up for another one at once.
+/// serves a little sooner, and can be given up for another one at once. Small against
+/// what a needed group adds; measured in docs/ROUNDS.md.
 const SURPLUS: f64 = 0.03;
 
 /// Part of a model's weight that goes by what is asked of it; the rest goes by its
 /// published share. What a request is worth isn't published, and a model that is
-/// seldom asked has callers of its own, who are served by nothing else.
+/// seldom asked has callers of its own, who are served by nothing else. Measured in
+/// docs/ROUNDS.md against tokens alone.
 const ASKED: f64 = 0.5;
 
 /// What groups of one model have to do, and what that counts.
