--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod fields;
 mod figures;
 mod fixture;
+mod idle;
 mod lag;
 mod limits;
 mod logs;
