--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -28,11 +28,11 @@
 const STALE_MS: Millis = 4_000;
 
 /// Time for which requests are counted before their rate is believed in place of the
-/// published shares: four slots, over which rates differ by a few in a hundred.
+/// published shares: four slots. A choice; other values were not measured.
 const BELIEVED_MS: Millis = 2_000;
 
 /// Part of an engine's slots at which its speed is reckoned, in hundredths. With all of
-/// them taken, pauses grow long; by the published pass a full group does a tenth more.
+/// them taken, pauses grow long. A choice; other values were not measured.
 const BATCH: u64 = 50;
 
 /// What a token of an answer counts against one of a prompt: operators weigh requests
--- a/src/logic/direct/limit.rs
+++ b/src/logic/direct/limit.rs
@@ -27,7 +27,8 @@
 
 /// How far requests of each turn may go, in hundredths of a limit. What is half done
 /// may go a little beyond it. What has come back after a refusal leaves room for what
-/// can still be answered in time; measured on pairs of days, docs/ABLATION.md.
+/// can still be answered in time; measured in docs/ROUNDS.md, and again in
+/// docs/ABLATION.md, where it no longer adds anything.
 const RESUMED: u64 = 110;
 const RETURNED: u64 = 60;
 
--- a/src/logic/direct/plan/place.rs
+++ b/src/logic/direct/plan/place.rs
@@ -12,7 +12,7 @@
 const SPARE: f64 = 0.02;
 
 /// What a second model in a domain adds: a group of one can be given up for the other
-/// where that one has lost a member. Measured, docs/ABLATION.md.
+/// where that one has lost a member. Within luck of its reverse, docs/ROUNDS.md.
 const VARIED: f64 = 0.015;
 
 /// What placement has to know of a model.
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -24,7 +24,8 @@
 const BACKLOG: usize = 256;
 
 /// Least that a load must add, as a part of what the service does, to be worth its
-/// price, 0.0003 of a day. At 0.008 days lose 0.05, at 0 nothing (docs/ROUNDS.md).
+/// price. At 0 days were the same; at 0.008, with half of the loads at once for members,
+/// they lost 0.05 (docs/ROUNDS.md; the two were not measured apart).
 const LEAST_VALUE: f64 = 0.001;
 
 /// Sees to it that endpoints hold models ready.
