Settings: figures of the platform may be fractions, zero, huge or empty

Cause: the template puts every bound into the settings as published; a bound of 57.35 retries was no whole number, so that every router ended with code 2 and a small deployment got no service at all. Two more of the kind: a ratio of 0 was read as the usual 0.2, and a wait beyond 30 s was a fault. Ruled out: rounding in the template (it can't). Change: one reader for figures that the platform fills in (fractions scaled, huge ones capped, empty ones told as E602 and by check). The fixed number of retries is divided by the routers that there are, 16 at least, in thousandths: with 52 routers the sixteenths came to 3.25 times the published number. Tests: tests/direct/settings.rs; the first failed before on each field.

--- a/src/cli/check_command.rs
+++ b/src/cli/check_command.rs
@@ -53,7 +53,7 @@
     let result = match role.unwrap_or(guessed) {
         "router" => RouterSettings::load(path).map(|_| ()),
         "agent" => AgentSettings::load(path).map(|_| ()),
-        "direct" => DirectSettings::load(path).map(|_| ()),
+        "direct" => DirectSettings::load(path).map(|s| print_gaps(file, &s)),
         other => {
             let message = format!("--role: found {other:?}, expected router, direct or agent");
             return Err(CliError::usage(message, "check"));
@@ -62,6 +62,13 @@
     Ok(result.map_err(|e| e.to_string()))
 }
 
+/// Names the figures that a file leaves empty; they are no fault.
+fn print_gaps(file: &str, settings: &DirectSettings) {
+    for gap in &settings.gaps {
+        println!("{file}: {gap}");
+    }
+}
+
 fn check_bundle(file: &str) -> Result<(), String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
     let body: BundleBody = serde_json::from_str(&text).map_err(|e| format!("{file}: {e}"))?;
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -22,7 +22,7 @@
 use crate::logic::{Event, Node, Note, NoteCode};
 use crate::observe::Metrics;
 use crate::settings::DirectSettings;
-use crate::types::{CallerLimits, InstanceId};
+use crate::types::{CallerLimits, FigureGap, InstanceId};
 
 /// Time between two ticks: finer than asked for, so that no request is held for long.
 const TICK: Duration = Duration::from_millis(20);
@@ -70,6 +70,7 @@
     let callers = TcpListener::bind(settings.callers).await?;
     let readiness = TcpListener::bind(settings.ready).await?;
     start_actor(settings, &shared)?;
+    settings.gaps.iter().for_each(note_gap);
     if let Some(listen) = settings.peers {
         let socket = Rc::new(UdpSocket::bind(listen).await?);
         *shared.peers.borrow_mut() = Some(socket.clone());
@@ -236,6 +237,15 @@
     })
 }
 
+/// Logs what stands in for a figure that the settings leave empty.
+fn note_gap(gap: &FigureGap) {
+    let note = Note::new(NoteCode::FigureMissing)
+        .with("place", &gap.place)
+        .with("found", &gap.found)
+        .with("used", &gap.used);
+    log::log!(target: "runrail", note.code.level(), "{note}");
+}
+
 /// Writes an event of the host itself to the log.
 fn note(code: NoteCode, why: &str) {
     let note = Note::new(code).with("why", why);
--- a/src/logic/direct/direct_knobs.rs
+++ b/src/logic/direct/direct_knobs.rs
@@ -20,7 +20,7 @@
     pub stall_ms: Millis,
     /// Retries per thousand requests, over all routers.
     pub retry_ratio: u64,
-    /// Retries that all routers together may make beside those.
+    /// Retries that all routers together may make beside those, in thousandths.
     pub retry_extra: u64,
     /// Span over which retries are counted.
     pub retry_window: Millis,
@@ -49,7 +49,7 @@
             order_ms: 700,
             stall_ms: 4_000,
             retry_ratio: 200,
-            retry_extra: 160,
+            retry_extra: 160_000,
             retry_window: 10_000,
             grace_ms: 8_000,
             again_ms: 400,
--- a/src/logic/direct/retry_window.rs
+++ b/src/logic/direct/retry_window.rs
@@ -7,16 +7,17 @@
 
 /// Requests and retries of one service over a sliding span.
 ///
-/// All routers together may retry a share of the requests and a fixed number
-/// beside. Each router keeps to the share of its own requests and to a
-/// sixteenth of the number, so that none has to ask the others.
+/// All routers together may retry a share of the requests and a fixed number beside.
+/// Each router keeps to the share of its own requests and to its even part of the
+/// number, so that none has to ask the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct RetryWindow {
     slots: VecDeque<(u64, u64, u64)>,
 }
 
-/// Part of the fixed number that one router may use.
-const OWN_PART: u64 = 16;
+/// Fewest routers that the fixed number is divided by: with fewer, some stay in reserve
+/// for routers that this one hasn't heard of yet.
+const LEAST_PARTS: u64 = 16;
 
 impl RetryWindow {
     /// Counts a request.
@@ -24,13 +25,21 @@
         self.slot(now, window).1 += 1;
     }
 
-    /// Pays for a retry, where there is room.
-    pub fn retry(&mut self, now: Millis, window: Millis, ratio: u64, extra: u64) -> bool {
+    /// Pays for a retry, where there is room. `ratio` is retries for a thousand
+    /// requests, `extra` thousandths of retries of all `routers` together.
+    pub fn retry(
+        &mut self,
+        now: Millis,
+        window: Millis,
+        ratio: u64,
+        extra: u64,
+        routers: u64,
+    ) -> bool {
         self.slot(now, window);
         let requests: u64 = self.slots.iter().map(|s| s.1).sum();
         let retries: u64 = self.slots.iter().map(|s| s.2).sum();
-        let room = requests * ratio / 1_000 + extra / OWN_PART;
-        let paid = retries < room;
+        let part = extra / routers.max(LEAST_PARTS);
+        let paid = (retries + 1) * 1_000 <= requests * ratio + part;
         if paid {
             self.slot(now, window).2 += 1;
         }
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -132,6 +132,7 @@
 }
 
 fn pays(state: &mut DirectState, now: Millis, service: &std::sync::Arc<str>) -> bool {
+    let routers = state.peers.len() as u64 + 1;
     let knobs = &state.knobs;
     let window = state.retries.entry(service.clone()).or_default();
     window.retry(
@@ -139,5 +140,6 @@
         knobs.retry_window,
         knobs.retry_ratio,
         knobs.retry_extra,
+        routers,
     )
 }
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -7,6 +7,7 @@
 use super::SettingsError;
 use crate::link::WatchPace;
 use crate::logic::direct::{DirectKnobs, Mechanism};
+use crate::types::FigureGap;
 
 /// Settings of a router that reaches endpoints by direct links.
 #[derive(Clone, Debug)]
@@ -37,11 +38,16 @@
     pub reads: u64,
     /// Numbers that decisions are made by.
     pub knobs: DirectKnobs,
+    /// Figures that the file leaves empty, and what stands in for them.
+    pub gaps: Vec<FigureGap>,
 }
 
 /// Times the wait of other watches that the one of own keys has.
 const OWN_WAIT: u64 = 3;
 
+/// Shortest wait of a watch, in milliseconds: ten calls a second of each router.
+const SHORTEST_WAIT: u64 = 100;
+
 /// Longest wait of a watch, in milliseconds.
 const LONGEST_WAIT: u64 = 30_000;
 
@@ -68,6 +74,7 @@
             drain_ms: 2_000,
             reads: 0,
             knobs: DirectKnobs::default(),
+            gaps: Vec::new(),
         }
     }
 }
@@ -96,23 +103,14 @@
             peers: ini.optional("listen", "peers", address),
             store: ini.parsed("direct", "store", d.store, address),
             first_start: ini.parsed("direct", "first_start", false, "true or false"),
-            watch_ms: ini.number(
-                "direct",
-                "watch_ms",
-                d.watch_ms,
-                100..=30_000,
-                "milliseconds",
-            ),
+            watch_ms: ini
+                .figure("direct", "watch_ms", d.watch_ms, 1, "milliseconds")
+                .clamp(SHORTEST_WAIT, LONGEST_WAIT),
             list_ms: ini.number("direct", "list_ms", d.list_ms, 0..=10_000, "milliseconds"),
-            drain_ms: ini.number(
-                "direct",
-                "drain_ms",
-                d.drain_ms,
-                0..=600_000,
-                "milliseconds",
-            ),
-            reads: ini.number("direct", "reads_per_s", d.reads, 0..=100_000_000, "calls"),
+            drain_ms: ini.figure("direct", "drain_ms", d.drain_ms, 1, "milliseconds"),
+            reads: ini.figure("direct", "reads_per_s", d.reads, 1, "calls"),
             knobs: read_knobs(&mut ini),
+            gaps: ini.gaps().to_vec(),
         };
         ini.finish()?;
         Ok(settings)
@@ -149,22 +147,27 @@
 fn read_knobs(ini: &mut IniReader) -> DirectKnobs {
     let d = DirectKnobs::default();
     let ms = "milliseconds";
-    let ratio: f64 = ini.parsed("retries", "ratio", 0.0, "a share such as 0.2");
-    let window_s: u64 = ini.number("retries", "window_s", 0, 1..=3_600, "seconds");
-    let grace_s: u64 = ini.number("stop", "grace_s", 0, 1..=3_600, "seconds");
+    let window_ms = ini.figure("retries", "window_s", d.retry_window, 1_000, "seconds");
     let given = |value: u64, usual| if value > 0 { value } else { usual };
     DirectKnobs {
         lease_ms: ini.number("planner", "lease_ms", d.lease_ms, 1_000..=60_000, ms),
         plan_ms: ini.number("planner", "plan_ms", d.plan_ms, 1..=10_000, ms),
         silence_ms: ini.number("planner", "silence_ms", d.silence_ms, 20..=60_000, ms),
-        stall_ms: ini.number("planner", "stall_ms", d.stall_ms, 0..=600_000, ms),
+        stall_ms: ini.figure("planner", "stall_ms", d.stall_ms, 1, ms),
         order_ms: ini.number("planner", "order_ms", d.order_ms, 50..=60_000, ms),
         shun_ms: ini.number("routing", "shun_ms", d.shun_ms, 0..=600_000, ms),
         again_ms: ini.number("routing", "again_ms", d.again_ms, 0..=600_000, ms),
-        retry_ratio: given((ratio * 1_000.0) as u64, d.retry_ratio),
-        retry_extra: ini.number("retries", "extra", d.retry_extra, 0..=1_000_000, "retries"),
-        retry_window: given(window_s * 1_000, d.retry_window),
-        grace_ms: given(grace_s * 1_000, d.grace_ms),
+        retry_ratio: ini.figure(
+            "retries",
+            "ratio",
+            d.retry_ratio,
+            1_000,
+            "retries a request",
+        ),
+        retry_extra: ini.figure("retries", "extra", d.retry_extra, 1_000, "retries"),
+        // A window of no length would hold no retry; the usual one stands in.
+        retry_window: given(window_ms, d.retry_window),
+        grace_ms: ini.figure("stop", "grace_s", d.grace_ms, 1_000, "seconds"),
         off: read_off(ini),
     }
 }
--- a/src/settings/ini_reader.rs
+++ b/src/settings/ini_reader.rs
@@ -10,6 +10,11 @@
 use ini::Ini;
 
 use super::{SettingsError, SettingsFault};
+use crate::types::FigureGap;
+
+/// Largest figure that is kept, in its unit: 30 years in milliseconds, so that sums of
+/// a few of them can't overflow.
+const MOST: f64 = 1e12;
 
 /// Fewest bytes of the fleet's key.
 const KEY_BYTES: usize = 32;
@@ -20,6 +25,7 @@
     ini: Ini,
     used: BTreeSet<(String, String)>,
     faults: Vec<SettingsFault>,
+    gaps: Vec<FigureGap>,
 }
 
 impl IniReader {
@@ -45,6 +51,7 @@
             ini,
             used: BTreeSet::new(),
             faults: Vec::new(),
+            gaps: Vec::new(),
         })
     }
 
@@ -114,6 +121,42 @@
         }
     }
 
+    /// A figure that may be a fraction and may be left empty by whoever fills the file
+    /// in: in units of `1 / scale`, rounded down. Without a value the default stands in,
+    /// and that is noted.
+    pub fn figure(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: u64,
+        scale: u32,
+        unit: &str,
+    ) -> u64 {
+        let text = self.value(section, key).unwrap_or_default();
+        if text.trim().is_empty() {
+            self.gaps.push(FigureGap {
+                place: format!("[{section}] {key}"),
+                found: "nothing".to_string(),
+                used: format!("{} {unit}", default as f64 / f64::from(scale)),
+            });
+            return default;
+        }
+        match text.trim().parse::<f64>() {
+            // A figure beyond what can be counted means no bound; the cast saturates.
+            Ok(figure) if figure >= 0.0 => (figure * f64::from(scale)).min(MOST) as u64,
+            _ => {
+                let expected = format!("a number of {unit}, 0 or more");
+                self.fault(section, key, format!("{text:?}"), expected);
+                default
+            }
+        }
+    }
+
+    /// What stood in for figures without a value so far.
+    pub fn gaps(&self) -> &[FigureGap] {
+        &self.gaps
+    }
+
     /// A value of another form, or the default.
     pub fn parsed<T: FromStr>(
         &mut self,
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod placing;
 mod repair;
 mod routes;
+mod settings;
 mod soak;
 mod splitting;
 mod staging;
--- /dev/null
+++ b/tests/direct/settings.rs
@@ -0,0 +1,128 @@
+//! Settings as a platform fills them in: fractions, empty ones, zeros, very large ones.
+
+use std::process::Command;
+
+use runrail::logic::direct::RetryWindow;
+use runrail::settings::DirectSettings;
+
+/// Figures that the platform fills into the template.
+const FIGURES: [&str; 8] = [
+    "Platform.ReadsPerS",
+    "Bounds.DrainMs",
+    "Bounds.ConfigApplyMs",
+    "Bounds.StallMs",
+    "Bounds.RetryBudgetRatio",
+    "Bounds.BudgetExtra",
+    "Bounds.BudgetWindowS",
+    "Bounds.GraceS",
+];
+
+/// The template with every gap filled, one of them by `value`.
+fn filled(field: &str, value: &str) -> String {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/router.ini");
+    let mut text = std::fs::read_to_string(file).expect("the template");
+    text = text.replace(&format!("{{{{{field}}}}}"), value);
+    for (name, usual) in [
+        ("Node", "front-1"),
+        ("Zone", "hall-a"),
+        ("Listen.Front", "10.0.0.1:80"),
+        ("Listen.Ready", "10.0.0.1:81"),
+        ("Ip", "10.0.0.1"),
+        ("PortRange.0", "7340"),
+        ("Platform.Address", "10.0.0.2:80"),
+        ("FirstStart", "true"),
+    ] {
+        text = text.replace(&format!("{{{{{name}}}}}"), usual);
+    }
+    for name in FIGURES {
+        text = text.replace(&format!("{{{{{name}}}}}"), "10");
+    }
+    assert!(
+        !text.contains("{{"),
+        "a field that this test doesn't know: {text}"
+    );
+    text
+}
+
+fn load(text: &str) -> Result<DirectSettings, String> {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("router.ini");
+    std::fs::write(&file, text).expect("a file");
+    DirectSettings::load(&file).map_err(|e| e.to_string())
+}
+
+#[test]
+fn every_figure_of_the_platform_may_be_a_fraction_zero_huge_or_missing() {
+    for field in FIGURES {
+        for value in ["57.35", "0", "1e300", ""] {
+            let read = load(&filled(field, value));
+            let settings = read.unwrap_or_else(|why| panic!("{field} = {value:?}: {why}"));
+            assert_eq!(
+                settings.gaps.len(),
+                usize::from(value.is_empty()),
+                "{field}"
+            );
+        }
+    }
+}
+
+#[test]
+fn what_is_no_number_or_below_zero_is_a_fault_with_its_place() {
+    for field in FIGURES {
+        for value in ["-1", "NaN", "many"] {
+            let why = load(&filled(field, value)).expect_err(field);
+            assert!(why.contains(&format!("{value:?}")), "{field}: {why}");
+        }
+    }
+}
+
+#[test]
+fn figures_keep_their_fractions() {
+    let extra = load(&filled("Bounds.BudgetExtra", "57.35")).expect("good");
+    assert_eq!(extra.knobs.retry_extra, 57_350);
+    let window = load(&filled("Bounds.BudgetWindowS", "2.5")).expect("good");
+    assert_eq!(window.knobs.retry_window, 2_500);
+    let none = load(&filled("Bounds.RetryBudgetRatio", "0")).expect("good");
+    assert_eq!(none.knobs.retry_ratio, 0, "no retry is not the usual share");
+}
+
+#[test]
+fn a_figure_that_is_left_empty_is_told_by_check() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("router.ini");
+    std::fs::write(&file, filled("Bounds.BudgetExtra", "")).expect("a file");
+    let output = Command::new(env!("CARGO_BIN_EXE_runrail"))
+        .args(["check", "--settings", &file.display().to_string()])
+        .output()
+        .expect("the binary runs");
+    let told = String::from_utf8_lossy(&output.stdout);
+    assert!(
+        told.contains("[retries] extra: found nothing, 160 retries is used"),
+        "{told}"
+    );
+}
+
+/// Retries without any request: the fixed number alone.
+fn fixed(routers: u64, extra: u64) -> u64 {
+    let mut all = 0;
+    for _ in 0..routers {
+        let mut window = RetryWindow::default();
+        while window.retry(1_000, 10_000, 200, extra, routers) {
+            all += 1;
+        }
+    }
+    all
+}
+
+#[test]
+fn however_many_routers_there_are_they_keep_to_the_fixed_number_together() {
+    for routers in [1, 5, 16, 52, 400] {
+        let all = fixed(routers, 390_000);
+        assert!(all <= 390, "{routers} routers: {all}");
+    }
+    assert_eq!(
+        fixed(5, 57_350),
+        15,
+        "each its part of 57.35, whole retries only"
+    );
+}
