Digests: the router that plans reads the store for all others

Ruled out: a higher limit (the same cliff further on, and work of one router that grows with their number); one reader a hall (halls lose each other, and there it is a second duty to hand over). Change: the planner tells what decides in the list, the routing's version and the sum of demand in one datagram, at once and each 400 ms, along two trees in which nobody sends to more than eight. Each digest repeats 1.2 s of news and says from which revision on, so that a gap is seen and read; what is told holds for 1.2 s less its age. Reports of demand go up the same tree. A head that is open by its own word is told at once (a soak test found that the list's later word changed nothing and told nobody).

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -133,12 +133,10 @@
             } => looks::order(&self.shared, order, id, addr, body),
             DirectEffect::Tell { to, message } => peers::tell(&self.shared, to, &message),
             DirectEffect::ReadList => self.shared.list_anew.notify_one(),
-            DirectEffect::WatchList { often } => {
-                let (now, begin) = &self.shared.list_often;
-                now.set(often);
-                if often {
-                    begin.notify_waiters();
-                }
+            DirectEffect::Read { list, hold } => {
+                self.shared.list_pace.set(list);
+                self.shared.hold_routing.set(hold);
+                self.shared.pace_changed.notify_waiters();
             }
             DirectEffect::CloseDoors => {
                 self.shared.closed.set(true);
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -30,4 +30,4 @@
 pub use reply::Reply;
 pub use run_direct::run_direct;
 pub use watched::Watched;
-pub(crate) use watches::WatchPace;
+pub(crate) use watches::{Watch, WatchPace};
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -17,7 +17,7 @@
 use super::shared::Shared;
 use super::watches::{self, WatchPace};
 use super::{callers, peers, ready, Dialect};
-use crate::logic::direct::{DirectEvent, DirectState};
+use crate::logic::direct::{DirectEvent, DirectState, ListPace};
 use crate::logic::router::StoreChange;
 use crate::logic::{Event, Node, Note, NoteCode};
 use crate::observe::Metrics;
@@ -60,7 +60,9 @@
         closed: Cell::new(false),
         stop: Notify::new(),
         list_anew: Notify::new(),
-        list_often: (Cell::new(true), Notify::new()),
+        list_pace: Cell::new(ListPace::Rest),
+        hold_routing: Cell::new(false),
+        pace_changed: Notify::new(),
         watch_own: (Cell::new(0), Notify::new()),
         exit: Notify::new(),
         open: Rc::new(()),
@@ -158,6 +160,7 @@
         if let Some((key, value)) = newest.and_then(|c| Some((&c.key, c.value.as_ref()?))) {
             take(key, value);
         }
+        shared.tell(DirectEvent::RoutingRead);
     };
     watches::follow(
         shared.clone(),
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -14,7 +14,7 @@
 use super::link_event::{CallerCall, LinkEvent};
 use super::pool::Pool;
 use super::Dialect;
-use crate::logic::direct::DirectEvent;
+use crate::logic::direct::{DirectEvent, ListPace};
 use crate::logic::Event;
 use crate::types::CallerLimits;
 
@@ -53,8 +53,12 @@
     pub stop: Notify,
     /// Told when the list is to be read whole.
     pub list_anew: Notify,
-    /// Whether changes of the list are read often, and a call to begin with it.
-    pub list_often: (Cell<bool>, Notify),
+    /// How often changes of the list are read.
+    pub list_pace: Cell<ListPace>,
+    /// Whether the routing is left alone.
+    pub hold_routing: Cell<bool>,
+    /// Told when either of the two has changed.
+    pub pace_changed: Notify,
     /// From which revision the own keys are watched, and a call to begin.
     pub watch_own: (Cell<i64>, Notify),
     /// Told when the reducer wants the process to end.
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -9,6 +9,7 @@
 use super::shared::Shared;
 use super::store::{read_all, LIMIT};
 use super::{Page, Watched};
+use crate::logic::direct::ListPace;
 use crate::logic::router::{StoreChange, StoreEntry};
 
 /// How a prefix is watched.
@@ -18,10 +19,25 @@
     pub wait_ms: u64,
     /// Pause after changes, so that many come at once.
     pub pause: Duration,
-    /// The pause while the reducer wants this prefix read only now and then.
-    pub rest: Option<Duration>,
+    /// What is watched.
+    pub what: Watch,
 }
 
+/// What is watched, and so what the planner's word can stand in for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Watch {
+    /// The operators' routing.
+    Routing,
+    /// The list of endpoints, read once in this time at least.
+    List(Duration),
+    /// The routers' own keys.
+    Own,
+}
+
+/// Longest wait of the watches of the router that plans, in milliseconds. What it has
+/// read is told to all others with its age, and each answer makes that young again.
+const PLANNER_WAIT_MS: u64 = 500;
+
 /// Pause after a call that failed.
 const AGAIN: Duration = Duration::from_millis(150);
 
@@ -44,8 +60,8 @@
         let revision = page.revision;
         all(page);
         let follow = changes(&shared, prefix, pace, revision, &mut changed);
-        if pace.rest.is_some() {
-            // Only the list rests, and only the list may be wanted whole.
+        if matches!(pace.what, Watch::List(_)) {
+            // Only the list may be wanted whole.
             tokio::select! {
                 () = follow => {}
                 () = shared.list_anew.notified() => {}
@@ -65,9 +81,11 @@
     changed: &mut impl FnMut(i64, Vec<StoreChange>),
 ) {
     let host = shared.store.to_string();
-    let longest = Duration::from_millis(pace.wait_ms) + SLACK;
     loop {
-        let request = (shared.dialect.watch)(&host, prefix, revision, pace.wait_ms);
+        held(shared, pace).await;
+        let wait_ms = wait_ms(shared, pace);
+        let longest = Duration::from_millis(wait_ms) + SLACK;
+        let request = (shared.dialect.watch)(&host, prefix, revision, wait_ms);
         let answer = timeout(longest, whole(shared, shared.store, request, LIMIT)).await;
         let watched = match answer {
             Ok(Ok((status, body))) => {
@@ -99,15 +117,44 @@
 /// Changes in one answer from which on more are likely to wait.
 const MANY: usize = 200;
 
+/// Waits for as long as the planner's word stands in for this watch.
+async fn held(shared: &Shared, pace: WatchPace) {
+    loop {
+        let changed = shared.pace_changed.notified();
+        let held = match pace.what {
+            Watch::Routing => shared.hold_routing.get(),
+            Watch::List(_) => shared.list_pace.get() == ListPace::Told,
+            Watch::Own => false,
+        };
+        if !held {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// How long the store may hold the next call back.
+fn wait_ms(shared: &Shared, pace: WatchPace) -> u64 {
+    let plans = shared.list_pace.get() == ListPace::Often;
+    match pace.what {
+        Watch::Routing | Watch::List(_) if plans => pace.wait_ms.min(PLANNER_WAIT_MS),
+        _ => pace.wait_ms,
+    }
+}
+
 /// Pauses between two readings of a watch; only shortly where many changes came.
 async fn rest(shared: &Shared, pace: WatchPace, count: usize) {
-    let (often, begin) = &shared.list_often;
     let shortest = pace.pause.max(shared.spread());
     sleep(shortest).await;
-    let longer = pace.rest.filter(|_| !often.get() && count < MANY);
-    if let Some(rest) = longer.and_then(|r| r.checked_sub(shortest)) {
-        // Over either way: the pause has passed, or the list is wanted often.
-        let _ = timeout(rest, begin.notified()).await;
+    let Watch::List(longest) = pace.what else {
+        return;
+    };
+    if shared.list_pace.get() == ListPace::Often || count >= MANY {
+        return;
+    }
+    if let Some(left) = longest.checked_sub(shortest) {
+        // Over either way: the time has passed, or the list is read at another pace.
+        let _ = timeout(left, shared.pace_changed.notified()).await;
     }
 }
 
--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -1,6 +1,7 @@
 //! What callers ask for, model by model, over the last seconds.
 //!
-//! Each router counts its own requests and tells the others; whoever plans adds them up.
+//! Each router counts its own requests and reports them on the way to the one that plans,
+//! together with what others have reported to it; the sum comes back with the digests.
 //! Only requests that come for the first time count: what was refused and comes back
 //! is the same demand.
 
@@ -8,9 +9,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{peers, DirectState, ModelDemand, PeerMessage};
+use super::{tree, DirectEffect, DirectState, ModelDemand, PeerMessage};
 use crate::logic::Effect;
-use crate::types::{EngineSpec, Millis};
+use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// Length of one slot of the window.
 const SLOT_MS: Millis = 500;
@@ -19,14 +20,19 @@
 /// requests within it, and a jump of the traffic shows before a load has ended.
 const SLOTS: u64 = 12;
 
-/// Time between two reports to other routers: a third of the shortest time in which a
-/// group is traded and formed anew, so that a report is never older than a decision.
+/// Time between two reports: a third of the shortest time in which a group is traded and
+/// formed anew. On two steps a report is 2 s old at most.
 const TELL_MS: Millis = 1_000;
 
 /// Time after which a router that tells nothing is no longer counted as told: three
 /// reports lost in a row.
 const STALE_MS: Millis = 4_000;
 
+/// Time for which the sum of all routers is believed by one that takes the duty over and
+/// hasn't been told anew: longer than a lease, a takeover and two reports. Ten seconds old
+/// it still says more than published shares.
+const SUM_STALE_MS: Millis = 10_000;
+
 /// Time for which requests are counted before their rate is believed in place of the
 /// published shares: four slots. A choice; other values were not measured.
 const BELIEVED_MS: Millis = 2_000;
@@ -46,9 +52,11 @@
     slots: VecDeque<(u64, BTreeMap<Arc<str>, ModelDemand>)>,
     /// When the first request came.
     since: Option<Millis>,
-    /// What other routers have told, and when.
-    others: BTreeMap<SocketAddr, (Millis, Vec<ModelDemand>)>,
-    /// When others are told next.
+    /// What other routers have reported here: when, for how many, and what.
+    others: BTreeMap<SocketAddr, (Millis, u64, Vec<ModelDemand>)>,
+    /// What the planner has told of all: when, for how many, and what.
+    fleet: Option<(Millis, u64, Vec<ModelDemand>)>,
+    /// When the next report is due.
     tell_at: Millis,
 }
 
@@ -76,13 +84,6 @@
         sums.into_values().map(a_second).collect()
     }
 
-    /// Whether enough is known to weigh models against each other: requests were counted
-    /// for some time, and all but a few routers have told theirs.
-    pub(super) fn known(&self, now: Millis, peers: usize) -> bool {
-        let told = self.others.values().filter(|(at, _)| now < *at + STALE_MS);
-        self.age(now) >= BELIEVED_MS && told.count() * 4 >= peers * 3
-    }
-
     /// How long requests have been counted.
     fn age(&self, now: Millis) -> Millis {
         now.saturating_sub(self.since.unwrap_or(now))
@@ -134,50 +135,93 @@
     }
 }
 
-/// Tells the other routers what this one is asked for: any of them may plan next. Where
-/// there are too many, only the planner.
+/// Reports what this router and those behind it are asked for, on the way to the planner.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     if now < state.demand.tell_at {
         return;
     }
     state.demand.tell_at = now + TELL_MS;
-    let own = state.demand.own(now);
-    if !own.is_empty() {
-        peers::tell_all(state, &PeerMessage::Demand(own), out);
+    let holder = state.plan.duty.holder.as_deref().map(InstanceId::new);
+    let to = holder.and_then(|root| tree::parent(state, &root));
+    if let Some(to) = to {
+        let (routers, models) = reported(state, now);
+        let message = PeerMessage::Demand { routers, models };
+        out.push(Effect::Direct(DirectEffect::Tell { to, message }));
     }
 }
 
-/// Another router has told what it is asked for.
+/// Another router has reported.
 pub(super) fn told(
     state: &mut DirectState,
     now: Millis,
     from: SocketAddr,
-    demand: Vec<ModelDemand>,
+    routers: u64,
+    models: Vec<ModelDemand>,
 ) {
     let others = &mut state.demand.others;
-    others.retain(|_, (at, _)| now < *at + STALE_MS);
-    others.insert(from, (now, demand));
+    others.retain(|_, (at, ..)| now < *at + STALE_MS);
+    others.insert(from, (now, routers, models));
 }
 
-/// What all routers are asked for, by model. A router that hasn't told yet counts as
-/// much as the others do on average.
-pub(super) fn all(state: &DirectState, now: Millis) -> BTreeMap<Arc<str>, ModelDemand> {
-    let mut sums: BTreeMap<Arc<str>, ModelDemand> = BTreeMap::new();
+/// The planner has told what all routers are asked for.
+pub(super) fn told_all(
+    state: &mut DirectState,
+    now: Millis,
+    routers: u64,
+    models: Vec<ModelDemand>,
+) {
+    state.demand.fleet = Some((now, routers, models));
+}
+
+/// What this router and those that report to it are asked for, and how many they are.
+fn reported(state: &DirectState, now: Millis) -> (u64, Vec<ModelDemand>) {
     let fresh = state.demand.others.values();
-    let fresh: Vec<_> = fresh.filter(|(at, _)| now < *at + STALE_MS).collect();
-    let told = fresh.len() as u64 + 1;
-    let routers = told.max(state.peers.len() as u64 + 1);
+    let fresh: Vec<_> = fresh.filter(|(at, ..)| now < *at + STALE_MS).collect();
+    let mut sums: BTreeMap<Arc<str>, ModelDemand> = BTreeMap::new();
     let own = state.demand.own(now);
-    for demand in own.iter().chain(fresh.iter().flat_map(|(_, d)| d)) {
+    for demand in own.iter().chain(fresh.iter().flat_map(|(.., d)| d)) {
         let sum = sums
             .entry(demand.model.clone())
             .or_insert_with(|| ModelDemand::none(&demand.model));
         sum.work += demand.work;
         sum.value += demand.value;
     }
-    for sum in sums.values_mut() {
-        sum.work = sum.work * routers / told;
-        sum.value = sum.value * routers / told;
+    let routers = 1 + fresh.iter().map(|(_, routers, _)| routers).sum::<u64>();
+    (routers, sums.into_values().collect())
+}
+
+/// What is known of all routers' demand, and how many are counted in it: what was
+/// reported here, or what the planner before has told, whichever counts more.
+pub(super) fn sum(state: &DirectState, now: Millis) -> (u64, Vec<ModelDemand>) {
+    let reported = reported(state, now);
+    let fleet = state.demand.fleet.as_ref();
+    match fleet.filter(|(at, told, _)| now < at + SUM_STALE_MS && *told > reported.0) {
+        Some((_, told, models)) => (*told, models.clone()),
+        None => reported,
     }
-    sums
+}
+
+/// Whether enough is known to weigh models against each other: requests were counted for
+/// some time, and all but a few routers have told theirs.
+pub(super) fn known(state: &DirectState, now: Millis) -> bool {
+    let (told, _) = sum(state, now);
+    state.demand.age(now) >= BELIEVED_MS && told * 4 >= routers(state) * 3
+}
+
+fn routers(state: &DirectState) -> u64 {
+    state.peers.len() as u64 + 1
+}
+
+/// What all routers are asked for, by model. A router that hasn't told yet counts as
+/// much as the others do on average.
+pub(super) fn all(state: &DirectState, now: Millis) -> BTreeMap<Arc<str>, ModelDemand> {
+    let (told, models) = sum(state, now);
+    let told = told.max(1);
+    let routers = told.max(routers(state));
+    let scaled = |mut d: ModelDemand| {
+        d.work = d.work * routers / told;
+        d.value = d.value * routers / told;
+        (d.model.clone(), d)
+    };
+    models.into_iter().map(scaled).collect()
 }
--- /dev/null
+++ b/src/logic/direct/digest_state.rs
@@ -0,0 +1,41 @@
+use std::collections::VecDeque;
+
+use super::{EntryNews, ListPace};
+use crate::types::Millis;
+
+/// What a router knows of digests: those that it sends while it plans, and those that
+/// it hears.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct DigestState {
+    /// Changes of the list that haven't been given a revision yet.
+    pub open: Vec<EntryNews>,
+    /// Changes of the last seconds: when they were heard of, the revision behind which
+    /// they came, that by which they had come, and what they are.
+    pub recent: VecDeque<(Millis, i64, i64, Vec<EntryNews>)>,
+    /// When the list was last known to be as new as the store's.
+    pub list_at: Millis,
+    /// When the routing was last known to be as new as the store's.
+    pub routing_at: Millis,
+    /// Number of the last digest sent.
+    pub number: u64,
+    /// When it was sent.
+    pub sent: Millis,
+    /// Whether something has changed since.
+    pub changed: bool,
+    /// Highest fence heard.
+    pub fence: u64,
+    /// Number of the last digest under that fence, by tree.
+    pub heard: [u64; super::tree::TREES as usize],
+    /// Number of the last digest whose news were taken in.
+    pub taken: u64,
+    /// Revision up to which all that decides was read or heard.
+    pub upto: i64,
+    /// Until when what was heard stands in for reading the list.
+    pub list_until: Millis,
+    /// Until when it stands in for reading the routing.
+    pub routing_until: Millis,
+    /// Pace of reading that the host was told.
+    pub pace: Option<ListPace>,
+    /// Whether the host was told to leave the routing alone.
+    pub hold: bool,
+}
--- /dev/null
+++ b/src/logic/direct/digests.rs
@@ -0,0 +1,211 @@
+//! Digests: the router that plans reads the store for all others.
+//!
+//! It tells them what changes in the list, which routing is in force and what all are
+//! asked for, along two trees. Whoever has heard everything up to a moment ago doesn't
+//! read the store; whoever misses something, or hears nothing for a while, does.
+//! Without them 52 routers made 300 calls a second to the store on a calm day.
+
+use super::{demand, endpoints, tree, DirectEffect, DirectState, EntryNews, ListPace};
+use super::{Digest, Mechanism, PeerMessage};
+use crate::logic::Effect;
+use crate::types::{InstanceId, Millis};
+
+/// Longest time between two digests: a third of the time for which one holds.
+const BEAT_MS: Millis = 400;
+
+/// Shortest time between two digests, so that what changes together goes together.
+const PAUSE_MS: Millis = 40;
+
+/// Time for which news are told again: a lost datagram is made up for by the next two.
+const REPEAT_MS: Millis = 1_200;
+
+/// Time for which a router need not read what the planner had read at the beginning of
+/// it. With one more reading after it, a new routing or an endpoint that leaves is known
+/// within 1.5 s; the shortest bound that operators publish for either is 2 s.
+const HOLDS_MS: Millis = 1_200;
+
+/// Bytes of news in one digest, which leaves room for the rest of a datagram.
+const NEWS_BYTES: usize = 1_000;
+
+/// Remembers a change of the list that decides where requests go.
+pub(super) fn note(state: &mut DirectState, news: EntryNews) {
+    state.digests.open.push(news);
+}
+
+/// Remembers an endpoint that heads a group by its own word, before the list shows it.
+pub(super) fn opened(state: &mut DirectState, now: Millis, id: &InstanceId) {
+    let Some(entry) = state.endpoints.get(id).map(|v| v.entry.clone()) else {
+        return;
+    };
+    note(state, EntryNews::Listed(id.clone(), entry));
+    let known = state.list_revision;
+    close(state, now, known, known);
+}
+
+/// The list was read, or told, up to a revision: what was noted since came with that.
+pub(super) fn close(state: &mut DirectState, now: Millis, before: i64, after: i64) {
+    let digests = &mut state.digests;
+    let news = std::mem::take(&mut digests.open);
+    digests.changed |= !news.is_empty();
+    digests.recent.push_back((now, before, after, news));
+    while digests
+        .recent
+        .front()
+        .is_some_and(|(at, ..)| now > at + REPEAT_MS)
+    {
+        digests.recent.pop_front();
+    }
+}
+
+/// The list was read from the store, up to a revision.
+pub(super) fn list_read(state: &mut DirectState, now: Millis, before: i64, revision: i64) {
+    close(state, now, before, revision);
+    let digests = &mut state.digests;
+    digests.list_at = now;
+    if revision < digests.upto {
+        // An answer that was overtaken: what it undid is read again.
+        digests.upto = 0;
+        digests.list_until = 0;
+    }
+    digests.upto = digests.upto.max(revision);
+}
+
+/// Tells other routers, while this one plans, and the host how often to read.
+pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let plans = state.plan.duty.holds(now) && state.stopping.is_none();
+    let digests = &state.digests;
+    let since = now.saturating_sub(digests.sent);
+    let due = since >= BEAT_MS || (digests.changed && since >= PAUSE_MS);
+    if plans && due && state.knobs.on(Mechanism::News) && !state.peers.is_empty() {
+        send(state, now, out);
+    }
+    pace(state, now, out);
+}
+
+fn send(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let digests = &mut state.digests;
+    digests.number += 1;
+    digests.sent = now;
+    digests.changed = false;
+    let recent = &digests.recent;
+    let all = recent
+        .iter()
+        .flat_map(|(_, _, upto, news)| news.iter().map(|n| (*upto, n)));
+    let mut news = Vec::new();
+    let mut bytes = 0;
+    for (upto, one) in all.rev() {
+        bytes += one.bytes();
+        if bytes > NEWS_BYTES {
+            break;
+        }
+        news.push((upto, one.clone()));
+    }
+    news.reverse();
+    let upto = state.list_revision;
+    let (told, models) = demand::sum(state, now);
+    let digests = &state.digests;
+    let digest = Digest {
+        root: state.me.clone(),
+        fence: state.plan.duty.fence,
+        number: digests.number,
+        tree: 0,
+        from: digests
+            .recent
+            .front()
+            .map_or(upto, |(_, before, ..)| *before),
+        upto,
+        whole: bytes <= NEWS_BYTES,
+        list_age: now.saturating_sub(digests.list_at),
+        routing: version(state),
+        routing_age: now.saturating_sub(digests.routing_at),
+        told,
+        demand: models,
+        news,
+    };
+    for tree in 0..tree::TREES {
+        pass_on(
+            state,
+            &Digest {
+                tree,
+                ..digest.clone()
+            },
+            out,
+        );
+    }
+}
+
+fn version(state: &DirectState) -> u64 {
+    state.routing.as_ref().map_or(0, |r| r.version)
+}
+
+fn pass_on(state: &DirectState, digest: &Digest, out: &mut Vec<Effect>) {
+    for to in tree::children(state, &digest.root, digest.tree) {
+        let message = PeerMessage::Digest(Box::new(digest.clone()));
+        out.push(Effect::Direct(DirectEffect::Tell { to, message }));
+    }
+}
+
+/// A digest has come.
+pub(super) fn received(
+    state: &mut DirectState,
+    now: Millis,
+    digest: Digest,
+    out: &mut Vec<Effect>,
+) {
+    let known = &mut state.digests;
+    let tree = usize::from(digest.tree);
+    if digest.root == state.me || digest.fence < known.fence || tree >= known.heard.len() {
+        return;
+    }
+    if digest.fence > known.fence {
+        known.fence = digest.fence;
+        known.heard = Default::default();
+        known.taken = 0;
+    }
+    if digest.number <= known.heard[tree] {
+        return;
+    }
+    known.heard[tree] = digest.number;
+    let new = digest.number > known.taken;
+    pass_on(state, &digest, out);
+    if new && state.listed {
+        take_in(state, now, digest, out);
+    }
+}
+
+fn take_in(state: &mut DirectState, now: Millis, digest: Digest, out: &mut Vec<Effect>) {
+    state.digests.taken = digest.number;
+    let known = state.digests.upto;
+    for (revision, news) in digest.news {
+        endpoints::told(state, now, news, revision > known, out);
+    }
+    if digest.whole && digest.from <= known {
+        close(state, now, known, known.max(digest.upto));
+        state.digests.upto = known.max(digest.upto);
+        state.digests.list_until = (now + HOLDS_MS).saturating_sub(digest.list_age);
+    }
+    state.digests.routing_until = if version(state) >= digest.routing {
+        (now + HOLDS_MS).saturating_sub(digest.routing_age)
+    } else {
+        0
+    };
+    demand::told_all(state, now, digest.told, digest.demand);
+}
+
+/// Tells the host how often the list is read, and whether the routing is.
+fn pace(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let plans = state.plan.duty.fence > 0;
+    let pace = if plans || !state.knobs.on(Mechanism::News) {
+        ListPace::Often
+    } else if now < state.digests.list_until {
+        ListPace::Told
+    } else {
+        ListPace::Rest
+    };
+    let hold = !plans && now < state.digests.routing_until;
+    if state.digests.pace != Some(pace) || state.digests.hold != hold {
+        state.digests.pace = Some(pace);
+        state.digests.hold = hold;
+        out.push(Effect::Direct(DirectEffect::Read { list: pace, hold }));
+    }
+}
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{GroupOrder, PeerMessage, Problem, RunRequest};
+use super::{GroupOrder, ListPace, PeerMessage, Problem, RunRequest};
 use crate::types::InstanceId;
 
 /// What the host of a router with direct links has to do.
@@ -71,10 +71,12 @@
     },
     /// Read the list whole: its changes lag.
     ReadList,
-    /// Read changes of the list as often as may be, or only now and then.
-    WatchList {
-        /// Whether often.
-        often: bool,
+    /// How the store is read from now on.
+    Read {
+        /// How often the list's changes are read.
+        list: ListPace,
+        /// Whether the routing is left alone, as the planner tells of a new one.
+        hold: bool,
     },
     /// Take no more connections, and close those that rest.
     CloseDoors,
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -9,6 +9,9 @@
 pub enum DirectEvent {
     /// A version of the routing has been read.
     Routing(Arc<Routing>),
+    /// The store was asked for a new version of the routing; any there was has been
+    /// told before.
+    RoutingRead,
     /// The list of endpoints was read whole; what isn't named is gone.
     List {
         /// The store's revision when the reading began.
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -4,7 +4,8 @@
 
 use super::plan::{IdleReason, PlanState};
 use super::{
-    Asked, Demand, DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow, Turn,
+    Asked, Demand, DigestState, DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow,
+    Turn,
 };
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
@@ -31,8 +32,8 @@
     pub listed_once: bool,
     /// The store's revision that the list is known up to.
     pub list_revision: i64,
-    /// Whether changes of the list are read often.
-    pub often: bool,
+    /// What the planner tells of the store.
+    pub digests: DigestState,
     /// Endpoints by id.
     pub endpoints: BTreeMap<InstanceId, EndpointView>,
     /// Requests without a final answer.
@@ -76,7 +77,7 @@
             listed: false,
             listed_once: false,
             list_revision: 0,
-            often: true,
+            digests: DigestState::default(),
             endpoints: BTreeMap::new(),
             flights: BTreeMap::new(),
             waiting: BTreeSet::new(),
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,6 +1,6 @@
 //! What this router knows of endpoints: the list and its own experience.
 
-use super::{limit, peers, plan, DirectState, EndpointView, EntryNews, LookResult, Sight};
+use super::{digests, limit, plan, DirectState, EndpointView, EntryNews, LookResult, Sight};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EndpointEntry, InstanceId, Millis};
 
@@ -51,6 +51,7 @@
             out.push(Effect::Note(
                 Note::new(NoteCode::EndpointUnlisted).with("endpoint", &id),
             ));
+            digests::note(state, EntryNews::Gone(id));
         }
         return;
     };
@@ -61,6 +62,7 @@
             .with("domain", &entry.domain)
             .with("service", &entry.service);
         out.push(Effect::Note(note));
+        digests::note(state, EntryNews::Listed(id.clone(), entry.clone()));
         let view = EndpointView {
             new: state.listed_once,
             ..EndpointView::new(entry, now)
@@ -68,7 +70,8 @@
         state.endpoints.insert(id, view);
         return;
     };
-    let news = EntryNews::of(&id, &view.entry, &entry);
+    let decisive = EntryNews::decisive(&view.entry, &entry) || !view.listed;
+    let news = decisive.then(|| EntryNews::Listed(id.clone(), entry.clone()));
     if entry.leaving && !view.entry.leaving {
         out.push(Effect::Note(
             Note::new(NoteCode::EndpointLeaving).with("endpoint", &id),
@@ -91,17 +94,32 @@
     view.listed = true;
     view.last = entry.model.clone().or_else(|| view.last.take());
     view.entry = entry;
-    if let Some(news) = news.filter(|_| state.plan.duty.holds(now)) {
-        peers::spread(state, news, out);
+    if let Some(news) = news {
+        digests::note(state, news);
     }
 }
 
-/// The planner has told of an entry.
-pub(super) fn told(state: &mut DirectState, now: Millis, news: EntryNews, out: &mut Vec<Effect>) {
-    let id = news.id.clone();
-    let known = state.endpoints.get(&id).filter(|v| v.listed);
-    if let Some(entry) = known.and_then(|v| news.onto(&v.entry)) {
-        changed(state, now, id, Some(entry), out);
+/// The planner has told of an entry; with `later` it is of a later revision than what
+/// this router knows of the list. An entry with more heartbeats or in a later group is
+/// newer in any case: the planner may know of a group before the list shows it.
+pub(super) fn told(
+    state: &mut DirectState,
+    now: Millis,
+    news: EntryNews,
+    later: bool,
+    out: &mut Vec<Effect>,
+) {
+    let known = state.endpoints.get(news.id()).filter(|v| v.listed);
+    match news {
+        EntryNews::Gone(id) if later => changed(state, now, id, None, out),
+        EntryNews::Gone(_) => {}
+        EntryNews::Listed(id, entry) => {
+            let epoch = entry.seat.as_ref().map_or(0, |s| s.epoch);
+            let newer = |v: &EndpointView| entry.beats > v.entry.beats || epoch > v.epoch();
+            if known.map_or(later, newer) {
+                changed(state, now, id, Some(entry), out);
+            }
+        }
     }
 }
 
--- a/src/logic/direct/entry_news.rs
+++ b/src/logic/direct/entry_news.rs
@@ -1,49 +1,42 @@
-use std::sync::Arc;
-
 use serde::{Deserialize, Serialize};
 
-use crate::types::{EndpointEntry, GroupSeat, InstanceId};
+use crate::types::{EndpointEntry, InstanceId};
 
-/// The part of an entry of the list that decides whether requests go there.
+/// A change of the list that decides where requests may go.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct EntryNews {
-    /// The endpoint.
-    pub id: InstanceId,
-    /// Heartbeats so far: of two words on one endpoint the one with more is newer.
-    pub beats: u64,
-    /// Whether it is about to leave.
-    pub leaving: bool,
-    /// Model that it holds.
-    pub model: Option<Arc<str>>,
-    /// Its place in a group.
-    pub seat: Option<GroupSeat>,
+pub enum EntryNews {
+    /// An endpoint is new, begins or stops to head a group, or is about to leave.
+    Listed(InstanceId, EndpointEntry),
+    /// The list no longer names an endpoint.
+    Gone(InstanceId),
 }
 
+/// Bytes that an entry takes in a datagram: a test holds an entry with long names
+/// against it.
+const ENTRY_BYTES: usize = 280;
+
+/// Bytes that a name takes beside its frame.
+const GONE_BYTES: usize = 40;
+
 impl EntryNews {
-    /// What others should hear of a changed entry, if anything.
-    pub(super) fn of(
-        id: &InstanceId,
-        before: &EndpointEntry,
-        entry: &EndpointEntry,
-    ) -> Option<Self> {
-        let decisive = |e: &EndpointEntry| (e.open_epoch(), e.leaving);
-        (decisive(before) != decisive(entry)).then(|| Self {
-            id: id.clone(),
-            beats: entry.beats,
-            leaving: entry.leaving,
-            model: entry.model.clone(),
-            seat: entry.seat.clone(),
-        })
+    /// Whether others should hear of an entry that was another one before.
+    pub(super) fn decisive(before: &EndpointEntry, entry: &EndpointEntry) -> bool {
+        let deciding = |e: &EndpointEntry| (e.open_epoch(), e.leaving);
+        deciding(before) != deciding(entry)
+    }
+
+    /// The endpoint.
+    pub fn id(&self) -> &InstanceId {
+        match self {
+            EntryNews::Listed(id, _) | EntryNews::Gone(id) => id,
+        }
     }
 
-    /// The entry that it makes of an older one; absent where it isn't newer.
-    pub(super) fn onto(self, older: &EndpointEntry) -> Option<EndpointEntry> {
-        (self.beats > older.beats).then(|| EndpointEntry {
-            beats: self.beats,
-            leaving: self.leaving,
-            model: self.model,
-            seat: self.seat,
-            ..older.clone()
-        })
+    /// Most bytes that it takes in a datagram.
+    pub(super) fn bytes(&self) -> usize {
+        match self {
+            EntryNews::Listed(..) => ENTRY_BYTES,
+            EntryNews::Gone(_) => GONE_BYTES,
+        }
     }
 }
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -4,7 +4,7 @@
 //! themselves and the platform lists them. A request's life goes one way:
 //! `accept`, `choose`, `send`, `answer`, `end`. `silence` finds endpoints that
 //! were lost, `plan` forms and repairs groups while this router holds the
-//! planner's lease.
+//! planner's lease, `digests` tells all routers what the planner has read.
 
 pub mod plan;
 
@@ -13,6 +13,9 @@
 mod asked;
 mod choose;
 mod demand;
+mod digest;
+mod digest_state;
+mod digests;
 mod direct_effect;
 mod direct_event;
 mod direct_knobs;
@@ -26,6 +29,7 @@
 mod flight;
 mod group_order;
 mod limit;
+mod list_pace;
 mod look_result;
 mod mechanism;
 mod model_demand;
@@ -40,10 +44,13 @@
 mod sight;
 mod silence;
 mod step;
+mod tree;
 mod turn;
 
 pub use asked::Asked;
 pub use demand::Demand;
+pub use digest::Digest;
+pub use digest_state::DigestState;
 pub use direct_effect::DirectEffect;
 pub use direct_event::DirectEvent;
 pub use direct_knobs::DirectKnobs;
@@ -54,6 +61,7 @@
 pub use entry_news::EntryNews;
 pub use flight::{Flight, Run};
 pub use group_order::{GroupOrder, GroupStep};
+pub use list_pace::ListPace;
 pub use look_result::LookResult;
 pub use mechanism::Mechanism;
 pub use model_demand::ModelDemand;
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{EntryNews, ModelDemand, Sight};
+use super::{Digest, ModelDemand, Sight};
 use crate::types::InstanceId;
 
 /// What routers with direct links say to each other, one datagram each.
@@ -24,11 +24,16 @@
     },
     /// The first caller has come to the sender; for the planner.
     Traffic,
-    /// What the sender is asked for in a second, by model; for the planner.
-    Demand(Vec<ModelDemand>),
-    /// What the list shows of an endpoint that takes requests or no longer does;
-    /// from the planner, which reads the list more often than others.
-    Entry(EntryNews),
+    /// What the sender and those behind it are asked for in a second; on the way to
+    /// the planner.
+    Demand {
+        /// Routers that are counted, the sender included.
+        routers: u64,
+        /// Their demand by model.
+        models: Vec<ModelDemand>,
+    },
+    /// What the planner has read, passed on by routers.
+    Digest(Box<Digest>),
     /// What was seen.
     Seen {
         /// Number of the question.
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -7,8 +7,7 @@
 use std::net::SocketAddr;
 
 use super::{
-    demand, endpoints, plan, Asked, DirectEffect, DirectState, EntryNews, LookResult, Mechanism,
-    PeerMessage,
+    demand, digests, endpoints, plan, Asked, DirectEffect, DirectState, LookResult, PeerMessage,
 };
 use crate::logic::router::{
     CallId, Put, StoreCall, StoreChange, StoreEntry, StoreReply, StoreResult,
@@ -28,9 +27,6 @@
 /// Time between two renewals.
 const RENEW_MS: Millis = 2_000;
 
-/// Most other routers that a planner tells what the list shows.
-const TOLD: usize = 48;
-
 /// Pause after a call that failed.
 const AGAIN_MS: Millis = 500;
 
@@ -170,8 +166,10 @@
             state.asked.entry(id.clone()).or_default().push(asked);
             out.push(Effect::Direct(DirectEffect::Look { id, addr }));
         }
-        PeerMessage::Entry(news) => endpoints::told(state, now, news, out),
-        PeerMessage::Demand(told) => demand::told(state, now, from, told),
+        PeerMessage::Digest(digest) => digests::received(state, now, *digest, out),
+        PeerMessage::Demand { routers, models } => {
+            demand::told(state, now, from, routers, models);
+        }
         PeerMessage::Traffic => state.plan.traffic = true,
         PeerMessage::Silent { id } => plan::suspect(state, now, &id, out),
         PeerMessage::Seen { number, sight } => plan::seen(state, number, sight),
@@ -188,38 +186,8 @@
     tell_planner(state, PeerMessage::Traffic, out);
 }
 
-/// Whether the planner tells others what the list shows: with more routers that would
-/// take more of its time than it saves.
-pub(super) fn are_told(state: &DirectState) -> bool {
-    state.peers.len() <= TOLD && state.knobs.on(Mechanism::News)
-}
-
-/// Tells every other router what the list shows of an endpoint.
-pub(super) fn spread(state: &DirectState, news: EntryNews, out: &mut Vec<Effect>) {
-    if !are_told(state) {
-        return;
-    }
-    say(state, &PeerMessage::Entry(news), out);
-}
-
-/// Says something to every other router, or only to the planner where there are many.
-pub(super) fn tell_all(state: &DirectState, message: &PeerMessage, out: &mut Vec<Effect>) {
-    if state.peers.len() <= TOLD {
-        say(state, message, out);
-    } else {
-        tell_planner(state, message.clone(), out);
-    }
-}
-
-fn say(state: &DirectState, message: &PeerMessage, out: &mut Vec<Effect>) {
-    for to in state.peers.values() {
-        let message = message.clone();
-        out.push(Effect::Direct(DirectEffect::Tell { to: *to, message }));
-    }
-}
-
 /// Says something to the router that plans, where it is another one.
-pub(super) fn tell_planner(state: &DirectState, message: PeerMessage, out: &mut Vec<Effect>) {
+fn tell_planner(state: &DirectState, message: PeerMessage, out: &mut Vec<Effect>) {
     let holder = state.plan.duty.holder.as_deref().map(InstanceId::new);
     if let Some(to) = holder.and_then(|h| state.peers.get(&h)).copied() {
         out.push(Effect::Direct(DirectEffect::Tell { to, message }));
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::{look, order, retire, Ending, EndingStep, Forming, OrderUse};
-use crate::logic::direct::{DirectState, GroupStep};
+use crate::logic::direct::{digests, DirectState, GroupStep};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EndpointEntry, GroupSeat, InstanceId, Millis, SeatState};
 
@@ -116,7 +116,7 @@
             .with("group", group)
             .with("took", now.saturating_sub(forming.since));
         out.push(Effect::Note(note));
-        seat_all(state, group, forming);
+        seat_all(state, now, group, forming);
         return false;
     }
     let lost = forming
@@ -162,7 +162,7 @@
 }
 
 /// The members of an open group keep their places, though the list may lag behind.
-fn seat_all(state: &mut DirectState, group: &Arc<str>, forming: &Forming) {
+fn seat_all(state: &mut DirectState, now: Millis, group: &Arc<str>, forming: &Forming) {
     for (rank, id) in forming.members.iter().enumerate() {
         let seat = GroupSeat {
             group: group.clone(),
@@ -184,6 +184,9 @@
                 .plan
                 .seats
                 .insert(id.clone(), (seat, forming.model.clone()));
+            if rank == 0 {
+                digests::opened(state, now, id);
+            }
         }
     }
 }
--- a/src/logic/direct/plan/trade.rs
+++ b/src/logic/direct/plan/trade.rs
@@ -8,7 +8,7 @@
 use super::survey::{self, Place};
 use super::value::{able, worth};
 use super::{retire, GroupView};
-use crate::logic::direct::{DirectState, Mechanism};
+use crate::logic::direct::{demand, DirectState, Mechanism};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{EngineSpec, InstanceId, Millis, SeatState};
 
@@ -69,7 +69,7 @@
         free,
         engine,
     } = *at;
-    let known = state.demand.known(now, state.peers.len()) || !state.knobs.on(Mechanism::Demand);
+    let known = demand::known(state, now) || !state.knobs.on(Mechanism::Demand);
     if !state.knobs.on(Mechanism::Trades) {
         return false;
     }
--- a/src/logic/direct/plan/value.rs
+++ b/src/logic/direct/plan/value.rs
@@ -73,7 +73,7 @@
     let demand = demand::all(state, now);
     let of = |m: &EngineModel| demand.get(&m.name).map_or((0, 0), |d| (d.work, d.value));
     let value: u64 = engine.models.iter().map(|m| of(m).1).sum();
-    let known = state.demand.known(now, state.peers.len());
+    let known = demand::known(state, now);
     if value == 0 || !known || !state.knobs.on(Mechanism::Demand) {
         return published(state, engine);
     }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,6 +1,6 @@
 use super::{
-    accept, answer, demand, end, endpoints, peers, plan, send, silence, DirectEffect, DirectEvent,
-    DirectState, EndStage,
+    accept, answer, demand, digests, end, endpoints, peers, plan, send, silence, DirectEffect,
+    DirectEvent, DirectState, EndStage,
 };
 use crate::logic::{Effect, Event, Note, NoteCode};
 use crate::types::{Millis, Routing};
@@ -27,21 +27,29 @@
         send::waiting(state, now, out);
     }
     tell_ready(state, out);
-    tell_pace(state, now, out);
+    digests::tend(state, now, out);
 }
 
 fn direct(state: &mut DirectState, now: Millis, event: DirectEvent, out: &mut Vec<Effect>) {
     match event {
-        DirectEvent::Routing(routing) => routed(state, routing, out),
+        DirectEvent::Routing(routing) => {
+            state.digests.routing_at = now;
+            routed(state, routing, out);
+        }
+        DirectEvent::RoutingRead => state.digests.routing_at = now,
         DirectEvent::List { revision, entries } => {
-            state.list_revision = state.list_revision.max(revision);
+            let before = state.list_revision;
+            state.list_revision = before.max(revision);
             endpoints::listed(state, now, entries, out);
+            digests::list_read(state, now, before, revision);
         }
         DirectEvent::Changes { revision, changes } => {
-            state.list_revision = state.list_revision.max(revision);
+            let before = state.list_revision;
+            state.list_revision = before.max(revision);
             for (id, entry) in changes {
                 endpoints::changed(state, now, id, entry, out);
             }
+            digests::list_read(state, now, before, revision);
         }
         DirectEvent::Request(request) => accept::arrived(state, now, *request, out),
         DirectEvent::Gone(id) => end::caller_gone(state, id, out),
@@ -117,19 +125,6 @@
     }
 }
 
-/// Reads the list often while this router plans, while nobody does, or where there
-/// are too many to be told; else the planner tells what matters, and the list is
-/// read to be sure.
-fn tell_pace(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    let duty = &state.plan.duty;
-    let alone = duty.fence > 0 || duty.holder.is_none() || duty.holds(now);
-    let often = alone || !peers::are_told(state);
-    if often != state.often {
-        state.often = often;
-        out.push(Effect::Direct(DirectEffect::WatchList { often }));
-    }
-}
-
 fn tell_ready(state: &mut DirectState, out: &mut Vec<Effect>) {
     let ready = state.routing.is_some() && state.listed && state.stopping.is_none();
     if ready != state.ready {
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -5,7 +5,7 @@
 
 use super::ini_reader::IniReader;
 use super::SettingsError;
-use crate::link::WatchPace;
+use crate::link::{Watch, WatchPace};
 use crate::logic::direct::{DirectKnobs, Mechanism};
 use crate::types::FigureGap;
 
@@ -121,7 +121,7 @@
         WatchPace {
             wait_ms: self.watch_ms,
             pause: Duration::from_millis(50),
-            rest: None,
+            what: Watch::Routing,
         }
     }
 
@@ -130,6 +130,7 @@
     pub(crate) fn own_pace(&self) -> WatchPace {
         WatchPace {
             wait_ms: (self.watch_ms * OWN_WAIT).min(LONGEST_WAIT),
+            what: Watch::Own,
             ..self.routing_pace()
         }
     }
@@ -139,7 +140,7 @@
         WatchPace {
             wait_ms: self.watch_ms,
             pause: Duration::from_millis(self.list_ms),
-            rest: Some(Duration::from_millis(self.drain_ms / REST_PART).min(LONGEST_REST)),
+            what: Watch::List(Duration::from_millis(self.drain_ms / REST_PART).min(LONGEST_REST)),
         }
     }
 }
--- a/src/settings/ini_reader.rs
+++ b/src/settings/ini_reader.rs
@@ -121,9 +121,9 @@
         }
     }
 
-    /// A figure that may be a fraction and may be left empty by whoever fills the file
-    /// in: in units of `1 / scale`, rounded down. Without a value the default stands in,
-    /// and that is noted.
+    /// A figure that may be a fraction: in units of `1 / scale`, rounded down, or the
+    /// default. That the default stands in for an empty value is noted, as whoever filled
+    /// the file in meant to tell one.
     pub fn figure(
         &mut self,
         section: &str,
@@ -132,7 +132,9 @@
         scale: u32,
         unit: &str,
     ) -> u64 {
-        let text = self.value(section, key).unwrap_or_default();
+        let Some(text) = self.value(section, key) else {
+            return default;
+        };
         if text.trim().is_empty() {
             self.gaps.push(FigureGap {
                 place: format!("[{section}] {key}"),
--- a/src/types/endpoint_entry.rs
+++ b/src/types/endpoint_entry.rs
@@ -1,10 +1,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use super::{GroupSeat, SeatState};
 
 /// One endpoint as the platform's list shows it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EndpointEntry {
     /// Service that it belongs to.
     pub service: Arc<str>,
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod command_line;
 mod demand;
+mod digests;
 mod duty;
 mod fields;
 mod figures;
