Store: one try at a time while it is away, with random pauses that grow

Ruled out: a second between two tries of each watch (three times as many, all at once after the return); no tries until another tells (nobody would be first). Change: a gate that all calls of a router pass. After a failure one short call tries, after a random pause up to a bound that doubles to a tenth of a second a router (2.5 s at most); whoever finds the store back tells three others, which try at once. The renewal of the planner's lease never waits.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -11,7 +11,16 @@
 use crate::host::Clock;
 use crate::logic::direct::{DirectEffect, DirectEvent, Problem};
 use crate::logic::{step, Effect, Event, Node, Note, NoteCode};
-use crate::observe::{exposition, EventLog, Metrics};
+use crate::observe::{exposition, EventLog, LabelledCount, Metrics};
+
+/// Calls to the store of one kind, for the metrics.
+fn store_count((labels, count): (&(&'static str, &'static str), &u64)) -> LabelledCount {
+    LabelledCount {
+        name: "store_calls",
+        labels: [("use", labels.0), ("outcome", labels.1)],
+        count: *count,
+    }
+}
 
 /// The actor that owns the state of a router with direct links.
 pub(super) struct DirectActor {
@@ -73,7 +82,11 @@
             Node::Direct(state) => state.figures(self.clock.now()),
             _ => Vec::new(),
         };
-        exposition(&self.metrics.rows(), &figures)
+        let mut counts: Vec<_> = self.shared.calls.borrow().iter().map(store_count).collect();
+        if let Node::Direct(state) = &self.node {
+            counts.extend(state.plan.order_counts());
+        }
+        exposition(&self.metrics.rows(), &figures, &counts)
     }
 
     fn note(&mut self, note: &Note) {
@@ -132,6 +145,7 @@
                 body,
             } => looks::order(&self.shared, order, id, addr, body),
             DirectEffect::Tell { to, message } => peers::tell(&self.shared, to, &message),
+            DirectEffect::TryStore => self.shared.gate.hint(),
             DirectEffect::ReadList => self.shared.list_anew.notify_one(),
             DirectEffect::Read { list, hold } => {
                 self.shared.list_pace.set(list);
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -21,6 +21,8 @@
 mod runs;
 mod shared;
 mod store;
+mod store_gate;
+mod store_use;
 mod watched;
 mod watches;
 
@@ -29,5 +31,6 @@
 pub use page::Page;
 pub use reply::Reply;
 pub use run_direct::run_direct;
+pub use store_gate::{Pass, StoreGate};
 pub use watched::Watched;
 pub(crate) use watches::{Watch, WatchPace};
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,6 +15,7 @@
 use super::link_event::LinkEvent;
 use super::pool::Pool;
 use super::shared::Shared;
+use super::store_gate::StoreGate;
 use super::watches::{self, WatchPace};
 use super::{callers, peers, ready, Dialect};
 use crate::logic::direct::{DirectEvent, DirectState, ListPace};
@@ -55,6 +56,8 @@
         limits: Cell::new(CallerLimits::default()),
         routers: Cell::new(1),
         reads: settings.reads,
+        gate: StoreGate::default(),
+        calls: RefCell::new(BTreeMap::new()),
         ready: Cell::new(false),
         stopping: Cell::new(false),
         closed: Cell::new(false),
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +13,7 @@
 use super::answer_body::{AnswerBody, Piece};
 use super::link_event::{CallerCall, LinkEvent};
 use super::pool::Pool;
+use super::store_gate::StoreGate;
 use super::Dialect;
 use crate::logic::direct::{DirectEvent, ListPace};
 use crate::logic::Event;
@@ -43,6 +44,10 @@
     /// Reading calls that the store takes in a second from all routers; 0 where
     /// that isn't known.
     pub reads: u64,
+    /// Lets calls to the store through.
+    pub gate: StoreGate,
+    /// Calls to the store by what they were for and what came of them.
+    pub calls: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
     /// Whether this router takes callers.
     pub ready: Cell<bool>,
     /// Whether it is about to stop.
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -5,9 +5,10 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::looks::{unread, whole};
+use super::looks::unread;
 use super::shared::Shared;
-use super::store::{read_all, LIMIT};
+use super::store::{ask, read_all};
+use super::store_use::StoreUse;
 use super::{Page, Watched};
 use crate::logic::direct::ListPace;
 use crate::logic::router::{StoreChange, StoreEntry};
@@ -34,12 +35,22 @@
     Own,
 }
 
+impl Watch {
+    fn used(self) -> StoreUse {
+        match self {
+            Watch::Routing => StoreUse::Routing,
+            Watch::List(_) => StoreUse::List,
+            Watch::Own => StoreUse::Own,
+        }
+    }
+}
+
 /// Longest wait of the watches of the router that plans, in milliseconds. What it has
 /// read is told to all others with its age, and each answer makes that young again.
 const PLANNER_WAIT_MS: u64 = 500;
 
-/// Pause after a call that failed.
-const AGAIN: Duration = Duration::from_millis(150);
+/// Wait of a watch on whose answer all other calls wait, in milliseconds.
+const TRY_WAIT_MS: u64 = 1;
 
 /// What a watch may take beyond its waiting time.
 const SLACK: Duration = Duration::from_millis(500);
@@ -54,7 +65,6 @@
 ) {
     loop {
         let Some(page) = read_all(&shared, prefix).await else {
-            sleep(AGAIN).await;
             continue;
         };
         let revision = page.revision;
@@ -83,19 +93,21 @@
     let host = shared.store.to_string();
     loop {
         held(shared, pace).await;
-        let wait_ms = wait_ms(shared, pace);
+        let pass = shared.gate.pass().await;
+        let wait_ms = if pass.tries {
+            TRY_WAIT_MS
+        } else {
+            wait_ms(shared, pace)
+        };
         let longest = Duration::from_millis(wait_ms) + SLACK;
         let request = (shared.dialect.watch)(&host, prefix, revision, wait_ms);
-        let answer = timeout(longest, whole(shared, shared.store, request, LIMIT)).await;
-        let watched = match answer {
-            Ok(Ok((status, body))) => {
-                (shared.dialect.watched)(status, &body).unwrap_or_else(|why| {
-                    unread(prefix, "the store", &why);
-                    Watched::Fault
-                })
-            }
-            _ => Watched::Fault,
-        };
+        let answer = ask(shared, pace.what.used(), pass, request, longest).await;
+        let watched = answer.map_or(Watched::Fault, |(status, body)| {
+            (shared.dialect.watched)(status, &body).unwrap_or_else(|why| {
+                unread(prefix, "the store", &why);
+                Watched::Fault
+            })
+        });
         match watched {
             Watched::Changes {
                 revision: upto,
@@ -109,7 +121,8 @@
                 }
             }
             Watched::Forgotten => return,
-            Watched::Fault => sleep(AGAIN).await,
+            // The gate holds the next call back; what can't be read is asked for anew.
+            Watched::Fault => sleep(pace.pause).await,
         }
     }
 }
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -71,6 +71,8 @@
     },
     /// Read the list whole: its changes lag.
     ReadList,
+    /// Try the store again, where it is lost: it has come back to another router.
+    TryStore,
     /// How the store is read from now on.
     Read {
         /// How often the list's changes are read.
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -9,6 +9,8 @@
 pub enum DirectEvent {
     /// A version of the routing has been read.
     Routing(Arc<Routing>),
+    /// The store answers again after it was lost.
+    StoreBack,
     /// The store was asked for a new version of the routing; any there was has been
     /// told before.
     RoutingRead,
--- a/src/logic/direct/order_result.rs
+++ b/src/logic/direct/order_result.rs
@@ -14,3 +14,17 @@
     /// No answer: it may have been taken, and may be carried out later.
     Unanswered,
 }
+
+impl OrderResult {
+    /// Its name in the metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            OrderResult::Begun => "begun",
+            OrderResult::Done => "done",
+            OrderResult::Unfit => "unfit",
+            OrderResult::Outdated => "outdated",
+            OrderResult::Gone => "gone",
+            OrderResult::Unanswered => "unanswered",
+        }
+    }
+}
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -22,6 +22,8 @@
         /// The endpoint.
         id: InstanceId,
     },
+    /// The store, which was lost, answers the sender again.
+    StoreBack,
     /// The first caller has come to the sender; for the planner.
     Traffic,
     /// What the sender and those behind it are asked for in a second; on the way to
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -131,11 +131,8 @@
     let Some(addr) = state.endpoints.get(id).map(|v| v.entry.addr) else {
         return Vec::new();
     };
-    let mut peers: Vec<SocketAddr> = state.peers.values().copied().collect();
     let mut numbers = Vec::new();
-    while !peers.is_empty() && numbers.len() < most {
-        let at = state.random(peers.len() as u64) as usize;
-        let to = peers.swap_remove(at);
+    for to in some(state, most) {
         let number = state.number();
         let message = PeerMessage::Ask {
             number,
@@ -148,6 +145,29 @@
     numbers
 }
 
+/// Routers that one tells that the store is back. Each that finds it so tells as many in
+/// turn: with three, all of 400 know after six steps, and none sends more.
+const TOLD_BACK: usize = 3;
+
+/// The store answers again: some other routers are told, each of which tries it itself.
+pub(super) fn store_back(state: &mut DirectState, out: &mut Vec<Effect>) {
+    for to in some(state, TOLD_BACK) {
+        let message = PeerMessage::StoreBack;
+        out.push(Effect::Direct(DirectEffect::Tell { to, message }));
+    }
+}
+
+/// Some other routers, drawn at random.
+fn some(state: &mut DirectState, most: usize) -> Vec<SocketAddr> {
+    let mut peers: Vec<SocketAddr> = state.peers.values().copied().collect();
+    let mut drawn = Vec::new();
+    while !peers.is_empty() && drawn.len() < most {
+        let at = state.random(peers.len() as u64) as usize;
+        drawn.push(peers.swap_remove(at));
+    }
+    drawn
+}
+
 /// Another router has said something.
 pub(super) fn said(
     state: &mut DirectState,
@@ -170,6 +190,7 @@
         PeerMessage::Demand { routers, models } => {
             demand::told(state, now, from, routers, models);
         }
+        PeerMessage::StoreBack => out.push(Effect::Direct(DirectEffect::TryStore)),
         PeerMessage::Traffic => state.plan.traffic = true,
         PeerMessage::Silent { id } => plan::suspect(state, now, &id, out),
         PeerMessage::Seen { number, sight } => plan::seen(state, number, sight),
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -26,6 +26,21 @@
     Stage(InstanceId),
 }
 
+impl OrderUse {
+    /// Its name in the metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            OrderUse::Join(_) => "join",
+            OrderUse::Open(_) => "open",
+            OrderUse::Close(_) => "close",
+            OrderUse::Leave(_) => "leave",
+            OrderUse::Break(..) => "break",
+            OrderUse::Free(_) => "free",
+            OrderUse::Stage(_) => "stage",
+        }
+    }
+}
+
 /// Gives an order to an endpoint.
 pub(super) fn give(
     state: &mut DirectState,
@@ -65,6 +80,8 @@
     let Some(used) = state.plan.orders.remove(&order) else {
         return;
     };
+    let counted = (used.name(), result.name());
+    *state.plan.counts.entry(counted).or_default() += 1;
     let taken = matches!(result, OrderResult::Begun | OrderResult::Done);
     if !taken {
         let note = Note::new(NoteCode::OrderFailed)
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use super::{Duty, Ending, Forming, Idle, LoadBudget, Look, OrderUse, Staging};
+use crate::observe::LabelledCount;
 use crate::types::{GroupSeat, InstanceId, Millis};
 
 /// What a planner knows beside the list.
@@ -38,6 +39,8 @@
     pub seats: BTreeMap<InstanceId, (GroupSeat, Arc<str>)>,
     /// Orders that haven't been answered.
     pub orders: BTreeMap<u64, OrderUse>,
+    /// Orders by what they were for and what came of them, in this life of the process.
+    pub counts: BTreeMap<(&'static str, &'static str), u64>,
     /// Loads from the weight store that may begin.
     pub budget: LoadBudget,
     /// When endpoints of engines were lost lately.
@@ -57,3 +60,16 @@
     /// Whether the whole system starts for the first time.
     pub first: bool,
 }
+
+impl PlanState {
+    /// Orders given so far, for the metrics.
+    pub fn order_counts(&self) -> impl Iterator<Item = LabelledCount> + '_ {
+        self.counts
+            .iter()
+            .map(|((cause, outcome), count)| LabelledCount {
+                name: "orders",
+                labels: [("cause", cause), ("outcome", outcome)],
+                count: *count,
+            })
+    }
+}
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -36,6 +36,7 @@
             state.digests.routing_at = now;
             routed(state, routing, out);
         }
+        DirectEvent::StoreBack => peers::store_back(state, out),
         DirectEvent::RoutingRead => state.digests.routing_at = now,
         DirectEvent::List { revision, entries } => {
             let before = state.list_revision;
--- a/src/observe/exposition.rs
+++ b/src/observe/exposition.rs
@@ -2,16 +2,21 @@
 
 use std::fmt::Write;
 
-use super::HistogramRow;
+use super::{HistogramRow, LabelledCount};
 
 /// What comes before each name.
 const PREFIX: &str = "runrail_";
 
-/// Histograms and counters by client account and class, then figures of the process.
+/// Histograms and counters by client account and class, then figures of the process, then its
+/// counters.
 ///
 /// A duration has a summary of three quantiles in milliseconds; a counter ends in
 /// `_total`.
-pub fn exposition(rows: &[HistogramRow], figures: &[(&str, u64)]) -> String {
+pub fn exposition(
+    rows: &[HistogramRow],
+    figures: &[(&str, u64)],
+    counts: &[LabelledCount],
+) -> String {
     let mut text = String::new();
     let mut last = "";
     for row in rows {
@@ -46,6 +51,23 @@
         line(&mut text, format_args!("# TYPE {PREFIX}{name} gauge"));
         line(&mut text, format_args!("{PREFIX}{name} {value}"));
     }
+    let mut last = "";
+    for count in counts {
+        let name = count.name;
+        if name != last {
+            line(
+                &mut text,
+                format_args!("# TYPE {PREFIX}{name}_total counter"),
+            );
+            last = name;
+        }
+        let [(a, x), (b, y)] = count.labels;
+        let labels = format!("{a}={x:?},{b}={y:?}");
+        line(
+            &mut text,
+            format_args!("{PREFIX}{name}_total{{{labels}}} {}", count.count),
+        );
+    }
     text
 }
 
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -3,6 +3,7 @@
 mod event_log;
 mod exposition;
 mod histograms;
+mod labelled_count;
 mod log_writer;
 mod logged_note;
 mod metrics;
@@ -10,6 +11,7 @@
 pub use event_log::EventLog;
 pub use exposition::exposition;
 pub use histograms::{HistogramRow, Histograms};
+pub use labelled_count::LabelledCount;
 pub use log_writer::{LogEnd, LogWriter};
 pub use logged_note::LoggedNote;
 pub use metrics::Metrics;
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -296,6 +296,20 @@
     assert_eq!(run(&router.ask(1, "/safe/x")).to, id);
 }
 
+#[test]
+fn word_that_the_store_is_back_spreads_and_is_tried_by_each() {
+    let mut router = Router::named("r1", &names(9), open_group("g", [1, 2, 3]));
+    router.take();
+    router.tell(DirectEvent::StoreBack);
+    let told: BTreeSet<_> = router.said().into_iter().map(|(to, _)| to).collect();
+    assert_eq!(told.len(), 3);
+    router.tell(DirectEvent::Peer {
+        from: addr(2_000),
+        message: PeerMessage::StoreBack,
+    });
+    assert_eq!(router.take(), vec![DirectEffect::TryStore]);
+}
+
 #[test]
 fn a_router_that_takes_the_duty_over_knows_what_all_are_asked_for() {
     let mut router = follower();
--- a/tests/direct/figures.rs
+++ b/tests/direct/figures.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use runrail::logic::router::Metric;
-use runrail::observe::{exposition, Metrics};
+use runrail::observe::{exposition, LabelledCount, Metrics};
 
 #[test]
 fn figures_are_told_by_account_and_class() {
@@ -14,7 +14,13 @@
         metrics.record(Metric::Total, &account, &class, ms);
     }
     metrics.record(Metric::NotRun, &account, &class, 2);
-    insta::assert_snapshot!(exposition(&metrics.rows(), &[("groups_open", 3)]), @r#"
+    let count = |outcome, count| LabelledCount {
+        name: "store_calls",
+        labels: [("use", "watch_list"), ("outcome", outcome)],
+        count,
+    };
+    let counts = [count("answered", 7), count("turned_away", 1)];
+    insta::assert_snapshot!(exposition(&metrics.rows(), &[("groups_open", 3)], &counts), @r#"
     # TYPE runrail_total_ms summary
     runrail_total_ms{account="ann",class="/stream/",quantile="0.5"} 30
     runrail_total_ms{account="ann",class="/stream/",quantile="0.95"} 401
@@ -24,5 +30,8 @@
     runrail_not_run_total{account="ann",class="/stream/"} 2
     # TYPE runrail_groups_open gauge
     runrail_groups_open 3
+    # TYPE runrail_store_calls_total counter
+    runrail_store_calls_total{use="watch_list",outcome="answered"} 7
+    runrail_store_calls_total{use="watch_list",outcome="turned_away"} 1
     "#);
 }
