Placement: two spares of a domain are worth something, more are not

Five domains of 73 get 6 x 32 + 21 x 8 with one spare each. Domains of 8, 9 and 19 are placed as before.

--- a/src/logic/direct/plan/place.rs
+++ b/src/logic/direct/plan/place.rs
@@ -11,6 +11,11 @@
 /// Worth of a spare that fits, against one whole model.
 const SPARE: f64 = 0.02;
 
+/// Spares of one domain that are worth anything: so many instances are away at a time
+/// where a domain of 8 to 73 loses one every ten seconds and a load takes 12 to 16 s.
+/// Beyond that a small group gives its members up where one is needed.
+const USEFUL_SPARES: usize = 2;
+
 /// What a second model in a domain adds: a group of one can be given up for the other
 /// where that one has lost a member. Within luck of its reverse, docs/ROUNDS.md.
 const VARIED: f64 = 0.015;
@@ -102,6 +107,6 @@
 fn room(input: &PlaceInput, mix: &[usize], n: usize) -> f64 {
     let used: usize = mix.iter().zip(&input.models).map(|(c, m)| c * m.size).sum();
     let kinds = mix.iter().filter(|c| **c > 0).count();
-    let spares = n.saturating_sub(used) as f64;
+    let spares = n.saturating_sub(used).min(USEFUL_SPARES) as f64;
     SPARE * spares.sqrt() + VARIED * kinds.saturating_sub(1) as f64
 }
