Loads: whoever hears that callers have come knows that loads are no longer cheap

Change: reports of demand and digests tell it as well, each second. Test: a_router_without_callers_knows_that_others_have_some, failed before.

--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -147,6 +147,7 @@
     routers: u64,
     models: Vec<ModelDemand>,
 ) {
+    learn_traffic(state, &models);
     let others = &mut state.demand.others;
     others.retain(|_, (at, ..)| now < *at + STALE_MS);
     others.insert(from, (now, routers, models));
@@ -159,9 +160,16 @@
     routers: u64,
     models: Vec<ModelDemand>,
 ) {
+    learn_traffic(state, &models);
     state.demand.fleet = Some((now, routers, models));
 }
 
+/// Callers have come to some router: loads are no longer cheap. The one word that tells
+/// the planner so may be lost, and doesn't reach one that takes the duty over.
+fn learn_traffic(state: &mut DirectState, models: &[ModelDemand]) {
+    state.plan.traffic |= models.iter().any(|m| m.requests > 0);
+}
+
 /// What this router and those that report to it are asked for, and how many they are.
 fn reported(state: &DirectState, now: Millis) -> (u64, Vec<ModelDemand>) {
     let fresh = state.demand.others.values();
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -332,6 +332,21 @@
     assert_eq!(sum, Some((2, 2_500_000)));
 }
 
+/// Found by the sweep: a planner that had no callers of its own took loads for cheap.
+#[test]
+fn a_router_without_callers_knows_that_others_have_some() {
+    let mut router = follower();
+    router.state().plan.first = true;
+    assert!(!router.state().plan.traffic);
+    let mut told = digest(1, FENCE, FENCE, Vec::new());
+    told.demand = vec![ModelDemand {
+        requests: 1,
+        ..ModelDemand::none(&MODEL.into())
+    }];
+    hear(&mut router, told);
+    assert!(router.state().plan.traffic);
+}
+
 /// A list entry with names as long as the longest seen so far.
 fn longest() -> (InstanceId, EndpointEntry) {
     let (_, mut entry) = engine(
