Planner at scale: trades weighed a few places a look; loads in advance taken back

Change: eight places a look, in turn, and none where no trade may be made; the curve of a need ends where a group more adds nothing.

--- a/src/logic/direct/plan/model_load.rs
+++ b/src/logic/direct/plan/model_load.rs
@@ -6,6 +6,13 @@
 //! from how long passes are against the pauses that callers bear, not from how busy a
 //! group is: at the same use a model with long prompts is late far more often.
 
+/// Part served from which on a group more is reckoned with only where it adds something:
+/// below it a few groups may add nothing that more of them do.
+const NEARLY_ALL: f64 = 0.9;
+
+/// What one more group must add there, as a part of what is asked for.
+const LEAST_GAIN: f64 = 1e-4;
+
 /// Part of the requests, in steps, that a group may be given: what is more is refused.
 /// Routers limit what they send to a head in the same way.
 const STEPS: u32 = 10;
@@ -66,6 +73,21 @@
         (1..=STEPS).map(with).fold(0.0, f64::max)
     }
 
+    /// What so many groups serve, from none up to as many as add anything.
+    pub(super) fn curve(&self, most: usize) -> Vec<f64> {
+        let mut curve = vec![0.0];
+        let mut last = 0.0;
+        for groups in 1..=most {
+            let served = self.served(groups);
+            curve.push(served);
+            if last > NEARLY_ALL && served - last < LEAST_GAIN {
+                break;
+            }
+            last = served;
+        }
+        curve
+    }
+
     /// Mean credit of a request where one group gets so many in a second.
     fn credit(&self, rate: f64) -> f64 {
         let a_ms = rate / 1_000.0;
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -50,6 +50,8 @@
     pub traded: Millis,
     /// The group that was last traded in each service and domain.
     pub trades: BTreeMap<Place, Arc<str>>,
+    /// The last place in which trades were weighed; none once all have been.
+    pub weighed: Option<Place>,
     /// Groups named so far under this fence.
     pub named: u64,
     /// Endpoints of engines at the last look, and when their number last changed.
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -117,11 +117,10 @@
         };
         loop {
             let busy = state.plan.staging.len() as u32 >= cover.engine.loads_at_once;
-            if (busy && !fill::cheap(state)) || !room(state, &cover.engine) {
+            if busy || !room(state, &cover.engine) {
                 break;
             }
-            let least = least_value(state);
-            let Some((id, m)) = best_load(state, &service, &cover, &free, least) else {
+            let Some((id, m)) = best_load(state, &service, &cover, &free) else {
                 break;
             };
             let Some(domain) = state.endpoints.get(&id).map(|v| v.entry.domain.clone()) else {
@@ -137,24 +136,12 @@
     }
 }
 
-/// What a load must add at least. While loads are cheap each host gets a second model: a
-/// survivor of any group can then serve either, where a load later takes longer than
-/// instances live between two deaths.
-fn least_value(state: &DirectState) -> f64 {
-    if fill::cheap(state) {
-        f64::NEG_INFINITY
-    } else {
-        LEAST_VALUE
-    }
-}
-
-/// The endpoint and the model whose load adds most, if any adds more than `least`.
+/// The endpoint and the model whose load adds most, if any adds enough.
 fn best_load(
     state: &DirectState,
     service: &Arc<str>,
     cover: &Cover,
     free: &BTreeSet<InstanceId>,
-    least: f64,
 ) -> Option<(InstanceId, usize)> {
     let mut best: Option<(f64, InstanceId, usize)> = None;
     for (id, view) in &state.endpoints {
@@ -172,7 +159,7 @@
                 continue;
             }
             let value = cover.value(&view.entry.domain, m, free.contains(id));
-            if value > best.as_ref().map_or(least, |b| b.0) {
+            if value > best.as_ref().map_or(LEAST_VALUE, |b| b.0) {
                 best = Some((value, id.clone(), m));
             }
         }
--- a/src/logic/direct/plan/trade.rs
+++ b/src/logic/direct/plan/trade.rs
@@ -32,6 +32,10 @@
 /// fleet of 26 groups hardly ever traded, with any number a fleet of six lost 0.02.
 const UNDER_WAY: usize = 10;
 
+/// Places that are weighed in one look, in turn: with all of 375 the planner had no time
+/// left to ask after endpoints, and took those that it hadn't heard for lost.
+const PLACES: usize = 8;
+
 /// Looks for a group to trade in each place where nothing else is being done, and little
 /// in others.
 pub(super) fn trades(
@@ -45,9 +49,18 @@
     if under_way * UNDER_WAY > all {
         return;
     }
+    if now < state.plan.traded + TRADES_MS || !may_trade(state, now) {
+        return;
+    }
     let busy = busy(state);
-    for (place, free) in survey::free(state) {
-        if busy.contains(&place) {
+    let free = survey::free(state);
+    let last = state.plan.weighed.take();
+    let behind = free
+        .iter()
+        .filter(|(p, _)| last.as_ref().is_none_or(|l| *p > l));
+    for (place, free) in behind.take(PLACES) {
+        state.plan.weighed = Some(place.clone());
+        if busy.contains(place) {
             continue;
         }
         let Some(engine) = fill::engine(state, &place.0) else {
@@ -56,8 +69,8 @@
         let counts = view.counts(&place.0);
         let value = worth(view.needs(&place.0), &counts)(&vec![0; engine.models.len()]);
         let at = Offer {
-            place: &place,
-            free: &free,
+            place,
+            free,
             engine: &engine,
         };
         if trade(state, now, view, &at, value, out) {
@@ -66,6 +79,12 @@
     }
 }
 
+/// Whether trades are weighed at all: not before demand is known.
+fn may_trade(state: &DirectState, now: Millis) -> bool {
+    let known = demand::known(state, now) || !state.knobs.on(Mechanism::Demand);
+    known && state.knobs.on(Mechanism::Trades)
+}
+
 /// Places in which a group is being formed or given up.
 fn busy(state: &DirectState) -> BTreeSet<Place> {
     let plan = &state.plan;
@@ -97,11 +116,7 @@
         free,
         engine,
     } = *at;
-    let known = demand::known(state, now) || !state.knobs.on(Mechanism::Demand);
-    if !state.knobs.on(Mechanism::Trades) {
-        return false;
-    }
-    if now < state.plan.traded + TRADES_MS || !known {
+    if now < state.plan.traded + TRADES_MS || !may_trade(state, now) {
         return false;
     }
     let counts = view.counts(&place.0);
--- a/src/logic/direct/plan/value.rs
+++ b/src/logic/direct/plan/value.rs
@@ -113,7 +113,7 @@
         let weight = ASKED * asked.value as f64 / value as f64 + (1.0 - ASKED) * share;
         let load = load(engine, m, asked, deaths);
         let most = state.plan.most / m.size;
-        ModelNeed::new(weight, (0..=most).map(|n| load.served(n)).collect())
+        ModelNeed::new(weight, load.curve(most))
     };
     engine.models.iter().map(need).collect()
 }
