Digests in parts, fewer calls when many start, pages that go on where one failed

Who was told goes on reading from there (it reads the list whole before it plans), after a random pause. A store that takes no more calls in this second is no lost one: the call is made again after a pause; a failed page is read again alone; a page may take 3 s. The gate's longest pause is 1 s (was 2.5 s).

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -147,7 +147,8 @@
             DirectEffect::Tell { to, message } => peers::tell(&self.shared, to, &message),
             DirectEffect::TryStore => self.shared.gate.hint(),
             DirectEffect::ReadList => self.shared.list_anew.notify_one(),
-            DirectEffect::Read { list, hold } => {
+            DirectEffect::Read { list, hold, upto } => {
+                self.shared.told_upto.set(upto);
                 self.shared.list_pace.set(list);
                 self.shared.hold_routing.set(hold);
                 self.shared.pace_changed.notify_waiters();
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -64,6 +64,7 @@
         stop: Notify::new(),
         list_anew: Notify::new(),
         list_pace: Cell::new(ListPace::Rest),
+        told_upto: Cell::new(0),
         hold_routing: Cell::new(false),
         pace_changed: Notify::new(),
         watch_own: (Cell::new(0), Notify::new()),
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -60,6 +60,8 @@
     pub list_anew: Notify,
     /// How often changes of the list are read.
     pub list_pace: Cell<ListPace>,
+    /// Revision up to which the planner has told of the list.
+    pub told_upto: Cell<i64>,
     /// Whether the routing is left alone.
     pub hold_routing: Cell<bool>,
     /// Told when either of the two has changed.
--- a/src/link/store.rs
+++ b/src/link/store.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::looks::{unread, whole};
 use super::shared::Shared;
@@ -20,17 +20,27 @@
 /// Longest time for a call.
 const CALL: Duration = Duration::from_millis(1_000);
 
-/// Answers by which a store says that it takes no calls now, or not so many.
-const TURNED_AWAY: [StatusCode; 2] = [
-    StatusCode::SERVICE_UNAVAILABLE,
-    StatusCode::TOO_MANY_REQUESTS,
-];
+/// Longest time for a page of keys: 300 routers that start together take the store's link
+/// half a second for each, and what is given up is sent again.
+const PAGE: Duration = Duration::from_millis(3_000);
+
+/// Answer by which a store says that it takes no calls now.
+const AWAY: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+
+/// Answer by which it says that it takes no more calls in this second.
+const CROWDED: StatusCode = StatusCode::TOO_MANY_REQUESTS;
+
+/// Times that a call is made again for that, and the longest pause before each, beside the
+/// one by the number of routers: 300 routers that read a list of 3,000 at once take a
+/// store of 2,000 calls a second for two seconds.
+const CROWDED_TRIES: u32 = 8;
+const CROWDED_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest answer, in bytes.
 const LIMIT: usize = 64 * 1024 * 1024;
 
-/// Most pages of one reading.
-const PAGES: usize = 10_000;
+/// Failures of pages after which a reading begins anew.
+const PAGE_FAILURES: u32 = 5;
 
 /// Makes a call and tells the reducer what came of it.
 pub(super) fn start(shared: &Rc<Shared>, call: CallId, op: StoreCall) {
@@ -81,22 +91,41 @@
     pass: Pass<'_>,
     request: Request<Full<Bytes>>,
     longest: Duration,
+) -> Option<(StatusCode, Bytes)> {
+    let mut answer = once(shared, what, request.clone(), longest).await;
+    let away = |(status, _): &(StatusCode, Bytes)| *status == AWAY;
+    let there = answer.as_ref().is_some_and(|a| !away(a));
+    if pass.end(there, shared.routers.get()) {
+        shared.tell(DirectEvent::StoreBack);
+    }
+    for _ in 0..CROWDED_TRIES {
+        if answer.as_ref().is_none_or(|(s, _)| *s != CROWDED) {
+            break;
+        }
+        let most = CROWDED_PAUSE + shared.spread();
+        sleep(most.mul_f64(fastrand::f64())).await;
+        answer = once(shared, what, request.clone(), longest).await;
+    }
+    answer.filter(|a| !away(a) && a.0 != CROWDED)
+}
+
+/// Sends one call and counts it by what came of it.
+async fn once(
+    shared: &Shared,
+    what: StoreUse,
+    request: Request<Full<Bytes>>,
+    longest: Duration,
 ) -> Option<(StatusCode, Bytes)> {
     let answer = timeout(longest, whole(shared, shared.store, request, LIMIT)).await;
     let answer = answer.ok().and_then(Result::ok);
-    let away = |s: StatusCode| TURNED_AWAY.contains(&s);
     let outcome = match &answer {
         None => "unanswered",
-        Some((status, _)) if away(*status) => "turned_away",
+        Some((AWAY, _)) => "turned_away",
+        Some((CROWDED, _)) => "crowded",
         Some(_) => "answered",
     };
     let mut calls = shared.calls.borrow_mut();
     *calls.entry((what.name(), outcome)).or_default() += 1;
-    drop(calls);
-    let answer = answer.filter(|(status, _)| !away(*status));
-    if pass.end(answer.is_some(), shared.routers.get()) {
-        shared.tell(DirectEvent::StoreBack);
-    }
     answer
 }
 
@@ -104,16 +133,22 @@
 pub(super) async fn read_all(shared: &Shared, prefix: &str) -> Option<Page> {
     let host = shared.store.to_string();
     let mut all = Page::default();
-    for n in 0..PAGES {
+    let mut failures = 0;
+    while failures < PAGE_FAILURES {
         let after = all.entries.last().map(|e| e.key.clone());
         let request = (shared.dialect.page)(&host, prefix, after.as_deref());
         let pass = shared.gate.pass().await;
-        let (status, body) = ask(shared, StoreUse::Whole, pass, request, CALL).await?;
+        let answer = ask(shared, StoreUse::Whole, pass, request, PAGE).await;
+        let Some((status, body)) = answer else {
+            // What has been read so far needn't be read again.
+            failures += 1;
+            continue;
+        };
         let page = (shared.dialect.paged)(status, &body).unwrap_or_else(|why| {
             unread(prefix, "the store", &why);
             None
         })?;
-        if n == 0 {
+        if all.entries.is_empty() {
             all.revision = page.revision;
         }
         let empty = page.entries.is_empty();
--- a/src/link/store_gate.rs
+++ b/src/link/store_gate.rs
@@ -13,15 +13,15 @@
 /// everyday thing.
 const LOST: u32 = 2;
 
-/// What each router adds to the longest pause, so that all together try about 20 times a
+/// What each router adds to the longest pause, so that all together try about 100 times a
 /// second, however many they are.
-const BY_ROUTER: Duration = Duration::from_millis(100);
+const BY_ROUTER: Duration = Duration::from_millis(20);
 
 /// Bounds of the longest pause. The upper one and a reading lie within the shortest time
-/// that operators publish for being in touch again, 3 s; others tell of the store's return
-/// well before that.
+/// that operators publish for being in touch again, 3 s. With 2.5 s a store that is merely
+/// slow, as 300 routers read all of it at once, kept them waiting for up to 30 s.
 const SHORTEST_CAP: Duration = Duration::from_millis(600);
-const LONGEST_CAP: Duration = Duration::from_millis(2_500);
+const LONGEST_CAP: Duration = Duration::from_millis(1_000);
 
 /// Lets calls to the store through; while it fails, one try at a time.
 ///
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -92,7 +92,7 @@
 ) {
     let host = shared.store.to_string();
     loop {
-        held(shared, pace).await;
+        held(shared, pace, &mut revision).await;
         let pass = shared.gate.pass().await;
         let wait_ms = if pass.tries {
             TRY_WAIT_MS
@@ -131,7 +131,8 @@
 const MANY: usize = 200;
 
 /// Waits for as long as the planner's word stands in for this watch.
-async fn held(shared: &Shared, pace: WatchPace) {
+async fn held(shared: &Shared, pace: WatchPace, revision: &mut i64) {
+    let mut waited = false;
     loop {
         let changed = shared.pace_changed.notified();
         let held = match pace.what {
@@ -140,10 +141,21 @@
             Watch::Own => false,
         };
         if !held {
-            return;
+            break;
         }
+        waited = true;
         changed.await;
     }
+    let list = matches!(pace.what, Watch::List(_));
+    if !waited || !list {
+        return;
+    }
+    // What was told need not be read; the reducer knows what it lacks then.
+    *revision = shared.told_upto.get().max(*revision);
+    if shared.list_pace.get() != ListPace::Often {
+        // The planner's word has ended for all at once.
+        sleep(shared.spread().mul_f64(fastrand::f64())).await;
+    }
 }
 
 /// How long the store may hold the next call back.
--- a/src/logic/direct/digest_state.rs
+++ b/src/logic/direct/digest_state.rs
@@ -30,6 +30,9 @@
     pub taken: u64,
     /// Revision up to which all that decides was read or heard.
     pub upto: i64,
+    /// Whether reading has gone on behind something that was only told: the list has to be
+    /// read whole before this router plans.
+    pub skipped: bool,
     /// Until when what was heard stands in for reading the list.
     pub list_until: Millis,
     /// Until when it stands in for reading the routing.
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -29,15 +29,19 @@
 
 /// Remembers a change of the list that decides where requests go.
 pub(super) fn note(state: &mut DirectState, news: EntryNews) {
-    state.digests.open.push(news);
+    // What the first reading shows is no change.
+    if state.listed_once {
+        state.digests.open.push(news);
+    }
 }
 
 /// Remembers an endpoint that heads a group by its own word, before the list shows it.
 pub(super) fn opened(state: &mut DirectState, now: Millis, id: &InstanceId) {
-    let Some(entry) = state.endpoints.get(id).map(|v| v.entry.clone()) else {
+    let Some(view) = state.endpoints.get(id) else {
         return;
     };
-    note(state, EntryNews::Listed(id.clone(), entry));
+    let news = EntryNews::changed(id, &view.entry);
+    note(state, news);
     let known = state.list_revision;
     close(state, now, known, known);
 }
@@ -83,55 +87,104 @@
 }
 
 fn send(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    let digests = &mut state.digests;
-    digests.number += 1;
-    digests.sent = now;
-    digests.changed = false;
-    let recent = &digests.recent;
-    let all = recent
-        .iter()
-        .flat_map(|(_, _, upto, news)| news.iter().map(|n| (*upto, n)));
-    let mut news = Vec::new();
-    let mut bytes = 0;
-    for (upto, one) in all.rev() {
-        bytes += one.bytes();
-        if bytes > NEWS_BYTES {
-            break;
-        }
-        news.push((upto, one.clone()));
-    }
-    news.reverse();
-    let upto = state.list_revision;
-    let (told, models) = demand::sum(state, now);
-    let digests = &state.digests;
-    let digest = Digest {
-        root: state.me.clone(),
-        fence: state.plan.duty.fence,
-        number: digests.number,
-        tree: 0,
-        from: digests
-            .recent
-            .front()
-            .map_or(upto, |(_, before, ..)| *before),
-        upto,
-        whole: bytes <= NEWS_BYTES,
-        list_age: now.saturating_sub(digests.list_at),
-        routing: version(state),
-        routing_age: now.saturating_sub(digests.routing_at),
-        told,
-        demand: models,
-        news,
-    };
-    for tree in 0..tree::TREES {
-        pass_on(
-            state,
-            &Digest {
+    state.digests.sent = now;
+    state.digests.changed = false;
+    let (told, demand) = demand::sum(state, now);
+    for part in parts(state) {
+        state.digests.number += 1;
+        let digests = &state.digests;
+        let digest = Digest {
+            root: state.me.clone(),
+            fence: state.plan.duty.fence,
+            number: digests.number,
+            tree: 0,
+            from: part.from,
+            upto: part.upto,
+            whole: part.whole,
+            list_age: now.saturating_sub(digests.list_at),
+            routing: version(state),
+            routing_age: now.saturating_sub(digests.routing_at),
+            told,
+            demand: demand.clone(),
+            news: part.news,
+        };
+        for tree in 0..tree::TREES {
+            let digest = Digest {
                 tree,
                 ..digest.clone()
-            },
-            out,
-        );
+            };
+            pass_on(state, &digest, out);
+        }
+    }
+}
+
+/// News that go in one digest.
+struct Part {
+    from: i64,
+    upto: i64,
+    whole: bool,
+    bytes: usize,
+    news: Vec<(i64, EntryNews)>,
+}
+
+impl Part {
+    /// A part without news, behind a revision.
+    fn behind(revision: i64) -> Self {
+        Self {
+            from: revision,
+            upto: revision,
+            whole: true,
+            bytes: 0,
+            news: Vec::new(),
+        }
+    }
+}
+
+/// Most digests that go at once. What doesn't fit is a gap, and others read the list: at
+/// 3,000 endpoints that started together the planner did nothing but tell.
+const PARTS: usize = 3;
+
+/// The latest news, as many readings of the list in one digest as fit. What was read at
+/// once goes together or is cut: then others read the list themselves.
+fn parts(state: &DirectState) -> Vec<Part> {
+    let size = |news: &[EntryNews]| news.iter().map(EntryNews::bytes).sum::<usize>();
+    let recent = &state.digests.recent;
+    let mut room = PARTS * NEWS_BYTES;
+    let fits = recent.iter().rev().take_while(|(.., news)| {
+        let bytes = size(news).min(NEWS_BYTES);
+        let fits = bytes <= room;
+        room = room.saturating_sub(bytes);
+        fits
+    });
+    let skipped = recent.len() - fits.count();
+    let mut parts: Vec<Part> = Vec::new();
+    for (_, before, after, news) in recent.iter().skip(skipped) {
+        let bytes = size(news);
+        let open = parts.last_mut().filter(|p| p.bytes + bytes <= NEWS_BYTES);
+        let part = match open {
+            Some(part) => part,
+            None => {
+                parts.push(Part::behind(*before));
+                let last = parts.len() - 1;
+                &mut parts[last]
+            }
+        };
+        part.upto = part.upto.max(*after);
+        part.bytes += bytes;
+        part.whole = part.bytes <= NEWS_BYTES;
+        let mut room = NEWS_BYTES;
+        for one in news.iter().take_while(|n| {
+            let fits = n.bytes() <= room;
+            room = room.saturating_sub(n.bytes());
+            fits
+        }) {
+            part.news.push((*after, one.clone()));
+        }
     }
+    if parts.is_empty() {
+        parts.push(Part::behind(state.list_revision));
+    }
+    parts
 }
 
 fn version(state: &DirectState) -> u64 {
@@ -176,10 +229,11 @@
 fn take_in(state: &mut DirectState, now: Millis, digest: Digest, out: &mut Vec<Effect>) {
     state.digests.taken = digest.number;
     let known = state.digests.upto;
+    let mut whole = digest.whole && digest.from <= known;
     for (revision, news) in digest.news {
-        endpoints::told(state, now, news, revision > known, out);
+        whole &= endpoints::told(state, now, news, revision > known, out);
     }
-    if digest.whole && digest.from <= known {
+    if whole {
         close(state, now, known, known.max(digest.upto));
         state.digests.upto = known.max(digest.upto);
         state.digests.list_until = (now + HOLDS_MS).saturating_sub(digest.list_age);
@@ -204,8 +258,17 @@
     };
     let hold = !plans && now < state.digests.routing_until;
     if state.digests.pace != Some(pace) || state.digests.hold != hold {
+        if state.digests.pace == Some(ListPace::Told) {
+            // What decides nothing was not told: members' places, what hosts keep.
+            state.digests.skipped = true;
+        }
         state.digests.pace = Some(pace);
         state.digests.hold = hold;
-        out.push(Effect::Direct(DirectEffect::Read { list: pace, hold }));
+        let upto = state.digests.upto;
+        out.push(Effect::Direct(DirectEffect::Read {
+            list: pace,
+            hold,
+            upto,
+        }));
     }
 }
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -79,6 +79,9 @@
         list: ListPace,
         /// Whether the routing is left alone, as the planner tells of a new one.
         hold: bool,
+        /// Revision of the list up to which the planner has told what decides: where
+        /// reading was left to it, it goes on from there.
+        upto: i64,
     },
     /// Take no more connections, and close those that rest.
     CloseDoors,
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -2,7 +2,7 @@
 
 use super::{digests, limit, plan, DirectState, EndpointView, EntryNews, LookResult, Sight};
 use crate::logic::{Effect, Note, NoteCode};
-use crate::types::{EndpointEntry, InstanceId, Millis};
+use crate::types::{EndpointEntry, GroupSeat, InstanceId, Millis};
 
 /// Time that an endpoint which has left the list is remembered.
 const REMEMBERED_MS: Millis = 15_000;
@@ -34,6 +34,12 @@
         changed(state, now, id, Some(entry), out);
     }
     state.listed_once = true;
+    let heads = state.endpoints.values().filter(|v| v.listed && v.heads());
+    let note = Note::new(NoteCode::ListRead)
+        .with("revision", state.list_revision)
+        .with("endpoints", named.len())
+        .with("heads", heads.count());
+    out.push(Effect::Note(note));
 }
 
 /// One entry of the list has changed, or has gone.
@@ -57,11 +63,14 @@
     };
     let entry = plan::corrected(state, &id, entry);
     let Some(view) = state.endpoints.get_mut(&id) else {
-        let note = Note::new(NoteCode::EndpointListed)
-            .with("endpoint", &id)
-            .with("domain", &entry.domain)
-            .with("service", &entry.service);
-        out.push(Effect::Note(note));
+        // What the first reading shows is one event, not one for each endpoint.
+        if state.listed_once {
+            let note = Note::new(NoteCode::EndpointListed)
+                .with("endpoint", &id)
+                .with("domain", &entry.domain)
+                .with("service", &entry.service);
+            out.push(Effect::Note(note));
+        }
         digests::note(state, EntryNews::Listed(id.clone(), entry.clone()));
         let view = EndpointView {
             new: state.listed_once,
@@ -70,8 +79,11 @@
         state.endpoints.insert(id, view);
         return;
     };
-    let decisive = EntryNews::decisive(&view.entry, &entry) || !view.listed;
-    let news = decisive.then(|| EntryNews::Listed(id.clone(), entry.clone()));
+    let news = if view.listed {
+        EntryNews::of(&id, &view.entry, &entry)
+    } else {
+        Some(EntryNews::Listed(id.clone(), entry.clone()))
+    };
     if entry.leaving && !view.entry.leaving {
         out.push(Effect::Note(
             Note::new(NoteCode::EndpointLeaving).with("endpoint", &id),
@@ -102,25 +114,54 @@
 /// The planner has told of an entry; with `later` it is of a later revision than what
 /// this router knows of the list. An entry with more heartbeats or in a later group is
 /// newer in any case: the planner may know of a group before the list shows it.
+///
+/// False where it is about an endpoint that this router should know of and doesn't.
 pub(super) fn told(
     state: &mut DirectState,
     now: Millis,
     news: EntryNews,
     later: bool,
     out: &mut Vec<Effect>,
-) {
+) -> bool {
     let known = state.endpoints.get(news.id()).filter(|v| v.listed);
+    let older = known.map(|v| (v.entry.clone(), v.epoch()));
+    let newer = |beats: u64, seat: &Option<GroupSeat>| {
+        let epoch = seat.as_ref().map_or(0, |s| s.epoch);
+        let past = |(e, at): &(EndpointEntry, u64)| beats > e.beats || epoch > *at;
+        older.as_ref().map_or(later, past)
+    };
     match news {
         EntryNews::Gone(id) if later => changed(state, now, id, None, out),
         EntryNews::Gone(_) => {}
         EntryNews::Listed(id, entry) => {
-            let epoch = entry.seat.as_ref().map_or(0, |s| s.epoch);
-            let newer = |v: &EndpointView| entry.beats > v.entry.beats || epoch > v.epoch();
-            if known.map_or(later, newer) {
+            if newer(entry.beats, &entry.seat) {
                 changed(state, now, id, Some(entry), out);
             }
         }
+        EntryNews::Changed {
+            id,
+            beats,
+            leaving,
+            model,
+            seat,
+        } => {
+            if !newer(beats, &seat) {
+                return true;
+            }
+            let Some((older, _)) = older else {
+                return false;
+            };
+            let entry = EndpointEntry {
+                beats,
+                leaving,
+                model,
+                seat,
+                ..older
+            };
+            changed(state, now, id, Some(entry), out);
+        }
     }
+    true
 }
 
 /// Forgets endpoints that left the list long ago.
--- a/src/logic/direct/plan/duty.rs
+++ b/src/logic/direct/plan/duty.rs
@@ -14,8 +14,16 @@
 /// Pause after a call that failed.
 const PAUSE_MS: Millis = 200;
 
-/// Most of a random pause before the free duty is taken.
+/// Most of a random pause before the free duty is taken: so much, and for each router a
+/// call's time more, so that a few try at once however many there are. 52 routers that
+/// all tried made 150 calls for each planner that was lost.
 const JITTER_MS: u64 = 60;
+const JITTER_BY_ROUTER_MS: u64 = 4;
+
+fn jitter(state: &mut DirectState) -> Millis {
+    let most = JITTER_MS + JITTER_BY_ROUTER_MS * state.peers.len() as u64;
+    state.random(most)
+}
 
 /// State of the planner's lease, as far as this router knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -150,6 +158,7 @@
     if let (DutyCall::Read, Ok(StoreReply::Entries { entries, .. })) = (what, &result) {
         peers::read(state, entries);
     }
+    let pause = jitter(state);
     let duty = &mut state.plan.duty;
     match (what, result) {
         (DutyCall::Read, Ok(StoreReply::Entries { revision, entries })) => {
@@ -157,6 +166,7 @@
             let found = entries.into_iter().find(|e| e.key == KEY);
             duty.revision = found.as_ref().map_or(0, |e| e.revision);
             duty.holder = found.map(|e| e.value);
+            duty.next_at = now + pause;
             out.push(Effect::Watch { from: revision + 1 });
         }
         (DutyCall::Grant(at), Ok(StoreReply::Lease { lease, ttl_s })) => {
@@ -196,7 +206,7 @@
     now: Millis,
     changes: &[StoreChange],
 ) {
-    let jitter = state.random(JITTER_MS);
+    let pause = jitter(state);
     let me = state.me.to_string();
     let duty = &mut state.plan.duty;
     for change in changes.iter().filter(|c| c.key == KEY) {
@@ -212,7 +222,7 @@
             duty.lease = None;
         }
         if duty.holder.is_none() && duty.fence == 0 {
-            duty.next_at = now + jitter;
+            duty.next_at = now + pause;
         }
     }
 }
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -49,7 +49,8 @@
 
 /// Whether the list is as new as the duty: what earlier planners did is in it then.
 fn is_read(state: &DirectState) -> bool {
-    state.listed && state.list_revision >= state.plan.duty.fence as i64
+    let whole = state.listed && !state.digests.skipped;
+    whole && state.list_revision >= state.plan.duty.fence as i64
 }
 
 /// Has the list read whole where its changes lag behind the duty: in a large fleet
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -42,6 +42,7 @@
             let before = state.list_revision;
             state.list_revision = before.max(revision);
             endpoints::listed(state, now, entries, out);
+            state.digests.skipped = false;
             digests::list_read(state, now, before, revision);
         }
         DirectEvent::Changes { revision, changes } => {
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -131,6 +131,7 @@
     EndpointLost = 615 Warn "endpoint lost";
     EndpointFound = 616 Info "lost endpoint answers again";
     EntryUnread = 617 Warn "entry of the list can't be read";
+    ListRead = 618 Info "list read whole";
     DutyTaken = 620 Info "planner's duty taken";
     DutyLost = 621 Warn "planner's duty lost";
     GroupForming = 630 Info "group is being formed";
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -48,6 +48,10 @@
 /// Shortest wait of a watch, in milliseconds: ten calls a second of each router.
 const SHORTEST_WAIT: u64 = 100;
 
+/// Pause after a change of the routers' own keys: routers that start together write
+/// theirs within it. A planner's end that falls into it is seen so much later.
+const OWN_PAUSE: Duration = Duration::from_millis(300);
+
 /// Longest wait of a watch, in milliseconds.
 const LONGEST_WAIT: u64 = 30_000;
 
@@ -130,8 +134,8 @@
     pub(crate) fn own_pace(&self) -> WatchPace {
         WatchPace {
             wait_ms: (self.watch_ms * OWN_WAIT).min(LONGEST_WAIT),
+            pause: OWN_PAUSE,
             what: Watch::Own,
-            ..self.routing_pace()
         }
     }
 
