Watches: heartbeats of a large fleet are no backlog

Ruled out: tries at the store (18 routers lost it for 10 s and found it at once), gaps between digests, changes of the duty (two). Change: more changes wait only behind an answer as long as the one before, as one that is cut at a bound is. Test: many_changes_alone_are_no_backlog, failed before.

--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -5,6 +5,7 @@
 //! the wire comes from a [`Dialect`]; this module knows no platform by name.
 
 mod answer_body;
+mod backlog;
 mod callers;
 mod dialect;
 mod direct_actor;
@@ -26,6 +27,7 @@
 mod watched;
 mod watches;
 
+pub use backlog::more_wait;
 pub use dialect::Dialect;
 pub use event_splitter::{EventSplitter, SplitEvent};
 pub use page::Page;
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::{sleep, timeout};
 
+use super::backlog::more_wait;
 use super::looks::unread;
 use super::shared::Shared;
 use super::store::{ask, read_all};
@@ -91,6 +92,7 @@
     changed: &mut impl FnMut(i64, Vec<StoreChange>),
 ) {
     let host = shared.store.to_string();
+    let mut before = 0;
     loop {
         held(shared, pace, &mut revision).await;
         let pass = shared.gate.pass().await;
@@ -117,8 +119,9 @@
                 let count = changes.len();
                 changed(upto, changes);
                 if count > 0 {
-                    rest(shared, pace, count).await;
+                    rest(shared, pace, more_wait(count, before)).await;
                 }
+                before = count;
             }
             Watched::Forgotten => return,
             // The gate holds the next call back; what can't be read is asked for anew.
@@ -127,9 +130,6 @@
     }
 }
 
-/// Changes in one answer from which on more are likely to wait.
-const MANY: usize = 200;
-
 /// Waits for as long as the planner's word stands in for this watch.
 async fn held(shared: &Shared, pace: WatchPace, revision: &mut i64) {
     let mut waited = false;
@@ -167,14 +167,14 @@
     }
 }
 
-/// Pauses between two readings of a watch; only shortly where many changes came.
-async fn rest(shared: &Shared, pace: WatchPace, count: usize) {
+/// Pauses between two readings of a watch; only shortly where more changes wait.
+async fn rest(shared: &Shared, pace: WatchPace, more: bool) {
     let shortest = pace.pause.max(shared.spread());
     sleep(shortest).await;
     let Watch::List(longest) = pace.what else {
         return;
     };
-    if shared.list_pace.get() == ListPace::Often || count >= MANY {
+    if shared.list_pace.get() == ListPace::Often || more {
         return;
     }
     if let Some(left) = longest.checked_sub(shortest) {
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -471,3 +471,12 @@
     }
     assert!(cut > 0);
 }
+
+/// Found on the large site: every heartbeat of a large fleet within one rest.
+#[test]
+fn many_changes_alone_are_no_backlog() {
+    use runrail::link::more_wait;
+    assert!(!more_wait(405, 398), "a fleet that beats");
+    assert!(more_wait(500, 500), "answers that are cut at a bound");
+    assert!(!more_wait(3, 3));
+}
