Store: one that stays crowded is a loss like any other; digests in files of their own

Change: a call that stays crowded after its tries counts as failed; then one call at a time tries, without repeats. The parts of digests and batches of news have files of their own.

--- a/src/link/store.rs
+++ b/src/link/store.rs
@@ -27,7 +27,9 @@
 /// Answer by which a store says that it takes no calls now.
 const AWAY: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 
-/// Answer by which it says that it takes no more calls in this second.
+/// Answer by which it says that it takes no more calls in this second. A store may also
+/// turn a router away for good with it, so that one which stays is a loss like any other:
+/// 18 routers that took it for passing made 1,000 calls a second.
 const CROWDED: StatusCode = StatusCode::TOO_MANY_REQUESTS;
 
 /// Times that a call is made again for that, and the longest pause before each, beside the
@@ -92,13 +94,9 @@
     request: Request<Full<Bytes>>,
     longest: Duration,
 ) -> Option<(StatusCode, Bytes)> {
+    let tries = if pass.tries { 0 } else { CROWDED_TRIES };
     let mut answer = once(shared, what, request.clone(), longest).await;
-    let away = |(status, _): &(StatusCode, Bytes)| *status == AWAY;
-    let there = answer.as_ref().is_some_and(|a| !away(a));
-    if pass.end(there, shared.routers.get()) {
-        shared.tell(DirectEvent::StoreBack);
-    }
-    for _ in 0..CROWDED_TRIES {
+    for _ in 0..tries {
         if answer.as_ref().is_none_or(|(s, _)| *s != CROWDED) {
             break;
         }
@@ -106,7 +104,11 @@
         sleep(most.mul_f64(fastrand::f64())).await;
         answer = once(shared, what, request.clone(), longest).await;
     }
-    answer.filter(|a| !away(a) && a.0 != CROWDED)
+    let answer = answer.filter(|(s, _)| *s != AWAY && *s != CROWDED);
+    if pass.end(answer.is_some(), shared.routers.get()) {
+        shared.tell(DirectEvent::StoreBack);
+    }
+    answer
 }
 
 /// Sends one call and counts it by what came of it.
--- /dev/null
+++ b/src/logic/direct/digest_part.rs
@@ -0,0 +1,79 @@
+//! Divides news among digests that fit a datagram each.
+
+use std::collections::VecDeque;
+
+use super::{EntryNews, NewsBatch};
+
+/// Bytes of news in one digest, which leaves room for the rest of a datagram.
+const NEWS_BYTES: usize = 1_000;
+
+/// Most digests that go at once. What doesn't fit is a gap, and others read the list.
+const PARTS: usize = 3;
+
+/// News that go in one digest.
+pub(super) struct DigestPart {
+    /// Revision of the list behind which they begin.
+    pub from: i64,
+    /// Revision up to which they go.
+    pub upto: i64,
+    /// Whether they are all there.
+    pub whole: bool,
+    /// Bytes that all of them would take.
+    bytes: usize,
+    /// The news, with the revision by which each had come.
+    pub news: Vec<(i64, EntryNews)>,
+}
+
+impl DigestPart {
+    /// A part without news, behind a revision.
+    fn behind(revision: i64) -> Self {
+        Self {
+            from: revision,
+            upto: revision,
+            whole: true,
+            bytes: 0,
+            news: Vec::new(),
+        }
+    }
+
+    /// Adds what came with one reading, as far as there is room.
+    fn add(&mut self, batch: &NewsBatch) {
+        self.upto = self.upto.max(batch.after);
+        for one in &batch.news {
+            self.bytes += one.bytes();
+            self.whole &= self.bytes <= NEWS_BYTES;
+            if self.whole {
+                self.news.push((batch.after, one.clone()));
+            }
+        }
+    }
+}
+
+/// The latest news, as many readings of the list in one digest as fit, up to a revision.
+/// What was read at once goes together or is cut: then others read the list themselves.
+pub(super) fn parts(recent: &VecDeque<NewsBatch>, revision: i64) -> Vec<DigestPart> {
+    let mut room = PARTS * NEWS_BYTES;
+    let fits = recent.iter().rev().take_while(|batch| {
+        let bytes = batch.bytes().min(NEWS_BYTES);
+        let fits = bytes <= room;
+        room = room.saturating_sub(bytes);
+        fits
+    });
+    let skipped = recent.len() - fits.count();
+    let mut parts: Vec<DigestPart> = Vec::new();
+    for batch in recent.iter().skip(skipped) {
+        let fits = |p: &&mut DigestPart| p.bytes + batch.bytes() <= NEWS_BYTES;
+        match parts.last_mut().filter(fits) {
+            Some(part) => part.add(batch),
+            None => {
+                let mut part = DigestPart::behind(batch.before);
+                part.add(batch);
+                parts.push(part);
+            }
+        }
+    }
+    if parts.is_empty() {
+        parts.push(DigestPart::behind(revision));
+    }
+    parts
+}
--- a/src/logic/direct/digest_state.rs
+++ b/src/logic/direct/digest_state.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use super::{EntryNews, ListPace};
+use super::{EntryNews, ListPace, NewsBatch};
 use crate::types::Millis;
 
 /// What a router knows of digests: those that it sends while it plans, and those that
@@ -8,10 +8,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct DigestState {
     /// Changes of the list that haven't been given a revision yet.
-    pub open: Vec<EntryNews>,
-    /// Changes of the last seconds: when they were heard of, the revision behind which
-    /// they came, that by which they had come, and what they are.
-    pub recent: VecDeque<(Millis, i64, i64, Vec<EntryNews>)>,
+    pub pending: Vec<EntryNews>,
+    /// Changes of the last seconds, the oldest first.
+    pub recent: VecDeque<NewsBatch>,
     /// When the list was last known to be as new as the store's.
     pub list_at: Millis,
     /// When the routing was last known to be as new as the store's.
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -5,8 +5,9 @@
 //! read the store; whoever misses something, or hears nothing for a while, does.
 //! Without them 52 routers made 300 calls a second to the store on a calm day.
 
+use super::digest_part::parts;
 use super::{demand, endpoints, tree, DirectEffect, DirectState, EntryNews, ListPace};
-use super::{Digest, Mechanism, PeerMessage};
+use super::{Digest, Mechanism, NewsBatch, PeerMessage};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis};
 
@@ -24,14 +25,11 @@
 /// within 1.5 s; the shortest bound that operators publish for either is 2 s.
 const HOLDS_MS: Millis = 1_200;
 
-/// Bytes of news in one digest, which leaves room for the rest of a datagram.
-const NEWS_BYTES: usize = 1_000;
-
 /// Remembers a change of the list that decides where requests go.
 pub(super) fn note(state: &mut DirectState, news: EntryNews) {
     // What the first reading shows is no change.
     if state.listed_once {
-        state.digests.open.push(news);
+        state.digests.pending.push(news);
     }
 }
 
@@ -49,14 +47,16 @@
 /// The list was read, or told, up to a revision: what was noted since came with that.
 pub(super) fn close(state: &mut DirectState, now: Millis, before: i64, after: i64) {
     let digests = &mut state.digests;
-    let news = std::mem::take(&mut digests.open);
-    digests.changed |= !news.is_empty();
-    digests.recent.push_back((now, before, after, news));
-    while digests
-        .recent
-        .front()
-        .is_some_and(|(at, ..)| now > at + REPEAT_MS)
-    {
+    let batch = NewsBatch {
+        at: now,
+        before,
+        after,
+        news: std::mem::take(&mut digests.pending),
+    };
+    digests.changed |= !batch.news.is_empty();
+    digests.recent.push_back(batch);
+    let old = |b: &NewsBatch| now > b.at + REPEAT_MS;
+    while digests.recent.front().is_some_and(old) {
         digests.recent.pop_front();
     }
 }
@@ -90,7 +90,7 @@
     state.digests.sent = now;
     state.digests.changed = false;
     let (told, demand) = demand::sum(state, now);
-    for part in parts(state) {
+    for part in parts(&state.digests.recent, state.list_revision) {
         state.digests.number += 1;
         let digests = &state.digests;
         let digest = Digest {
@@ -118,75 +118,6 @@
     }
 }
 
-/// News that go in one digest.
-struct Part {
-    from: i64,
-    upto: i64,
-    whole: bool,
-    bytes: usize,
-    news: Vec<(i64, EntryNews)>,
-}
-
-impl Part {
-    /// A part without news, behind a revision.
-    fn behind(revision: i64) -> Self {
-        Self {
-            from: revision,
-            upto: revision,
-            whole: true,
-            bytes: 0,
-            news: Vec::new(),
-        }
-    }
-}
-
-/// Most digests that go at once. What doesn't fit is a gap, and others read the list: at
-/// 3,000 endpoints that started together the planner did nothing but tell.
-const PARTS: usize = 3;
-
-/// The latest news, as many readings of the list in one digest as fit. What was read at
-/// once goes together or is cut: then others read the list themselves.
-fn parts(state: &DirectState) -> Vec<Part> {
-    let size = |news: &[EntryNews]| news.iter().map(EntryNews::bytes).sum::<usize>();
-    let recent = &state.digests.recent;
-    let mut room = PARTS * NEWS_BYTES;
-    let fits = recent.iter().rev().take_while(|(.., news)| {
-        let bytes = size(news).min(NEWS_BYTES);
-        let fits = bytes <= room;
-        room = room.saturating_sub(bytes);
-        fits
-    });
-    let skipped = recent.len() - fits.count();
-    let mut parts: Vec<Part> = Vec::new();
-    for (_, before, after, news) in recent.iter().skip(skipped) {
-        let bytes = size(news);
-        let open = parts.last_mut().filter(|p| p.bytes + bytes <= NEWS_BYTES);
-        let part = match open {
-            Some(part) => part,
-            None => {
-                parts.push(Part::behind(*before));
-                let last = parts.len() - 1;
-                &mut parts[last]
-            }
-        };
-        part.upto = part.upto.max(*after);
-        part.bytes += bytes;
-        part.whole = part.bytes <= NEWS_BYTES;
-        let mut room = NEWS_BYTES;
-        for one in news.iter().take_while(|n| {
-            let fits = n.bytes() <= room;
-            room = room.saturating_sub(n.bytes());
-            fits
-        }) {
-            part.news.push((*after, one.clone()));
-        }
-    }
-    if parts.is_empty() {
-        parts.push(Part::behind(state.list_revision));
-    }
-    parts
-}
-
 fn version(state: &DirectState) -> u64 {
     state.routing.as_ref().map_or(0, |r| r.version)
 }
--- /dev/null
+++ b/src/logic/direct/news_batch.rs
@@ -0,0 +1,22 @@
+use super::EntryNews;
+use crate::types::Millis;
+
+/// Changes of the list that came with one reading of it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct NewsBatch {
+    /// When they were read or heard of.
+    pub at: Millis,
+    /// Revision of the list behind which they came.
+    pub before: i64,
+    /// Revision by which they had come.
+    pub after: i64,
+    /// What has changed.
+    pub news: Vec<EntryNews>,
+}
+
+impl NewsBatch {
+    /// Most bytes that its news take in a datagram.
+    pub(super) fn bytes(&self) -> usize {
+        self.news.iter().map(EntryNews::bytes).sum()
+    }
+}
