Store: the first page of a reading times out after 400 ms, doubling

Cause: whoever starts waits on one page of the store's list.

Ruled out: the gate's pauses (150 ms at most then).

Change: 400 ms at first, doubling up to 3 s (page_time).

--- a/src/link/store.rs
+++ b/src/link/store.rs
@@ -9,6 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::looks::{unread, whole};
+use super::page_time;
 use super::shared::Shared;
 use super::store_gate::Pass;
 use super::store_use::StoreUse;
@@ -20,10 +21,6 @@
 /// Longest time for a call.
 const CALL: Duration = Duration::from_millis(1_000);
 
-/// Longest time for a page of keys: by arithmetic 300 routers that start together take the
-/// store's link half a second for each, and what is given up is sent again.
-const PAGE: Duration = Duration::from_millis(3_000);
-
 /// Answer by which a store says that it takes no calls now.
 const AWAY: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 
@@ -135,12 +132,12 @@
 pub(super) async fn read_all(shared: &Shared, prefix: &str) -> Option<Page> {
     let host = shared.store.to_string();
     let mut all = Page::default();
-    let mut failures = 0;
+    let mut failures = 0u32;
     while failures < PAGE_FAILURES {
         let after = all.entries.last().map(|e| e.key.clone());
         let request = (shared.dialect.page)(&host, prefix, after.as_deref());
         let pass = shared.gate.pass().await;
-        let answer = ask(shared, StoreUse::Whole, pass, request, PAGE).await;
+        let answer = ask(shared, StoreUse::Whole, pass, request, page_time(failures)).await;
         let Some((status, body)) = answer else {
             // What has been read so far needn't be read again.
             failures += 1;
--- a/tests/direct/gate.rs
+++ b/tests/direct/gate.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runrail::link::StoreGate;
+use runrail::link::{page_time, StoreGate};
 use tokio::time::{sleep, Instant};
 
 /// Calls that so many watches of one router make in some seconds to a store that answers
@@ -111,3 +111,12 @@
         );
     });
 }
+
+/// Two connections in a row may be silent; a store that is only busy gets its time.
+#[test]
+fn a_first_page_that_stays_away_is_asked_for_again_within_a_second_or_so() {
+    let lost: Duration = (0..2).map(page_time).sum();
+    assert!(lost <= Duration::from_millis(1_500), "{lost:?}");
+    assert!(page_time(4) >= Duration::from_secs(3), "{:?}", page_time(4));
+    assert!((0..40).all(|n| page_time(n) <= page_time(n + 1)));
+}
