Requests: none is taken for a returned one; demand counts each once

Cause: a request with less than 97 % of the route's time left counted as one that had been refused before. They got 60 % of the limits and a third of the reading bound, and weren't counted as demand, so that the planner believed in one group of each model where five were needed.

Ruled out: telling returned requests by anything else. Each try carries a new id, goes to another router and repeats a session's prompt.

Demand: of n requests, r of which were told to come back, n * n / (n + r) are first tries.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -11,10 +11,6 @@
 /// Shortest time that is worth a run, in milliseconds.
 const LEAST_WAIT: Millis = 1;
 
-/// Part of the route's time, in hundredths, below which a caller that still waits
-/// has asked before.
-const RETURNED: Millis = 97;
-
 /// Part of the objective that a request may wait for room: a refusal within a quarter
 /// of it leaves the caller time to be served well elsewhere, and the way to the caller
 /// takes part of that.
@@ -80,12 +76,11 @@
         .wait_ms
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
-    let returned = wait < route.timeout_ms * RETURNED / 100;
     if !state.plan.traffic {
         state.plan.traffic = true;
         peers::traffic(state, out);
     }
-    if let Some(model) = request.model.as_ref().filter(|_| !returned) {
+    if let Some(model) = request.model.as_ref() {
         let tokens = (request.prompt, request.answer);
         demand::count(state, now, &route, &service, model, tokens);
     }
@@ -97,11 +92,7 @@
         answer: request.answer,
         account,
         priority,
-        turn: if returned {
-            Turn::Returned
-        } else {
-            Turn::Fresh
-        },
+        turn: Turn::Fresh,
         held: now + route.target_ms / HELD,
         arrived: now,
         deadline: now + wait.max(LEAST_WAIT),
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -1,6 +1,6 @@
 //! Which endpoint a request goes to.
 
-use super::{limit, DirectState, EndpointView, Flight, Mechanism, Turn};
+use super::{limit, DirectState, EndpointView, Flight, Mechanism};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// What an endpoint of another data hall costs beside, in microseconds.
@@ -50,15 +50,9 @@
         if !allowed(&(id.clone(), view.epoch())) || !takes(view, now, flight) {
             continue;
         }
-        let turn = if knobs.on(Mechanism::Turns) {
-            flight.turn
-        } else {
-            Turn::Fresh
-        };
         let room = |e: &EngineSpec| {
-            (!knobs.on(Mechanism::Limits) || limit::room(view, routers, turn))
-                && (!knobs.on(Mechanism::ReadingBound)
-                    || limit::reads(view, routers, flight, turn, e))
+            (!knobs.on(Mechanism::Limits) || limit::room(view, routers, flight.turn))
+                && (!knobs.on(Mechanism::ReadingBound) || limit::reads(view, routers, flight, e))
         };
         if !engine.is_none_or(room) {
             continue;
--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -2,8 +2,9 @@
 //!
 //! Each router counts its own requests and reports them on the way to the one that plans,
 //! together with what others have reported to it; the sum comes back with the digests.
-//! Only requests that come for the first time count: what was refused and comes back
-//! is the same demand.
+//! A request that is refused and comes back is the same demand, but looks like any other.
+//! Whoever is refused comes back once, so that of `n` requests, `r` of which were refused,
+//! `n * n / (n + r)` came for the first time.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -37,6 +38,9 @@
 /// published shares: four slots. A choice; other values were not measured.
 const BELIEVED_MS: Millis = 2_000;
 
+/// One request, in thousandths.
+const ONE: u64 = 1_000;
+
 /// What a token of an answer counts against one of a prompt: operators weigh requests
 /// of one kind by tokens in and ten times the tokens out.
 const ANSWER_WEIGHT: u64 = 10;
@@ -45,7 +49,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Demand {
     /// Slots by number, the oldest first.
-    slots: VecDeque<(u64, BTreeMap<Arc<str>, ModelDemand>)>,
+    slots: VecDeque<(u64, BTreeMap<Arc<str>, Asks>)>,
     /// When the first request came.
     since: Option<Millis>,
     /// What other routers have reported here: when, for how many, and what.
@@ -56,23 +60,70 @@
     tell_at: Millis,
 }
 
+/// What one model was asked for within a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Asks {
+    /// Requests that came, returned ones included.
+    came: ModelDemand,
+    /// Requests that were told to come back, in thousandths.
+    refused: u64,
+}
+
+impl Asks {
+    fn none(model: &Arc<str>) -> Self {
+        Self {
+            came: ModelDemand::none(model),
+            refused: 0,
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.came.add(&other.came);
+        self.refused += other.refused;
+    }
+
+    /// What came for the first time, by what was told to come back.
+    fn first(&self) -> ModelDemand {
+        let came = self.came.requests;
+        self.came.scaled(came, came + self.refused)
+    }
+}
+
 impl Demand {
     /// What this router is asked for in a second, by model.
     fn own(&self, now: Millis) -> Vec<ModelDemand> {
         let oldest = (now / SLOT_MS).saturating_sub(SLOTS);
-        let mut sums: BTreeMap<Arc<str>, ModelDemand> = BTreeMap::new();
+        let mut sums: BTreeMap<Arc<str>, Asks> = BTreeMap::new();
         for (_, models) in self.slots.iter().filter(|(slot, _)| *slot > oldest) {
-            for demand in models.values() {
+            for (model, asks) in models {
                 let sum = sums
-                    .entry(demand.model.clone())
-                    .or_insert_with(|| ModelDemand::none(&demand.model));
-                sum.add(demand);
+                    .entry(model.clone())
+                    .or_insert_with(|| Asks::none(model));
+                sum.add(asks);
             }
         }
         let span = now.saturating_sub(self.since.unwrap_or(now));
         let span = span.clamp(SLOT_MS, SLOTS * SLOT_MS);
-        let a_second = |d: ModelDemand| d.scaled(1_000, span);
-        sums.into_values().map(a_second).collect()
+        let a_second = |asks: Asks| asks.first().scaled(1_000, span);
+        let asked = |asks: &Asks| asks.came.requests > 0;
+        sums.into_values().filter(asked).map(a_second).collect()
+    }
+
+    /// What a model is asked for in the slot of this moment.
+    fn slot(&mut self, now: Millis, model: &Arc<str>) -> Option<&mut Asks> {
+        let slot = now / SLOT_MS;
+        if self.slots.back().map(|s| s.0) != Some(slot) {
+            self.slots.push_back((slot, BTreeMap::new()));
+            while self.slots.len() as u64 > SLOTS {
+                self.slots.pop_front();
+            }
+        }
+        let (_, models) = self.slots.back_mut()?;
+        Some(
+            models
+                .entry(model.clone())
+                .or_insert_with(|| Asks::none(model)),
+        )
     }
 
     /// How long requests have been counted.
@@ -81,7 +132,7 @@
     }
 }
 
-/// Counts a request that comes for the first time.
+/// Counts a request that has come.
 pub(super) fn count(
     state: &mut DirectState,
     now: Millis,
@@ -99,7 +150,7 @@
     let answer = known(answer, engine.usual_answer);
     let one = ModelDemand {
         model: model.clone(),
-        requests: 1_000,
+        requests: ONE,
         prompt,
         square: prompt * prompt,
         answer,
@@ -109,18 +160,15 @@
     };
     let demand = &mut state.demand;
     demand.since.get_or_insert(now);
-    let slot = now / SLOT_MS;
-    if demand.slots.back().map(|s| s.0) != Some(slot) {
-        demand.slots.push_back((slot, BTreeMap::new()));
-        while demand.slots.len() as u64 > SLOTS {
-            demand.slots.pop_front();
-        }
+    if let Some(asks) = demand.slot(now, model) {
+        asks.came.add(&one);
     }
-    if let Some((_, models)) = demand.slots.back_mut() {
-        let sum = models
-            .entry(model.clone())
-            .or_insert_with(|| ModelDemand::none(model));
-        sum.add(&one);
+}
+
+/// Counts a request that was told to come back.
+pub(super) fn refused(state: &mut DirectState, now: Millis, model: &Arc<str>) {
+    if let Some(asks) = state.demand.slot(now, model) {
+        asks.refused += ONE;
     }
 }
 
--- a/src/logic/direct/end.rs
+++ b/src/logic/direct/end.rs
@@ -1,6 +1,6 @@
 //! Last step of a request: its one final answer.
 
-use super::{endpoints, DirectEffect, DirectState, Flight, Problem};
+use super::{demand, endpoints, DirectEffect, DirectState, Flight, Problem};
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
@@ -79,6 +79,8 @@
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
+    let told_back = flight.promises() && !flight.headed;
+    let model = flight.model.clone().filter(|_| told_back);
     let problem = if flight.promises() {
         let most = flight.deadline.saturating_sub(now) / HEEDED;
         let again = state.knobs.again_ms.min(most);
@@ -86,6 +88,9 @@
     } else {
         Problem::Unknown
     };
+    if let Some(model) = model {
+        demand::refused(state, now, &model);
+    }
     finish(state, id, problem, why, out);
 }
 
--- a/src/logic/direct/limit.rs
+++ b/src/logic/direct/limit.rs
@@ -25,15 +25,8 @@
 /// Part of the objective within which a request begins well.
 const WELL: u64 = 2;
 
-/// How far requests of each turn may go, in hundredths of a limit. What is half done
-/// may go a little beyond it. What has come back after a refusal leaves room for what
-/// can still be answered in time; measured in docs/ROUNDS.md, and again in
-/// docs/ABLATION.md, where it no longer adds anything.
+/// How far requests that are half done may go, in hundredths of a limit.
 const RESUMED: u64 = 110;
-const RETURNED: u64 = 60;
-
-/// Part of the reading bound, in hundredths, up to which returned requests are read.
-const RETURNED_READING: u64 = 33;
 
 /// Part of the wanted pause that reading may take within one pass, in hundredths.
 const READING: u64 = 60;
@@ -48,17 +41,12 @@
     view: &EndpointView,
     routers: u64,
     flight: &Flight,
-    turn: Turn,
     engine: &EngineSpec,
 ) -> bool {
     let model = view.entry.model.as_ref().and_then(|m| engine.model(m));
     let pace = model.map_or(1_000, |m| m.pace).max(1);
     let in_a_ms = engine.read_rate / pace;
     let most = flight.route.gap_ms * READING / 100 * in_a_ms * UNEVEN / routers.max(1);
-    let most = match turn {
-        Turn::Returned => most * RETURNED_READING / 100,
-        Turn::Resumed | Turn::Fresh => most,
-    };
     view.unread == 0 || view.unread + u64::from(flight.prompt) <= most
 }
 
@@ -68,7 +56,6 @@
     let limit = match turn {
         Turn::Resumed => limit * RESUMED / 100,
         Turn::Fresh => limit,
-        Turn::Returned => limit * RETURNED / 100,
     };
     u64::from(view.running) * ONE < limit
 }
--- a/src/logic/direct/mechanism.rs
+++ b/src/logic/direct/mechanism.rs
@@ -10,8 +10,6 @@
     ReadingBound,
     /// Limits by head rise and fall with how soon requests begin.
     Limits,
-    /// Fresh requests go before returned ones.
-    Turns,
     /// Groups are given up for others that add more.
     Trades,
     /// Members load a second model to their hosts.
@@ -33,10 +31,9 @@
 }
 
 /// Every mechanism by its name in the settings.
-const NAMES: [(&str, Mechanism); 12] = [
+const NAMES: [(&str, Mechanism); 11] = [
     ("reading-bound", Mechanism::ReadingBound),
     ("limits", Mechanism::Limits),
-    ("turns", Mechanism::Turns),
     ("trades", Mechanism::Trades),
     ("second-models", Mechanism::SecondModels),
     ("spares", Mechanism::Spares),
--- a/src/logic/direct/turn.rs
+++ b/src/logic/direct/turn.rs
@@ -3,9 +3,7 @@
 pub enum Turn {
     /// It has run already and is sent again: what was spent on it is lost otherwise.
     Resumed,
-    /// It comes for the first time and can still be answered in time.
+    /// It hasn't run. One that was refused before and has come back looks like any other:
+    /// callers set times of their own, so that a short one tells nothing.
     Fresh,
-    /// It was refused before and has come back: an answer now earns its caller less
-    /// than one in time does.
-    Returned,
 }
