Digests: the first reading of a planner that starts is told as no news

Cause: the first reading of a fresh process was kept as a batch of news from revision 0 to the one read, with nothing in it. A router that was killed while it planned and took the duty again told all others so that nothing had changed since the beginning, and they went on behind it: an endpoint that left, or lapsed, between its end and its start stayed in their lists for good.

Ruled out: late watches, the time for which a digest holds (1.2 s).

Change: the news of a first reading begin behind it. Whoever knows less reads the store.

The test fails without the change (Told in place of Rest).

--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -39,8 +39,13 @@
         DirectEvent::StoreBack => peers::store_back(state, out),
         DirectEvent::RoutingRead => state.digests.routing_at = now,
         DirectEvent::List { revision, entries } => {
-            let before = state.list_revision;
-            state.list_revision = before.max(revision);
+            // What the first reading shows isn't told as news, so that they begin behind it.
+            let before = if state.listed_once {
+                state.list_revision
+            } else {
+                revision
+            };
+            state.list_revision = state.list_revision.max(revision);
             endpoints::listed(state, now, entries, out);
             state.digests.skipped = false;
             digests::list_read(state, now, before, revision);
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -172,6 +172,35 @@
     assert_eq!(pace(&mut router), Some((ListPace::Told, true)));
 }
 
+/// A router that has just started and plans knows nothing of what left the list before:
+/// a head that has gone would get requests until its next change, which never comes.
+#[test]
+fn a_planner_that_has_just_started_tells_nothing_of_what_came_before() {
+    let mut router = follower();
+    let mut fresh = Router::bare();
+    fresh.state().me = InstanceId::new("r0");
+    fresh.tell(DirectEvent::Routing(routing(1).into()));
+    fresh.tell(DirectEvent::List {
+        revision: FENCE + 5,
+        entries: Vec::new(),
+    });
+    fresh.pass(400);
+    assert!(fresh.holds());
+    let peers = [(InstanceId::new("r1"), addr(2_001))];
+    fresh.state().peers = peers.into_iter().collect();
+    fresh.pass(60);
+    let digests = fresh.said().into_iter().filter_map(|(_, m)| match m {
+        PeerMessage::Digest(digest) => Some(*digest),
+        _ => None,
+    });
+    let digests: Vec<_> = digests.collect();
+    assert!(!digests.is_empty(), "it plans and tells");
+    for digest in digests {
+        hear(&mut router, digest);
+    }
+    assert_eq!(pace(&mut router), Some((ListPace::Rest, true)), "it reads");
+}
+
 #[test]
 fn a_newer_routing_is_read_at_once() {
     let mut router = follower();
