Requests wait for an endpoint while waiting leads to answers

Cause: a request that found no room was refused after a sixth of its objective (50 ms), one that came to a router which had just started at once, one whose run an endpoint had turned away at once. Callers come back once.

Tests: tests/direct/queue.rs.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{
-    demand, end, peers, send, DirectRequest, DirectState, EndStage, Flight, Problem, Turn,
+    demand, end, peers, queue, send, DirectRequest, DirectState, EndStage, Flight, Problem, Turn,
 };
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
@@ -11,11 +11,6 @@
 /// Shortest time that is worth a run, in milliseconds.
 const LEAST_WAIT: Millis = 1;
 
-/// Part of the objective that a request may wait for room: a refusal within a quarter
-/// of it leaves the caller time to be served well elsewhere, and the way to the caller
-/// takes part of that.
-const HELD: Millis = 6;
-
 /// A caller has sent a request.
 pub(super) fn arrived(
     state: &mut DirectState,
@@ -33,10 +28,28 @@
             out,
         );
     }
+    if (state.routing.is_some() && state.listed) || !queue::early(state, now, &request) {
+        taken(state, now, now, request, out);
+    }
+}
+
+/// Refuses a request because nothing is known here yet.
+pub(super) fn unknown(state: &mut DirectState, request: &DirectRequest, out: &mut Vec<Effect>) {
+    let problem = end::not_yet(state, request.wait_ms);
+    let why = "nothing is known yet";
+    end::refuse(request.id, &request.label, problem, why, out);
+}
+
+/// Takes up a request that arrived at `at`.
+pub(super) fn taken(
+    state: &mut DirectState,
+    now: Millis,
+    at: Millis,
+    request: DirectRequest,
+    out: &mut Vec<Effect>,
+) {
     let Some(routing) = state.routing.clone().filter(|_| state.listed) else {
-        let problem = end::not_yet(state, request.wait_ms);
-        let why = "nothing is known yet";
-        return end::refuse(request.id, &request.label, problem, why, out);
+        return unknown(state, &request, out);
     };
     let Some(route) = routing.route(&request.host, &request.path).cloned() else {
         return end::refuse(
@@ -93,9 +106,9 @@
         account,
         priority,
         turn: Turn::Fresh,
-        held: now + route.target_ms / HELD,
-        arrived: now,
-        deadline: now + wait.max(LEAST_WAIT),
+        held: at + queue::hold(Some(wait)),
+        arrived: at,
+        deadline: at + wait.max(LEAST_WAIT),
         tried: Vec::new(),
         runs: 0,
         run: None,
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -51,8 +51,9 @@
             continue;
         }
         let room = |e: &EngineSpec| {
-            (!knobs.on(Mechanism::Limits) || limit::room(view, routers, flight.turn))
-                && (!knobs.on(Mechanism::ReadingBound) || limit::reads(view, routers, flight, e))
+            (!knobs.on(Mechanism::Limits) || limit::room(view, routers, flight, now))
+                && (!knobs.on(Mechanism::ReadingBound)
+                    || limit::reads(view, routers, flight, e, now))
         };
         if !engine.is_none_or(room) {
             continue;
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -1,11 +1,11 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::plan::{IdleReason, PlanState};
 use super::{
-    Asked, Demand, DigestState, DirectKnobs, EndStage, EndpointView, Flight, Presence, RetryWindow,
-    Turn,
+    Asked, Demand, DigestState, DirectKnobs, DirectRequest, EndStage, EndpointView, Flight, Line,
+    LineKey, Presence, RetryWindow,
 };
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
@@ -38,8 +38,10 @@
     pub endpoints: BTreeMap<InstanceId, EndpointView>,
     /// Requests without a final answer.
     pub flights: BTreeMap<u64, Flight>,
-    /// Requests that wait for room: by turn, then as they came.
-    pub waiting: BTreeSet<(Turn, u64)>,
+    /// Requests that wait for an endpoint.
+    pub lines: BTreeMap<LineKey, Line>,
+    /// Requests that came before this router knew where anything is, and when.
+    pub early: Vec<(Millis, DirectRequest)>,
     /// What callers ask for.
     pub demand: Demand,
     /// Which request a run belongs to.
@@ -80,7 +82,8 @@
             digests: DigestState::default(),
             endpoints: BTreeMap::new(),
             flights: BTreeMap::new(),
-            waiting: BTreeSet::new(),
+            lines: BTreeMap::new(),
+            early: Vec::new(),
             demand: Demand::default(),
             runs: BTreeMap::new(),
             next: 1,
@@ -108,7 +111,7 @@
             ("groups_ending", self.plan.ending.len() as u64),
             ("loads_under_way", self.plan.staging.len() as u64),
             ("requests_in_flight", self.flights.len() as u64),
-            ("requests_waiting", self.waiting.len() as u64),
+            ("requests_waiting", self.waiting() as u64),
             ("routers_known", self.peers.len() as u64 + 1),
             (
                 "routing_version",
@@ -125,6 +128,12 @@
         ]
     }
 
+    /// Requests that wait for an endpoint, or for this router to know of any.
+    fn waiting(&self) -> usize {
+        let lines = self.lines.values().map(|l| l.waiting.len());
+        lines.sum::<usize>() + self.early.len()
+    }
+
     /// Endpoints that serve in no group for a reason, as far as this router plans.
     fn idle(&self, reason: IdleReason) -> u64 {
         let idle = self.plan.idle.values().filter(|i| i.reason == reason);
--- a/src/logic/direct/end.rs
+++ b/src/logic/direct/end.rs
@@ -1,6 +1,6 @@
 //! Last step of a request: its one final answer.
 
-use super::{demand, endpoints, DirectEffect, DirectState, Flight, Problem};
+use super::{demand, endpoints, queue, DirectEffect, DirectState, Flight, Problem};
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
@@ -111,6 +111,7 @@
     out: &mut Vec<Effect>,
 ) {
     cancel(state, id, out);
+    queue::leave(state, id);
     let Some(flight) = state.flights.remove(&id) else {
         return;
     };
@@ -163,6 +164,8 @@
 /// A caller has hung up: nobody waits for the answer.
 pub(super) fn caller_gone(state: &mut DirectState, id: u64, out: &mut Vec<Effect>) {
     cancel(state, id, out);
+    queue::leave(state, id);
+    state.early.retain(|(_, request)| request.id != id);
     if let Some(flight) = state.flights.remove(&id) {
         let note = Note::new(NoteCode::FlightLeft).with("request", &flight.label);
         out.push(Effect::Note(note));
--- a/src/logic/direct/flight.rs
+++ b/src/logic/direct/flight.rs
@@ -3,6 +3,10 @@
 use super::Turn;
 use crate::types::{InstanceId, Millis, RouteSpec};
 
+/// Part of the objective, as its inverse, after which a request that still waits counts
+/// as late: the rest is what the way there and the first token take.
+const LATE_PART: Millis = 6;
+
 /// A caller's request that has no final answer yet.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Flight {
@@ -55,6 +59,12 @@
     pub fn promises(&self) -> bool {
         self.runs == 0 || self.route.repeatable()
     }
+
+    /// Whether it has waited for so long that its answer will hardly begin in time.
+    pub(super) fn is_late(&self, now: Millis) -> bool {
+        let left = self.route.target_ms / LATE_PART;
+        self.turn == Turn::Fresh && now >= self.arrived + left
+    }
 }
 
 /// A run that is awaited.
--- a/src/logic/direct/limit.rs
+++ b/src/logic/direct/limit.rs
@@ -25,8 +25,13 @@
 /// Part of the objective within which a request begins well.
 const WELL: u64 = 2;
 
-/// How far requests that are half done may go, in hundredths of a limit.
+/// How far streams that have begun may go, in hundredths of a limit, and requests that
+/// have waited until they are late: what is still in time needs room when it comes.
 const RESUMED: u64 = 110;
+const LATE_ROOM: u64 = 60;
+
+/// Part of the reading bound, in hundredths, up to which late requests are read.
+const LATE_READING: u64 = 33;
 
 /// Part of the wanted pause that reading may take within one pass, in hundredths.
 const READING: u64 = 60;
@@ -42,19 +47,26 @@
     routers: u64,
     flight: &Flight,
     engine: &EngineSpec,
+    now: Millis,
 ) -> bool {
     let model = view.entry.model.as_ref().and_then(|m| engine.model(m));
     let pace = model.map_or(1_000, |m| m.pace).max(1);
     let in_a_ms = engine.read_rate / pace;
     let most = flight.route.gap_ms * READING / 100 * in_a_ms * UNEVEN / routers.max(1);
+    let most = if flight.is_late(now) {
+        most * LATE_READING / 100
+    } else {
+        most
+    };
     view.unread == 0 || view.unread + u64::from(flight.prompt) <= most
 }
 
 /// Whether an endpoint has room for one more run.
-pub(super) fn room(view: &EndpointView, routers: u64, turn: Turn) -> bool {
+pub(super) fn room(view: &EndpointView, routers: u64, flight: &Flight, now: Millis) -> bool {
     let limit = current(view, routers);
-    let limit = match turn {
+    let limit = match flight.turn {
         Turn::Resumed => limit * RESUMED / 100,
+        Turn::Fresh if flight.is_late(now) => limit * LATE_ROOM / 100,
         Turn::Fresh => limit,
     };
     u64::from(view.running) * ONE < limit
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,6 +1,8 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
-use super::{choose, end, DirectEffect, DirectState, Flight, Mechanism, Run, RunRequest, Turn};
+use super::{
+    choose, end, queue, DirectEffect, DirectState, Flight, Mechanism, Run, RunRequest, Turn,
+};
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{Millis, RouteKind};
@@ -17,26 +19,37 @@
 /// form anew within it, and callers wait longer.
 const RESUME_MS: Millis = 1_500;
 
-/// Sends a request to the endpoint that suits it best, or ends it.
+/// Sends a request to the endpoint that suits it best, has it wait for one, or ends it.
 pub(super) fn next(state: &mut DirectState, now: Millis, id: u64, out: &mut Vec<Effect>) {
-    let Some(flight) = state.flights.get(&id).cloned() else {
+    let Some(flight) = state.flights.get(&id) else {
         return;
     };
     if now >= flight.deadline {
         return end::out_of_time(state, now, id, out);
     }
+    if !try_now(state, now, id, out) {
+        queue::park(state, now, id, out);
+    }
+}
+
+/// Sends a request to the endpoint that suits it best; false where none takes it now.
+pub(super) fn try_now(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let Some(flight) = state.flights.get(&id).cloned() else {
+        return false;
+    };
     let Some(to) = choose::pick(state, now, &flight) else {
-        let hope = flight.headed || choose::any(state, &flight);
-        if now < flight.held && hope {
-            state.waiting.insert((flight.turn, id));
-            return;
-        }
-        return end::give_up(state, now, id, "no endpoint takes it", out);
+        return false;
     };
+    queue::sent(state, now, id);
     let run = state.number();
     let version = state.routing.as_ref().map_or(0, |r| r.version);
     let Some(view) = state.endpoints.get_mut(&to) else {
-        return;
+        return false;
     };
     if view.running == 0 {
         view.heard = view.heard.max(now);
@@ -49,6 +62,7 @@
         .with("endpoint", &to)
         .with("running", view.running)
         .with("turn", format!("{:?}", flight.turn))
+        .with("waited", now.saturating_sub(flight.moved))
         .with("limit", view.limit)
         .with("beat_age", now.saturating_sub(view.beat_at))
         .with("version", version);
@@ -69,7 +83,6 @@
     if let Some(flight) = state.flights.get_mut(&id) {
         flight.tried.push((to.clone(), epoch));
         flight.runs += 1;
-        flight.held = 0;
         flight.run = Some(Run {
             id: run,
             at: to,
@@ -78,16 +91,7 @@
             begun: false,
         });
     }
-}
-
-/// Sends what waits for room, in turn; what has waited for too long ends.
-pub(super) fn waiting(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    for (_, id) in std::mem::take(&mut state.waiting) {
-        let waits = state.flights.get(&id).is_some_and(|f| f.run.is_none());
-        if waits {
-            next(state, now, id, out);
-        }
-    }
+    true
 }
 
 /// Sends a request again after a failed run, where that is allowed and paid for.
@@ -116,9 +120,11 @@
     }
     let waits = state.knobs.on(Mechanism::ResumeWait);
     if let Some(flight) = state.flights.get_mut(&id) {
-        flight.turn = Turn::Resumed;
+        if flight.headed {
+            flight.turn = Turn::Resumed;
+        }
         if flight.headed && waits {
-            flight.held = now + RESUME_MS;
+            flight.held = flight.held.max(now + RESUME_MS);
         }
         let note = Note::new(NoteCode::FlightMoved)
             .with("request", &flight.label)
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,5 +1,5 @@
 use super::{
-    accept, answer, demand, digests, end, endpoints, peers, plan, send, silence, DirectEffect,
+    accept, answer, demand, digests, end, endpoints, peers, plan, queue, silence, DirectEffect,
     DirectEvent, DirectState, EndStage,
 };
 use crate::logic::{Effect, Event, Note, NoteCode};
@@ -23,9 +23,8 @@
         Event::Tick => tend(state, now, out),
         _ => {}
     }
-    if !state.waiting.is_empty() {
-        send::waiting(state, now, out);
-    }
+    queue::take_up(state, now, out);
+    queue::serve(state, now, out);
     tell_ready(state, out);
     digests::tend(state, now, out);
 }
@@ -98,6 +97,7 @@
 
 fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     end::tend(state, now, out);
+    queue::tend(state, now, out);
     silence::tend(state, now, out);
     endpoints::tend(state, now);
     peers::tend(state, now, out);
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -17,6 +17,7 @@
 mod names;
 mod needs;
 mod placing;
+mod queue;
 mod repair;
 mod routes;
 mod settings;
--- /dev/null
+++ b/tests/direct/queue.rs
@@ -0,0 +1,163 @@
+//! Requests that wait for an endpoint.
+
+use std::sync::Arc;
+
+use runrail::logic::direct::{DirectEffect, DirectEvent, Problem, RunPart};
+use runrail::types::InstanceId;
+
+use crate::fixture::{open_group, problem, request, routing, run, Router, FENCE};
+
+/// Requests that were sent to an endpoint.
+fn sent(effects: &[DirectEffect]) -> Vec<u64> {
+    let run = |e: &DirectEffect| match e {
+        DirectEffect::Run(run) => Some(run.request),
+        _ => None,
+    };
+    effects.iter().filter_map(run).collect()
+}
+
+/// Requests that were refused.
+fn refused(effects: &[DirectEffect]) -> Vec<u64> {
+    let refuse = |e: &DirectEffect| match e {
+        DirectEffect::Refuse { request, .. } => Some(*request),
+        _ => None,
+    };
+    effects.iter().filter_map(refuse).collect()
+}
+
+/// A router whose only head has no room left, and the runs there.
+fn full() -> (Router, Vec<u64>) {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let runs = (0..48).map(|id| run(&router.ask(id, "/stream/x")).run);
+    let runs = runs.collect();
+    (router, runs)
+}
+
+fn learn(router: &mut Router) {
+    router.tell(DirectEvent::Routing(Arc::new(routing(1))));
+    router.tell(DirectEvent::List {
+        revision: FENCE,
+        entries: open_group("g", [1, 2, 3]),
+    });
+}
+
+#[test]
+fn what_comes_before_a_router_knows_anything_is_served_once_it_does() {
+    let mut router = Router::bare();
+    router.ask(1, "/stream/x");
+    router.pass(300);
+    assert_eq!(problem(&router.take()), None, "it waits");
+    learn(&mut router);
+    let sent = run(&router.take());
+    assert_eq!(sent.request, 1);
+    assert!(sent.wait_ms <= 4_700, "its time runs: {}", sent.wait_ms);
+}
+
+#[test]
+fn a_caller_that_leaves_before_anything_is_known_is_forgotten() {
+    let mut router = Router::bare();
+    router.ask(1, "/stream/x");
+    router.tell(DirectEvent::Gone(1));
+    learn(&mut router);
+    assert!(sent(&router.take()).is_empty());
+}
+
+#[test]
+fn only_so_many_wait_for_a_router_that_knows_nothing() {
+    let mut router = Router::bare();
+    for id in 0..256 {
+        assert_eq!(problem(&router.ask(id, "/stream/x")), None);
+    }
+    let told = problem(&router.ask(256, "/stream/x"));
+    assert!(matches!(told, Some(Problem::NotYet(_))), "{told:?}");
+}
+
+/// Its answer can still begin in time, that of the other one can't.
+#[test]
+fn who_is_in_time_goes_before_who_is_late() {
+    let (mut router, runs) = full();
+    assert!(router.ask(100, "/stream/x").is_empty());
+    router.pass(200);
+    assert!(router.ask(101, "/stream/x").is_empty());
+    let order: Vec<u64> = runs
+        .into_iter()
+        .flat_map(|run| sent(&router.part(run, RunPart::End)))
+        .collect();
+    assert_eq!(order, [101, 100]);
+}
+
+#[test]
+fn who_is_late_leaves_room_for_what_is_to_come() {
+    let (mut router, runs) = full();
+    assert!(router.ask(100, "/stream/x").is_empty());
+    router.pass(200);
+    let mut left = 48;
+    for run in runs {
+        left -= 1;
+        if sent(&router.part(run, RunPart::End)) == [100] {
+            break;
+        }
+    }
+    assert_eq!(left, 28, "below 60 in 100 of 48");
+}
+
+/// Callers are refused as soon as waiting is seen to be in vain, but for one in eight.
+#[test]
+fn a_line_that_leads_nowhere_is_left_soon() {
+    let (mut router, _) = full();
+    for id in 100..104 {
+        assert!(router.ask(id, "/stream/x").is_empty(), "{id} waits");
+    }
+    router.pass(1_200);
+    assert!(refused(&router.take()).is_empty(), "for a quarter of 5 s");
+    router.pass(100);
+    assert_eq!(refused(&router.take()), [100, 101, 102, 103]);
+    router.ask(105, "/stream/x");
+    router.ask(112, "/stream/x");
+    router.pass(80);
+    assert_eq!(refused(&router.take()), [105], "after a sixth of 400 ms");
+}
+
+#[test]
+fn more_than_can_be_sent_in_time_do_not_wait() {
+    let (mut router, _) = full();
+    // 48 were sent within 4 s: 15 in the 1,250 ms for which each waits.
+    let waits = (100..200).take_while(|id| router.ask(*id, "/stream/x").is_empty());
+    assert_eq!(waits.count(), 15);
+}
+
+#[test]
+fn a_request_that_an_endpoint_did_not_run_waits_for_another_chance() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend(open_group("h", [5, 6, 7]));
+    let mut router = Router::new(entries);
+    let busy = |router: &mut Router, head: &str, running| {
+        let id = InstanceId::new(head);
+        let view = router.state().endpoints.get_mut(&id);
+        view.expect("a head").running = running;
+    };
+    busy(&mut router, "e5", 48);
+    let last = run(&router.ask(100, "/stream/x")).run;
+    let whole = RunPart::Whole {
+        status: 503,
+        not_run: true,
+    };
+    let effects = router.part(last, whole);
+    assert!(refused(&effects).is_empty(), "{effects:?}");
+    router.pass(200);
+    assert!(sent(&router.take()).is_empty());
+    busy(&mut router, "e5", 0);
+    router.pass(20);
+    assert_eq!(sent(&router.take()), [100]);
+}
+
+#[test]
+fn a_request_that_waits_keeps_to_its_time() {
+    let (mut router, _) = full();
+    let mut hurried = request(100, "/stream/x");
+    hurried.wait_ms = Some(400);
+    router.tell(DirectEvent::Request(Box::new(hurried)));
+    assert!(router.take().is_empty());
+    router.pass(120);
+    assert_eq!(refused(&router.take()), [100], "a quarter of 400 ms");
+}
