Refusals: 'not run' is said only where no endpoint can have run it

Change: the promise goes by sends that may have run alone. Others hear 502 (may have run) or, at their time, 504. Callers may repeat them all the same.

Ruled out: that an unbegun stream at its deadline is safe to promise; the endpoint may still begin with it.

Tests: the one that wanted 'not run' just before the deadline of what was sent and not begun was wrong; two take its place: nobody says so before or at its time, nor after two heads were lost. Both fail without the change.

--- a/src/logic/direct/flight.rs
+++ b/src/logic/direct/flight.rs
@@ -54,10 +54,10 @@
 }
 
 impl Flight {
-    /// Whether the caller may be told that the request has not run: it was never
-    /// sent, or may run again.
+    /// Whether the caller may be told that the request has not run: no endpoint can have
+    /// run it. That it may be repeated makes no difference, as the word has to be true.
     pub fn promises(&self) -> bool {
-        self.runs == 0 || self.route.repeatable()
+        self.runs == 0
     }
 
     /// Whether it has waited for so long that its answer will hardly begin in time.
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -85,26 +85,30 @@
     assert!(router.take().contains(&DirectEffect::Cut(1)));
 }
 
-/// Nobody has begun it, and it may run again: its caller hears so in time.
+/// An endpoint may have begun with it: that it has not run would be a guess.
 #[test]
-fn a_request_that_nobody_began_ends_just_before_its_time_where_it_may_be_repeated() {
-    for (path, repeatable) in [("/stream/x", true), ("/once/x", false)] {
+fn a_request_that_was_sent_ends_at_its_time_and_nobody_says_that_it_has_not_run() {
+    for path in ["/stream/x", "/once/x", "/safe/x"] {
         let mut router = two_groups();
         router.change("p1", Some(plain(1).1));
         router.ask(1, path);
         router.pass(4_960);
-        let told = problem(&router.take());
-        assert_eq!(
-            matches!(told, Some(Problem::NotRun(_))),
-            repeatable,
-            "{told:?}"
-        );
+        assert_eq!(problem(&router.take()), None, "{path}: it may still answer");
         router.pass(60);
-        let told = problem(&router.take());
-        assert_eq!(told == Some(Problem::TimedOut), !repeatable);
+        assert_eq!(problem(&router.take()), Some(Problem::TimedOut), "{path}");
     }
 }
 
+/// Whoever may repeat it does so without being told that nothing ran.
+#[test]
+fn a_stream_that_two_heads_have_lost_is_no_request_that_has_not_run() {
+    let mut router = two_groups();
+    let first = run(&router.ask(1, "/stream/x"));
+    let second = run(&router.part(first.run, RunPart::Broken));
+    let told = problem(&router.part(second.run, RunPart::Broken));
+    assert_eq!(told, Some(Problem::Unknown));
+}
+
 #[test]
 fn where_nobody_serves_a_model_the_caller_hears_at_once_when_to_come_back() {
     let mut router = Router::new(Vec::new());
--- a/tests/direct/limits.rs
+++ b/tests/direct/limits.rs
@@ -21,7 +21,12 @@
     assert!(held.is_empty(), "it may wait a moment: {held:?}");
     router.pass(1_300);
     let effects = router.take();
-    assert!(matches!(problem(&effects), Some(Problem::NotRun(_))));
+    let told = |e: &DirectEffect| {
+        let problem = problem(std::slice::from_ref(e));
+        let it = matches!(e, DirectEffect::Refuse { request: 100, .. });
+        it && matches!(problem, Some(Problem::NotRun(_)))
+    };
+    assert!(effects.iter().any(told), "{effects:?}");
     assert!(!effects.iter().any(|e| matches!(e, DirectEffect::Run(_))));
 }
 
