--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -2,14 +2,13 @@
 //!
 //! Each router counts its own requests and reports them on the way to the one that plans,
 //! together with what others have reported to it; the sum comes back with the digests.
-//! A request that is refused and comes back is the same demand, but looks like any other.
-//! Whoever is refused comes back once, so that of `n` requests, `r` of which were refused,
-//! `n * n / (n + r)` came for the first time.
+//! A request that was refused and comes back is the same demand and counts once.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::arrivals::Arrivals;
 use super::{tree, DirectEffect, DirectState, ModelDemand, PeerMessage};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, RouteSpec};
@@ -49,7 +48,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Demand {
     /// Slots by number, the oldest first.
-    slots: VecDeque<(u64, BTreeMap<Arc<str>, Asks>)>,
+    slots: VecDeque<(u64, BTreeMap<Arc<str>, Arrivals>)>,
     /// When the first request came.
     since: Option<Millis>,
     /// What other routers have reported here: when, for how many, and what.
@@ -60,57 +59,28 @@
     tell_at: Millis,
 }
 
-/// What one model was asked for within a slot.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Asks {
-    /// Requests that came, returned ones included.
-    came: ModelDemand,
-    /// Requests that were told to come back, in thousandths.
-    refused: u64,
-}
-
-impl Asks {
-    fn none(model: &Arc<str>) -> Self {
-        Self {
-            came: ModelDemand::none(model),
-            refused: 0,
-        }
-    }
-
-    fn add(&mut self, other: &Self) {
-        self.came.add(&other.came);
-        self.refused += other.refused;
-    }
-
-    /// What came for the first time, by what was told to come back.
-    fn first(&self) -> ModelDemand {
-        let came = self.came.requests;
-        self.came.scaled(came, came + self.refused)
-    }
-}
-
 impl Demand {
     /// What this router is asked for in a second, by model.
     fn own(&self, now: Millis) -> Vec<ModelDemand> {
         let oldest = (now / SLOT_MS).saturating_sub(SLOTS);
-        let mut sums: BTreeMap<Arc<str>, Asks> = BTreeMap::new();
+        let mut sums: BTreeMap<Arc<str>, Arrivals> = BTreeMap::new();
         for (_, models) in self.slots.iter().filter(|(slot, _)| *slot > oldest) {
-            for (model, asks) in models {
+            for (model, arrivals) in models {
                 let sum = sums
                     .entry(model.clone())
-                    .or_insert_with(|| Asks::none(model));
-                sum.add(asks);
+                    .or_insert_with(|| Arrivals::none(model));
+                sum.add(arrivals);
             }
         }
         let span = now.saturating_sub(self.since.unwrap_or(now));
         let span = span.clamp(SLOT_MS, SLOTS * SLOT_MS);
-        let a_second = |asks: Asks| asks.first().scaled(1_000, span);
-        let asked = |asks: &Asks| asks.came.requests > 0;
+        let a_second = |arrivals: Arrivals| arrivals.first_tries().scaled(1_000, span);
+        let asked = |arrivals: &Arrivals| arrivals.came.requests > 0;
         sums.into_values().filter(asked).map(a_second).collect()
     }
 
     /// What a model is asked for in the slot of this moment.
-    fn slot(&mut self, now: Millis, model: &Arc<str>) -> Option<&mut Asks> {
+    fn slot(&mut self, now: Millis, model: &Arc<str>) -> Option<&mut Arrivals> {
         let slot = now / SLOT_MS;
         if self.slots.back().map(|s| s.0) != Some(slot) {
             self.slots.push_back((slot, BTreeMap::new()));
@@ -122,7 +92,7 @@
         Some(
             models
                 .entry(model.clone())
-                .or_insert_with(|| Asks::none(model)),
+                .or_insert_with(|| Arrivals::none(model)),
         )
     }
 
@@ -160,15 +130,15 @@
     };
     let demand = &mut state.demand;
     demand.since.get_or_insert(now);
-    if let Some(asks) = demand.slot(now, model) {
-        asks.came.add(&one);
+    if let Some(arrivals) = demand.slot(now, model) {
+        arrivals.came.add(&one);
     }
 }
 
 /// Counts a request that was told to come back.
 pub(super) fn refused(state: &mut DirectState, now: Millis, model: &Arc<str>) {
-    if let Some(asks) = state.demand.slot(now, model) {
-        asks.refused += ONE;
+    if let Some(arrivals) = state.demand.slot(now, model) {
+        arrivals.refused += ONE;
     }
 }
 
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -10,6 +10,7 @@
 
 mod accept;
 mod answer;
+mod arrivals;
 mod asked;
 mod choose;
 mod demand;
