Stop: callers that wait for a router which knows nothing yet are answered first

A router that stops ended once no request was in flight; those that came before it knew anything aren't in flight yet, and would have found their connection closed (rule LOST). Change: the end waits for them too. The test fails without it (the process ends under a waiting caller).

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -116,7 +116,7 @@
         last_event: request.last_event,
         first: 0,
         paused: 0,
-        moved: now,
+        moved: at,
         route,
     };
     state.flights.insert(id, flight);
--- a/src/logic/direct/flight.rs
+++ b/src/logic/direct/flight.rs
@@ -28,7 +28,7 @@
     pub priority: u8,
     /// Whose turn it is among others.
     pub turn: Turn,
-    /// Until when it may wait for room; 0 once it was sent.
+    /// Until when it may wait for an endpoint at the longest.
     pub held: Millis,
     /// When it arrived.
     pub arrived: Millis,
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -119,12 +119,13 @@
         return;
     };
     let part = state.knobs.grace_ms / 16;
+    let answered = state.flights.is_empty() && state.early.is_empty();
     match state.ending {
         EndStage::Open if now >= since + DOORS * part => {
             state.ending = EndStage::Closed;
             out.push(Effect::Direct(DirectEffect::CloseDoors));
         }
-        EndStage::Closed if state.flights.is_empty() || now >= since + LAST * part => {
+        EndStage::Closed if answered || now >= since + LAST * part => {
             state.ending = EndStage::Over;
             out.push(Effect::Exit);
         }
--- a/tests/direct/stopping.rs
+++ b/tests/direct/stopping.rs
@@ -53,3 +53,18 @@
     }
     assert!(router.state().ending == runrail::logic::direct::EndStage::Over);
 }
+
+/// Such a caller was read and would find its connection closed.
+#[test]
+fn a_stop_answers_those_that_wait_for_a_router_which_knows_nothing_yet() {
+    let mut router = Router::bare();
+    router.feed(Event::Stop);
+    router.pass(2_900);
+    router.ask(1, "/stream/x");
+    router.pass(400);
+    assert_eq!(ended(&router), 0, "it waits");
+    router.pass(1_000);
+    assert_eq!(ended(&router), 1);
+    let told = problem(&router.take());
+    assert!(matches!(told, Some(Problem::NotYet(_))), "{told:?}");
+}
