--- a/src/logic/direct/line.rs
+++ b/src/logic/direct/line.rs
@@ -13,8 +13,12 @@
 /// Requests that may wait however few were sent lately.
 const LEAST: u64 = 4;
 
-/// Waits in vain that are forgiven, so that the first few of a shortage don't close a
-/// line that served all before.
+/// Late requests that must have got an endpoint for each that waited in vain. At one a
+/// fleet that is short all day kept callers waiting for refusals; with two and four the
+/// same days were within luck of each other.
+const SERVED_A_VAIN: u64 = 4;
+
+/// Served ones that are added to what was seen, so that a line is open at first.
 const FORGIVEN: u64 = 2;
 
 /// What one slot has counted.
@@ -59,9 +63,10 @@
         LEAST.max(self.sum(now, |c| c.sent) * hold / (SLOTS * SLOT_MS))
     }
 
-    /// Whether half of those that waited until they were late got an endpoint lately.
+    /// Whether nearly all that waited until they were late got an endpoint lately.
     pub fn rewards(&mut self, now: Millis) -> bool {
-        self.sum(now, |c| c.served) + FORGIVEN >= self.sum(now, |c| c.vain)
+        let vain = self.sum(now, |c| c.vain);
+        self.sum(now, |c| c.served) + FORGIVEN >= SERVED_A_VAIN * vain
     }
 
     /// Whether anything was sent lately.
