--- a/tests/direct/queue.rs
+++ b/tests/direct/queue.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use runrail::logic::direct::{DirectEffect, DirectEvent, Problem, RunPart};
+use runrail::logic::direct::{DirectEffect, DirectEvent, Line, Problem, RunPart};
 use runrail::types::InstanceId;
 
 use crate::fixture::{open_group, problem, request, routing, run, Router, FENCE};
@@ -161,3 +161,19 @@
     router.pass(120);
     assert_eq!(refused(&router.take()), [100], "a quarter of 400 ms");
 }
+
+#[test]
+fn a_line_is_open_while_four_late_ones_got_an_endpoint_for_each_in_vain() {
+    let mut line = Line::default();
+    assert!(line.rewards(0), "nothing is known yet");
+    line.refused(100);
+    assert!(!line.rewards(100));
+    for late in [false, true, true] {
+        line.sent(200, late);
+    }
+    assert!(line.rewards(200), "two, and two that are added");
+    line.refused(200);
+    assert!(!line.rewards(300));
+    assert!(line.rewards(6_000), "it is forgotten");
+    assert!(!line.is_used(6_000));
+}
