Retries: E641 and the metrics tell what the budget has paid for

Which life of a process spent which retries could not be told from logs or metrics. E641 names the retries and requests of the window and the age of the process; retries_paid, retries_unpaid and age_ms are figures. No decision changes.

--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -18,6 +18,8 @@
     pub knobs: DirectKnobs,
     /// Own instance.
     pub me: InstanceId,
+    /// When this life of the process began: its first event.
+    pub started: Option<Millis>,
     /// Where other routers reach this one.
     pub addr: Option<SocketAddr>,
     /// Own data hall.
@@ -50,6 +52,10 @@
     pub next: u64,
     /// Retries and requests by service.
     pub retries: BTreeMap<Arc<str>, RetryWindow>,
+    /// Retries that the budget has paid for, in this life of the process.
+    pub paid: u64,
+    /// Retries that it had no room for, likewise.
+    pub unpaid: u64,
     /// Own address in the key-value service.
     pub presence: Presence,
     /// Other routers.
@@ -72,6 +78,7 @@
         Self {
             knobs,
             me,
+            started: None,
             addr: None,
             hall: Arc::from(hall),
             seed,
@@ -88,6 +95,8 @@
             runs: BTreeMap::new(),
             next: 1,
             retries: BTreeMap::new(),
+            paid: 0,
+            unpaid: 0,
             presence: Presence::default(),
             peers: BTreeMap::new(),
             asked: BTreeMap::new(),
@@ -125,6 +134,9 @@
             ("idle_empty", self.idle(IdleReason::Empty)),
             ("idle_waits", self.idle(IdleReason::Waits)),
             ("plans", u64::from(self.plan.duty.holds(now))),
+            ("retries_paid", self.paid),
+            ("retries_unpaid", self.unpaid),
+            ("age_ms", self.age(now)),
         ]
     }
 
@@ -140,6 +152,11 @@
         idle.count() as u64
     }
 
+    /// How long this life of the process has lasted.
+    pub(super) fn age(&self, now: Millis) -> Millis {
+        self.started.map_or(0, |at| now.saturating_sub(at))
+    }
+
     /// A random number below `bound`; 0 for a bound of 0.
     pub(super) fn random(&mut self, bound: u64) -> u64 {
         let mut rng = fastrand::Rng::with_seed(self.seed);
--- a/src/logic/direct/retry_window.rs
+++ b/src/logic/direct/retry_window.rs
@@ -36,8 +36,7 @@
         routers: u64,
     ) -> bool {
         self.slot(now, window);
-        let requests: u64 = self.slots.iter().map(|s| s.1).sum();
-        let retries: u64 = self.slots.iter().map(|s| s.2).sum();
+        let (requests, retries) = self.counts();
         let part = extra / routers.max(LEAST_PARTS);
         let paid = (retries + 1) * 1_000 <= requests * ratio + part;
         if paid {
@@ -46,6 +45,13 @@
         paid
     }
 
+    /// Requests and retries in the window.
+    pub fn counts(&self) -> (u64, u64) {
+        let requests = self.slots.iter().map(|s| s.1).sum();
+        let retries = self.slots.iter().map(|s| s.2).sum();
+        (requests, retries)
+    }
+
     fn slot(&mut self, now: Millis, window: Millis) -> &mut (u64, u64, u64) {
         let at = now * SLOTS / window.max(1);
         self.slots.retain(|s| s.0 + SLOTS > at);
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,7 +1,8 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
 use super::{
-    choose, end, queue, DirectEffect, DirectState, Flight, Mechanism, Run, RunRequest, Turn,
+    choose, end, queue, DirectEffect, DirectState, Flight, Mechanism, RetryWindow, Run, RunRequest,
+    Turn,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
@@ -119,6 +120,9 @@
         return end::give_up(state, now, id, why, out);
     }
     let waits = state.knobs.on(Mechanism::ResumeWait);
+    let window = state.retries.get(&service);
+    let (requests, retries) = window.map_or((0, 0), RetryWindow::counts);
+    let age = state.age(now);
     if let Some(flight) = state.flights.get_mut(&id) {
         if flight.headed {
             flight.turn = Turn::Resumed;
@@ -130,22 +134,32 @@
             .with("request", &flight.label)
             .with("why", why)
             .with("runs", flight.runs)
-            .with("event", flight.last_event.unwrap_or(0));
+            .with("event", flight.last_event.unwrap_or(0))
+            .with("retries", retries)
+            .with("requests", requests)
+            .with("age", age);
         out.push(Effect::Note(note));
         end::measure(flight, Metric::Retry, 1, out);
     }
     next(state, now, id, out);
 }
 
+/// Whether the budget pays for a retry.
 fn pays(state: &mut DirectState, now: Millis, service: &std::sync::Arc<str>) -> bool {
     let routers = state.peers.len() as u64 + 1;
     let knobs = &state.knobs;
     let window = state.retries.entry(service.clone()).or_default();
-    window.retry(
+    let paid = window.retry(
         now,
         knobs.retry_window,
         knobs.retry_ratio,
         knobs.retry_extra,
         routers,
-    )
+    );
+    if paid {
+        state.paid += 1;
+    } else {
+        state.unpaid += 1;
+    }
+    paid
 }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -8,6 +8,7 @@
 
 /// Applies one event to a router with direct links.
 pub(crate) fn step(state: &mut DirectState, now: Millis, event: Event, out: &mut Vec<Effect>) {
+    state.started.get_or_insert(now);
     match event {
         Event::Stop => stop(state, now),
         Event::Store { call, result } if state.presence.call == Some(call) => {
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -30,7 +30,13 @@
 impl Router {
     /// A router that knows the routing and the list, without the planner's duty.
     pub fn new(entries: Vec<(InstanceId, EndpointEntry)>) -> Self {
+        Self::started(1_000, entries)
+    }
+
+    /// The same, started at a time.
+    pub fn started(now: u64, entries: Vec<(InstanceId, EndpointEntry)>) -> Self {
         let mut router = Self::bare();
+        router.now = now;
         router.tell(DirectEvent::Routing(Arc::new(routing(1))));
         router.tell(DirectEvent::List {
             revision: FENCE,
