Retries: a window forgets nothing that is less than a window old

Callers of several routers together were sent again more often than the budget allows. Cause: the window is counted in tenths and the oldest one left as a new one began, so that a part spent at the end of a tenth could be spent again 9.0 tenths later. Retries of the oldest tenth count on until it has passed; its requests do not.

--- a/src/logic/direct/retry_window.rs
+++ b/src/logic/direct/retry_window.rs
@@ -1,10 +1,15 @@
 use std::collections::VecDeque;
 
+use super::RetryTerms;
 use crate::types::Millis;
 
 /// Slots that a window is counted in.
 const SLOTS: u64 = 10;
 
+/// Fewest routers that the fixed number is divided by: with fewer, some stay in reserve
+/// for routers that this one hasn't heard of yet.
+const LEAST_PARTS: u64 = 16;
+
 /// Requests and retries of one service over a sliding span.
 ///
 /// All routers together may retry a share of the requests and a fixed number beside.
@@ -12,51 +17,54 @@
 /// number, so that none has to ask the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct RetryWindow {
-    slots: VecDeque<(u64, u64, u64)>,
+    slots: VecDeque<Slot>,
 }
 
-/// Fewest routers that the fixed number is divided by: with fewer, some stay in reserve
-/// for routers that this one hasn't heard of yet.
-const LEAST_PARTS: u64 = 16;
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Slot {
+    at: u64,
+    requests: u64,
+    retries: u64,
+}
 
 impl RetryWindow {
     /// Counts a request.
     pub fn request(&mut self, now: Millis, window: Millis) {
-        self.slot(now, window).1 += 1;
+        self.slot(now, window).requests += 1;
     }
 
-    /// Pays for a retry, where there is room. `ratio` is retries for a thousand
-    /// requests, `extra` thousandths of retries of all `routers` together.
-    pub fn retry(
-        &mut self,
-        now: Millis,
-        window: Millis,
-        ratio: u64,
-        extra: u64,
-        routers: u64,
-    ) -> bool {
-        self.slot(now, window);
+    /// Pays for a retry, where there is room.
+    pub fn retry(&mut self, now: Millis, terms: &RetryTerms) -> bool {
+        self.slot(now, terms.window);
         let (requests, retries) = self.counts();
-        let part = extra / routers.max(LEAST_PARTS);
-        let paid = (retries + 1) * 1_000 <= requests * ratio + part;
+        let part = terms.extra / terms.routers.max(LEAST_PARTS);
+        let allowed = requests * terms.ratio + part;
+        let paid = (retries + 1) * 1_000 <= allowed;
         if paid {
-            self.slot(now, window).2 += 1;
+            self.slot(now, terms.window).retries += 1;
         }
         paid
     }
 
-    /// Requests and retries in the window.
+    /// Requests and retries in the window. The oldest slot ends within the window, so that
+    /// its retries count still and its requests no more.
     pub fn counts(&self) -> (u64, u64) {
-        let requests = self.slots.iter().map(|s| s.1).sum();
-        let retries = self.slots.iter().map(|s| s.2).sum();
+        let newest = self.slots.back().map_or(0, |s| s.at);
+        let inside = self.slots.iter().filter(|s| s.at + SLOTS > newest);
+        let requests = inside.map(|s| s.requests).sum();
+        let retries = self.slots.iter().map(|s| s.retries).sum();
         (requests, retries)
     }
 
-    fn slot(&mut self, now: Millis, window: Millis) -> &mut (u64, u64, u64) {
+    fn slot(&mut self, now: Millis, window: Millis) -> &mut Slot {
         let at = now * SLOTS / window.max(1);
-        self.slots.retain(|s| s.0 + SLOTS > at);
-        if self.slots.back().map(|s| s.0) != Some(at) {
-            self.slots.push_back((at, 0, 0));
+        self.slots.retain(|s| s.at + SLOTS >= at);
+        if self.slots.back().map(|s| s.at) != Some(at) {
+            self.slots.push_back(Slot {
+                at,
+                requests: 0,
+                retries: 0,
+            });
         }
         let last = self.slots.len() - 1;
         &mut self.slots[last]
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,8 +1,8 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
 use super::{
-    choose, end, queue, DirectEffect, DirectState, Flight, Mechanism, RetryWindow, Run, RunRequest,
-    Turn,
+    choose, end, queue, DirectEffect, DirectState, Flight, Mechanism, RetryTerms, RetryWindow, Run,
+    RunRequest, Turn,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
@@ -146,16 +146,9 @@
 
 /// Whether the budget pays for a retry.
 fn pays(state: &mut DirectState, now: Millis, service: &std::sync::Arc<str>) -> bool {
-    let routers = state.peers.len() as u64 + 1;
-    let knobs = &state.knobs;
+    let terms = RetryTerms::new(&state.knobs, state.peers.len() as u64 + 1);
     let window = state.retries.entry(service.clone()).or_default();
-    let paid = window.retry(
-        now,
-        knobs.retry_window,
-        knobs.retry_ratio,
-        knobs.retry_extra,
-        routers,
-    );
+    let paid = window.retry(now, &terms);
     if paid {
         state.paid += 1;
     } else {
--- a/tests/direct/settings.rs
+++ b/tests/direct/settings.rs
@@ -2,7 +2,7 @@
 
 use std::process::Command;
 
-use runrail::logic::direct::RetryWindow;
+use runrail::logic::direct::{DirectKnobs, RetryTerms, RetryWindow};
 use runrail::settings::DirectSettings;
 
 /// Figures that the platform fills into the template.
@@ -107,7 +107,12 @@
     let mut all = 0;
     for _ in 0..routers {
         let mut window = RetryWindow::default();
-        while window.retry(1_000, 10_000, 200, extra, routers) {
+        let knobs = DirectKnobs {
+            retry_extra: extra,
+            ..DirectKnobs::default()
+        };
+        let terms = RetryTerms::new(&knobs, routers);
+        while window.retry(1_000, &terms) {
             all += 1;
         }
     }
