Retries: a router that loses sight of others keeps its part for a window

Cause: the part of the fixed number goes by the routers known now. Whoever loses sight of others (a store that lets leases lapse, routers that have ended) takes a larger part while what the others spent is still in the window. The divisor is the highest number of the window.

--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -5,7 +5,7 @@
 use super::plan::{IdleReason, PlanState};
 use super::{
     Asked, Demand, DigestState, DirectKnobs, DirectRequest, EndStage, EndpointView, Flight, Line,
-    LineKey, Presence, RetryWindow,
+    LineKey, Presence, RecentPeak, RetryWindow,
 };
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
@@ -60,6 +60,8 @@
     pub presence: Presence,
     /// Other routers.
     pub peers: BTreeMap<InstanceId, SocketAddr>,
+    /// Routers known within the retry window, this one included.
+    pub routers: RecentPeak,
     /// Who wants to know what is seen of an endpoint.
     pub asked: BTreeMap<InstanceId, Vec<Asked>>,
     /// The planner's duty.
@@ -99,6 +101,7 @@
             unpaid: 0,
             presence: Presence::default(),
             peers: BTreeMap::new(),
+            routers: RecentPeak::default(),
             asked: BTreeMap::new(),
             plan: PlanState::default(),
             ready: false,
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -45,6 +45,7 @@
 
 /// Looks after the own address.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    count(state, now);
     let presence = &state.presence;
     let (Some(addr), None) = (state.addr, presence.call) else {
         return;
@@ -103,6 +104,13 @@
     }
 }
 
+/// Remembers how many routers are known, this one included.
+pub(super) fn count(state: &mut DirectState, now: Millis) {
+    let routers = state.peers.len() as u64 + 1;
+    let window = state.knobs.retry_window;
+    state.routers.record(now, window, routers);
+}
+
 /// Own keys have changed.
 pub(super) fn changed(state: &mut DirectState, changes: &[StoreChange]) {
     for change in changes {
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,8 +1,8 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
 use super::{
-    choose, end, queue, DirectEffect, DirectState, Flight, Mechanism, RetryTerms, RetryWindow, Run,
-    RunRequest, Turn,
+    choose, end, peers, queue, DirectEffect, DirectState, Flight, Mechanism, RetryTerms,
+    RetryWindow, Run, RunRequest, Turn,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
@@ -146,7 +146,8 @@
 
 /// Whether the budget pays for a retry.
 fn pays(state: &mut DirectState, now: Millis, service: &std::sync::Arc<str>) -> bool {
-    let terms = RetryTerms::new(&state.knobs, state.peers.len() as u64 + 1);
+    peers::count(state, now);
+    let terms = RetryTerms::new(&state.knobs, state.routers.highest());
     let window = state.retries.entry(service.clone()).or_default();
     let paid = window.retry(now, &terms);
     if paid {
