Retries: a process sends none until a window after its start has passed

Cause: the window lives in memory, so that each start of a router has its part of the fixed number and a share of its requests anew, whatever its life before has spent. Change: retries begin a window after the first reading of the other routers; at the first start of the system after a second, as there was no life before.

--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -60,6 +60,8 @@
     pub presence: Presence,
     /// Other routers.
     pub peers: BTreeMap<InstanceId, SocketAddr>,
+    /// From when this router sends retries; never before the other routers are known.
+    pub retries_from: Option<Millis>,
     /// Routers known within the retry window, this one included.
     pub routers: RecentPeak,
     /// Who wants to know what is seen of an endpoint.
@@ -101,6 +103,7 @@
             unpaid: 0,
             presence: Presence::default(),
             peers: BTreeMap::new(),
+            retries_from: None,
             routers: RecentPeak::default(),
             asked: BTreeMap::new(),
             plan: PlanState::default(),
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -30,6 +30,9 @@
 /// Pause after a call that failed.
 const AGAIN_MS: Millis = 500;
 
+/// Time within which routers that start together know each other.
+const KNOWN_MS: Millis = 1_000;
+
 /// State of a router's own address in the key-value service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Presence {
@@ -97,7 +100,8 @@
 }
 
 /// The own keys were read whole.
-pub(super) fn read(state: &mut DirectState, entries: &[StoreEntry]) {
+pub(super) fn read(state: &mut DirectState, now: Millis, entries: &[StoreEntry]) {
+    state.retries_from.get_or_insert(now + unproven(state));
     state.peers.clear();
     for entry in entries {
         learn(state, &entry.key, Some(&entry.value));
@@ -111,6 +115,17 @@
     state.routers.record(now, window, routers);
 }
 
+/// Time from the first reading of the routers until this one sends retries. An earlier life
+/// of the process may have spent all that a window allows, by requests that came before it;
+/// at the first start of the system there was none.
+fn unproven(state: &DirectState) -> Millis {
+    if state.plan.first {
+        KNOWN_MS
+    } else {
+        state.knobs.retry_window
+    }
+}
+
 /// Own keys have changed.
 pub(super) fn changed(state: &mut DirectState, changes: &[StoreChange]) {
     for change in changes {
--- a/src/logic/direct/plan/duty.rs
+++ b/src/logic/direct/plan/duty.rs
@@ -156,7 +156,7 @@
     };
     state.plan.duty.call = None;
     if let (DutyCall::Read, Ok(StoreReply::Entries { entries, .. })) = (what, &result) {
-        peers::read(state, entries);
+        peers::read(state, now, entries);
     }
     let pause = jitter(state);
     let duty = &mut state.plan.duty;
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -149,7 +149,8 @@
     peers::count(state, now);
     let terms = RetryTerms::new(&state.knobs, state.routers.highest());
     let window = state.retries.entry(service.clone()).or_default();
-    let paid = window.retry(now, &terms);
+    let proven = state.retries_from.is_some_and(|from| now >= from);
+    let paid = proven && window.retry(now, &terms);
     if paid {
         state.paid += 1;
     } else {
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -45,11 +45,12 @@
         router
     }
 
-    /// A router that knows nothing yet.
+    /// A router that knows nothing yet, but may send retries beyond the ratio.
     pub fn bare() -> Self {
         let me = InstanceId::new("r1");
         let mut state = DirectState::new(me, "h1", 5, DirectKnobs::default());
         state.addr = Some(addr(900));
+        state.retries_from = Some(0);
         Self {
             node: Node::Direct(Box::new(state)),
             now: 1_000,
--- a/tests/direct/retries.rs
+++ b/tests/direct/retries.rs
@@ -29,9 +29,10 @@
     }
 }
 
-/// A process that starts now and knows some other routers and plenty of endpoints.
+/// A process that has just started and knows some other routers and plenty of endpoints.
 fn life(now: u64, others: u16) -> Router {
-    let mut router = Router::started(now, (0..300).map(plain).collect());
+    let mut router = unread(now);
+    router.pass(20);
     for n in 0..others {
         let id = InstanceId::new(&format!("other{n}"));
         router.state().peers.insert(id, addr(2_000 + n));
@@ -39,6 +40,13 @@
     router
 }
 
+/// A process that starts now and hasn't read who the other routers are.
+fn unread(now: u64) -> Router {
+    let mut router = Router::started(now, (0..300).map(plain).collect());
+    router.state().retries_from = None;
+    router
+}
+
 /// Requests whose first endpoint has no room; what is sent again is served.
 fn shed(router: &mut Router, requests: u64, count: &mut Count) {
     let sheds = RunPart::Whole {
@@ -82,7 +90,7 @@
 #[test]
 fn retries_less_than_a_window_apart_share_a_budget() {
     let mut router = life(1_000, 10);
-    router.pass(2 * WINDOW - 1_010);
+    router.pass(2 * WINDOW - 1_030);
     assert_eq!(router.now, 2 * WINDOW - 10, "just before a tenth ends");
     let mut count = Count::default();
     shed(&mut router, 60, &mut count);
@@ -119,3 +127,53 @@
     shed(&mut router, 60, &mut later);
     assert_eq!(later.retries, later.allowed(EXTRA / PARTS));
 }
+
+/// Routers that can't read the store know nobody and would take a part each of too few.
+#[test]
+fn a_router_that_knows_no_others_yet_keeps_to_the_ratio() {
+    let mut router = unread(1_000);
+    router.state().presence.next_at = u64::MAX;
+    router.state().plan.duty.next_at = u64::MAX;
+    router.pass(2 * WINDOW);
+    let mut count = Count::default();
+    shed(&mut router, 60, &mut count);
+    assert!(count.retries <= count.allowed(0), "{}", count.retries);
+}
+
+/// Nothing was spent before the system first started, so callers need not wait.
+#[test]
+fn at_the_first_start_of_the_system_a_router_has_its_part_within_two_seconds() {
+    let mut router = unread(1_000);
+    router.state().plan.first = true;
+    router.pass(2_000);
+    let mut count = Count::default();
+    shed(&mut router, 60, &mut count);
+    assert_eq!(count.retries, count.allowed(EXTRA / PARTS));
+}
+
+/// A life that follows one which spent the share of many earlier requests at its end would
+/// take the share of its own requests in the same window.
+#[test]
+fn what_an_earlier_life_spent_at_its_end_is_not_spent_again() {
+    let mut router = life(1_000, 10);
+    router.pass(2 * WINDOW);
+    let served = RunPart::Whole {
+        status: 200,
+        not_run: false,
+    };
+    for n in 0..300 {
+        let sent = run(&router.ask(n, "/safe/x"));
+        router.part(sent.run, served.clone());
+    }
+    router.pass(WINDOW - 2_000);
+    let mut count = Count::default();
+    shed(&mut router, 100, &mut count);
+    let mut next = life(router.now + 500, 10);
+    next.pass(500);
+    shed(&mut next, 100, &mut count);
+    let earlier = 300.0 * RATIO;
+    let allowed = count
+        .allowed(EXTRA / PARTS)
+        .max(earlier as u64 + 20 + EXTRA / PARTS);
+    assert!(count.retries <= allowed, "{} of {allowed}", count.retries);
+}
