--- a/tests/direct/standin.rs
+++ b/tests/direct/standin.rs
@@ -38,6 +38,8 @@
 
 #[derive(Default)]
 pub struct World {
+    /// How often the store has come back from a copy.
+    era: u64,
     revision: i64,
     items: BTreeMap<String, (String, i64, i64)>,
     log: Vec<(i64, String, Option<String>)>,
@@ -50,6 +52,14 @@
     pub broken: Vec<String>,
 }
 
+/// What a store holds, kept to come back to.
+pub struct Copy {
+    revision: i64,
+    items: BTreeMap<String, (String, i64, i64)>,
+    log: Vec<(i64, String, Option<String>)>,
+    leases: HashMap<i64, (Instant, Duration)>,
+}
+
 struct Replica {
     addr: SocketAddr,
     service: &'static str,
@@ -191,6 +201,33 @@
         self.put("op/config", text);
     }
 
+    /// A copy of the store as it is now.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            revision: self.revision,
+            items: self.items.clone(),
+            log: self.log.clone(),
+            leases: self.leases.clone(),
+        }
+    }
+
+    /// The store comes back as it was: what was written since is gone, and its revisions are
+    /// given out again.
+    pub fn restore(&mut self, copy: Copy) {
+        self.era += 1;
+        self.revision = copy.revision;
+        self.items = copy.items;
+        self.log = copy.log;
+        self.leases = copy.leases;
+    }
+
+    /// Writes of others that only make the revision rise.
+    pub fn write_unrelated(&mut self, count: usize) {
+        for n in 0..count {
+            self.put("other/key", &n.to_string());
+        }
+    }
+
     fn put(&mut self, key: &str, value: &str) {
         self.revision += 1;
         let old = self.items.get(key).map_or(0, |i| i.2);
@@ -432,17 +469,35 @@
     json!({"Key": key, "Value": BASE64_STANDARD.encode(value), "Revision": revision})
 }
 
+/// An answer of the store names its era, as of the time at which it was made.
 async fn store_call(world: Arc<Mutex<World>>, request: Request<Incoming>) -> Response<Body> {
+    let (mut response, era) = store_answer(world, request).await;
+    let era = http::HeaderValue::from(era);
+    response.headers_mut().insert("store-era", era);
+    response
+}
+
+async fn store_answer(
+    world: Arc<Mutex<World>>,
+    request: Request<Incoming>,
+) -> (Response<Body>, u64) {
+    let path = request.uri().path().to_string();
+    if path.ends_with("kv-watch") && !world.lock().expect("the world").store_down {
+        let since: i64 = query(&request, "SinceRev").parse().unwrap_or(0);
+        let wait: u64 = query(&request, "WaitMs").parse().unwrap_or(0);
+        return watch(&world, &query(&request, "PathPrefix"), since, wait).await;
+    }
+    let response = store_reply(&world, request).await;
+    let era = world.lock().expect("the world").era;
+    (response, era)
+}
+
+async fn store_reply(world: &Arc<Mutex<World>>, request: Request<Incoming>) -> Response<Body> {
     if world.lock().expect("the world").store_down {
         return whole(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
     }
     let path = request.uri().path().to_string();
     let prefix = query(&request, "PathPrefix");
-    if path.ends_with("kv-watch") {
-        let since: i64 = query(&request, "SinceRev").parse().unwrap_or(0);
-        let wait: u64 = query(&request, "WaitMs").parse().unwrap_or(0);
-        return watch(&world, &prefix, since, wait).await;
-    }
     let delete = request.method() == Method::DELETE;
     let body = request
         .into_body()
@@ -517,11 +572,20 @@
     whole(StatusCode::OK, &json!({"Revision": world.revision}))
 }
 
-async fn watch(world: &Arc<Mutex<World>>, prefix: &str, since: i64, wait: u64) -> Response<Body> {
+async fn watch(
+    world: &Arc<Mutex<World>>,
+    prefix: &str,
+    since: i64,
+    wait: u64,
+) -> (Response<Body>, u64) {
     let end = Instant::now() + Duration::from_millis(wait);
+    let begun = world.lock().expect("the world").era;
     loop {
         {
             let world = world.lock().expect("the world");
+            if world.era != begun || since > world.revision {
+                return (whole(StatusCode::GONE, &Value::Null), world.era);
+            }
             let changes = world
                 .log
                 .iter()
@@ -533,10 +597,8 @@
                 })
                 .collect();
             if !events.is_empty() || Instant::now() >= end || world.store_down {
-                return whole(
-                    StatusCode::OK,
-                    &json!({"events": events, "AsOf": world.revision.max(since)}),
-                );
+                let body = json!({"events": events, "AsOf": world.revision});
+                return (whole(StatusCode::OK, &body), world.era);
             }
         }
         sleep(Duration::from_millis(5)).await;
