List: entries of other writers name no endpoint to use

Operators' fleets may hold entries that other programs write. Two faults, each seen to fail first: a change that can't be read left the endpoint in use by its last readable entry (test an_entry_that_can_no_longer_be_read...: still used after 5 s), and a planner gave orders to members of a service that operators don't name (test groups_of_a_service...: Leave to e20).

--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -198,12 +198,11 @@
         shared.tell(DirectEvent::List { at, entries });
     };
     let changed = |at, changes: Vec<StoreChange>| {
-        let changes = changes.iter().filter_map(|c| match watches::as_entry(c) {
-            Some(entry) => read(&entry).map(|(id, entry)| (id, Some(entry))),
-            None => {
-                let id = c.key.strip_prefix(shared.dialect.list_prefix)?;
-                Some((InstanceId::new(id), None))
-            }
+        // What can't be read names no endpoint to use, like what was removed.
+        let changes = changes.iter().filter_map(|c| {
+            let id = c.key.strip_prefix(shared.dialect.list_prefix)?;
+            let entry = watches::as_entry(c).and_then(|entry| read(&entry));
+            Some((InstanceId::new(id), entry.map(|(_, entry)| entry)))
         });
         let changes = changes.collect();
         shared.tell(DirectEvent::Changes { at, changes });
--- a/src/logic/direct/plan/look.rs
+++ b/src/logic/direct/plan/look.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{cover, form};
+use super::{cover, form, survey};
 use crate::logic::direct::{endpoints, peers, DirectEffect, DirectState, LookResult, Sight};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{InstanceId, Millis};
@@ -94,7 +94,7 @@
     let seated = state
         .endpoints
         .iter()
-        .filter(|(_, v)| v.entry.seat.is_some());
+        .filter(|(_, v)| v.entry.seat.is_some() && survey::planned(state, v));
     let seated: Vec<_> = seated.map(|(id, _)| id.clone()).collect();
     for id in seated {
         at(state, now, &id, out);
--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -17,7 +17,7 @@
 pub(super) fn groups(state: &DirectState) -> BTreeMap<Arc<str>, GroupView> {
     let mut groups: BTreeMap<Arc<str>, GroupView> = BTreeMap::new();
     for (id, view) in &state.endpoints {
-        let Some(seat) = &view.entry.seat else {
+        let Some(seat) = view.entry.seat.as_ref().filter(|_| planned(state, view)) else {
             continue;
         };
         let alone = seat.group.starts_with(ALONE);
@@ -61,8 +61,15 @@
 
 /// Whether an endpoint of an engine may be planned with.
 pub(super) fn usable(state: &DirectState, id: &InstanceId, view: &EndpointView) -> bool {
-    let engine = !view.entry.domain.is_empty();
-    engine && view.listed && !view.entry.leaving && !state.plan.lost.contains_key(id)
+    planned(state, view) && view.listed && !view.entry.leaving && !state.plan.lost.contains_key(id)
+}
+
+/// Whether an endpoint belongs to a service whose groups are planned. An entry may name
+/// a service that operators know nothing of.
+pub(super) fn planned(state: &DirectState, view: &EndpointView) -> bool {
+    let service = &view.entry.service;
+    let spec = state.routing.as_ref().and_then(|r| r.services.get(service));
+    !view.entry.domain.is_empty() && spec.is_some_and(|s| s.engine.is_some())
 }
 
 /// Model of the group that an endpoint serves in or joins; none where it is free.
--- a/src/logic/direct/plan/tend.rs
+++ b/src/logic/direct/plan/tend.rs
@@ -1,4 +1,6 @@
-use super::{duty, fill, fleet_view, form, idle, inspect, look, retire, stage, value, LoadBudget};
+use super::{
+    duty, fill, fleet_view, form, idle, inspect, look, retire, stage, survey, value, LoadBudget,
+};
 use crate::logic::direct::{DirectEffect, DirectState};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
@@ -111,7 +113,7 @@
     let engines = state
         .endpoints
         .values()
-        .filter(|v| v.listed && !v.entry.domain.is_empty());
+        .filter(|v| v.listed && survey::planned(state, v));
     let count = engines.count();
     state.plan.most = state.plan.most.max(count);
     if count != state.plan.count.0 {
--- /dev/null
+++ b/tests/direct/foreign.rs
@@ -0,0 +1,54 @@
+//! Entries of the list and documents of operators that come from other writers.
+
+use std::time::Duration;
+
+use runrail::types::InstanceId;
+
+use crate::fixture::{engine, open_group, order, seat, Router};
+use crate::processes::{fleet, logs, served, until};
+
+/// An endpoint whose entry can't be read any more was used by its last readable one.
+#[test]
+fn an_entry_that_can_no_longer_be_read_names_no_endpoint_to_use() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (standin, routers) = fleet(4, dir.path());
+    let listed = |n: usize| {
+        let told = format!("runrail_endpoints {n}");
+        routers.iter().all(|r| r.figures().contains(&told))
+    };
+    until("all are listed", Duration::from_secs(5), || listed(6));
+    standin.world().silence("p1");
+    for wrong in ["not json", "{\"Service\":7}", "\u{0}\u{1}"] {
+        standin.world().configure_key("servers/p1", wrong);
+        until("it is not used", Duration::from_secs(5), || listed(5));
+    }
+    let unnamed = "{\"Service\":\"gate\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"h1\",\
+                   \"Slots\":4,\"State\":\"resting\",\"Seq\":3}";
+    standin.world().configure_key("servers/other", unnamed);
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(listed(5), "{}", logs(dir.path()));
+    assert!(served(&routers[0], "held"), "the others hold");
+}
+
+/// Whoever writes an entry for a service that operators don't name got orders.
+#[test]
+fn groups_of_a_service_that_operators_do_not_name_get_no_orders() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    for rank in 0..2 {
+        let n = 20 + rank as u16;
+        let (id, mut entry) = engine(n, seat("x", rank, runrail::types::SeatState::Ready));
+        entry.service = "elsewhere".into();
+        entries.push((id, entry));
+    }
+    let mut router = Router::planner(entries);
+    router.pass(8_000);
+    let foreign = |id: &str| id == "e20" || id == "e21";
+    let effects = router.take();
+    let orders: Vec<_> = effects.iter().filter_map(order).collect();
+    assert!(orders.iter().all(|(_, id, _)| !foreign(id)), "{orders:?}");
+    let known = router
+        .state()
+        .endpoints
+        .contains_key(&InstanceId::new("e20"));
+    assert!(known, "it is listed all the same");
+}
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod fields;
 mod figures;
 mod fixture;
+mod foreign;
 mod gate;
 mod idle;
 mod lag;
--- a/tests/direct/processes.rs
+++ b/tests/direct/processes.rs
@@ -50,10 +50,16 @@
         self.child = spawn(&self.settings);
     }
 
+    /// Its figures as text; empty where it doesn't answer.
+    pub fn figures(&self) -> String {
+        let answer = call(self.ready, "GET", "/metrics", "");
+        answer.map(|a| a.body).unwrap_or_default()
+    }
+
     /// Version of the routing in force; none before the first.
     pub fn routing(&self) -> Option<u64> {
-        let figures = call(self.ready, "GET", "/metrics", "")?;
-        let mut lines = figures.body.lines();
+        let figures = self.figures();
+        let mut lines = figures.lines();
         let version = lines.find_map(|l| l.strip_prefix("runrail_routing_version "))?;
         version.trim().parse().ok()
     }
--- a/tests/direct/standin.rs
+++ b/tests/direct/standin.rs
@@ -64,6 +64,7 @@
     addr: SocketAddr,
     service: &'static str,
     alive: bool,
+    silent: bool,
     staged: Option<String>,
     last: Option<String>,
     seat: Option<Seat>,
@@ -158,6 +159,7 @@
             addr,
             service,
             alive: true,
+            silent: false,
             staged: None,
             last: None,
             seat: None,
@@ -221,6 +223,18 @@
         self.leases = copy.leases;
     }
 
+    /// A replica that writes no entry of its own any more, but works on.
+    pub fn silence(&mut self, id: &str) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.silent = true;
+        }
+    }
+
+    /// Another writer's value under a key.
+    pub fn configure_key(&mut self, key: &str, value: &str) {
+        self.put(key, value);
+    }
+
     /// Writes of others that only make the revision rise.
     pub fn write_unrelated(&mut self, count: usize) {
         for n in 0..count {
@@ -275,6 +289,7 @@
         let entries: Vec<_> = self
             .replicas
             .iter()
+            .filter(|(_, r)| !r.silent)
             .map(|(id, r)| (format!("servers/{id}"), r.alive.then(|| r.entry())))
             .collect();
         for (key, entry) in entries {
