Retries between routers and agents: a process begins with none saved up

The class of the incident, looked for elsewhere: the product's own protocol gave each start of a router 25 retries, whatever its life before had spent, so that lives add up beyond the tenth of their requests.

--- a/src/logic/router/budget.rs
+++ b/src/logic/router/budget.rs
@@ -1,7 +1,10 @@
 /// Tokens for attempts after the first, so that retries can't multiply a load.
 ///
 /// Each request adds a part of a token, each retry takes one.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+///
+/// A process begins with none: what its life before has spent isn't known, and each start
+/// would add to what all routers send together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct RetryBudget {
     thousandths: u64,
 }
@@ -28,11 +31,3 @@
         enough
     }
 }
-
-impl Default for RetryBudget {
-    fn default() -> Self {
-        Self {
-            thousandths: Self::MOST / 2,
-        }
-    }
-}
