List: an entry without what every replica tells is no replica's own

Operators' fleets may hold entries of other writers with fields missing or of another type. Version and ColdLeftMs decide nothing here and were not asked for, a domain of any type was taken, and an entry without a domain got streams of a service with groups. All of these name no endpoint to use now; services with an engine go by their groups alone. Test an_endpoint_without_a_place...; an_entry_of_the_list_without_a_field covers each field left out and of another type (Version failed before).

--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -21,16 +21,22 @@
 
 /// Whether any endpoint may take such a request, if only it had room.
 pub(super) fn any(state: &DirectState, flight: &Flight) -> bool {
-    let fits =
-        |v: &EndpointView| v.listed && v.entry.service == flight.service && serves(v, flight);
+    let spec = state
+        .routing
+        .as_ref()
+        .and_then(|r| r.services.get(&flight.service));
+    let groups = spec.is_some_and(|s| s.engine.is_some());
+    let fits = |v: &EndpointView| {
+        v.listed && v.entry.service == flight.service && serves(v, flight, groups)
+    };
     state.endpoints.values().any(fits)
 }
 
-/// Whether an endpoint of the right service serves what is asked for: a plain one, or
-/// the head of a group of the model.
-fn serves(view: &EndpointView, flight: &Flight) -> bool {
+/// Whether an endpoint of the right service serves what is asked for: any of a plain
+/// service, or the head of a group of the model where a service has `groups`.
+fn serves(view: &EndpointView, flight: &Flight, groups: bool) -> bool {
     let model = flight.model.is_none() || view.entry.model == flight.model;
-    view.entry.domain.is_empty() || (view.heads() && model)
+    !groups || (view.heads() && model)
 }
 
 fn best(
@@ -47,7 +53,7 @@
     let draws = state.random(u64::MAX);
     let knobs = &state.knobs;
     for (id, view) in &state.endpoints {
-        if !allowed(&(id.clone(), view.epoch())) || !takes(view, now, flight) {
+        if !allowed(&(id.clone(), view.epoch())) || !takes(view, now, flight, engine.is_some()) {
             continue;
         }
         let room = |e: &EngineSpec| {
@@ -76,11 +82,11 @@
 }
 
 /// Whether an endpoint may get this request at all.
-fn takes(view: &EndpointView, now: Millis, flight: &Flight) -> bool {
+fn takes(view: &EndpointView, now: Millis, flight: &Flight, groups: bool) -> bool {
     let entry = &view.entry;
     let fits = entry.service == flight.service && !entry.leaving && view.listed;
     let calm = view.shunned <= now && view.silent.is_none();
-    fits && calm && serves(view, flight)
+    fits && calm && serves(view, flight, groups)
 }
 
 /// Microseconds until an endpoint is likely to begin with a request.
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -59,6 +59,7 @@
     let entry = StoreEntry {
         key: "servers/i-1".to_string(),
         value: r#"{"Service":"m","Address":"10.0.0.9:80","Zone":"h","Slots":48,"State":"draining","Seq":4,
+          "Version":"v1","ColdLeftMs":250.5,"born":1790000000000,
           "Domain":"d0","Staged":["big"],"Models":[{"Name":"big","Version":1,"Adapters":[]}],
           "group":{"Name":"g7","epoch":12,"rank":0,"State":"open"}}"#
             .to_string(),
@@ -67,6 +68,7 @@
     let (id, endpoint) = (dialect().entry)(&entry).expect("readable");
     assert_eq!(id.as_str(), "i-1");
     assert!(endpoint.leaving);
+    assert_eq!(endpoint.born, Some(1_790_000_000_000));
     let seat = endpoint.seat.expect("a place");
     assert_eq!((seat.epoch, seat.state), (12, SeatState::Open));
 }
--- a/tests/direct/fields.rs
+++ b/tests/direct/fields.rs
@@ -177,6 +177,7 @@
 #[test]
 fn an_entry_of_the_list_without_a_field_it_needs_names_it() {
     let entry = json!({"Service": "m", "Address": "10.0.0.9:80", "Zone": "h", "Slots": 48,
+        "Version": "v1", "ColdLeftMs": 0, "born": 1_790_000_000_000_u64,
         "State": "ready", "Seq": 4, "Domain": "d0", "Staged": ["big"],
         "Models": [{"Name": "big"}],
         "group": {"Name": "g7", "epoch": 12, "rank": 0, "State": "open"}});
@@ -190,9 +191,15 @@
     assert!(read(&entry).is_ok());
     let mut found = Vec::new();
     places(&entry, "", &mut found);
-    // A plain service has none of these; a place in a group without a name is none.
-    let optional = ["Domain", "Staged", "Models", "group", "group.Name"];
+    // A plain service has none of these; a place in a group without a name is none; not all
+    // platforms tell when a life began.
+    let optional = ["born", "Domain", "Staged", "Models", "group", "group.Name"];
     for place in found {
+        let mut odd = entry.clone();
+        let (within, name) = holder(&mut odd, &place);
+        within[&name] = json!(true);
+        let error = read(&odd).expect_err(&place);
+        assert!(error.contains(&name), "{place} of another type: {error}");
         let mut entry = entry.clone();
         let (holder, name) = holder(&mut entry, &place);
         holder.as_object_mut().expect("an object").remove(&name);
@@ -204,6 +211,9 @@
             ),
         }
     }
+    let mut fraction = entry.clone();
+    fraction["born"] = json!(1_790_000_000_000.5);
+    assert!(read(&fraction).expect_err("born").contains("born"));
     let mut wrong = entry.clone();
     wrong["State"] = json!("asleep");
     assert!(read(&wrong).expect_err("a state").contains("asleep"));
--- a/tests/direct/foreign.rs
+++ b/tests/direct/foreign.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use runrail::logic::direct::DirectEffect;
 use runrail::types::InstanceId;
 
 use crate::fixture::{engine, open_group, order, seat, Router};
@@ -24,13 +25,25 @@
         until("it is not used", Duration::from_secs(5), || listed(5));
     }
     let unnamed = "{\"Service\":\"gate\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"h1\",\
-                   \"Slots\":4,\"State\":\"resting\",\"Seq\":3}";
+                   \"Slots\":4,\"State\":\"resting\",\"Seq\":3,\
+                   \"Version\":\"v1\",\"ColdLeftMs\":0}";
     standin.world().configure_key("servers/other", unnamed);
     std::thread::sleep(Duration::from_millis(300));
     assert!(listed(5), "{}", logs(dir.path()));
     assert!(served(&routers[0], "held"), "the others hold");
 }
 
+/// An entry without a domain was taken for one of a plain service, and got streams.
+#[test]
+fn an_endpoint_without_a_place_serves_nothing_of_a_service_with_groups() {
+    let (id, mut entry) = engine(7, None);
+    entry.domain = "".into();
+    let mut router = Router::new(vec![(id, entry)]);
+    let effects = router.ask(1, "/stream/x");
+    let sent = effects.iter().any(|e| matches!(e, DirectEffect::Run(_)));
+    assert!(!sent, "{effects:?}");
+}
+
 /// Whoever writes an entry for a service that operators don't name got orders.
 #[test]
 fn groups_of_a_service_that_operators_do_not_name_get_no_orders() {
--- a/tests/direct/standin.rs
+++ b/tests/direct/standin.rs
@@ -387,7 +387,8 @@
 impl Replica {
     fn entry(&self) -> String {
         let mut entry = json!({"Service": self.service, "Address": self.addr.to_string(),
-            "Zone": "h1", "Slots": 8, "State": "ready", "Seq": 1, "born": self.born});
+            "Zone": "h1", "Slots": 8, "State": "ready", "Seq": 1, "born": self.born,
+            "Version": "v1", "ColdLeftMs": 0});
         if self.service == "pool" {
             entry["Domain"] = json!("d1");
             entry["Staged"] = json!(self.staged.iter().collect::<Vec<_>>());
