--- a/src/link/store.rs
+++ b/src/link/store.rs
@@ -35,11 +35,6 @@
 const CROWDED_TRIES: u32 = 8;
 const CROWDED_PAUSE: Duration = Duration::from_millis(50);
 
-/// Whether the store has turned a call away with this.
-fn is_away(status: StatusCode) -> bool {
-    status == AWAY || status == CROWDED
-}
-
 /// Longest answer, in bytes.
 const LIMIT: usize = 64 * 1024 * 1024;
 
@@ -113,8 +108,13 @@
     answer
 }
 
-/// Takes in the era that an answer names; false where the answer is of an earlier one, or
-/// doesn't tell in a way that can be read.
+/// Whether the store has turned a call away with this.
+fn is_away(status: StatusCode) -> bool {
+    status == AWAY || status == CROWDED
+}
+
+/// Takes in the era that an answer names; false where that is over. One that can't be read
+/// is told and taken for the era known so far.
 fn in_era(shared: &Shared, headers: &HeaderMap) -> bool {
     let named = (shared.dialect.store_era)(headers).unwrap_or_else(|why| {
         unread("an answer", "the store", &why);
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -55,9 +55,9 @@
     /// Retries and requests by service.
     pub retries: BTreeMap<Arc<str>, RetryWindow>,
     /// Retries that the budget has paid for, in this life of the process.
-    pub paid: u64,
+    pub retries_paid: u64,
     /// Retries that it had no room for, likewise.
-    pub unpaid: u64,
+    pub retries_unpaid: u64,
     /// Own address in the key-value service.
     pub presence: Presence,
     /// Other routers.
@@ -102,8 +102,8 @@
             runs: BTreeMap::new(),
             next: 1,
             retries: BTreeMap::new(),
-            paid: 0,
-            unpaid: 0,
+            retries_paid: 0,
+            retries_unpaid: 0,
             presence: Presence::default(),
             peers: BTreeMap::new(),
             retries_from: None,
@@ -144,8 +144,8 @@
             ("idle_waits", self.idle(IdleReason::Waits)),
             ("plans", u64::from(self.plan.duty.holds(now))),
             ("store_era", self.store_era.unwrap_or(0)),
-            ("retries_paid", self.paid),
-            ("retries_unpaid", self.unpaid),
+            ("retries_paid", self.retries_paid),
+            ("retries_unpaid", self.retries_unpaid),
             ("age_ms", self.age(now)),
         ]
     }
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -66,7 +66,7 @@
         if is_old(view, &entry) {
             return;
         }
-        if view.entry.born < entry.born {
+        if entry.restarts(&view.entry) {
             started_again(state, now, &id, &entry, out);
         }
     }
@@ -170,8 +170,7 @@
     let LookResult::Alive { born, seat, .. } = result else {
         return;
     };
-    let known = state.endpoints.get(id).filter(|v| v.listed);
-    let Some(view) = known.filter(|v| *born > v.entry.born) else {
+    let Some(view) = state.endpoints.get(id).filter(|v| v.listed) else {
         return;
     };
     let entry = EndpointEntry {
@@ -182,7 +181,9 @@
         seat: seat.clone(),
         ..view.entry.clone()
     };
-    changed(state, now, id.clone(), Some(entry), out);
+    if entry.restarts(&view.entry) {
+        changed(state, now, id.clone(), Some(entry), out);
+    }
 }
 
 /// The planner has told of an entry; with `later` it is of a later revision than what
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -152,9 +152,9 @@
     let proven = state.retries_from.is_some_and(|from| now >= from);
     let paid = proven && window.retry(now, &terms);
     if paid {
-        state.paid += 1;
+        state.retries_paid += 1;
     } else {
-        state.unpaid += 1;
+        state.retries_unpaid += 1;
     }
     paid
 }
--- a/src/types/endpoint_entry.rs
+++ b/src/types/endpoint_entry.rs
@@ -41,6 +41,12 @@
         self.born < other.born || (same_life && self.beats < other.beats)
     }
 
+    /// Whether this entry is of a later life than another one of the same endpoint.
+    pub fn restarts(&self, other: &Self) -> bool {
+        let lives = other.born.zip(self.born);
+        lives.is_some_and(|(before, now)| now > before)
+    }
+
     /// Epoch of the group that it takes requests for; absent where it heads none.
     pub fn open_epoch(&self) -> Option<u64> {
         let open = |s: &&GroupSeat| s.rank == 0 && s.state == SeatState::Open;
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -9,7 +9,8 @@
 use runrail::types::{EndpointEntry, InstanceId, StorePosition};
 
 use crate::fixture::{
-    addr, at, engine, open_group, plain, routing, run, seat, Router, FENCE, MODEL,
+    addr, at, empty_digest, engine, hear, open_group, pace, plain, routing, run, seat, Router,
+    FENCE, MODEL,
 };
 
 /// Names of so many routers; the first one plans.
@@ -22,39 +23,14 @@
 /// A digest of the first router that covers the list up to a revision.
 fn digest(number: u64, from: i64, upto: i64, news: Vec<EntryNews>) -> Digest {
     let (from, upto) = (at(from), at(upto));
+    let news = news.into_iter().map(|n| (upto, n)).collect();
     Digest {
-        root: InstanceId::new("r0"),
-        fence: FENCE as u64,
-        number,
-        tree: 0,
         from,
-        upto,
-        whole: true,
-        list_age: 0,
-        routing: 1,
-        routing_age: 0,
-        told: 2,
-        demand: Vec::new(),
-        news: news.into_iter().map(|n| (upto, n)).collect(),
+        news,
+        ..empty_digest(number, upto)
     }
 }
 
-fn hear(router: &mut Router, digest: Digest) {
-    router.tell(DirectEvent::Peer {
-        from: addr(2_000),
-        message: PeerMessage::Digest(Box::new(digest)),
-    });
-}
-
-/// The last word to the host on how the store is read.
-fn pace(router: &mut Router) -> Option<(ListPace, bool)> {
-    let reads = router.take().into_iter().filter_map(|e| match e {
-        DirectEffect::Read { list, hold, .. } => Some((list, hold)),
-        _ => None,
-    });
-    reads.last()
-}
-
 /// A router that doesn't plan and has been told nothing yet.
 fn follower() -> Router {
     Router::named("r1", &names(2), open_group("g", [1, 2, 3]))
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, DirectKnobs, DirectRequest, DirectState, GroupOrder, GroupStep,
-    LookResult, OrderResult, PeerMessage, Problem, RunPart, RunRequest,
+    Digest, DirectEffect, DirectEvent, DirectKnobs, DirectRequest, DirectState, GroupOrder,
+    GroupStep, ListPace, LookResult, OrderResult, PeerMessage, Problem, RunPart, RunRequest,
 };
 use runrail::logic::router::{StoreCall, StoreEntry, StoreReply};
 use runrail::logic::{step, Effect, Event, Node};
@@ -418,3 +418,38 @@
     let member = |(rank, n): (usize, u16)| engine(n, seat(name, rank, SeatState::Open));
     numbers.into_iter().enumerate().map(member).collect()
 }
+
+/// A digest of router `r0` without news, as of a position.
+pub fn empty_digest(number: u64, upto: StorePosition) -> Digest {
+    Digest {
+        root: InstanceId::new("r0"),
+        fence: FENCE as u64,
+        number,
+        tree: 0,
+        from: upto,
+        upto,
+        whole: true,
+        list_age: 0,
+        routing: 1,
+        routing_age: 0,
+        told: 2,
+        demand: Vec::new(),
+        news: Vec::new(),
+    }
+}
+
+pub fn hear(router: &mut Router, digest: Digest) {
+    router.tell(DirectEvent::Peer {
+        from: addr(2_000),
+        message: PeerMessage::Digest(Box::new(digest)),
+    });
+}
+
+/// The last word to the host on how the store is read.
+pub fn pace(router: &mut Router) -> Option<(ListPace, bool)> {
+    let reads = router.take().into_iter().filter_map(|e| match e {
+        DirectEffect::Read { list, hold, .. } => Some((list, hold)),
+        _ => None,
+    });
+    reads.last()
+}
--- a/tests/direct/lives.rs
+++ b/tests/direct/lives.rs
@@ -1,9 +1,9 @@
 //! Endpoints that start again under their ids, and entries older than what is known.
 
-use runrail::logic::direct::{DirectEffect, EntryNews, GroupStep, LookResult, PeerMessage};
+use runrail::logic::direct::{Digest, DirectEffect, EntryNews, GroupStep, LookResult};
 use runrail::types::{EndpointEntry, InstanceId};
 
-use crate::fixture::{addr, at, engine, open_group, order, plain, Router, FENCE};
+use crate::fixture::{at, empty_digest, engine, hear, open_group, order, plain, Router, FENCE};
 
 /// When the endpoints of these tests were born, in Unix milliseconds.
 const BORN: u64 = 1_790_000_000_000;
@@ -42,24 +42,12 @@
     let mut router = Router::named("r1", &["r0", "r1"].map(InstanceId::new), fleet(0));
     let id = InstanceId::new("e1");
     let news = vec![(at(FENCE + 1), EntryNews::Listed(id.clone(), reborn(1)))];
-    router.tell(runrail::logic::direct::DirectEvent::Peer {
-        from: addr(2_000),
-        message: PeerMessage::Digest(Box::new(runrail::logic::direct::Digest {
-            root: InstanceId::new("r0"),
-            fence: FENCE as u64,
-            number: 1,
-            tree: 0,
-            from: at(FENCE),
-            upto: at(FENCE + 1),
-            whole: true,
-            list_age: 0,
-            routing: 1,
-            routing_age: 0,
-            told: 1,
-            demand: Vec::new(),
-            news,
-        })),
-    });
+    let digest = Digest {
+        from: at(FENCE),
+        news,
+        ..empty_digest(1, at(FENCE + 1))
+    };
+    hear(&mut router, digest);
     assert_eq!(router.state().endpoints[&id].entry, reborn(1));
     assert_eq!(
         sends_to(&router.ask(1, "/stream/x")),
@@ -152,3 +140,18 @@
     router.change(id.as_str(), Some(leaving));
     assert!(router.state().endpoints[&id].listed, "it beats again");
 }
+
+/// A platform that doesn't tell when lives began in all that it says is no restart.
+#[test]
+fn a_report_alone_that_tells_of_a_birth_is_no_restart() {
+    let mut router = Router::planner(open_group("g", [1, 2, 3]));
+    router.pass(100);
+    let alive = LookResult::Alive {
+        born: Some(BORN),
+        seat: None,
+        pace: 1_000,
+    };
+    router.looked("e1", alive);
+    let view = &router.state().endpoints[&InstanceId::new("e1")];
+    assert!(view.heads());
+}
--- a/tests/direct/restored.rs
+++ b/tests/direct/restored.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use runrail::logic::direct::{Digest, DirectEffect, DirectEvent, ListPace, PeerMessage};
+use runrail::logic::direct::{Digest, DirectEvent, ListPace};
 use runrail::logic::router::StoreEntry;
 use runrail::logic::{Effect, NoteCode};
 use runrail::types::{InstanceId, StorePosition};
 
-use crate::fixture::{addr, open_group, routing, Router, FENCE};
+use crate::fixture::{empty_digest, hear, open_group, pace, routing, Router, FENCE};
 use crate::processes::{fleet, logs, served, until};
 use crate::standin::config;
 
@@ -146,10 +146,10 @@
     let routers = ["r0", "r1"].map(InstanceId::new);
     let mut router = Router::named("r1", &routers, open_group("g", [1, 2, 3]));
     router.tell(DirectEvent::StoreEra(0));
-    hear(&mut router, 1, 0, 1);
+    hear_of(&mut router, 1, 0, FENCE);
     assert_eq!(pace(&mut router), Some((ListPace::Told, true)));
     // Its sender knows already that the store has gone back.
-    hear(&mut router, 2, 1, 1);
+    hear_of(&mut router, 2, 1, 1);
     assert_eq!(pace(&mut router), Some((ListPace::Rest, false)));
     router.tell(DirectEvent::StoreEra(1));
     router.tell(DirectEvent::List {
@@ -159,47 +159,22 @@
         },
         entries: open_group("g", [1, 2, 3]),
     });
-    hear(&mut router, 3, 1, 2);
+    hear_of(&mut router, 3, 1, 2);
     assert_eq!(pace(&mut router), Some((ListPace::Told, true)));
     router.pass(1_300);
     router.take();
     // Another sender doesn't know it yet.
-    hear(&mut router, 4, 0, FENCE + 900);
+    hear_of(&mut router, 4, 0, FENCE + 900);
     assert_eq!(pace(&mut router), None);
 }
 
-fn hear(router: &mut Router, number: u64, era: u64, revision: i64) {
-    let upto = StorePosition {
-        era,
-        revision: revision.max(FENCE * i64::from(era == 0)),
-    };
+fn hear_of(router: &mut Router, number: u64, era: u64, revision: i64) {
+    let upto = StorePosition { era, revision };
     let digest = Digest {
-        root: InstanceId::new("r0"),
         fence: upto.fence(),
-        number,
-        tree: 0,
-        from: upto,
-        upto,
-        whole: true,
-        list_age: 0,
-        routing: 1,
-        routing_age: 0,
-        told: 2,
-        demand: Vec::new(),
-        news: Vec::new(),
+        ..empty_digest(number, upto)
     };
-    router.tell(DirectEvent::Peer {
-        from: addr(2_000),
-        message: PeerMessage::Digest(Box::new(digest)),
-    });
-}
-
-fn pace(router: &mut Router) -> Option<(ListPace, bool)> {
-    let reads = router.take().into_iter().filter_map(|e| match e {
-        DirectEffect::Read { list, hold, .. } => Some((list, hold)),
-        _ => None,
-    });
-    reads.last()
+    hear(router, digest);
 }
 
 /// An older document of the operators is told and changes nothing.
