--- a/tests/direct/soak.rs
+++ b/tests/direct/soak.rs
@@ -288,7 +288,14 @@
         .all(|r| again(r) && r.routing() == Some(soak.version))
     {
         let late = since.elapsed() > Duration::from_secs(30);
-        assert!(!late, "seed {seed}: {:?}\n{}", soak.done, logs(dir.path()));
+        let figures = || soak.routers.iter().map(Router::figures).collect::<String>();
+        assert!(
+            !late,
+            "seed {seed}: {:?}\n{}\n{}",
+            soak.done,
+            figures(),
+            logs(dir.path())
+        );
         std::thread::sleep(Duration::from_millis(20));
     }
     stop.store(true, Ordering::Relaxed);
