Digests: what they wait for a busy process is part of their age

Suspected cause, read from the code: a digest vouches for a routing by its age, but only its sender's part of it counted. Age counts on the way now, by the tick before last; what the planner itself has read is as old. Test the_time_that_a_digest_waits...: a digest after a pause of 1.5 s held routers back before. The stand-in's replicas count heartbeats.

--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -78,7 +78,7 @@
 ) {
     close(state, now, before, at);
     let digests = &mut state.digests;
-    digests.list_at = now;
+    digests.list_at = state.drained_at;
     if at < digests.upto {
         // An answer that was overtaken: what it undid is read again.
         digests.upto = StorePosition::default();
@@ -142,13 +142,17 @@
     }
 }
 
-/// A digest has come.
+/// A digest has come. It may have waited for this process, which counts as age here and
+/// wherever it goes next.
 pub(super) fn received(
     state: &mut DirectState,
     now: Millis,
-    digest: Digest,
+    mut digest: Digest,
     out: &mut Vec<Effect>,
 ) {
+    let waited = now.saturating_sub(state.drained_at);
+    digest.list_age += waited;
+    digest.routing_age += waited;
     if Some(digest.upto.era) < state.store_era {
         // Its sender hasn't noticed yet that the store has gone back.
         return;
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -26,6 +26,10 @@
     pub hall: Arc<str>,
     /// State of the random numbers.
     pub seed: u64,
+    /// When the last tick came.
+    pub ticked_at: Millis,
+    /// When the tick before it came: what was sent to this process by then has been handled.
+    pub drained_at: Millis,
     /// Routing in force.
     pub routing: Option<Arc<Routing>>,
     /// Whether the list was read since the start.
@@ -85,6 +89,8 @@
             knobs,
             me,
             started: None,
+            ticked_at: 0,
+            drained_at: 0,
             addr: None,
             hall: Arc::from(hall),
             seed,
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -8,7 +8,11 @@
 
 /// Applies one event to a router with direct links.
 pub(crate) fn step(state: &mut DirectState, now: Millis, event: Event, out: &mut Vec<Effect>) {
-    state.started.get_or_insert(now);
+    if state.started.is_none() {
+        state.started = Some(now);
+        state.ticked_at = now;
+        state.drained_at = now;
+    }
     match event {
         Event::Stop => stop(state, now),
         Event::Store { call, result } if state.presence.call == Some(call) => {
@@ -33,11 +37,11 @@
 fn direct(state: &mut DirectState, now: Millis, event: DirectEvent, out: &mut Vec<Effect>) {
     match event {
         DirectEvent::Routing(routing) => {
-            state.digests.routing_at = now;
+            state.digests.routing_at = state.drained_at;
             routed(state, routing, out);
         }
         DirectEvent::StoreBack => peers::store_back(state, out),
-        DirectEvent::RoutingRead => state.digests.routing_at = now,
+        DirectEvent::RoutingRead => state.digests.routing_at = state.drained_at,
         DirectEvent::StoreEra(era) => store::entered(state, now, era, out),
         DirectEvent::List { at, entries } => {
             // What the first reading of an era shows isn't told as news, so that they begin
@@ -105,6 +109,8 @@
 }
 
 fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    state.drained_at = state.ticked_at;
+    state.ticked_at = now;
     end::tend(state, now, out);
     queue::tend(state, now, out);
     silence::tend(state, now, out);
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -210,6 +210,47 @@
     assert_eq!(pace(&mut router), None, "both are read as before");
 }
 
+/// What a router that was busy for so long does about a digest: whether it leaves the
+/// routing alone, and the ages that it passes on.
+fn after_a_wait(me: &InstanceId, ms: u64, tick: bool) -> (bool, Vec<u64>) {
+    let mut router = Router::named(me.as_str(), &names(40), open_group("g", [1, 2, 3]));
+    router.pass(100);
+    router.take();
+    router.now += ms;
+    if tick {
+        router.feed(runrail::logic::Event::Tick);
+    }
+    hear(&mut router, digest(1, FENCE, FENCE, Vec::new()));
+    let effects = router.take();
+    let held = |e: &DirectEffect| matches!(e, DirectEffect::Read { hold: true, .. });
+    let ages = effects.iter().filter_map(|e| match e {
+        DirectEffect::Tell {
+            message: PeerMessage::Digest(digest),
+            ..
+        } => Some(digest.routing_age.min(digest.list_age)),
+        _ => None,
+    });
+    (effects.iter().any(held), ages.collect())
+}
+
+/// A digest that waited in the socket of a busy router counted as young, there and at those
+/// it was passed on to: a new configuration was not read in time.
+#[test]
+fn the_time_that_a_digest_waits_for_a_busy_router_is_part_of_its_age() {
+    let mut passed = 0;
+    for me in &names(40)[1..] {
+        assert!(after_a_wait(me, 0, false).0);
+        // A tick may come first, as after a pause of the whole process.
+        for tick in [false, true] {
+            let (held, ages) = after_a_wait(me, 1_500, tick);
+            assert!(!held, "{me}");
+            assert!(ages.iter().all(|age| *age >= 1_500), "{me}: {ages:?}");
+            passed += ages.len();
+        }
+    }
+    assert!(passed > 0);
+}
+
 #[test]
 fn digests_of_an_earlier_planner_and_repeated_ones_are_left_aside() {
     let mut router = follower();
--- a/tests/direct/standin.rs
+++ b/tests/direct/standin.rs
@@ -33,6 +33,8 @@
 const LOAD: Duration = Duration::from_millis(300);
 /// Time that a group without a member stands still.
 const STALL: Duration = Duration::from_millis(4_000);
+/// Time between two heartbeats of a replica, in milliseconds.
+const BEAT_MS: u64 = 400;
 /// Events of one stream.
 pub const EVENTS: u64 = 12;
 
@@ -385,9 +387,14 @@
 }
 
 impl Replica {
+    /// Heartbeats in this life so far.
+    fn beats(&self) -> u64 {
+        1 + unix_ms().saturating_sub(self.born) / BEAT_MS
+    }
+
     fn entry(&self) -> String {
         let mut entry = json!({"Service": self.service, "Address": self.addr.to_string(),
-            "Zone": "h1", "Slots": 8, "State": "ready", "Seq": 1, "born": self.born,
+            "Zone": "h1", "Slots": 8, "State": "ready", "Seq": self.beats(), "born": self.born,
             "Version": "v1", "ColdLeftMs": 0});
         if self.service == "pool" {
             entry["Domain"] = json!("d1");
