Digests: a head that opens between two heartbeats is taken in

Cause, from the logs and the code: a router that had read of the group before it opened compared the planner's word by heartbeats and epoch, which were the same, and dropped it; held back by the same word, it read nothing itself. News of a later position than all that was read are newer within the group. Test a_head_that_opens_between_two_heartbeats...: red before.

--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -187,8 +187,9 @@
 }
 
 /// The planner has told of an entry; with `later` it is of a later revision than what
-/// this router knows of the list. An entry with more heartbeats or in a later group is
-/// newer in any case: the planner may know of a group before the list shows it.
+/// this router knows of the list, and newer within one group. An entry with more heartbeats
+/// or in a later group is newer in any case: the planner may know of a group before the
+/// list shows it.
 ///
 /// False where it is about an endpoint that this router should know of and doesn't.
 pub(super) fn told(
@@ -203,7 +204,8 @@
     let newer = |born: Option<u64>, beats: u64, seat: &Option<GroupSeat>| {
         let epoch = seat.as_ref().map_or(0, |s| s.epoch);
         let past = |(e, at): &(EndpointEntry, u64)| {
-            born > e.born || (born == e.born && (beats > e.beats || epoch > *at))
+            let further = epoch > *at || (later && epoch == *at);
+            born > e.born || (born == e.born && (beats > e.beats || further))
         };
         older.as_ref().map_or(later, past)
     };
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -6,7 +6,7 @@
 use runrail::logic::direct::{
     Digest, DirectEffect, DirectEvent, EntryNews, ListPace, ModelDemand, PeerMessage,
 };
-use runrail::types::{EndpointEntry, InstanceId, StorePosition};
+use runrail::types::{EndpointEntry, InstanceId, SeatState, StorePosition};
 
 use crate::fixture::{
     addr, at, empty_digest, engine, hear, open_group, pace, plain, routing, run, seat, Router,
@@ -308,6 +308,20 @@
     assert_eq!(run(&router.ask(1, "/stream/x")).to, id);
 }
 
+/// A router that had read of a group before it opened took the planner's word that it had
+/// for old, as the head's heartbeats were the same, and never sent it anything.
+#[test]
+fn a_head_that_opens_between_two_heartbeats_is_taken_in() {
+    let joining = |n: u16| engine(n, seat("g", usize::from(n) - 1, SeatState::Joining));
+    let mut router = Router::named("r1", &names(2), (1..=3).map(joining).collect());
+    let (id, entry) = open_group("g", [1, 2, 3]).remove(0);
+    hear(
+        &mut router,
+        digest(1, FENCE, FENCE + 1, vec![change_of(&id, &entry)]),
+    );
+    assert_eq!(run(&router.ask(1, "/stream/x")).to, id);
+}
+
 #[test]
 fn what_is_told_again_brings_nobody_back_who_is_gone() {
     let mut router = follower();
