Tests: a request that crashes the endpoints that run it, red; requests have a fingerprint in the log

No log line could tell that two attempts were the same request. E640 and E643 now name a fingerprint of method, host, path, body and client account.

No decision is changed here.

--- a/src/link/callers.rs
+++ b/src/link/callers.rs
@@ -118,7 +118,7 @@
     head: http::request::Parts,
     body: Bytes,
 ) -> Response<AnswerBody> {
-    let mut call = (shared.dialect.request)(&head);
+    let mut call = (shared.dialect.request)(&head, &body);
     call.id = id;
     let label = call.label.clone();
     let (reply, answer) = oneshot::channel();
--- a/src/link/dialect.rs
+++ b/src/link/dialect.rs
@@ -27,7 +27,7 @@
     /// Reads an entry of the list.
     pub entry: fn(&StoreEntry) -> Result<(InstanceId, EndpointEntry), String>,
     /// Reads a caller's request.
-    pub request: fn(&request::Parts) -> DirectRequest,
+    pub request: fn(&request::Parts, &[u8]) -> DirectRequest,
     /// Writes a caller's request for an endpoint.
     pub run: fn(&RunRequest, &request::Parts, Bytes) -> Request<Full<Bytes>>,
     /// Reads the head of an endpoint's answer to the request with a label.
--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -98,6 +98,7 @@
         demand::count(state, now, &route, &service, model, tokens);
     }
     let flight = Flight {
+        fingerprint: request.content.by(account.as_deref()),
         label: request.label,
         service,
         model: request.model,
--- a/src/logic/direct/direct_request.rs
+++ b/src/logic/direct/direct_request.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use super::Fingerprint;
 use crate::types::Millis;
 
 /// A caller's request, as far as decisions need it; the host keeps the rest.
@@ -9,6 +10,8 @@
     pub id: u64,
     /// The caller's id of the request, for logs.
     pub label: String,
+    /// Fingerprint of what was sent, without the account that the key belongs to.
+    pub content: Fingerprint,
     /// Host that was asked for.
     pub host: String,
     /// Path that was asked for.
--- a/src/logic/direct/end.rs
+++ b/src/logic/direct/end.rs
@@ -137,6 +137,7 @@
         .with("model", flight.model.as_deref().unwrap_or("-"))
         .with("sends", flight.tried.len())
         .with("runs", flight.runs)
+        .with("fingerprint", flight.fingerprint)
         .with("turn", format!("{:?}", flight.turn));
     out.push(Effect::Note(note));
     out.push(Effect::Direct(DirectEffect::Refuse {
--- /dev/null
+++ b/src/logic/direct/fingerprint.rs
@@ -0,0 +1,45 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Bytes of a fingerprint.
+const LENGTH: usize = 16;
+
+/// What stays the same when a caller sends a request again: method, host, path, body and
+/// client account.
+///
+/// It is a cryptographic digest, so that nobody can make a request that is taken for
+/// another caller's.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Fingerprint([u8; LENGTH]);
+
+impl Fingerprint {
+    /// The fingerprint of some parts; where one part ends makes a difference.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hash = Sha256::new();
+        for part in parts {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        let mut bytes = [0; LENGTH];
+        bytes.copy_from_slice(&hash.finalize()[..LENGTH]);
+        Self(bytes)
+    }
+
+    /// The fingerprint of the same request of one client account.
+    pub fn by(&self, account: Option<&str>) -> Self {
+        match account {
+            Some(account) => Self::of(&[&self.0, account.as_bytes()]),
+            None => *self,
+        }
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
--- a/src/logic/direct/flight.rs
+++ b/src/logic/direct/flight.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::Turn;
+use super::{Fingerprint, Turn};
 use crate::types::{InstanceId, Millis, RouteSpec};
 
 /// Part of the objective, as its inverse, after which a request that still waits counts
@@ -12,6 +12,8 @@
 pub struct Flight {
     /// The caller's id of the request, for logs.
     pub label: String,
+    /// What it has in common with the same request sent again.
+    pub fingerprint: Fingerprint,
     /// Its route.
     pub route: Arc<RouteSpec>,
     /// Service that it goes to.
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -60,6 +60,7 @@
     let (addr, epoch) = (view.entry.addr, view.epoch());
     let note = Note::new(NoteCode::FlightSent)
         .with("request", &flight.label)
+        .with("fingerprint", flight.fingerprint)
         .with("endpoint", &to)
         .with("running", view.running)
         .with("turn", format!("{:?}", flight.turn))
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -97,7 +97,7 @@
 
 #[test]
 fn a_clients_request_is_read() {
-    let read = (dialect().request)(&call());
+    let read = (dialect().request)(&call(), b"");
     assert_eq!(
         (read.host.as_str(), read.path.as_str()),
         ("a.example", "/x/1")
@@ -107,6 +107,23 @@
     assert_eq!(read.wait_ms, Some(8_000));
 }
 
+#[test]
+fn a_request_that_is_sent_again_has_the_same_fingerprint() {
+    let of = |head: &http::request::Parts, body: &[u8], account| {
+        let read = (dialect().request)(head, body);
+        read.content.by(account)
+    };
+    let first = of(&call(), b"body", Some("ann"));
+    let mut again = call();
+    let attempt = http::HeaderValue::from_static("another-attempt");
+    again.headers.insert("x-attempt-id", attempt);
+    assert_eq!(of(&again, b"body", Some("ann")), first);
+    assert_ne!(of(&again, b"bodies", Some("ann")), first);
+    assert_ne!(of(&again, b"body", Some("ben")), first);
+    again.uri = "/another/path".parse().expect("a path");
+    assert_ne!(of(&again, b"body", Some("ann")), first);
+}
+
 #[test]
 fn a_replica_gets_the_request_unchanged_but_for_what_the_system_sets() {
     let run = RunRequest {
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -5,8 +5,9 @@
 
 use bytes::Bytes;
 use runrail::logic::direct::{
-    Digest, DirectEffect, DirectEvent, DirectKnobs, DirectRequest, DirectState, GroupOrder,
-    GroupStep, ListPace, LookResult, OrderResult, PeerMessage, Problem, RunPart, RunRequest,
+    Digest, DirectEffect, DirectEvent, DirectKnobs, DirectRequest, DirectState, Fingerprint,
+    GroupOrder, GroupStep, ListPace, LookResult, OrderResult, PeerMessage, Problem, RunPart,
+    RunRequest,
 };
 use runrail::logic::router::{StoreCall, StoreEntry, StoreReply};
 use runrail::logic::{step, Effect, Event, Node};
@@ -269,6 +270,7 @@
 pub fn request(id: u64, path: &str) -> DirectRequest {
     DirectRequest {
         id,
+        content: Fingerprint::of(&[&id.to_be_bytes()]),
         label: format!("q{id}"),
         host: "a.example".to_string(),
         path: path.to_string(),
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -3,6 +3,7 @@
 mod adapter;
 mod answers;
 mod command_line;
+mod crashes;
 mod demand;
 mod digests;
 mod duty;
--- a/tests/direct/processes.rs
+++ b/tests/direct/processes.rs
@@ -121,13 +121,25 @@
     }
 }
 
-/// One request on a connection of its own.
+/// One request without a body, on a connection of its own.
 pub fn call(addr: SocketAddr, method: &str, path: &str, attempt: &str) -> Option<Answer> {
+    send(addr, method, path, attempt, "")
+}
+
+/// One request on a connection of its own.
+pub fn send(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    attempt: &str,
+    body: &str,
+) -> Option<Answer> {
     let mut stream = TcpStream::connect_timeout(&addr, Duration::from_millis(500)).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: {attempt}\r\n\
-         X-Model: big\r\nX-Token-Counts: 10,10\r\nX-Deadline-Ms: 6000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+         X-Model: big\r\nX-Token-Counts: 10,10\r\nX-Deadline-Ms: 6000\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
     );
     stream.write_all(text.as_bytes()).ok()?;
     let mut all = Vec::new();
--- a/tests/direct/standin.rs
+++ b/tests/direct/standin.rs
@@ -35,6 +35,10 @@
 const STALL: Duration = Duration::from_millis(4_000);
 /// Time between two heartbeats of a replica, in milliseconds.
 const BEAT_MS: u64 = 400;
+/// Time after which a replica has crashed that runs a request with the fatal body.
+const CRASH: Duration = Duration::from_millis(10);
+/// Body of a request that crashes each replica that runs it.
+pub const FATAL: &str = "fatal";
 /// Events of one stream.
 pub const EVENTS: u64 = 12;
 
@@ -210,13 +214,7 @@
 
     /// Ends a replica for good, without a word.
     pub fn kill(&self, id: &str) {
-        let runtime = self.world().replicas.get_mut(id).and_then(|r| {
-            r.alive = false;
-            r.runtime.take()
-        });
-        if let Some(runtime) = runtime {
-            runtime.shutdown_background();
-        }
+        self.world().kill(id);
     }
 
     /// Members of open groups, by group, the head first.
@@ -279,6 +277,17 @@
         }
     }
 
+    /// Ends a replica for good, without a word.
+    fn kill(&mut self, id: &str) {
+        let runtime = self.replicas.get_mut(id).and_then(|r| {
+            r.alive = false;
+            r.runtime.take()
+        });
+        if let Some(runtime) = runtime {
+            runtime.shutdown_background();
+        }
+    }
+
     fn put(&mut self, key: &str, value: &str) {
         self.revision += 1;
         let old = self.items.get(key).map_or(0, |i| i.2);
@@ -718,6 +727,14 @@
         return whole(status, &Value::Null);
     }
     let pool = world.lock().expect("the world").replicas[&me].service == "pool";
+    let body = request.into_body().collect().await;
+    if body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes()) {
+        let (world, me) = (world.clone(), me.clone());
+        tokio::spawn(async move {
+            sleep(CRASH).await;
+            world.lock().expect("the world").kill(&me);
+        });
+    }
     let mut response = if pool {
         stream(world, &me, last)
     } else {
