Requests: one that has crashed three endpoints is refused by all routers

Cause: what a request had met was kept in one attempt of one router. Ruled out: late detection (E641 comes 6 ms after the crash; the 1.5 s until the caller is cut off are the wait for another head); the router's own retries alone.

Change: runs that break off before their first event make their request a suspect; a look tells a crash from a reset; crashes are counted by a digest of the request, told to all routers and merged by union. Three refuse it, a whole answer clears it, a request that is refused is kept in the key-value service for routers that start later.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use super::{
-    demand, end, peers, queue, send, DirectRequest, DirectState, EndStage, Flight, Problem, Turn,
+    crashes, demand, end, peers, queue, send, DirectRequest, DirectState, EndStage, Flight,
+    Problem, Turn,
 };
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
@@ -69,6 +70,10 @@
             out,
         );
     };
+    let fingerprint = request.content.by(account.as_deref());
+    if let Some((problem, why)) = crashes::refusal(state, &fingerprint) {
+        return end::refuse(request.id, &request.label, problem, why, out);
+    }
     let draw = state.random(u64::MAX);
     let Some(service) = route.service(draw).cloned() else {
         return end::refuse(
@@ -98,7 +103,7 @@
         demand::count(state, now, &route, &service, model, tokens);
     }
     let flight = Flight {
-        fingerprint: request.content.by(account.as_deref()),
+        fingerprint,
         label: request.label,
         service,
         model: request.model,
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -1,6 +1,6 @@
 //! What endpoints answer, and what of it goes to callers.
 
-use super::{end, endpoints, limit, send, DirectEffect, DirectState, RunPart};
+use super::{crashes, end, endpoints, limit, send, DirectEffect, DirectState, RunPart};
 use crate::logic::router::Metric;
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -35,6 +35,7 @@
             send::again(state, now, id, false, "no connection", out);
         }
         RunPart::Broken => {
+            crashes::broke(state, now, id, out);
             endpoints::broke_off(state, now, id);
             endpoints::failed(state, now, id, false, out);
             endpoints::release(state, id);
@@ -76,6 +77,9 @@
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
+    if let Some(run) = &mut flight.run {
+        run.moved = true;
+    }
     if event.is_some() && event <= flight.last_event {
         return;
     }
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::crashes::CrashState;
 use super::plan::{IdleReason, PlanState};
 use super::{
     Asked, Demand, DigestState, DirectKnobs, DirectRequest, EndStage, EndpointView, Flight, Line,
@@ -72,6 +73,8 @@
     pub routers: RecentPeak,
     /// Who wants to know what is seen of an endpoint.
     pub asked: BTreeMap<InstanceId, Vec<Asked>>,
+    /// Requests that crash endpoints.
+    pub crashes: CrashState,
     /// The planner's duty.
     pub plan: PlanState,
     /// What the balancer was told.
@@ -115,6 +118,7 @@
             retries_from: None,
             routers: RecentPeak::default(),
             asked: BTreeMap::new(),
+            crashes: CrashState::default(),
             plan: PlanState::default(),
             ready: false,
             stopping: None,
@@ -152,6 +156,12 @@
             ("store_era", self.store_era.unwrap_or(0)),
             ("retries_paid", self.retries_paid),
             ("retries_unpaid", self.retries_unpaid),
+            ("requests_suspected", self.crashes.table.len() as u64),
+            (
+                "requests_blocked",
+                self.crashes.table.blocked().count() as u64,
+            ),
+            ("blocked_refused", self.crashes.refused),
             ("age_ms", self.age(now)),
         ]
     }
--- a/src/logic/direct/end.rs
+++ b/src/logic/direct/end.rs
@@ -1,6 +1,6 @@
 //! Last step of a request: its one final answer.
 
-use super::{demand, endpoints, queue, DirectEffect, DirectState, Flight, Problem};
+use super::{crashes, demand, endpoints, queue, DirectEffect, DirectState, Flight, Problem};
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
@@ -18,6 +18,7 @@
     let Some(flight) = state.flights.remove(&id) else {
         return;
     };
+    crashes::survived(state, now, flight.fingerprint, out);
     out.push(Effect::Direct(last));
     out.push(Effect::Note(
         Note::new(NoteCode::FlightAnswered)
@@ -103,6 +104,12 @@
     }
 }
 
+/// Ends a request that is refused from now on.
+pub(super) fn forbid(state: &mut DirectState, id: u64, out: &mut Vec<Effect>) {
+    let why = "endpoints crashed under it";
+    finish(state, id, Problem::CrashesEndpoints, why, out);
+}
+
 fn finish(
     state: &mut DirectState,
     id: u64,
--- a/src/logic/direct/flight.rs
+++ b/src/logic/direct/flight.rs
@@ -82,4 +82,6 @@
     pub since: Millis,
     /// Whether the endpoint has begun to answer.
     pub begun: bool,
+    /// Whether an event has come.
+    pub moved: bool,
 }
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -3,9 +3,10 @@
 //! There is no agent beside the endpoint here: engines keep their groups
 //! themselves and the platform lists them. A request's life goes one way:
 //! `accept`, `choose`, `send`, `answer`, `end`. `silence` finds endpoints that
-//! were lost, `plan` forms and repairs groups while this router holds the
+//! were lost, `crashes` finds requests that crash them, `plan` forms and repairs groups while this router holds the
 //! planner's lease, `digests` tells all routers what the planner has read.
 
+pub mod crashes;
 pub mod plan;
 
 mod accept;
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::crashes::CrashReport;
 use super::{Digest, ModelDemand, Sight};
 use crate::types::InstanceId;
 
@@ -36,6 +37,8 @@
     },
     /// What the planner has read, passed on by routers.
     Digest(Box<Digest>),
+    /// Requests that endpoints have crashed under.
+    Crashes(Vec<CrashReport>),
     /// What was seen.
     Seen {
         /// Number of the question.
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 
 use super::{
-    demand, digests, endpoints, plan, Asked, DirectEffect, DirectState, LookResult, PeerMessage,
+    crashes, demand, digests, endpoints, plan, Asked, DirectEffect, DirectState, LookResult,
+    PeerMessage,
 };
 use crate::logic::router::{
     CallId, Put, StoreCall, StoreChange, StoreEntry, StoreReply, StoreResult,
@@ -216,6 +217,7 @@
         PeerMessage::StoreBack => out.push(Effect::Direct(DirectEffect::TryStore)),
         PeerMessage::Traffic => state.plan.traffic = true,
         PeerMessage::Silent { id } => plan::suspect(state, now, &id, out),
+        PeerMessage::Crashes(reports) => crashes::told(state, now, &reports, out),
         PeerMessage::Seen { number, sight } => plan::seen(state, number, sight),
     }
 }
--- a/src/logic/direct/plan/duty.rs
+++ b/src/logic/direct/plan/duty.rs
@@ -1,6 +1,6 @@
 //! The planner's lease in the key-value service.
 
-use crate::logic::direct::{peers, DirectState};
+use crate::logic::direct::{crashes, peers, DirectState};
 use crate::logic::router::{CallId, Check, Put, StoreCall, StoreChange, StoreReply, StoreResult};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::{Millis, StorePosition};
@@ -203,6 +203,7 @@
     state.plan.duty.call = None;
     if let (DutyCall::Read, Ok(StoreReply::Entries { entries, .. })) = (what, &result) {
         peers::read(state, now, entries);
+        crashes::read(state, now, entries, out);
     }
     let pause = jitter(state);
     let (era, settling) = (era(state), settling_ms(state));
--- a/src/logic/direct/problem.rs
+++ b/src/logic/direct/problem.rs
@@ -11,6 +11,8 @@
     NoAccount,
     /// The request has not run and never will; come back after this time.
     NotRun(Millis),
+    /// Endpoints crash when they run it; nobody should send it again.
+    CrashesEndpoints,
     /// It may have run and its answer is lost.
     Unknown,
     /// It may have run and no answer came in time.
@@ -25,6 +27,7 @@
             Problem::NoRoute => "no-route",
             Problem::NoAccount => "no-account",
             Problem::NotRun(_) => "not-run",
+            Problem::CrashesEndpoints => "crashes-endpoints",
             Problem::Unknown => "unknown",
             Problem::TimedOut => "timed-out",
         }
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,7 +1,7 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
 use super::{
-    choose, end, peers, queue, DirectEffect, DirectState, Flight, Mechanism, RetryTerms,
+    choose, crashes, end, peers, queue, DirectEffect, DirectState, Flight, Mechanism, RetryTerms,
     RetryWindow, Run, RunRequest, Turn,
 };
 use crate::logic::router::Metric;
@@ -91,6 +91,7 @@
             epoch,
             since: now,
             begun: false,
+            moved: false,
         });
     }
     true
@@ -116,7 +117,10 @@
     let repeatable = flight.route.repeatable();
     let allowed = flight.runs < flight.route.attempts && (!ran || repeatable);
     let sends = flight.tried.len() as u32 <= flight.route.attempts + 1;
-    let service = flight.service.clone();
+    let (service, fingerprint) = (flight.service.clone(), flight.fingerprint);
+    if ran && crashes::is_risky(state, &fingerprint) {
+        return end::give_up(state, now, id, "endpoints crashed under it", out);
+    }
     if !allowed || !sends || !pays(state, now, &service) {
         return end::give_up(state, now, id, why, out);
     }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,5 +1,5 @@
 use super::{
-    accept, answer, demand, digests, end, endpoints, peers, plan, queue, silence, store,
+    accept, answer, crashes, demand, digests, end, endpoints, peers, plan, queue, silence, store,
     DirectEffect, DirectEvent, DirectState, EndStage,
 };
 use crate::logic::{Effect, Event, Note, NoteCode};
@@ -18,9 +18,13 @@
         Event::Store { call, result } if state.presence.call == Some(call) => {
             peers::answered(state, now, &result);
         }
+        Event::Store { call, result } if state.crashes.keep.call == Some(call) => {
+            crashes::answered(state, now, &result);
+        }
         Event::Store { call, result } => plan::answered(state, now, call, result, out),
         Event::Watch(changes) => {
             peers::changed(state, &changes);
+            crashes::changed(state, now, &changes, out);
             plan::changed(state, now, &changes);
         }
         Event::WatchLost => plan::unwatched(state),
@@ -69,6 +73,7 @@
         DirectEvent::Part { run, part } => answer::part(state, now, run, part, out),
         DirectEvent::Looked { id, result } => {
             peers::looked(state, now, &id, &result, out);
+            crashes::looked(state, now, &id, &result, out);
             plan::looked(state, now, &id, result, out);
         }
         DirectEvent::Peer { from, message } => peers::said(state, now, from, message, out),
@@ -116,6 +121,7 @@
     silence::tend(state, now, out);
     endpoints::tend(state, now);
     peers::tend(state, now, out);
+    crashes::tend(state, now, out);
     demand::tend(state, now, out);
     plan::tend(state, now, out);
     wind_up(state, now, out);
--- a/src/logic/direct/store.rs
+++ b/src/logic/direct/store.rs
@@ -4,7 +4,7 @@
 //! numbers and revisions are given out again, so nothing that was read or held before
 //! stands. The routing in force stays: operators write theirs again.
 
-use super::{plan, DirectState, Presence};
+use super::{crashes, plan, DirectState, Presence};
 use crate::logic::{Effect, Note, NoteCode};
 use crate::types::Millis;
 
@@ -24,5 +24,6 @@
     digests.recent.clear();
     digests.list_until = 0;
     digests.routing_until = 0;
+    crashes::restored(state, now);
     plan::restored(state, now, out);
 }
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -152,4 +152,8 @@
     FlightRefused = 643 Info "request refused";
     FlightCut = 644 Warn "stream broken off";
     FlightLeft = 645 Info "caller left";
+    CrashCounted = 646 Warn "endpoint crashed while a request had just begun there";
+    RequestBlocked = 647 Error "request refused from now on: endpoints crash under it";
+    CrashesCleared = 648 Info "request cleared of crashes: it was answered whole";
+    CrashesUnread = 649 Error "record of a request that crashes endpoints can't be read or written";
 }
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -40,12 +40,17 @@
     pub fn started(now: u64, entries: Vec<(InstanceId, EndpointEntry)>) -> Self {
         let mut router = Self::bare();
         router.now = now;
-        router.tell(DirectEvent::Routing(Arc::new(routing(1))));
-        router.tell(DirectEvent::List {
+        router.begin(entries);
+        router
+    }
+
+    /// Tells it the routing and the list.
+    pub fn begin(&mut self, entries: Vec<(InstanceId, EndpointEntry)>) {
+        self.tell(DirectEvent::Routing(Arc::new(routing(1))));
+        self.tell(DirectEvent::List {
             at: at(FENCE),
             entries,
         });
-        router
     }
 
     /// A router that knows nothing yet, but may send retries beyond the ratio.
@@ -81,11 +86,7 @@
         {
             state.peers.insert(id.clone(), addr(2_000 + n as u16));
         }
-        router.tell(DirectEvent::Routing(Arc::new(routing(1))));
-        router.tell(DirectEvent::List {
-            at: at(FENCE),
-            entries,
-        });
+        router.begin(entries);
         router
     }
 
@@ -178,8 +179,12 @@
 
     /// Sends a request and returns what the router did about it.
     pub fn ask(&mut self, id: u64, path: &str) -> Vec<DirectEffect> {
+        self.ask_for(request(id, path))
+    }
+
+    pub fn ask_for(&mut self, request: DirectRequest) -> Vec<DirectEffect> {
         self.take();
-        self.tell(DirectEvent::Request(Box::new(request(id, path))));
+        self.tell(DirectEvent::Request(Box::new(request)));
         self.take()
     }
 
