Clock: ages count the time for which a machine was suspended

A router whose machine was suspended would have gone on by a planner's lease, a list and a retry window that it took for as young as before: the clock was the monotonic one, which on Linux stands still meanwhile (its comment said the opposite).

The clock of a process is CLOCK_BOOTTIME now, idle connections age by it, and the first event after a suspension has idle connections closed and watches asked anew (E106).

Evidence: by reading. Not reproduced: nothing here suspends a machine; the tests hold that a difference of the clocks is told once.

--- a/src/host/clock.rs
+++ b/src/host/clock.rs
@@ -1,25 +1,36 @@
-use std::time::Instant;
+use nix::time::{clock_gettime, ClockId};
 
 use crate::types::Millis;
 
-/// Monotonic clock of a process, in milliseconds since its start.
+/// The clock that ages are told by. Unlike the monotonic one it counts the time for which
+/// the machine was suspended, in which leases of others ran out.
+#[cfg(target_os = "linux")]
+const SOURCE: ClockId = ClockId::CLOCK_BOOTTIME;
+#[cfg(not(target_os = "linux"))]
+const SOURCE: ClockId = ClockId::CLOCK_MONOTONIC;
+
+/// Clock of a process, in milliseconds since its start.
 ///
-/// It goes on while the process is paused, so a pause is seen as time passed.
+/// It never goes back, and goes on while the process is paused or its machine suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Millis,
 }
 
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: read() }
     }
 
     /// The time now.
     pub fn now(&self) -> Millis {
-        self.start.elapsed().as_millis() as Millis
+        read().saturating_sub(self.start)
     }
 }
+
+fn read() -> Millis {
+    // The call fails only for a clock that the system doesn't have.
+    let time = clock_gettime(SOURCE).expect("the system has this clock");
+    time.tv_sec() as Millis * 1_000 + time.tv_nsec() as Millis / 1_000_000
+}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod run_agent;
 mod run_router;
 mod running;
+mod suspension;
 
 pub use clock::Clock;
 pub use host_event::{HostEvent, Inspect};
@@ -14,3 +15,4 @@
 pub use run_agent::run_agent;
 pub use run_router::run_router;
 pub use running::{Addresses, Running};
+pub use suspension::Suspension;
--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -8,10 +8,11 @@
 use super::link_event::LinkEvent;
 use super::shared::{Caller, Shared};
 use super::{looks, peers, runs, store};
-use crate::host::Clock;
+use crate::host::{Clock, Suspension};
 use crate::logic::direct::{DirectEffect, DirectEvent, Problem};
 use crate::logic::{step, Effect, Event, Node, Note, NoteCode};
 use crate::observe::{exposition, EventLog, LabelledCount, Metrics};
+use crate::types::Millis;
 
 /// Calls to the store of one kind, for the metrics.
 fn store_count((labels, count): (&(&'static str, &'static str), &u64)) -> LabelledCount {
@@ -27,6 +28,7 @@
     node: Node,
     shared: Rc<Shared>,
     clock: Clock,
+    suspension: Suspension,
     log: EventLog,
     metrics: Metrics,
 }
@@ -34,10 +36,12 @@
 impl DirectActor {
     /// The actor in its first state.
     pub fn init(_: CX![], node: Node, shared: Rc<Shared>, metrics: Metrics) -> Option<Self> {
+        let clock = shared.clock;
         let mut actor = Self {
             node,
             shared,
-            clock: Clock::start(),
+            clock,
+            suspension: Suspension::of(clock),
             log: EventLog::default(),
             metrics,
         };
@@ -47,6 +51,9 @@
 
     /// Handles one event.
     pub fn handle(&mut self, _: CX![], event: LinkEvent) {
+        if let Some(ms) = self.suspension.passed() {
+            self.woken(ms);
+        }
         let event = match event {
             LinkEvent::Step(event) => event,
             LinkEvent::Request { call, whole, reply } => {
@@ -76,6 +83,16 @@
         }
     }
 
+    /// The machine was suspended: what calls that are under way would tell may be as old,
+    /// and the other ends of idle connections may be gone.
+    fn woken(&mut self, ms: Millis) {
+        self.note(&Note::new(NoteCode::Suspended).with("ms", ms));
+        self.shared.pool.clear();
+        self.shared.hold_routing.set(false);
+        self.shared.woken.notify_waiters();
+        self.shared.pace_changed.notify_waiters();
+    }
+
     /// Histograms, counters and what this router knows, as text.
     fn figures(&self) -> String {
         let figures = match &self.node {
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -17,6 +17,8 @@
 use tokio::time::timeout;
 
 use super::fault::Fault;
+use crate::host::Clock;
+use crate::types::Millis;
 
 /// Time that an endpoint is assumed to keep an idle connection, unless it says.
 const KEPT: Duration = Duration::from_secs(4);
@@ -28,17 +30,25 @@
 const LONGEST: Duration = Duration::from_secs(30);
 
 /// Idle connections to any address.
-#[derive(Default)]
 pub(super) struct Pool {
+    clock: Clock,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
 struct Idle {
     connection: Connection,
-    since: Instant,
+    /// Since when it is idle.
+    since: Millis,
     kept: Duration,
 }
 
+impl Idle {
+    /// How long it has been idle.
+    fn rested(&self, now: Millis) -> Duration {
+        Duration::from_millis(now.saturating_sub(self.since))
+    }
+}
+
 /// A connection in use. Dropping it closes it.
 pub(super) struct Connection {
     addr: SocketAddr,
@@ -53,6 +63,19 @@
 }
 
 impl Pool {
+    /// A pool without connections.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// `careful` leaves aside connections that the other end may be closing.
@@ -91,7 +114,7 @@
         }
         let kept = kept.unwrap_or(KEPT).min(LONGEST);
         let idle = Idle {
-            since: Instant::now(),
+            since: self.clock.now(),
             kept: kept * 3 / 4,
             connection,
         };
@@ -101,20 +124,20 @@
 
     /// Closes what has been idle for too long.
     pub fn reap(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut all = self.idle.borrow_mut();
         for idle in all.values_mut() {
-            idle.retain(|i| !i.connection.sender.is_closed() && now < i.since + i.kept);
+            idle.retain(|i| !i.connection.sender.is_closed() && i.rested(now) < i.kept);
         }
         all.retain(|_, idle| !idle.is_empty());
     }
 
     fn take(&self, addr: SocketAddr, careful: bool) -> Option<Connection> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(&addr)?;
         while let Some(found) = idle.pop() {
-            let rested = now.saturating_duration_since(found.since);
+            let rested = found.rested(now);
             let fresh = rested < found.kept && (!careful || rested < FRESH);
             if fresh && found.connection.sender.is_ready() {
                 return Some(found.connection);
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -19,6 +19,7 @@
 use super::store_gate::StoreGate;
 use super::watches::{self, WatchPace};
 use super::{callers, peers, ready, Dialect};
+use crate::host::Clock;
 use crate::logic::direct::{DirectEvent, DirectState, ListPace};
 use crate::logic::router::StoreChange;
 use crate::logic::{Event, Node, Note, NoteCode};
@@ -48,10 +49,13 @@
 }
 
 async fn serve(settings: &DirectSettings, dialect: Dialect) -> io::Result<()> {
+    let clock = Clock::start();
     let shared = Rc::new(Shared {
         dialect,
+        clock,
+        woken: Notify::new(),
         store: settings.store,
-        pool: Pool::default(),
+        pool: Pool::new(clock),
         callers: RefCell::new(HashMap::new()),
         runs: RefCell::new(HashMap::new()),
         limits: Cell::new(CallerLimits::default()),
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -15,6 +15,7 @@
 use super::pool::Pool;
 use super::store_gate::StoreGate;
 use super::Dialect;
+use crate::host::Clock;
 use crate::logic::direct::{DirectEvent, ListPace};
 use crate::logic::Event;
 use crate::types::{CallerLimits, StorePosition};
@@ -29,6 +30,10 @@
 pub(super) struct Shared {
     /// How the platform speaks.
     pub dialect: Dialect,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Told when the machine was suspended.
+    pub woken: Notify,
     /// The platform's store.
     pub store: SocketAddr,
     /// Idle connections.
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -112,6 +112,8 @@
         let answer = tokio::select! {
             answer = ask(shared, pace.what.used(), pass, request, longest) => answer,
             () = shared.another_era(at.era) => return,
+            // What it waits for may be older than it looks: it is asked for anew.
+            () = shared.woken.notified() => continue,
         };
         if !shared.is_era(at.era) {
             return;
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -77,6 +77,7 @@
     Stopped = 102 Info "process ends with nothing left to do";
     SettingsChanged = 103 Info "settings changed; they count from the next start";
     LinesLeftOut = 105 Warn "log lines left out";
+    Suspended = 106 Warn "machine was suspended";
     SessionUp = 110 Debug "session opened";
     SessionDown = 111 Info "session closed";
     SessionRefused = 112 Warn "session refused";
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -32,3 +32,4 @@
 mod staging;
 mod standin;
 mod stopping;
+mod suspension;
