--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -22,6 +22,7 @@
 mod placing;
 mod processes;
 mod queue;
+mod rates;
 mod repair;
 mod restored;
 mod retries;
--- a/tests/direct/standin.rs
+++ b/tests/direct/standin.rs
@@ -79,6 +79,10 @@
     epoch: u64,
     fence: u64,
     stalled: Option<Instant>,
+    /// Requests a second that its answers name as its limit.
+    limit: Option<f64>,
+    /// When requests arrived.
+    arrivals: Vec<Instant>,
     runtime: Option<Runtime>,
 }
 
@@ -175,6 +179,8 @@
             epoch: 0,
             fence: 0,
             stalled: None,
+            limit: None,
+            arrivals: Vec::new(),
             runtime: Some(runtime),
         };
         self.world().replicas.insert(id.to_string(), replica);
@@ -270,6 +276,19 @@
         self.put(key, value);
     }
 
+    /// A replica names a limit in its answers from now on, or none any more.
+    pub fn limit(&mut self, id: &str, limit: Option<f64>) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.limit = limit;
+        }
+    }
+
+    /// Requests that have arrived at a replica since a time, and when.
+    pub fn arrivals(&self, id: &str, since: Instant) -> Vec<Instant> {
+        let all = self.replicas.get(id).map_or(&[][..], |r| &r.arrivals);
+        all.iter().copied().filter(|at| *at >= since).collect()
+    }
+
     /// Writes of others that only make the revision rise.
     pub fn write_unrelated(&mut self, count: usize) {
         for n in 0..count {
@@ -726,7 +745,14 @@
         world.list();
         return whole(status, &Value::Null);
     }
-    let pool = world.lock().expect("the world").replicas[&me].service == "pool";
+    let (pool, limit) = {
+        let mut world = world.lock().expect("the world");
+        let Some(replica) = world.replicas.get_mut(&me) else {
+            return whole(StatusCode::MISDIRECTED_REQUEST, &Value::Null);
+        };
+        replica.arrivals.push(Instant::now());
+        (replica.service == "pool", replica.limit)
+    };
     let body = request.into_body().collect().await;
     if body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes()) {
         let (world, me) = (world.clone(), me.clone());
@@ -745,6 +771,9 @@
         }
         whole(StatusCode::OK, &json!({"by": me}))
     };
+    if let Some(Ok(value)) = limit.map(|l| l.to_string().parse()) {
+        response.headers_mut().insert("server-limit", value);
+    }
     if let Ok(value) = attempt.parse() {
         response.headers_mut().insert("x-attempt-id", value);
     }
