Limits of requests a second that endpoints name are kept by all routers together

What endpoints saw: a replica that named Server-Limit 2.3 got 31 requests in 4 s from routers that it had told, 19 allowed (LIMIT).

Cause: nothing read the header.

Change: the header is read from every answer; a few routers, chosen by a hash, hold equal shares with an even gap between requests; limits and their ends are told to all routers.

--- a/src/link/dialect.rs
+++ b/src/link/dialect.rs
@@ -7,7 +7,7 @@
     DirectRequest, GroupOrder, LookResult, OrderResult, Problem, RunRequest,
 };
 use crate::logic::router::{StoreCall, StoreEntry, StoreResult};
-use crate::types::{EndpointEntry, InstanceId, Routing};
+use crate::types::{EndpointEntry, InstanceId, RequestRate, Routing};
 
 /// How a platform says what the product means: pure functions, one a message.
 ///
@@ -32,6 +32,9 @@
     pub run: fn(&RunRequest, &request::Parts, Bytes) -> Request<Full<Bytes>>,
     /// Reads the head of an endpoint's answer to the request with a label.
     pub reply: fn(&response::Parts, &str) -> Reply,
+    /// Reads how many requests a second an endpoint takes from all routers, where its
+    /// answer says so; an error tells why that can't be read.
+    pub rate: fn(&HeaderMap) -> Result<Option<RequestRate>, String>,
     /// Writes the head of an endpoint's answer for a caller.
     pub head: fn(&response::Parts) -> response::Parts,
     /// Writes an answer of the router's own.
--- a/src/link/looks.rs
+++ b/src/link/looks.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 
@@ -32,8 +32,11 @@
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
         let request = (shared.dialect.look)(&id, &addr.to_string());
-        let result = match timeout(LOOK, call(&shared, addr, request)).await {
-            Ok(Ok((status, body))) => read_look(&shared, &id, status, &body),
+        let result = match timeout(LOOK, whole(&shared, addr, request, LIMIT)).await {
+            Ok(Ok(answer)) => {
+                rated(&shared, &id, None, answer.headers());
+                read_look(&shared, &id, answer.status(), answer.body())
+            }
             Ok(Err(Fault::Refused)) => LookResult::Refused,
             _ => LookResult::Silent,
         };
@@ -74,22 +77,28 @@
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
         let request = (shared.dialect.order)(&id, &addr.to_string(), &body);
-        let result = match timeout(ORDER, call(&shared, addr, request)).await {
-            Ok(Ok((status, _))) => (shared.dialect.ordered)(status),
+        let result = match timeout(ORDER, whole(&shared, addr, request, LIMIT)).await {
+            Ok(Ok(answer)) => {
+                rated(&shared, &id, None, answer.headers());
+                (shared.dialect.ordered)(answer.status())
+            }
             _ => OrderResult::Unanswered,
         };
         shared.tell(DirectEvent::Ordered { order, result });
     });
 }
 
-/// Sends a small request and reads the whole answer.
-pub(super) async fn call(
-    shared: &Shared,
-    addr: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), Fault> {
-    let answer = whole(shared, addr, request, LIMIT).await?;
-    Ok((answer.status(), answer.into_body()))
+/// Tells the reducer what an answer says of the endpoint's limit. What can't be read is
+/// logged and changes nothing.
+pub(super) fn rated(shared: &Shared, id: &InstanceId, run: Option<u64>, headers: &HeaderMap) {
+    match (shared.dialect.rate)(headers) {
+        Ok(rate) => shared.tell(DirectEvent::Rated {
+            id: id.clone(),
+            run,
+            rate,
+        }),
+        Err(why) => unread("a limit", id.as_str(), &why),
+    }
 }
 
 /// Sends a request and reads an answer of at most `limit` bytes.
--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -10,6 +10,7 @@
 
 use super::fault::Fault;
 use super::link_event::CallerCall;
+use super::looks;
 use super::pool::Connection;
 use super::shared::{RunSlot, Shared};
 use super::EventSplitter;
@@ -69,6 +70,7 @@
         Err(Fault::Broken) => return Some(RunPart::Broken),
     };
     let (head, body) = response.into_parts();
+    looks::rated(shared, &run.to, Some(run.run), &head.headers);
     let reply = (shared.dialect.reply)(&head, &call.label);
     if reply.foreign {
         return Some(RunPart::Broken);
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -1,6 +1,6 @@
 //! Which endpoint a request goes to.
 
-use super::{limit, DirectState, EndpointView, Flight, Mechanism};
+use super::{limit, rates, DirectState, EndpointView, Flight, Mechanism};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// What an endpoint of another data hall costs beside, in microseconds.
@@ -19,7 +19,7 @@
     })
 }
 
-/// Whether any endpoint may take such a request, if only it had room.
+/// Whether any endpoint may take such a request in its time, if only it had room.
 pub(super) fn any(state: &DirectState, flight: &Flight) -> bool {
     let spec = state
         .routing
@@ -27,7 +27,8 @@
         .and_then(|r| r.services.get(&flight.service));
     let groups = spec.is_some_and(|s| s.engine.is_some());
     let fits = |v: &EndpointView| {
-        v.listed && v.entry.service == flight.service && serves(v, flight, groups)
+        let fits = v.listed && v.entry.service == flight.service;
+        fits && rates::allows_until(v, flight.held) && serves(v, flight, groups)
     };
     state.endpoints.values().any(fits)
 }
@@ -86,7 +87,7 @@
     let entry = &view.entry;
     let fits = entry.service == flight.service && !entry.leaving && view.listed;
     let calm = view.shunned <= now && view.silent.is_none();
-    fits && calm && serves(view, flight, groups)
+    fits && calm && rates::allows(view, now) && serves(view, flight, groups)
 }
 
 /// Microseconds until an endpoint is likely to begin with a request.
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use super::{DirectRequest, LookResult, OrderResult, PeerMessage, RunPart};
-use crate::types::{EndpointEntry, InstanceId, Routing, StorePosition};
+use crate::types::{EndpointEntry, InstanceId, RequestRate, Routing, StorePosition};
 
 /// What a router with direct links reacts to, beside time and the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -43,6 +43,16 @@
         /// The part.
         part: RunPart,
     },
+    /// An answer of an endpoint names how many requests a second it takes from all
+    /// routers, or that it takes as many as come. Comes before what the answer says.
+    Rated {
+        /// Which endpoint.
+        id: InstanceId,
+        /// The run that it answers, where it is one.
+        run: Option<u64>,
+        /// The limit.
+        rate: Option<RequestRate>,
+    },
     /// An endpoint was looked at.
     Looked {
         /// Which endpoint.
--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use super::RateShare;
 use crate::types::{EndpointEntry, Millis};
 
 /// One endpoint as this router sees it.
@@ -31,6 +32,8 @@
     pub limit: u64,
     /// Shortest time until a request began there lately, in milliseconds; 0 before that.
     pub quick: Millis,
+    /// Requests a second that the endpoint takes from all routers, where it names a limit.
+    pub rate: Option<RateShare>,
     /// When the limit was last lowered.
     pub lowered: Millis,
     /// Until when it gets nothing new, after failures.
@@ -61,6 +64,7 @@
             unread: 0,
             limit: 0,
             quick: 0,
+            rate: None,
             lowered: 0,
             shunned: 0,
             failures: 0,
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -4,7 +4,7 @@
 
 use super::crashes::CrashReport;
 use super::{Digest, ModelDemand, Sight};
-use crate::types::InstanceId;
+use crate::types::{InstanceId, RequestRate};
 
 /// What routers with direct links say to each other, one datagram each.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -37,6 +37,13 @@
     },
     /// What the planner has read, passed on by routers.
     Digest(Box<Digest>),
+    /// An endpoint takes so many requests a second from all routers, or as many as come.
+    Rate {
+        /// The endpoint.
+        id: InstanceId,
+        /// The limit.
+        rate: Option<RequestRate>,
+    },
     /// Requests that endpoints have crashed under.
     Crashes(Vec<CrashReport>),
     /// What was seen.
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,8 +1,8 @@
 //! Sends a request to an endpoint, and to another one after a failure.
 
 use super::{
-    choose, crashes, end, peers, queue, DirectEffect, DirectState, Flight, Mechanism, RetryTerms,
-    RetryWindow, Run, RunRequest, Turn,
+    choose, crashes, end, peers, queue, rates, DirectEffect, DirectState, Flight, Mechanism,
+    RetryTerms, RetryWindow, Run, RunRequest, Turn,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, Note, NoteCode};
@@ -55,6 +55,7 @@
     if view.running == 0 {
         view.heard = view.heard.max(now);
     }
+    rates::sent(view, now);
     view.running += 1;
     view.unread += u64::from(flight.prompt);
     let (addr, epoch) = (view.entry.addr, view.epoch());
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,6 +1,6 @@
 use super::{
-    accept, answer, crashes, demand, digests, end, endpoints, peers, plan, queue, silence, store,
-    DirectEffect, DirectEvent, DirectState, EndStage,
+    accept, answer, crashes, demand, digests, end, endpoints, peers, plan, queue, rates, silence,
+    store, DirectEffect, DirectEvent, DirectState, EndStage,
 };
 use crate::logic::{Effect, Event, Note, NoteCode};
 use crate::types::{Millis, Routing};
@@ -71,6 +71,7 @@
         DirectEvent::Request(request) => accept::arrived(state, now, *request, out),
         DirectEvent::Gone(id) => end::caller_gone(state, id, out),
         DirectEvent::Part { run, part } => answer::part(state, now, run, part, out),
+        DirectEvent::Rated { id, run, rate } => rates::named(state, now, &id, run, rate, out),
         DirectEvent::Looked { id, result } => {
             peers::looked(state, now, &id, &result, out);
             crashes::looked(state, now, &id, &result, out);
@@ -120,6 +121,7 @@
     queue::tend(state, now, out);
     silence::tend(state, now, out);
     endpoints::tend(state, now);
+    rates::tend(state, now, out);
     peers::tend(state, now, out);
     crashes::tend(state, now, out);
     demand::tend(state, now, out);
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -157,4 +157,6 @@
     RequestBlocked = 647 Error "request refused from now on: endpoints crash under it";
     CrashesCleared = 648 Info "request cleared of crashes: it was answered whole";
     CrashesUnread = 649 Error "record of a request that crashes endpoints can't be read or written";
+    EndpointLimited = 650 Warn "endpoint names a limit of requests a second";
+    EndpointUnlimited = 651 Info "endpoint names no limit any more";
 }
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -8,7 +8,7 @@
 use runrail::logic::direct::{GroupOrder, GroupStep, OrderResult, Problem, RunRequest};
 use runrail::logic::router::{Check, Put, StoreCall, StoreEntry, StoreReply};
 use runrail::platform::dialect;
-use runrail::types::{InstanceId, RouteKind, SeatState};
+use runrail::types::{InstanceId, RequestRate, RouteKind, SeatState};
 
 use crate::fixture::addr;
 
@@ -107,6 +107,24 @@
     assert_eq!(read.wait_ms, Some(8_000));
 }
 
+#[test]
+fn a_limit_of_requests_a_second_is_read_or_told_to_be_wrong() {
+    let read = |text: &str| {
+        let mut headers = http::HeaderMap::new();
+        let value = text.parse().expect("a value");
+        headers.insert("server-limit", value);
+        (dialect().rate)(&headers)
+    };
+    assert_eq!((dialect().rate)(&http::HeaderMap::new()), Ok(None));
+    let rate = |milli| Ok(Some(RequestRate::from_milli(milli)));
+    assert_eq!(read("2.3"), rate(2_300));
+    assert_eq!(read(" 0"), rate(0));
+    for wrong in ["", "-1", "NaN", "inf", "many"] {
+        let why = read(wrong).expect_err(wrong);
+        assert!(why.contains("server-limit"), "{why}");
+    }
+}
+
 #[test]
 fn a_request_that_is_sent_again_has_the_same_fingerprint() {
     let of = |head: &http::request::Parts, body: &[u8], account| {
