Requests: one that was answered lately is no suspect of a crash

Callers who send the same harmless request many times a second (a safe call without a body) have some of it at work whenever an endpoint crashes: three crashes without an answer in between would have had all of it refused for ten minutes.

Evidence: a_request_that_was_answered_lately_is_no_suspect; without the change four crashes leave a record.

--- a/src/logic/direct/crashes/crash_state.rs
+++ b/src/logic/direct/crashes/crash_state.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, VecDeque};
 
-use super::{CrashTable, Doubt};
+use super::{CrashTable, Doubt, RecentlyServed};
 use crate::logic::direct::Fingerprint;
 use crate::logic::router::CallId;
 use crate::types::{InstanceId, Millis};
@@ -12,6 +12,8 @@
     pub table: CrashTable,
     /// Endpoints that may have crashed.
     pub doubts: BTreeMap<InstanceId, Doubt>,
+    /// Requests that are no suspects, as they were answered whole lately.
+    pub served: RecentlyServed,
     /// What is told to other routers again: when, and how often still.
     pub untold: BTreeMap<Fingerprint, (Millis, u32)>,
     /// What is written to the key-value service.
--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -14,6 +14,7 @@
 mod crash_table;
 mod doubt;
 mod keep;
+mod recently_served;
 mod share;
 mod suspect;
 
@@ -23,6 +24,7 @@
 pub use crash_state::{CrashState, Keep};
 pub use crash_table::CrashTable;
 pub use doubt::Doubt;
+pub use recently_served::RecentlyServed;
 
 pub(super) use keep::{answered, changed, read, restored};
 pub(super) use share::told;
--- a/src/logic/direct/crashes/suspect.rs
+++ b/src/logic/direct/crashes/suspect.rs
@@ -16,7 +16,8 @@
 /// off, which no request has done.
 const MISSES: u32 = 3;
 
-/// A run has broken off: its request is a suspect unless an event had come.
+/// A run has broken off: its request is a suspect unless an event had come, or the same
+/// request was answered whole lately.
 pub(in crate::logic::direct) fn broke(
     state: &mut DirectState,
     now: Millis,
@@ -32,6 +33,9 @@
     let Some(view) = state.endpoints.get(&run.at) else {
         return;
     };
+    if state.crashes.served.contains(now, &flight.fingerprint) {
+        return;
+    }
     let at = run.at.clone();
     let doubt = state.crashes.doubts.entry(at.clone()).or_default();
     if doubt.requests.is_empty() {
@@ -149,6 +153,7 @@
     request: Fingerprint,
     out: &mut Vec<Effect>,
 ) {
+    state.crashes.served.record(now, request);
     if state.crashes.table.clear(&request) {
         let note = Note::new(NoteCode::CrashesCleared).with("fingerprint", request);
         out.push(Effect::Note(note));
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use runrail::logic::direct::crashes::{Crash, CrashRecord, CrashReport, CrashTable};
+use runrail::logic::direct::crashes::{
+    Crash, CrashRecord, CrashReport, CrashTable, RecentlyServed,
+};
 use runrail::logic::direct::{
     DirectEffect, DirectEvent, DirectRequest, Fingerprint, LookResult, PeerMessage, Problem,
     RunPart,
@@ -203,6 +205,35 @@
     assert_eq!(crash(&mut router, fatal(3)).len(), MOST - 1);
 }
 
+/// Callers who send the same harmless request again and again have some of it at work at
+/// each crash.
+#[test]
+fn a_request_that_was_answered_lately_is_no_suspect() {
+    let mut router = Router::new(heads());
+    let sent = router.ask_for(fatal(1));
+    router.part(run(&sent).run, RunPart::Head);
+    router.part(run(&sent).run, RunPart::End);
+    for id in 2..6 {
+        crash(&mut router, fatal(id));
+        router.pass(1_000);
+    }
+    assert!(router.state().crashes.table.is_empty());
+    router.pass(60_000);
+    assert_eq!(crash(&mut router, fatal(9)).len(), MOST - 1);
+    assert_eq!(router.state().crashes.table.len(), 1);
+}
+
+/// What is remembered of answers is bounded.
+#[test]
+fn answers_are_remembered_for_a_while_and_not_without_end() {
+    let name = |n: u64| Fingerprint::of(&[&n.to_be_bytes()]);
+    let mut served = RecentlyServed::default();
+    (0..10_000).for_each(|n| served.record(n, name(n)));
+    assert!(served.contains(10_000, &name(9_999)));
+    assert!(!served.contains(10_000, &name(0)), "pushed out");
+    assert!(!served.contains(9_999 + 60_000, &name(9_999)), "too old");
+}
+
 /// Two routers know of two crashes each; what they were told in between was lost.
 #[test]
 fn crashes_that_routers_know_of_add_up_and_each_counts_once() {
