Stand-in of the users' platform moves from the tests to testkit, in files of one job

So that the soak as a program shares it with the tests: no third copy. It lies beside testkit/src, as it speaks the platform's names, which the check of names keeps out of there; that check is unchanged. No test changed but for its imports.

--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -3,6 +3,8 @@
 //! They listen on loopback and record what was
 //! asked of them, so that tests can judge from outside.
 
+#[path = "../standin/mod.rs"]
+pub mod direct;
 mod engine;
 mod fleet;
 mod platform;
--- /dev/null
+++ b/testkit/standin/config.rs
@@ -0,0 +1,18 @@
+use serde_json::json;
+
+/// The configuration: `/stream/` to one model of three, `/once/` and `/safe/`.
+pub fn config(version: u64) -> String {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({"Name": name, "Host": "a.example", "PathPrefix": format!("/{name}/"), "Kind": kind,
+            "TimeoutMs": 6000, "SloMs": 2000, "Priority": 1, "Service": service, "MaxAttempts": 3,
+            "Resumable": kind == "streaming", "GapTargetMs": 300})
+    };
+    json!({"Version": version,
+        "Routes": [route("stream", "streaming", "pool"), route("once", "unsafe", "gate"), route("safe", "safe", "gate")],
+        "Services": [{"Name": "gate", "MaxConns": 50}, {"Name": "pool", "MaxConns": 50, "Engine": {
+            "Slots": 8, "Stride": 1, "step_ms": 5.0, "read_per_s": 50000.0, "LoadsPerS": 50.0, "loads_at_once": 9,
+            "Retains": 1, "FormMs": 60.0,
+            "Models": [{"Name": "big", "size": 3, "Share": 1.0, "pace": 1.0, "LoadS": 0.3, "WarmupS": 0.15}]}}],
+        "Tenants": [{"Name": "ann", "ApiKeys": ["k1"]}]})
+    .to_string()
+}
--- /dev/null
+++ b/testkit/standin/serve.rs
@@ -0,0 +1,90 @@
+//! Small HTTP servers on loopback.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+
+/// Body of an answer.
+pub(super) type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+pub(super) fn runtime() -> Runtime {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .expect("a runtime")
+}
+
+/// Listens on a free port and answers each request.
+pub(super) fn serve<F, R>(runtime: &Runtime, answer: F) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: std::future::Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_at(SocketAddr::from(([127, 0, 0, 1], 0)), runtime, answer)
+}
+
+/// Listens at an address, which may just have been given up, and answers each request.
+pub(super) fn serve_at<F, R>(addr: SocketAddr, runtime: &Runtime, answer: F) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: std::future::Future<Output = Response<Body>> + Send + 'static,
+{
+    let since = Instant::now();
+    let listener = loop {
+        match runtime.block_on(TcpListener::bind(addr)) {
+            Ok(listener) => break listener,
+            Err(e) => assert!(since.elapsed() < Duration::from_secs(5), "{addr}: {e}"),
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    let addr = listener.local_addr().expect("an address");
+    runtime.spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let service = service_fn(move |request| {
+                    let answer = answer(request);
+                    async move { Ok::<_, Infallible>(answer.await) }
+                });
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    addr
+}
+
+pub(super) fn whole(status: StatusCode, body: &Value) -> Response<Body> {
+    let text = if body.is_null() {
+        String::new()
+    } else {
+        body.to_string()
+    };
+    let body = Full::new(Bytes::from(text)).map_err(std::io::Error::other);
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
+pub(super) fn query(request: &Request<Incoming>, name: &str) -> String {
+    let query = request.uri().query().unwrap_or("");
+    let found = query
+        .split('&')
+        .filter_map(|p| p.split_once('='))
+        .find(|(n, _)| *n == name);
+    found.map(|(_, v)| v.to_string()).unwrap_or_default()
+}
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -14,8 +14,8 @@
 use runrail::types::{EndpointEntry, InstanceId};
 
 use crate::fixture::{addr, open_group, piece, problem, request, run, Router};
-use crate::processes::{fleet, send, until};
-use crate::standin::FATAL;
+use testkit::direct::FATAL;
+use testkit::direct::{fleet, send, until};
 
 /// Crashes after which a request is refused.
 const MOST: usize = 3;
--- a/tests/direct/foreign.rs
+++ b/tests/direct/foreign.rs
@@ -6,8 +6,8 @@
 use runrail::types::InstanceId;
 
 use crate::fixture::{engine, open_group, order, seat, Router};
-use crate::processes::{fleet, logs, served, until};
-use crate::standin::config;
+use testkit::direct::config;
+use testkit::direct::{fleet, logs, served, until};
 
 /// An endpoint whose entry can't be read any more was used by its last readable one.
 #[test]
--- a/tests/direct/rates.rs
+++ b/tests/direct/rates.rs
@@ -6,7 +6,7 @@
 use runrail::types::{InstanceId, RequestRate};
 
 use crate::fixture::{addr, plain, problem, run, Router};
-use crate::processes::{call, fleet};
+use testkit::direct::{call, fleet};
 
 /// The endpoint that names a limit, and the other one.
 const LIMITED: &str = "pe0";
--- a/tests/direct/restored.rs
+++ b/tests/direct/restored.rs
@@ -10,8 +10,8 @@
 use runrail::types::{InstanceId, StorePosition};
 
 use crate::fixture::{empty_digest, hear, open_group, pace, routing, Router, FENCE};
-use crate::processes::{fleet, logs, served, until};
-use crate::standin::config;
+use testkit::direct::config;
+use testkit::direct::{fleet, logs, served, until};
 
 /// Writes that a store forgets, and as many that follow: the count passes where it was.
 const LOST: usize = 300;
@@ -61,7 +61,7 @@
     let mut routers = routers;
     routers
         .iter_mut()
-        .for_each(crate::processes::Router::restart);
+        .for_each(testkit::direct::Router::restart);
     until("it serves again", Duration::from_secs(20), || {
         routers.iter().all(|r| r.is_ready() && served(r, "before"))
     });
--- a/tests/direct/soak.rs
+++ b/tests/direct/soak.rs
@@ -7,8 +7,8 @@
 
 use nix::sys::signal::Signal;
 
-use crate::processes::{call, fleet, logs, served, until, Router};
-use crate::standin::{config, Copy, Standin, EVENTS};
+use testkit::direct::{call, fleet, logs, served, until, Router};
+use testkit::direct::{config, Copy, Standin, EVENTS};
 
 #[test]
 fn the_whole_path_serves_streams_and_calls_and_a_stop_cuts_nothing() {
