--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod respond;
 mod service;
+pub mod soak;
 mod sse_client;
 
 pub use engine::{Engine, EngineKnobs, EngineRun, Fabric};
--- a/testkit/src/relay.rs
+++ b/testkit/src/relay.rs
@@ -1,8 +1,13 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-/// A TCP relay that can be cut: open connections break and new ones are refused.
+/// Time between two looks at whether a relay is silent still.
+const SILENT: Duration = Duration::from_millis(20);
+
+/// A TCP relay that can be cut: open connections break and new ones are refused. It can
+/// also pass bytes on late, or none for a while.
 #[derive(Clone)]
 pub struct Relay {
     addr: SocketAddr,
@@ -12,6 +17,8 @@
 struct State {
     target: SocketAddr,
     cut: bool,
+    silent: bool,
+    delay: Duration,
     open: Vec<TcpStream>,
 }
 
@@ -26,6 +33,8 @@
         let state = Arc::new(Mutex::new(State {
             target,
             cut: false,
+            silent: false,
+            delay: Duration::ZERO,
             open: Vec::new(),
         }));
         let relay = Self { addr, state };
@@ -59,6 +68,25 @@
         }
     }
 
+    /// Passes nothing on until told otherwise; connections stay open.
+    pub fn set_silent(&self, silent: bool) {
+        self.lock().silent = silent;
+    }
+
+    /// Passes everything on so much later.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// Waits for as long as the relay holds bytes back.
+    fn hold(&self) {
+        let delay = self.lock().delay;
+        std::thread::sleep(delay);
+        while self.lock().silent {
+            std::thread::sleep(SILENT);
+        }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -75,7 +103,8 @@
         let _ = to.set_nodelay(true);
         for (a, b) in [(&from, &to), (&to, &from)] {
             if let (Ok(read), Ok(write)) = (a.try_clone(), b.try_clone()) {
-                std::thread::spawn(move || pump(read, write));
+                let relay = self.clone();
+                std::thread::spawn(move || pump(&relay, read, write));
             }
         }
         state.open.push(from);
@@ -83,9 +112,10 @@
     }
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream) {
+fn pump(relay: &Relay, mut from: TcpStream, mut to: TcpStream) {
     let mut buffer = [0; 16 * 1024];
     while let Ok(n) = from.read(&mut buffer) {
+        relay.hold();
         if n == 0 || to.write_all(&buffer[..n]).is_err() {
             break;
         }
--- /dev/null
+++ b/testkit/src/soak/client.rs
@@ -0,0 +1,126 @@
+//! Callers that keep their connections open until the process at the other end is gone.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use super::Outcome;
+use crate::direct::{request, EVENTS};
+
+/// Longest time for a connection to come up.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// Longest time without a byte of an answer.
+const READ: Duration = Duration::from_secs(8);
+
+/// Statuses that say that the request has not run.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// Statuses that refuse it for good.
+const REFUSED: [u16; 2] = [400, 422];
+
+/// An open connection to a router.
+pub(super) struct Connection {
+    reader: BufReader<TcpStream>,
+    /// Whether the other end has said that it closes.
+    pub closes: bool,
+}
+
+/// An answer as it was read.
+struct Answer {
+    status: u16,
+    body: String,
+}
+
+impl Connection {
+    /// Opens one, if that is to be had.
+    pub fn open(addr: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&addr, CONNECT).ok()?;
+        stream.set_read_timeout(Some(READ)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        let reader = BufReader::new(stream);
+        let closes = false;
+        Some(Self { reader, closes })
+    }
+
+    /// Sends a request and reads its answer.
+    pub fn ask(&mut self, kind: &'static str, attempt: &str, body: &str) -> Outcome {
+        let route = if kind == "fatal" { "stream" } else { kind };
+        let text = request("POST", &format!("/{route}/x"), attempt, "keep-alive", body);
+        let written = self.reader.get_mut().write_all(text.as_bytes());
+        match written.ok().and_then(|()| self.answer()) {
+            Some(answer) => outcome(route, &answer),
+            None => Outcome::Closed,
+        }
+    }
+
+    /// Reads an answer; none where the connection ends before it.
+    fn answer(&mut self) -> Option<Answer> {
+        let status = self.line()?.split(' ').nth(1)?.parse().ok()?;
+        let (mut length, mut chunked) = (0, false);
+        loop {
+            let line = self.line()?.to_ascii_lowercase();
+            if line.is_empty() {
+                break;
+            }
+            let (name, value) = line.split_once(':')?;
+            match (name, value.trim()) {
+                ("content-length", value) => length = value.parse().ok()?,
+                ("transfer-encoding", value) => chunked = value == "chunked",
+                ("connection", value) => self.closes |= value == "close",
+                _ => {}
+            }
+        }
+        let body = if chunked {
+            self.chunks()?
+        } else {
+            self.bytes(length)?
+        };
+        let body = String::from_utf8_lossy(&body).to_string();
+        Some(Answer { status, body })
+    }
+
+    fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        let read = self.reader.read_line(&mut line).ok()?;
+        (read > 0 && line.ends_with('\n')).then(|| line.trim_end().to_string())
+    }
+
+    fn bytes(&mut self, length: usize) -> Option<Vec<u8>> {
+        let mut bytes = vec![0; length];
+        self.reader.read_exact(&mut bytes).ok()?;
+        Some(bytes)
+    }
+
+    fn chunks(&mut self) -> Option<Vec<u8>> {
+        let mut all = Vec::new();
+        loop {
+            let length = usize::from_str_radix(&self.line()?, 16).ok()?;
+            all.extend(self.bytes(length)?);
+            self.line()?;
+            if length == 0 {
+                return Some(all);
+            }
+        }
+    }
+}
+
+fn outcome(route: &str, answer: &Answer) -> Outcome {
+    match answer.status {
+        200 if is_whole(route, &answer.body) => Outcome::Whole,
+        200 => Outcome::Wrong,
+        status if NOT_RUN.contains(&status) => Outcome::NotRun,
+        status if REFUSED.contains(&status) => Outcome::Refused,
+        _ => Outcome::Failed,
+    }
+}
+
+/// Whether a body is that of a whole answer on a route.
+fn is_whole(route: &str, body: &str) -> bool {
+    if route != "stream" {
+        return body.contains("\"by\"");
+    }
+    let ids = body.lines().filter_map(|l| l.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.filter_map(|id| id.trim().parse().ok()).collect();
+    ids == (1..=EVENTS).collect::<Vec<_>>()
+}
--- /dev/null
+++ b/testkit/src/soak/plan.rs
@@ -0,0 +1,103 @@
+use std::fmt;
+use std::path::PathBuf;
+
+use super::Fault;
+
+/// Milliseconds before the first fault, and after the last one.
+const CALM_MS: u64 = 1_000;
+
+/// Longest milliseconds between two faults that come one after the other.
+const APART_MS: u64 = 2_000;
+
+/// Times in a hundred that a fault comes on top of the one before.
+const OVERLAPS: u32 = 40;
+
+/// What a soak is run with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SoakSettings {
+    /// Seed that faults and their times are drawn from.
+    pub seed: u64,
+    /// Seconds of faults.
+    pub seconds: u64,
+    /// Routers.
+    pub routers: usize,
+    /// Model engines; two endpoints of a plain service come beside.
+    pub engines: usize,
+    /// Folder for logs and the report.
+    pub dir: PathBuf,
+}
+
+impl Default for SoakSettings {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            seconds: 20,
+            routers: 2,
+            engines: 9,
+            dir: PathBuf::from("target/soak"),
+        }
+    }
+}
+
+/// A fault and its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedFault {
+    /// Milliseconds after the beginning.
+    pub at_ms: u64,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// All faults of a soak, in order. The same settings give the same plan.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The faults.
+    pub faults: Vec<PlannedFault>,
+}
+
+impl Plan {
+    /// Draws a plan.
+    pub fn draw(settings: &SoakSettings) -> Self {
+        let mut rng = fastrand::Rng::with_seed(settings.seed);
+        let mut faults = Vec::new();
+        let mut at_ms = CALM_MS;
+        while at_ms + CALM_MS < settings.seconds * 1_000 {
+            let fault = draw(&mut rng, settings.routers);
+            faults.push(PlannedFault { at_ms, fault });
+            if rng.u32(0..100) >= OVERLAPS {
+                at_ms += rng.u64(200..APART_MS);
+            }
+        }
+        Self { faults }
+    }
+}
+
+fn draw(rng: &mut fastrand::Rng, routers: usize) -> Fault {
+    let router = rng.usize(0..routers);
+    let ms = rng.u64(200..2_500);
+    match rng.u32(0..18) {
+        0 | 1 => Fault::KillRouter(router),
+        2 | 3 => Fault::StopRouter(router),
+        4 => Fault::FreezeRouter(router, ms),
+        5 => Fault::CutStore(router, ms),
+        6 => Fault::SlowStore(router, ms),
+        7 => Fault::SilentStore(router, ms),
+        8 => Fault::StoreDown(ms),
+        9 => Fault::StoreRestored(ms / 2),
+        10 | 11 => Fault::ReplaceMember,
+        12 => Fault::RestartEndpoint,
+        13 => Fault::ForeignEntry,
+        14 | 15 => Fault::Configure,
+        16 => Fault::FatalRequest(rng.u32(4..10)),
+        _ => Fault::LimitEndpoint(rng.u32(1..4), 6_000 + ms),
+    }
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for PlannedFault { at_ms, fault } in &self.faults {
+            writeln!(f, "{:>7.3} s  {fault}", *at_ms as f64 / 1_000.0)?;
+        }
+        Ok(())
+    }
+}
--- a/testkit/standin/fleet.rs
+++ b/testkit/standin/fleet.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -27,14 +28,27 @@
 /// A fleet of some routers, `r1` and so on, that serves.
 pub fn fleet_of(routers: usize, engines: usize, dir: &Path) -> (Standin, Vec<Router>) {
     let standin = Standin::start(engines, 2);
-    let start = |n: usize| Router::start(&format!("r{n}"), standin.store, dir);
-    let routers: Vec<_> = (1..=routers).map(start).collect();
+    let stores = vec![standin.store; routers];
+    let routers = fleet_behind(&standin, &stores, dir);
+    (standin, routers)
+}
+
+/// Routers that serve, each of which reaches the store at an address of its own.
+///
+/// # Panics
+/// When they don't get going.
+pub fn fleet_behind(standin: &Standin, stores: &[SocketAddr], dir: &Path) -> Vec<Router> {
+    let start = |(n, store): (usize, &SocketAddr)| {
+        let id = format!("r{}", n + 1);
+        Router::start(&id, *store, dir)
+    };
+    let routers: Vec<_> = stores.iter().enumerate().map(start).collect();
     until("a group opens", START, || !standin.open_groups().is_empty());
     until("routers are ready", START, || {
         routers.iter().all(Router::is_ready)
     });
     until("a stream is served", START, || served(&routers[0], "first"));
-    (standin, routers)
+    routers
 }
 
 /// Whether a router serves a whole stream.
--- a/testkit/standin/mod.rs
+++ b/testkit/standin/mod.rs
@@ -14,10 +14,11 @@
 mod store_calls;
 mod world;
 
+pub(crate) use call::request;
 pub use call::{call, send, Answer};
 pub use config::config;
-pub use fleet::{fleet, fleet_of, logs, served, until};
+pub use fleet::{fleet, fleet_behind, fleet_of, logs, served, until};
 pub use replica_calls::{EVENTS, FATAL};
-pub use router::Router;
+pub use router::{routing_at, Router};
 pub use standin::Standin;
 pub use world::{Copy, World};
--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -69,12 +69,10 @@
         (replica.service == "pool", replica.limit)
     };
     let body = request.into_body().collect().await;
-    if body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes()) {
-        let (world, me) = (world.clone(), me.clone());
-        tokio::spawn(async move {
-            sleep(CRASH).await;
-            world.lock().expect("the world").kill(&me);
-        });
+    let fatal = body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes());
+    let heads = !pool || world.lock().expect("the world").heads(&me);
+    if heads {
+        runs(&world, &me, &attempt, fatal);
     }
     let mut response = if pool {
         stream(world, &me, last)
@@ -98,6 +96,21 @@
     response
 }
 
+/// A request begins to run; one with the fatal body crashes the replica soon.
+fn runs(world: &Arc<Mutex<World>>, me: &str, attempt: &str, fatal: bool) {
+    let mut known = world.lock().expect("the world");
+    *known.ran.entry(attempt.to_string()).or_default() += 1;
+    if !fatal {
+        return;
+    }
+    known.fatal.push(Instant::now());
+    let (world, me) = (world.clone(), me.to_string());
+    tokio::spawn(async move {
+        sleep(CRASH).await;
+        world.lock().expect("the world").kill(&me);
+    });
+}
+
 /// The events of a stream; it stands still while a member is missing.
 pub(super) fn stream(world: Arc<Mutex<World>>, me: &str, last: u64) -> Response<Body> {
     let seat = {
--- a/testkit/standin/router.rs
+++ b/testkit/standin/router.rs
@@ -69,16 +69,12 @@
 
     /// Its figures as text; empty where it doesn't answer.
     pub fn figures(&self) -> String {
-        let answer = call(self.ready, "GET", "/metrics", "");
-        answer.map(|a| a.body).unwrap_or_default()
+        figures_at(self.ready)
     }
 
     /// Version of the routing in force; none before the first.
     pub fn routing(&self) -> Option<u64> {
-        let figures = self.figures();
-        let mut lines = figures.lines();
-        let version = lines.find_map(|l| l.strip_prefix("runrail_routing_version "))?;
-        version.trim().parse().ok()
+        routing_at(self.ready)
     }
 
     /// Whether it takes callers.
@@ -87,6 +83,19 @@
     }
 }
 
+fn figures_at(ready: SocketAddr) -> String {
+    let answer = call(ready, "GET", "/metrics", "");
+    answer.map(|a| a.body).unwrap_or_default()
+}
+
+/// Version of the routing in force at a router that tells its figures at an address.
+pub fn routing_at(ready: SocketAddr) -> Option<u64> {
+    let figures = figures_at(ready);
+    let mut lines = figures.lines();
+    let version = lines.find_map(|l| l.strip_prefix("runrail_routing_version "))?;
+    version.trim().parse().ok().filter(|version| *version > 0)
+}
+
 impl Drop for Router {
     fn drop(&mut self) {
         self.kill();
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -21,6 +21,10 @@
     pub(super) replicas: BTreeMap<String, Replica>,
     /// Runs by attempt, of requests that may not be repeated.
     pub once: HashMap<String, u32>,
+    /// Runs by attempt, of all requests.
+    pub ran: HashMap<String, u32>,
+    /// When a request with the fatal body began to run.
+    pub fatal: Vec<Instant>,
     /// What must not happen and did.
     pub broken: Vec<String>,
 }
@@ -78,6 +82,11 @@
         }
     }
 
+    /// Whether a replica names a limit.
+    pub fn limited(&self, id: &str) -> bool {
+        self.replicas.get(id).is_some_and(|r| r.limit.is_some())
+    }
+
     /// Requests that have arrived at a replica since a time, and when.
     pub fn arrivals(&self, id: &str, since: Instant) -> Vec<Instant> {
         let all = self.replicas.get(id).map_or(&[][..], |r| &r.arrivals);
@@ -162,6 +171,12 @@
         }
     }
 
+    /// Whether a replica heads an open group.
+    pub(super) fn heads(&self, id: &str) -> bool {
+        let seat = self.replicas.get(id).and_then(|r| r.seat.as_ref());
+        seat.is_some_and(|s| s.rank == 0 && s.state() == "open")
+    }
+
     /// Whether a member stands in a seat's group.
     pub(super) fn holds(&self, member: &str, seat: &Seat) -> bool {
         let there = self.replicas.get(member).filter(|r| r.alive);
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -28,6 +28,7 @@
 mod routes;
 mod settings;
 mod soak;
+mod soak_checks;
 mod splitting;
 mod staging;
 mod stopping;
--- /dev/null
+++ b/tests/direct/soak_checks.rs
@@ -0,0 +1,156 @@
+//! Each check of the soak catches what it is there for.
+
+use std::collections::BTreeMap;
+
+use testkit::soak::{
+    judge, Limited, Outcome, Plan, ProcessFigures, Record, Sample, SoakSettings, Span,
+};
+
+/// A record in which everything holds.
+fn sound() -> Record {
+    let sample = |n: u64, outcome| Sample {
+        attempt: format!("stream{n}"),
+        kind: "stream",
+        router: 0,
+        at_ms: n * 100,
+        took_ms: 50,
+        outcome,
+    };
+    Record {
+        samples: vec![sample(1, Outcome::Whole), sample(2, Outcome::NotRun)],
+        ran: BTreeMap::from([("stream1".to_string(), 2)]),
+        once: BTreeMap::from([("once1".to_string(), 1)]),
+        fatal_ms: vec![1_000, 1_100, 1_200, 2_000],
+        versions: BTreeMap::from([((0, 0), vec![1, 2, 2]), ((0, 1), vec![1])]),
+        figures: vec![ProcessFigures::default()],
+        recovered_ms: Some(100),
+        seconds: 10,
+        ..Record::default()
+    }
+}
+
+fn span(from_ms: u64, to_ms: u64) -> Span {
+    Span { from_ms, to_ms }
+}
+
+/// Findings of a record that differs from a sound one.
+fn found(change: impl FnOnce(&mut Record)) -> Vec<&'static str> {
+    let mut record = sound();
+    change(&mut record);
+    judge(&record).iter().map(|f| f.check).collect()
+}
+
+#[test]
+fn a_sound_record_has_no_findings() {
+    assert_eq!(found(|_| {}), Vec::<&str>::new());
+}
+
+#[test]
+fn each_check_finds_what_must_not_be() {
+    let limited = |rate, arrivals_ms| Limited {
+        rate,
+        span: span(0, 12_000),
+        arrivals_ms,
+    };
+    type Change = Box<dyn FnOnce(&mut Record)>;
+    let cases: Vec<(&str, Change)> = vec![
+        (
+            "a request that may not be repeated runs once",
+            Box::new(|r| {
+                r.once.insert("once1".into(), 2);
+            }),
+        ),
+        (
+            "what is said not to have run has not run",
+            Box::new(|r| {
+                r.ran.insert("stream2".into(), 1);
+            }),
+        ),
+        (
+            "an answer is the whole one to its request",
+            Box::new(|r| r.samples[0].outcome = Outcome::Wrong),
+        ),
+        (
+            "groups keep apart",
+            Box::new(|r| r.audit.push("e1 joins g2 while g1 is open".into())),
+        ),
+        (
+            "a configuration never goes back",
+            Box::new(|r| {
+                r.versions.insert((1, 0), vec![3, 2]);
+            }),
+        ),
+        (
+            "a stop cuts nothing",
+            Box::new(|r| {
+                r.samples[0].outcome = Outcome::Closed;
+                r.stops.push((0, span(120, 400)));
+            }),
+        ),
+        (
+            "harmless requests are not refused for good",
+            Box::new(|r| r.samples[0].outcome = Outcome::Refused),
+        ),
+        (
+            "a request that crashes endpoints is stopped",
+            Box::new(|r| r.fatal_ms.extend([4_300, 4_400, 4_500, 4_600])),
+        ),
+        (
+            "the limit of an endpoint is kept",
+            Box::new(move |r| {
+                let arrivals = (0..12).map(|n| 4_000 + n * 300).collect();
+                r.limited.push(limited(1.0, arrivals));
+            }),
+        ),
+        (
+            "memory, descriptors and logs are bounded",
+            Box::new(|r| r.figures[0].memory_kb = 300_000),
+        ),
+        (
+            "memory, descriptors and logs are bounded",
+            Box::new(|r| r.figures[0].descriptors = 2_000),
+        ),
+        (
+            "memory, descriptors and logs are bounded",
+            Box::new(|r| r.figures[0].log_bytes = 11_000_000),
+        ),
+        ("the fleet recovers", Box::new(|r| r.recovered_ms = None)),
+    ];
+    for (check, change) in cases {
+        assert_eq!(found(change), [check]);
+    }
+}
+
+/// What another fault explains is no finding.
+#[test]
+fn faults_at_the_same_time_excuse_a_stop_and_a_limit() {
+    let stop = span(120, 400);
+    let cut = found(|r| {
+        r.samples[0].outcome = Outcome::Closed;
+        r.stops.push((0, stop));
+        r.router_faults.push((0, stop));
+        r.endpoint_faults.push(span(100, 110));
+    });
+    assert!(cut.is_empty(), "{cut:?}");
+    let over = found(|r| {
+        r.limited.push(Limited {
+            rate: 1.0,
+            span: span(0, 12_000),
+            arrivals_ms: (0..12).map(|n| 4_000 + n * 300).collect(),
+        });
+        r.router_faults.push((1, span(3_500, 3_600)));
+    });
+    assert!(over.is_empty(), "{over:?}");
+}
+
+#[test]
+fn the_same_seed_draws_the_same_plan() {
+    let settings = SoakSettings::default();
+    let plan = Plan::draw(&settings);
+    assert_eq!(plan, Plan::draw(&settings));
+    let other = SoakSettings {
+        seed: 2,
+        ..settings
+    };
+    assert_ne!(plan, Plan::draw(&other));
+}
