Routing: it is read anew after a pause of the process, before a request is answered

Cause: a process that had handled nothing for seconds (there: a planner's look of 5 s) answered by the routing that it had before; the change lay in its socket. Traced in a log: E643 no-route at 4.2135 s, E600 at 4.2351 s, version acked at 1.5 s.

Change: half a second without a tick counts as a pause; requests then wait until a call that began since has read the routing, for a second at most. Frozen and suspended processes are covered by it.

The tests of pauses didn't compile before (they count the readings asked for); the first fails where requests aren't held back.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -88,6 +88,11 @@
     fn woken(&mut self, ms: Millis) {
         self.note(&Note::new(NoteCode::Suspended).with("ms", ms));
         self.shared.pool.clear();
+        self.ask_anew();
+    }
+
+    /// Has watches asked anew: what those that wait would tell may be old.
+    fn ask_anew(&self) {
         self.shared.hold_routing.set(false);
         self.shared.woken.notify_waiters();
         self.shared.pace_changed.notify_waiters();
@@ -163,6 +168,10 @@
             } => looks::order(&self.shared, order, id, addr, body),
             DirectEffect::Tell { to, message } => peers::tell(&self.shared, to, &message),
             DirectEffect::TryStore => self.shared.gate.hint(),
+            DirectEffect::ReadRouting { asked } => {
+                self.shared.asked.set(asked);
+                self.ask_anew();
+            }
             DirectEffect::ReadList => self.shared.list_anew.notify_one(),
             DirectEffect::Read { list, hold, upto } => {
                 self.shared.told_upto.set(upto);
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -54,6 +54,7 @@
         dialect,
         clock,
         woken: Notify::new(),
+        asked: Cell::new(0),
         store: settings.store,
         pool: Pool::new(clock),
         callers: RefCell::new(HashMap::new()),
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -32,8 +32,10 @@
     pub dialect: Dialect,
     /// Clock of the process.
     pub clock: Clock,
-    /// Told when the machine was suspended.
+    /// Told when the machine was suspended, or the process held up.
     pub woken: Notify,
+    /// Number of the last reading of the routing that was asked for.
+    pub asked: Cell<u64>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Idle connections.
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -11,7 +11,7 @@
 use super::store::{ask, read_all, Reading};
 use super::store_use::StoreUse;
 use super::Watched;
-use crate::logic::direct::ListPace;
+use crate::logic::direct::{DirectEvent, ListPace};
 use crate::logic::router::{StoreChange, StoreEntry};
 use crate::types::StorePosition;
 
@@ -66,11 +66,13 @@
     mut changed: impl FnMut(StorePosition, Vec<StoreChange>),
 ) {
     loop {
+        let asked = shared.asked.get();
         let Some(reading) = read_all(&shared, prefix).await else {
             continue;
         };
         let at = reading.at;
         all(reading);
+        checked(&shared, pace, asked);
         let follow = changes(&shared, prefix, pace, at, &mut changed);
         if matches!(pace.what, Watch::List(_)) {
             // Only the list may be wanted whole.
@@ -96,13 +98,16 @@
 ) {
     let host = shared.store.to_string();
     let mut before = 0;
+    // The last reading that was asked for and has been made.
+    let mut known = 0;
     loop {
         held(shared, pace, &mut at).await;
         let pass = shared.gate.pass().await;
         if !shared.is_era(at.era) {
             return;
         }
-        let wait_ms = if pass.tries {
+        let asked = shared.asked.get();
+        let wait_ms = if pass.tries || (pace.what == Watch::Routing && asked > known) {
             TRY_WAIT_MS
         } else {
             wait_ms(shared, pace)
@@ -129,6 +134,8 @@
                 at.revision = revision;
                 let count = changes.len();
                 changed(at, changes);
+                known = asked;
+                checked(shared, pace, asked);
                 if count > 0 {
                     rest(shared, pace, more_wait(count, before)).await;
                 }
@@ -142,6 +149,13 @@
     }
 }
 
+/// Tells that the routing has been read by a call that began after a reading was asked for.
+fn checked(shared: &Shared, pace: WatchPace, asked: u64) {
+    if pace.what == Watch::Routing {
+        shared.tell(DirectEvent::RoutingChecked { asked });
+    }
+}
+
 /// Waits for as long as the planner's word stands in for this watch.
 async fn held(shared: &Shared, pace: WatchPace, at: &mut StorePosition) {
     let mut waited = false;
--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -29,7 +29,8 @@
             out,
         );
     }
-    if (state.routing.is_some() && state.listed) || !queue::early(state, now, &request) {
+    let knows = state.routing.is_some() && state.listed && state.pause.since.is_none();
+    if knows || !queue::early(state, now, &request) {
         taken(state, now, now, request, out);
     }
 }
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -69,6 +69,11 @@
         /// What is said.
         message: PeerMessage,
     },
+    /// Read the routing now, whatever holds that back; the number is echoed.
+    ReadRouting {
+        /// Number of the reading.
+        asked: u64,
+    },
     /// Read the list whole: its changes lag.
     ReadList,
     /// Try the store again, where it is lost: it has come back to another router.
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -17,6 +17,12 @@
     /// The store was asked for a new version of the routing; any there was has been
     /// told before.
     RoutingRead,
+    /// The routing was read by a call that began after this reading was asked for; any new
+    /// version has been told before.
+    RoutingChecked {
+        /// Number of the reading.
+        asked: u64,
+    },
     /// The list of endpoints was read whole; what isn't named is gone.
     List {
         /// The store's position when the reading began.
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -6,7 +6,7 @@
 use super::plan::{IdleReason, PlanState};
 use super::{
     Asked, Demand, DigestState, DirectKnobs, DirectRequest, EndStage, EndpointView, Flight, Line,
-    LineKey, Presence, RecentPeak, RetryWindow,
+    LineKey, PauseState, Presence, RecentPeak, RetryWindow,
 };
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
@@ -31,6 +31,8 @@
     pub ticked_at: Millis,
     /// When the tick before it came: what was sent to this process by then has been handled.
     pub drained_at: Millis,
+    /// Reading of the routing after a pause of the process.
+    pub pause: PauseState,
     /// Routing in force.
     pub routing: Option<Arc<Routing>>,
     /// Whether the list was read since the start.
@@ -97,6 +99,7 @@
             addr: None,
             hall: Arc::from(hall),
             seed,
+            pause: PauseState::default(),
             routing: None,
             listed: false,
             listed_once: false,
--- a/src/logic/direct/queue.rs
+++ b/src/logic/direct/queue.rs
@@ -197,7 +197,7 @@
 
 /// What came early is taken up, once this router knows enough.
 pub(super) fn take_up(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    if state.routing.is_none() || !state.listed {
+    if state.routing.is_none() || !state.listed || state.pause.since.is_some() {
         return;
     }
     for (at, request) in std::mem::take(&mut state.early) {
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,6 +1,6 @@
 use super::{
-    accept, answer, crashes, demand, digests, end, endpoints, peers, plan, queue, rates, silence,
-    store, DirectEffect, DirectEvent, DirectState, EndStage,
+    accept, answer, crashes, demand, digests, end, endpoints, pause, peers, plan, queue, rates,
+    silence, store, DirectEffect, DirectEvent, DirectState, EndStage,
 };
 use crate::logic::{Effect, Event, Note, NoteCode};
 use crate::types::{Millis, Routing};
@@ -13,6 +13,7 @@
         state.ticked_at = now;
         state.drained_at = now;
     }
+    pause::notice(state, now, out);
     match event {
         Event::Stop => stop(state, now),
         Event::Store { call, result } if state.presence.call == Some(call) => {
@@ -46,6 +47,7 @@
         }
         DirectEvent::StoreBack => peers::store_back(state, out),
         DirectEvent::RoutingRead => state.digests.routing_at = state.drained_at,
+        DirectEvent::RoutingChecked { asked } => pause::checked(state, asked),
         DirectEvent::StoreEra(era) => store::entered(state, now, era, out),
         DirectEvent::List { at, entries } => {
             // What the first reading of an era shows isn't told as news, so that they begin
@@ -117,6 +119,7 @@
 fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     state.drained_at = state.ticked_at;
     state.ticked_at = now;
+    pause::tend(state, now, out);
     end::tend(state, now, out);
     queue::tend(state, now, out);
     silence::tend(state, now, out);
--- a/src/logic/note.rs
+++ b/src/logic/note.rs
@@ -78,6 +78,7 @@
     SettingsChanged = 103 Info "settings changed; they count from the next start";
     LinesLeftOut = 105 Warn "log lines left out";
     Suspended = 106 Warn "machine was suspended";
+    Paused = 107 Warn "process was held up";
     SessionUp = 110 Debug "session opened";
     SessionDown = 111 Info "session closed";
     SessionRefused = 112 Warn "session refused";
@@ -126,6 +127,7 @@
     FigureMissing = 602 Warn "published figure is missing";
     AnswerUnread = 603 Error "answer of the platform can't be read";
     RoutingOlder = 604 Warn "older routing than the one in force was read";
+    RoutingUnchecked = 605 Warn "routing could not be read after a pause";
     EndpointListed = 610 Info "endpoint listed";
     EndpointUnlisted = 611 Info "endpoint no longer listed";
     EndpointLeaving = 612 Info "endpoint is leaving";
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -28,6 +28,8 @@
     pub done: Vec<Effect>,
     /// What a reading of the own keys finds.
     pub kept: Vec<StoreEntry>,
+    /// Whether the routing is read at once when that is asked for.
+    pub checks: bool,
 }
 
 impl Router {
@@ -64,6 +66,7 @@
             now: 1_000,
             done: Vec::new(),
             kept: Vec::new(),
+            checks: true,
         }
     }
 
@@ -141,6 +144,11 @@
                 };
                 self.feed(event);
             }
+            if let (Effect::Direct(DirectEffect::ReadRouting { asked }), true) =
+                (&effect, self.checks)
+            {
+                self.feed(Event::Direct(DirectEvent::RoutingChecked { asked: *asked }));
+            }
             self.done.push(effect);
         }
     }
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -19,6 +19,7 @@
 mod logs;
 mod names;
 mod needs;
+mod pauses;
 mod placing;
 mod queue;
 mod rates;
