--- a/tests/direct/placing.rs
+++ b/tests/direct/placing.rs
@@ -49,3 +49,76 @@
         assert!(placed.iter().any(|mix| mix[model] > 0), "{placed:?}");
     }
 }
+
+/// Placing took the cube of the domains, so that the planner of a large fleet handled
+/// nothing else for seconds.
+#[test]
+fn a_thousand_domains_are_placed_like_a_few() {
+    let of = |count| PlaceInput {
+        domains: vec![9; count],
+        models: models(),
+    };
+    let share = |placed: &[Vec<usize>]| {
+        let groups: usize = placed.iter().map(|mix| mix[0]).sum();
+        groups as f64 / placed.len() as f64
+    };
+    let (few, many) = (place(&of(12)), place(&of(1_000)));
+    assert!(many.iter().all(|mix| mix[0] * 4 + mix[1] * 3 <= 9));
+    let apart = (share(&few) - share(&many)).abs();
+    assert!(apart < 0.2, "{} {}", share(&few), share(&many));
+}
+
+/// What each placement is worth, reckoned domain by domain.
+fn worth(input: &PlaceInput, placed: &[Vec<usize>]) -> f64 {
+    let capacity = |without: Option<usize>| -> f64 {
+        let of = |(m, model): (usize, &PlaceModel)| {
+            let there = placed.iter().enumerate();
+            let there = there.filter(|(d, _)| Some(*d) != without);
+            let groups: usize = there.map(|(_, mix)| mix[m]).sum();
+            let share = model.share as f64 / 1_000.0;
+            let all: usize = input.domains.iter().sum();
+            let ratio = (groups * model.size) as f64 / (all as f64 * share).max(1.0);
+            share * ratio / (ratio + 0.35)
+        };
+        input.models.iter().enumerate().map(of).sum()
+    };
+    let lost: f64 = (0..placed.len()).map(|d| capacity(Some(d))).sum();
+    let rooms: f64 = placed
+        .iter()
+        .zip(&input.domains)
+        .map(|(mix, n)| {
+            let used: usize = mix.iter().zip(&input.models).map(|(c, m)| c * m.size).sum();
+            let spares = n.saturating_sub(used).min(2) as f64;
+            let kinds = mix.iter().filter(|c| **c > 0).count();
+            0.02 * spares.sqrt() + 0.015 * kinds.saturating_sub(1) as f64
+        })
+        .sum();
+    let scenarios = placed.len() as f64;
+    (capacity(None) * scenarios + lost) / (2.0 * scenarios) + rooms / scenarios
+}
+
+proptest::proptest! {
+    /// No domain can be filled better by itself.
+    #[test]
+    fn placing_ends_where_no_single_domain_can_be_filled_better(
+        domains in proptest::collection::vec(0usize..20, 1..6),
+        first in 1usize..6,
+        second in 1usize..6,
+        share in 100u64..900,
+    ) {
+        let model = |size, share| PlaceModel { size, share };
+        let input = PlaceInput { domains, models: vec![model(first, share), model(second, 1_000 - share)] };
+        let placed = place(&input);
+        let reached = worth(&input, &placed);
+        for d in 0..placed.len() {
+            for a in 0..=input.domains[d] / first {
+                for b in 0..=(input.domains[d] - a * first) / second {
+                    let mut other = placed.clone();
+                    other[d] = vec![a, b];
+                    let better = worth(&input, &other);
+                    proptest::prop_assert!(better <= reached + 1e-6, "{placed:?} {other:?}: {better} {reached}");
+                }
+            }
+        }
+    }
+}
