Requests: only crashes that are certain make a request run once at a time

A request of which two runs had just broken off, at endpoints that only reset connections, was refused for as long as another one like it ran. Comments that tell how values were chosen go from the files touched today.

--- a/src/logic/direct/crashes/suspect.rs
+++ b/src/logic/direct/crashes/suspect.rs
@@ -172,14 +172,15 @@
         return Some((Problem::CrashesEndpoints, "endpoints crashed under it"));
     }
     let runs = |f: &crate::logic::direct::Flight| f.fingerprint == *request;
-    if is_risky(state, request) && state.flights.values().any(runs) {
+    let risky = state.crashes.table.suspected(request) >= RISKY;
+    if risky && state.flights.values().any(runs) {
         let again = Problem::NotRun(state.knobs.again_ms);
         return Some((again, "it runs already, and endpoints crashed under it"));
     }
     None
 }
 
-/// Whether a request is handled with care.
+/// Whether a request is handled with care: crashes that aren't certain yet count as well.
 pub(in crate::logic::direct) fn is_risky(state: &DirectState, request: &Fingerprint) -> bool {
     let doubts = state.crashes.doubts.values();
     let doubted = doubts.filter(|d| d.requests.contains(request)).count();
--- a/src/logic/direct/end.rs
+++ b/src/logic/direct/end.rs
@@ -55,8 +55,7 @@
 /// Time before the deadline at which a request ends that nobody has begun.
 const LAST_MS: Millis = 60;
 
-/// Time within which a router that has started knows the routing and the list: 250 ms for
-/// 365 endpoints on a fifth of a core, and the way there.
+/// Time within which a router that has started knows the routing and the list.
 const KNOWN_MS: Millis = 500;
 
 /// When a caller should come back that came before anything was known here, with the time
--- a/src/logic/direct/plan/duty.rs
+++ b/src/logic/direct/plan/duty.rs
@@ -21,8 +21,7 @@
 const PAUSE_MS: Millis = 200;
 
 /// Most of a random pause before the free duty is taken: so much, and for each router a
-/// call's time more, so that a few try at once however many there are. By arithmetic 52
-/// routers that all try make 150 calls for each planner that is lost.
+/// call's time more, so that a few try at once however many there are.
 const JITTER_MS: u64 = 60;
 const JITTER_BY_ROUTER_MS: u64 = 4;
 
--- a/src/logic/direct/plan/place.rs
+++ b/src/logic/direct/plan/place.rs
@@ -11,13 +11,12 @@
 /// Worth of a spare that fits, against one whole model.
 const SPARE: f64 = 0.02;
 
-/// Spares of one domain that are worth anything: so many instances are away at a time
-/// where a domain of 8 to 73 loses one every ten seconds and a load takes 12 to 16 s.
-/// Beyond that a small group gives its members up where one is needed.
+/// Spares of one domain that are worth anything. Beyond them a small group gives its
+/// members up where one is needed.
 const USEFUL_SPARES: usize = 2;
 
 /// What a second model in a domain adds: a group of one can be given up for the other
-/// where that one has lost a member. Within luck of its reverse, docs/ROUNDS.md.
+/// where that one has lost a member.
 const VARIED: f64 = 0.015;
 
 /// What placement has to know of a model.
--- a/src/logic/direct/queue.rs
+++ b/src/logic/direct/queue.rs
@@ -5,11 +5,6 @@
 //! of its few tries. So a request waits for a part of its time, as long as those that
 //! wait with it are no more than are sent in such a time, and as long as waiting has led
 //! to answers lately. Whoever can still be answered within the objective goes first.
-//!
-//! It buys answers for callers who would be refused twice. With 57 instances of engines and
-//! shortages of some seconds, requests without an answer fell from 2.2 % to 1.7 % of all,
-//! and with the limits of `limit` those answered in time rose from 88.7 % to 89.5 % (12
-//! plays).
 
 use super::{accept, choose, end, send, DirectRequest, DirectState, Flight, LineKey, Turn};
 use crate::logic::Effect;
