Requests: what is refused is written by a router that stops, and by those that were told

Cause: the router that counted the third crash had been told to stop and wrote nothing to the key-value service; the other one had been told by datagram, wrote nothing either, and was killed. Evidence: E647 at both routers at 30.834 s, no E647 at the lives after 31.3 s.

Change: a router that stops writes; who was told writes after one to two seconds unless the service shows it by then.

--- a/src/logic/direct/crashes/crash_state.rs
+++ b/src/logic/direct/crashes/crash_state.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use super::{CrashTable, Doubt, RecentlyServed};
 use crate::logic::direct::Fingerprint;
@@ -26,9 +26,11 @@
 /// later know them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Keep {
-    /// What is to be written.
-    pub queue: VecDeque<Fingerprint>,
-    /// Lease that the next one is written under.
+    /// What is to be written, and from when on.
+    pub queue: BTreeMap<Fingerprint, Millis>,
+    /// What is being written.
+    pub current: Option<Fingerprint>,
+    /// Lease that it is written under.
     pub lease: Option<i64>,
     /// The call that is under way.
     pub call: Option<CallId>,
--- a/src/logic/direct/crashes/keep.rs
+++ b/src/logic/direct/crashes/keep.rs
@@ -2,6 +2,8 @@
 //!
 //! Routers that run hear of them by datagram, so that nothing waits for the service.
 
+use std::collections::BTreeMap;
+
 use super::crash_table::REMEMBERED_MS;
 use super::{share, CrashReport, Keep};
 use crate::logic::direct::{DirectState, Fingerprint};
@@ -25,17 +27,19 @@
     format!("{PREFIX}{request}")
 }
 
-/// Writes what is to be kept, one call at a time.
+/// Writes what is to be kept, one call at a time; a router that stops does so as well.
 pub(super) fn tend(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let table = &state.crashes.table;
     let keep = &mut state.crashes.keep;
-    keep.queue.retain(|request| table.blocks(request));
-    let Some(request) = keep.queue.front().copied() else {
-        return;
-    };
-    if keep.call.is_some() || now < keep.next_at || state.stopping.is_some() {
+    keep.queue.retain(|request, _| table.blocks(request));
+    if keep.call.is_some() || now < keep.next_at {
         return;
     }
+    let due = keep.queue.iter().find(|(_, from)| now >= **from);
+    keep.current = due.map(|(request, _)| *request);
+    let Some(request) = keep.current else {
+        return;
+    };
     let op = match keep.lease {
         None => StoreCall::Grant { ttl_s: LEASE_S },
         Some(lease) => write(state, request, lease, out),
@@ -82,8 +86,10 @@
     match result {
         Ok(StoreReply::Lease { lease, ttl_s }) if *ttl_s > 0 => keep.lease = Some(*lease),
         Ok(StoreReply::Swapped { done: true, .. }) => {
-            keep.queue.pop_front();
             keep.lease = None;
+            if let Some(request) = keep.current.take() {
+                keep.queue.remove(&request);
+            }
         }
         _ => {
             keep.lease = None;
@@ -126,11 +132,8 @@
     match serde_json::from_str::<CrashReport>(value) {
         Ok(report) => {
             share::learn(state, now, &report, out);
-            let keep = &mut state.crashes.keep;
-            // Of two routers that write the same one is enough.
-            if keep.call.is_none() {
-                keep.queue.retain(|request| *request != report.request);
-            }
+            // Of several routers that write the same one is enough.
+            state.crashes.keep.queue.remove(&report.request);
         }
         Err(e) => out.push(unread(key, &e.to_string())),
     }
@@ -145,11 +148,13 @@
 
 /// The service has come back from an older copy: what it may lack is written again.
 pub(in crate::logic::direct) fn restored(state: &mut DirectState, now: Millis) {
-    let pause = state.random(SPREAD_MS);
-    let queue = state.crashes.table.blocked().collect();
+    let blocked: Vec<_> = state.crashes.table.blocked().collect();
+    let mut queue = BTreeMap::new();
+    for request in blocked {
+        queue.insert(request, now + state.random(SPREAD_MS));
+    }
     state.crashes.keep = Keep {
         queue,
-        next_at: now + pause,
         ..Keep::default()
     };
 }
--- a/src/logic/direct/crashes/share.rs
+++ b/src/logic/direct/crashes/share.rs
@@ -11,6 +11,9 @@
 /// Time between two tellings of a change.
 const AGAIN_MS: Millis = 300;
 
+/// Time within which a router that has found out what is refused has written it.
+const WRITTEN_MS: Millis = 1_000;
+
 /// Bytes of reports in one datagram, which leaves room for the rest of it.
 const BYTES: usize = 1_100;
 
@@ -62,7 +65,8 @@
 }
 
 /// Another router has told what it knows. What is refused only by what both know together
-/// is told on.
+/// is told on. Whoever told it may be gone before it has written what is refused, so that
+/// this router does so as well, unless the key-value service shows it by then.
 pub(in crate::logic::direct) fn told(
     state: &mut DirectState,
     now: Millis,
@@ -70,8 +74,17 @@
     out: &mut Vec<Effect>,
 ) {
     for report in reports {
-        if learn(state, now, report, out) && !report.record.blocks() {
-            state.crashes.keep.queue.push_back(report.request);
+        if !learn(state, now, report, out) {
+            continue;
+        }
+        let together = !report.record.blocks();
+        let pause = if together {
+            0
+        } else {
+            WRITTEN_MS + state.random(WRITTEN_MS)
+        };
+        state.crashes.keep.queue.insert(report.request, now + pause);
+        if together {
             note(state, now, report.request);
         }
     }
--- a/src/logic/direct/crashes/suspect.rs
+++ b/src/logic/direct/crashes/suspect.rs
@@ -123,7 +123,7 @@
     }
     share::note(state, now, request);
     if !blocked && state.crashes.table.blocks(&request) {
-        state.crashes.keep.queue.push_back(request);
+        state.crashes.keep.queue.insert(request, now);
         block(state, request, out);
     }
 }
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -9,8 +9,8 @@
     DirectEffect, DirectEvent, DirectRequest, Fingerprint, LookResult, PeerMessage, Problem,
     RunPart,
 };
-use runrail::logic::router::{StoreCall, StoreEntry};
-use runrail::logic::Effect;
+use runrail::logic::router::{StoreCall, StoreChange, StoreEntry};
+use runrail::logic::{Effect, Event};
 use runrail::types::{EndpointEntry, InstanceId};
 
 use crate::fixture::{addr, open_group, piece, problem, request, run, Router};
@@ -283,6 +283,71 @@
     assert_eq!(told, Some(Problem::CrashesEndpoints));
 }
 
+/// Records of refused requests that a router has written.
+fn written(router: &Router) -> usize {
+    let puts = router.done.iter().filter(|e| match e {
+        Effect::Store {
+            op: StoreCall::Swap { puts, .. },
+            ..
+        } => puts.iter().any(|p| p.key.starts_with("runrail/crashes/")),
+        _ => false,
+    });
+    puts.count()
+}
+
+/// The only router that had to write what is refused was told to stop, and all others ended
+/// before the next one came.
+#[test]
+fn a_router_that_stops_still_writes_what_is_refused() {
+    let mut router = Router::new(heads());
+    for gone in crash(&mut router, fatal(1)) {
+        router.change(gone.as_str(), None);
+    }
+    router.feed(Event::Stop);
+    crash(&mut router, fatal(3));
+    router.done.clear();
+    router.pass(200);
+    assert_eq!(written(&router), 1);
+}
+
+/// Whoever told what is refused may end before it has written that.
+#[test]
+fn what_is_refused_is_written_by_who_was_told_unless_the_service_shows_it() {
+    let crash = |n: u64| Crash {
+        endpoint: InstanceId::new(&format!("e{n}")),
+        born: None,
+    };
+    let report = CrashReport {
+        request: fatal(1).content,
+        record: CrashRecord {
+            crashes: (0..3).map(crash).collect(),
+            ..CrashRecord::default()
+        },
+    };
+    let told = || {
+        let mut router = Router::new(heads());
+        router.tell(DirectEvent::Peer {
+            from: addr(2_000),
+            message: PeerMessage::Crashes(vec![report.clone()]),
+        });
+        router.done.clear();
+        router
+    };
+    let mut alone = told();
+    alone.pass(500);
+    assert_eq!(written(&alone), 0, "the other one writes it");
+    alone.pass(2_000);
+    assert_eq!(written(&alone), 1);
+    let mut shown = told();
+    shown.feed(Event::Watch(vec![StoreChange {
+        key: "runrail/crashes/x".into(),
+        value: Some(serde_json::to_string(&report).expect("text")),
+        revision: 9,
+    }]));
+    shown.pass(3_000);
+    assert_eq!(written(&shown), 0);
+}
+
 /// Somebody who sends many requests that crash one endpoint each pushes none out that is
 /// refused.
 #[test]
