--- a/src/logic/direct/plan/place.rs
+++ b/src/logic/direct/plan/place.rs
@@ -48,20 +48,18 @@
         fits.entry(*n).or_insert_with(|| mixes(*n, &sizes));
     }
     let mut chosen = vec![vec![0; input.models.len()]; input.domains.len()];
-    let mut tally = Tally::of(input, &chosen);
-    let mut best = tally.worth();
+    let mut best = worth(input, &chosen);
     for _ in 0..ROUNDS {
         let mut better = false;
-        for (mine, n) in chosen.iter_mut().zip(&input.domains) {
-            for mix in &fits[n] {
-                tally.replace(*n, mine, mix);
-                let now = tally.worth();
+        for d in 0..chosen.len() {
+            for mix in &fits[&input.domains[d]] {
+                let before = std::mem::replace(&mut chosen[d], mix.clone());
+                let now = worth(input, &chosen);
                 if now > best + 1e-9 {
                     best = now;
                     better = true;
-                    mine.clone_from(mix);
                 } else {
-                    tally.replace(*n, mix, mine);
+                    chosen[d] = before;
                 }
             }
         }
@@ -72,78 +70,36 @@
     chosen
 }
 
-/// A placement, with domains of one size that hold the same counted together: thousands of
-/// domains are filled in few ways.
-struct Tally<'a> {
-    input: &'a PlaceInput,
-    /// Instances of all domains.
-    all: usize,
-    /// Groups of each model.
-    groups: Vec<usize>,
-    /// Domains by their size and what they hold.
-    alike: BTreeMap<(usize, Vec<usize>), usize>,
+/// Worth of a placement; only differences count.
+fn worth(input: &PlaceInput, chosen: &[Vec<usize>]) -> f64 {
+    let whole = capacity(input, chosen, None);
+    let lost: f64 = (0..chosen.len())
+        .map(|d| capacity(input, chosen, Some(d)))
+        .sum();
+    let scenarios = chosen.len() as f64;
+    let domains: f64 = chosen
+        .iter()
+        .zip(&input.domains)
+        .map(|(mix, n)| room(input, mix, *n))
+        .sum();
+    (whole * scenarios + lost) / (2.0 * scenarios) + domains / scenarios
 }
 
-impl<'a> Tally<'a> {
-    fn of(input: &'a PlaceInput, chosen: &[Vec<usize>]) -> Self {
-        let mut tally = Self {
-            input,
-            all: input.domains.iter().sum(),
-            groups: vec![0; input.models.len()],
-            alike: BTreeMap::new(),
-        };
-        for (mix, n) in chosen.iter().zip(&input.domains) {
-            tally.add(*n, mix);
-        }
-        tally
-    }
-
-    fn add(&mut self, n: usize, mix: &[usize]) {
-        for (sum, count) in self.groups.iter_mut().zip(mix) {
-            *sum += count;
-        }
-        *self.alike.entry((n, mix.to_vec())).or_default() += 1;
-    }
-
-    /// One domain holds something else.
-    fn replace(&mut self, n: usize, before: &[usize], after: &[usize]) {
-        let key = (n, before.to_vec());
-        for (sum, count) in self.groups.iter_mut().zip(before) {
-            *sum -= count;
-        }
-        if let Some(count) = self.alike.get_mut(&key) {
-            *count -= 1;
-            if *count == 0 {
-                self.alike.remove(&key);
-            }
-        }
-        self.add(n, after);
-    }
-
-    /// Worth of the placement; only differences count.
-    fn worth(&self) -> f64 {
-        let whole = self.capacity(None);
-        let scenarios = self.input.domains.len() as f64;
-        let (mut lost, mut rooms) = (0.0, 0.0);
-        for ((n, mix), count) in &self.alike {
-            lost += *count as f64 * self.capacity(Some(mix));
-            rooms += *count as f64 * room(self.input, mix, *n);
-        }
-        (whole * scenarios + lost) / (2.0 * scenarios) + rooms / scenarios
-    }
-
-    /// Capacity by model, weighed, without a domain that holds `lost`.
-    fn capacity(&self, lost: Option<&[usize]>) -> f64 {
-        let mut sum = 0.0;
-        for (m, model) in self.input.models.iter().enumerate() {
-            let groups = self.groups[m] - lost.map_or(0, |mix| mix[m]);
-            let share = model.share as f64 / 1_000.0;
-            let wanted = self.all as f64 * share;
-            let ratio = (groups * model.size) as f64 / wanted.max(1.0);
-            sum += share * ratio / (ratio + HALF);
-        }
-        sum
+fn capacity(input: &PlaceInput, chosen: &[Vec<usize>], without: Option<usize>) -> f64 {
+    let all: usize = input.domains.iter().sum();
+    let mut sum = 0.0;
+    for (m, model) in input.models.iter().enumerate() {
+        let there = chosen
+            .iter()
+            .enumerate()
+            .filter(|(d, _)| Some(*d) != without);
+        let groups: usize = there.map(|(_, mix)| mix[m]).sum();
+        let share = model.share as f64 / 1_000.0;
+        let wanted = all as f64 * share;
+        let ratio = (groups * model.size) as f64 / wanted.max(1.0);
+        sum += share * ratio / (ratio + HALF);
     }
+    sum
 }
 
 /// Worth of a domain's spares, and of having more than one model there.
