Evacuated data halls and cold endpoints

Cause: nothing read op/evacuate/, and ColdLeftMs was read and thrown away.

Ruled out: a second check of halls or cold endpoints at queues, retries and resumed streams: all of them choose by choose::pick, which is the one place. Closing the groups of an evacuated hall: costs orders, cuts streams longer than the closing limit, and has to be undone.

Change: the watch of op/config is one of op/, at no further call. Halls go with digests at the position of the store they are known at, so that whichever of watch and digest is further counts. The planner neither forms nor counts groups in such a hall. What a cold endpoint bears is divided as rate limits are, by the same hash; the gap is computed again only when the routers have changed, as before it was at each tick for each limited endpoint and router. The longest part of the bound beyond the rate that shares use is half, the rest is for delayed requests.

--- a/src/link/endpoint_calls.rs
+++ b/src/link/endpoint_calls.rs
@@ -39,7 +39,7 @@
         .await
         {
             Ok(Ok(answer)) => {
-                send_rate(&shared, &id, None, answer.headers());
+                send_limits(&shared, &id, None, answer.headers());
                 read_report(&shared, &id, answer.status(), answer.body())
             }
             Ok(Err(CallFault::Refused)) => ProbeResult::Refused,
@@ -89,7 +89,7 @@
         .await
         {
             Ok(Ok(answer)) => {
-                send_rate(&shared, &id, None, answer.headers());
+                send_limits(&shared, &id, None, answer.headers());
                 (shared.adapter.parse_order)(answer.status())
             }
             _ => OrderResult::Unanswered,
@@ -98,9 +98,10 @@
     });
 }
 
-/// Passes the request limit in an endpoint's answer to the reducer, `None` if the answer has none.
-/// An invalid limit is logged and changes nothing.
-pub(super) fn send_rate(shared: &Shared, id: &InstanceId, run: Option<u64>, headers: &HeaderMap) {
+/// Passes what an endpoint's answer says of the requests that it takes to the reducer: its limit,
+/// `None` if the answer has none, and for how much longer it is cold. What is invalid is logged and
+/// changes nothing.
+pub(super) fn send_limits(shared: &Shared, id: &InstanceId, run: Option<u64>, headers: &HeaderMap) {
     match (shared.adapter.parse_rate)(headers) {
         Ok(rate) => shared.send_direct(DirectEvent::RateLimit {
             id: id.clone(),
@@ -109,6 +110,11 @@
         }),
         Err(why) => log_invalid("a limit", id.as_str(), &why),
     }
+    match (shared.adapter.parse_cold)(headers) {
+        Ok(Some(ms)) => shared.send_direct(DirectEvent::ColdNamed { id: id.clone(), ms }),
+        Ok(None) => {}
+        Err(why) => log_invalid("a cold time", id.as_str(), &why),
+    }
 }
 
 /// Sends a request and reads its answer of at most `max_bytes`.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -12,6 +12,8 @@
 mod endpoint_calls;
 mod event_splitter;
 mod link_event;
+mod operator_key;
+mod operator_watch;
 mod page_timeout;
 mod peers;
 mod platform_adapter;
@@ -30,6 +32,7 @@
 
 pub use backlog::has_backlog;
 pub use event_splitter::{EventSplitter, SplitEvent};
+pub use operator_key::OperatorKey;
 pub use page_timeout::page_timeout;
 pub use platform_adapter::PlatformAdapter;
 pub use reply_head::ReplyHead;
--- a/src/link/platform_adapter.rs
+++ b/src/link/platform_adapter.rs
@@ -2,12 +2,12 @@
 use http::{request, response, HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 
-use super::{ReplyHead, StorePage, WatchResult};
+use super::{OperatorKey, ReplyHead, StorePage, WatchResult};
 use crate::logic::direct::{
     DirectRequest, GroupOrder, OrderResult, ProbeResult, Problem, RunRequest,
 };
 use crate::logic::router::{StoreCall, StoreEntry, StoreResult};
-use crate::types::{EndpointEntry, InstanceId, RequestRate, Routing};
+use crate::types::{EndpointEntry, InstanceId, Millis, RequestRate, Routing};
 
 /// Platform adapter: pure functions that convert between the platform's messages and the
 /// product's types, one for each message.
@@ -16,14 +16,16 @@
 /// header.
 #[derive(Clone, Copy)]
 pub struct PlatformAdapter {
-    /// Key of the operators' routing in the store.
-    pub routing_key: &'static str,
+    /// Prefix of the keys that operators write in the store.
+    pub operator_prefix: &'static str,
     /// Prefix of the endpoint list's keys.
     pub list_prefix: &'static str,
     /// Prefix of the product's own keys.
     pub own_prefix: &'static str,
     /// Path of the balancer's readiness check.
     pub ready_path: &'static str,
+    /// Parses the name of a key that operators write; an error tells why it is unknown.
+    pub parse_operator_key: fn(&str) -> Result<OperatorKey, String>,
     /// Parses the operators' routing; an error tells why it is invalid.
     pub parse_routing: fn(&str) -> Result<Routing, String>,
     /// Parses an entry of the endpoint list; an error tells why it is invalid.
@@ -37,6 +39,9 @@
     /// Parses how many requests a second an endpoint takes from all routers, if its answer
     /// has that limit; an error tells why it is invalid.
     pub parse_rate: fn(&HeaderMap) -> Result<Option<RequestRate>, String>,
+    /// Parses how much longer an endpoint is cold, in milliseconds, if its answer says so; an error
+    /// tells why it is invalid.
+    pub parse_cold: fn(&HeaderMap) -> Result<Option<Millis>, String>,
     /// Builds the head of a caller's answer from that of an endpoint.
     pub build_head: fn(&response::Parts) -> response::Parts,
     /// Builds the answer that the router itself gives to a request instead of an endpoint.
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -18,7 +18,7 @@
 use super::store::PrefixEntries;
 use super::store_gate::StoreGate;
 use super::watches::{self, WatchPace};
-use super::{callers, peers, ready, PlatformAdapter};
+use super::{callers, operator_watch, peers, ready, PlatformAdapter};
 use crate::host::Clock;
 use crate::logic::direct::{DirectEvent, DirectState, ListPace};
 use crate::logic::router::StoreChange;
@@ -100,7 +100,10 @@
     tokio::task::spawn_local(callers::serve(shared.clone(), callers));
     tokio::task::spawn_local(send_ticks(shared.clone()));
     tokio::task::spawn_local(reap_idle(shared.clone()));
-    tokio::task::spawn_local(follow_routing(shared.clone(), settings.routing_pace()));
+    tokio::task::spawn_local(operator_watch::follow(
+        shared.clone(),
+        settings.routing_pace(),
+    ));
     tokio::task::spawn_local(follow_list(shared.clone(), settings.list_pace()));
     tokio::task::spawn_local(follow_own(shared.clone(), settings.own_pace()));
     tokio::task::spawn_local(signal_handler(shared.clone())?);
@@ -153,49 +156,6 @@
     }
 }
 
-/// Passes each version of the operators' routing to the reducer. An invalid version is logged
-/// and the last valid one stays in force.
-async fn follow_routing(shared: Rc<Shared>, pace: WatchPace) {
-    // Whether the newest document is valid; if not, the routing in force is not the newest.
-    let newest_valid = Cell::new(true);
-    let apply = |value: &str| {
-        let routing = (shared.adapter.parse_routing)(value);
-        newest_valid.set(routing.is_ok());
-        match routing {
-            Ok(routing) => {
-                shared.limits.set(routing.limits);
-                shared.send_direct(DirectEvent::Routing(routing.into()));
-            }
-            Err(why) => log_event(LogCode::RoutingUnread, &why),
-        }
-    };
-    // The watch is for a prefix, which other keys may share.
-    let is_routing = |key: &str| key == shared.adapter.routing_key;
-    let on_entries = |read: PrefixEntries| {
-        let found = read.entries.iter().find(|e| is_routing(&e.key));
-        if let Some(entry) = found {
-            apply(&entry.value);
-        }
-    };
-    let on_changes = |_, changes: Vec<StoreChange>| {
-        let mut newest = changes.iter().rev().filter(|c| is_routing(&c.key));
-        if let Some(value) = newest.find_map(|c| c.value.as_ref()) {
-            apply(value);
-        }
-        if newest_valid.get() {
-            shared.send_direct(DirectEvent::RoutingRead);
-        }
-    };
-    watches::follow(
-        shared.clone(),
-        shared.adapter.routing_key,
-        pace,
-        on_entries,
-        on_changes,
-    )
-    .await;
-}
-
 /// Passes the endpoint list and its changes to the reducer; invalid entries are logged.
 async fn follow_list(shared: Rc<Shared>, pace: WatchPace) {
     let read = |entry: &crate::logic::router::StoreEntry| match (shared.adapter.parse_entry)(entry)
@@ -277,7 +237,7 @@
 }
 
 /// Logs an event of the host, which the reducer doesn't see.
-fn log_event(code: LogCode, why: &str) {
+pub(super) fn log_event(code: LogCode, why: &str) {
     let event = LogEvent::new(code).with("why", why);
     log::log!(target: "runrail", code.level(), "{event}");
 }
--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -74,7 +74,7 @@
         Err(CallFault::Broken) => return Some(RunPart::Broken),
     };
     let (head, body) = response.into_parts();
-    endpoint_calls::send_rate(shared, &run.to, Some(run.run), &head.headers);
+    endpoint_calls::send_limits(shared, &run.to, Some(run.run), &head.headers);
     let reply = (shared.adapter.parse_reply)(&head, &received.label);
     if reply.is_foreign {
         return Some(RunPart::Broken);
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -1,6 +1,8 @@
 //! Chooses the endpoint that a request is sent to.
 
-use super::{concurrency_limit, rate_limit, DirectState, EndpointView, InFlightRequest, Mechanism};
+use super::{
+    cold, concurrency_limit, rate_limit, DirectState, EndpointView, InFlightRequest, Mechanism,
+};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// Added to the expected delay of an endpoint in another data hall.
@@ -24,6 +26,15 @@
     })
 }
 
+/// Whether a service has an endpoint outside evacuated halls, whatever its state. Without any, its
+/// requests can't be served until a hall is taken back.
+pub(super) fn has_open_hall(state: &DirectState, service: &str) -> bool {
+    let halls = &state.evacuation;
+    let of_service = |v: &&EndpointView| v.listed && *v.entry.service == *service;
+    let mut endpoints = state.endpoints.values().filter(of_service);
+    halls.is_empty() || endpoints.any(|v| !halls.contains(&v.entry.hall))
+}
+
 /// Whether any endpoint could take the request before its wait ends if it had room.
 pub(super) fn has_candidate(state: &DirectState, flight: &InFlightRequest) -> bool {
     let spec = state
@@ -33,16 +44,28 @@
     let groups = spec.is_some_and(|s| s.engine.is_some());
     let fits = |v: &EndpointView| {
         let fits = v.listed && v.entry.service == flight.service;
-        fits && rate_limit::can_send_by(v, flight.wait_until) && can_serve(v, flight, groups)
+        fits && allows_send_by(v, flight.wait_until) && can_serve(state, v, flight, groups)
     };
     state.endpoints.values().any(fits)
 }
 
+/// Whether an endpoint's rate limit and cold phase allow a request of this router by a time.
+fn allows_send_by(view: &EndpointView, time: Millis) -> bool {
+    rate_limit::can_send_by(view, time) && cold::can_send_by(view, time)
+}
+
 /// Whether an endpoint of the right service can serve the request: any endpoint of a
-/// plain service, or a head of a group with the right model if the service has `groups`.
-fn can_serve(view: &EndpointView, flight: &InFlightRequest, groups: bool) -> bool {
+/// plain service, or a head of a group with the right model if the service has `groups`, but none
+/// in an evacuated hall.
+fn can_serve(
+    state: &DirectState,
+    view: &EndpointView,
+    flight: &InFlightRequest,
+    groups: bool,
+) -> bool {
     let model = flight.model.is_none() || view.entry.model == flight.model;
-    !groups || (view.is_open_head() && model)
+    let fits = !groups || (view.is_open_head() && model);
+    fits && !state.evacuation.contains(&view.entry.hall)
 }
 
 fn best_endpoint(
@@ -59,7 +82,9 @@
     let random = state.random_below(u64::MAX);
     let params = &state.params;
     for (id, view) in &state.endpoints {
-        if !allowed(&(id.clone(), view.epoch())) || !can_take(view, now, flight, engine.is_some()) {
+        if !can_take(state, view, now, flight, engine.is_some())
+            || !allowed(&(id.clone(), view.epoch()))
+        {
             continue;
         }
         let has_room = |e: &EngineSpec| {
@@ -90,11 +115,17 @@
 
 /// Whether an endpoint can take this request now, apart from its limits of runs and of
 /// prompt tokens.
-fn can_take(view: &EndpointView, now: Millis, flight: &InFlightRequest, groups: bool) -> bool {
+fn can_take(
+    state: &DirectState,
+    view: &EndpointView,
+    now: Millis,
+    flight: &InFlightRequest,
+    groups: bool,
+) -> bool {
     let entry = &view.entry;
     let fits = entry.service == flight.service && !entry.leaving && view.listed;
     let available = view.backoff_until <= now && view.silent_since.is_none();
-    fits && available && rate_limit::can_send(view, now) && can_serve(view, flight, groups)
+    fits && available && allows_send_by(view, now) && can_serve(state, view, flight, groups)
 }
 
 /// Expected time in microseconds until an endpoint begins with a request.
--- a/src/logic/direct/digest.rs
+++ b/src/logic/direct/digest.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use super::{EndpointUpdate, ModelDemand};
@@ -26,6 +28,12 @@
     pub routing: u64,
     /// Time since that was known to be the newest version in the store, in milliseconds.
     pub routing_age: Millis,
+    /// Data halls that operators evacuate.
+    #[serde(default)]
+    pub halls: Vec<Arc<str>>,
+    /// Position of the store up to which these are known.
+    #[serde(default)]
+    pub halls_at: StorePosition,
     /// Number of routers whose demand is summed up in `demand`.
     pub told: u64,
     /// Their demand a second, by model.
--- a/src/logic/direct/digest_part.rs
+++ b/src/logic/direct/digest_part.rs
@@ -5,8 +5,9 @@
 use super::{EndpointUpdate, UpdateBatch};
 use crate::types::StorePosition;
 
-/// Most bytes of updates in one digest, which leaves room for the rest of the datagram.
-const MAX_UPDATE_BYTES: usize = 1_000;
+/// Most bytes of updates and of halls' names in one digest, which leaves room for the rest of the
+/// datagram.
+pub(super) const MAX_UPDATE_BYTES: usize = 1_000;
 
 /// Size of the updates sent at a time, as a number of full digests. Older batches that don't
 /// fit are left out, and routers that miss them read the list.
@@ -39,11 +40,11 @@
     }
 
     /// Adds a batch of updates, as far as there is room.
-    fn add(&mut self, batch: &UpdateBatch) {
+    fn add(&mut self, batch: &UpdateBatch, max_bytes: usize) {
         self.upto = self.upto.max(batch.after);
         for update in &batch.updates {
             self.bytes += update.bytes();
-            self.whole &= self.bytes <= MAX_UPDATE_BYTES;
+            self.whole &= self.bytes <= max_bytes;
             if self.whole {
                 self.news.push((batch.after, update.clone()));
             }
@@ -51,16 +52,17 @@
     }
 }
 
-/// Splits the latest batches of updates into parts, with as many batches in one part as fit. A
+/// Splits the latest batches of updates into parts of at most `max_bytes`, with as many batches in one part as fit. A
 /// batch isn't spread over several parts: one that is larger than a part is cut, and the other
 /// routers read the list. Without batches there is one empty part at position `at`.
 pub(super) fn split_into_parts(
     recent: &VecDeque<UpdateBatch>,
     at: StorePosition,
+    max_bytes: usize,
 ) -> Vec<DigestPart> {
-    let mut bytes_left = FULL_PARTS * MAX_UPDATE_BYTES;
+    let mut bytes_left = FULL_PARTS * max_bytes;
     let fits = recent.iter().rev().take_while(|batch| {
-        let bytes = batch.bytes().min(MAX_UPDATE_BYTES);
+        let bytes = batch.bytes().min(max_bytes);
         let fits = bytes <= bytes_left;
         bytes_left = bytes_left.saturating_sub(bytes);
         fits
@@ -68,12 +70,12 @@
     let skipped = recent.len() - fits.count();
     let mut parts: Vec<DigestPart> = Vec::new();
     for batch in recent.iter().skip(skipped) {
-        let fits = |p: &&mut DigestPart| p.bytes + batch.bytes() <= MAX_UPDATE_BYTES;
+        let fits = |p: &&mut DigestPart| p.bytes + batch.bytes() <= max_bytes;
         match parts.last_mut().filter(fits) {
-            Some(part) => part.add(batch),
+            Some(part) => part.add(batch, max_bytes),
             None => {
                 let mut part = DigestPart::empty_after(batch.before);
-                part.add(batch);
+                part.add(batch, max_bytes);
                 parts.push(part);
             }
         }
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -1,12 +1,14 @@
 //! Digests: the planner reads the store on behalf of all other routers.
 //!
-//! It broadcasts changes of the endpoint list, the version of its routing and the demand of
-//! all routers along two trees. A router that has received every recent digest doesn't poll
+//! It broadcasts changes of the endpoint list, the evacuated data halls, the version of its
+//! routing and the demand of all routers along two trees. A router that has received every recent digest doesn't poll
 //! the store; one that misses an update, or receives nothing for a while, does. In a
 //! calm run of 34 s with 52 routers digests cut the calls to the store from 10,166 to 2,474.
 
-use super::digest_part::split_into_parts;
-use super::{demand, endpoints, tree, DirectEffect, DirectState, EndpointUpdate, ListPace};
+use super::digest_part::{split_into_parts, MAX_UPDATE_BYTES};
+use super::{
+    demand, endpoints, evacuation, tree, DirectEffect, DirectState, EndpointUpdate, ListPace,
+};
 use super::{Digest, Mechanism, PeerMessage, UpdateBatch};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, StorePosition};
@@ -106,7 +108,9 @@
     state.digests.sent_at = now;
     state.digests.has_changes = false;
     let (told, demand) = demand::known_demand(state, now);
-    for part in split_into_parts(&state.digests.recent, state.listed_at) {
+    let halls_bytes = state.evacuation.encoded_bytes();
+    let max_bytes = MAX_UPDATE_BYTES.saturating_sub(halls_bytes);
+    for part in split_into_parts(&state.digests.recent, state.listed_at, max_bytes) {
         state.digests.number += 1;
         let digests = &state.digests;
         let digest = Digest {
@@ -120,6 +124,8 @@
             list_age: now.saturating_sub(digests.list_at),
             routing: routing_version(state),
             routing_age: now.saturating_sub(digests.routing_at),
+            halls: state.evacuation.halls.keys().cloned().collect(),
+            halls_at: state.evacuation.known_at,
             told,
             demand: demand.clone(),
             news: part.news,
@@ -193,6 +199,7 @@
         state.digests.routing_until = 0;
         return;
     }
+    evacuation::on_halls_read(state, now, digest.halls_at, digest.halls, out);
     let known = state.digests.known_upto;
     let mut whole = digest.whole && digest.from <= known;
     for (at, update) in digest.news {
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -1,14 +1,28 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{DirectRequest, OrderResult, PeerMessage, ProbeResult, RunPart};
-use crate::types::{EndpointEntry, InstanceId, RequestRate, Routing, StorePosition};
+use super::{DirectRequest, HallChange, OrderResult, PeerMessage, ProbeResult, RunPart};
+use crate::types::{EndpointEntry, InstanceId, Millis, RequestRate, Routing, StorePosition};
 
 /// An event for a router with direct links, beside ticks and replies of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum DirectEvent {
     /// A version of the routing was read.
     Routing(Arc<Routing>),
+    /// All data halls that operators evacuate.
+    HallsRead {
+        /// Position of the store when the reading began.
+        at: StorePosition,
+        /// The halls.
+        halls: Vec<Arc<str>>,
+    },
+    /// Changes of the halls that operators evacuate, up to a position; there may be none.
+    HallChanges {
+        /// Position of the store up to which the changes reach.
+        at: StorePosition,
+        /// The changes in order.
+        changes: Vec<HallChange>,
+    },
     /// The store answers again after it was unreachable.
     StoreBack,
     /// The store's era was read for the first time, or has risen because the store was
@@ -58,6 +72,13 @@
         /// Requests a second that the endpoint takes from all routers.
         rate: Option<RequestRate>,
     },
+    /// An answer of an endpoint says that it is cold.
+    ColdNamed {
+        /// The endpoint.
+        id: InstanceId,
+        /// How much longer, in milliseconds.
+        ms: Millis,
+    },
     /// The result of a probe.
     Probed {
         /// The endpoint.
--- a/src/logic/direct/direct_params.rs
+++ b/src/logic/direct/direct_params.rs
@@ -26,6 +26,10 @@
     pub retry_extra: u64,
     /// Length of the window over which requests and retries are counted, in milliseconds.
     pub retry_window: Millis,
+    /// What a cold endpoint may get in a second: its rate times this, in thousandths.
+    pub cold_overage: u64,
+    /// What it may get in a second beyond that, in thousandths of a request.
+    pub cold_slack: u64,
     /// Time from the order to shut down until the process must have ended.
     pub grace_ms: Millis,
     /// Usual shortest time after which a refused caller is told to come back.
@@ -53,6 +57,8 @@
             retry_ratio: 200,
             retry_extra: 160_000,
             retry_window: 10_000,
+            cold_overage: 1_000,
+            cold_slack: 1_000,
             grace_ms: 8_000,
             again_ms: 400,
             disabled: BTreeSet::new(),
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -5,9 +5,9 @@
 use super::crashes::CrashState;
 use super::plan::{IdleReason, PlanState};
 use super::{
-    Demand, DigestState, DirectParams, DirectRequest, EndpointView, InFlightRequest,
-    ObservationRequest, QueueKey, RecentPeak, Registration, RetryWindow, RoutingRecheck,
-    ShutdownStage, WaitQueue,
+    Demand, DigestState, DirectParams, DirectRequest, EndpointView, EvacuatedHalls,
+    InFlightRequest, ObservationRequest, QueueKey, RecentPeak, Registration, RetryWindow,
+    RoutingRecheck, ShutdownStage, WaitQueue,
 };
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
@@ -36,6 +36,8 @@
     pub pause: RoutingRecheck,
     /// Routing in force.
     pub routing: Option<Arc<Routing>>,
+    /// Data halls that operators evacuate.
+    pub evacuation: EvacuatedHalls,
     /// Whether a complete reading of the endpoint list has arrived.
     pub listed: bool,
     /// Whether the first complete reading has been applied: later changes are updates.
@@ -71,6 +73,8 @@
     pub registration: Registration,
     /// Addresses of the other routers.
     pub peers: BTreeMap<InstanceId, SocketAddr>,
+    /// Number of changes of these addresses so far.
+    pub peer_changes: u64,
     /// From when this router sends retries; never before the other routers are known.
     pub retries_from: Option<Millis>,
     /// Most routers known at a time within the retry window, this one included.
@@ -103,6 +107,7 @@
             seed,
             pause: RoutingRecheck::default(),
             routing: None,
+            evacuation: EvacuatedHalls::default(),
             listed: false,
             list_applied: false,
             store_era: None,
@@ -120,6 +125,7 @@
             retries_unpaid: 0,
             registration: Registration::default(),
             peers: BTreeMap::new(),
+            peer_changes: 0,
             retries_from: None,
             router_peak: RecentPeak::default(),
             observation_requests: BTreeMap::new(),
@@ -139,6 +145,7 @@
             .endpoints
             .values()
             .filter(|v| v.listed && v.is_open_head());
+        let cold = self.endpoints.values().filter(|v| v.cold.is_some());
         vec![
             ("endpoints", listed.count() as u64),
             ("endpoints_silent", silent.count() as u64),
@@ -153,6 +160,8 @@
                 "routing_version",
                 self.routing.as_ref().map_or(0, |r| r.version),
             ),
+            ("halls_evacuated", self.evacuation.len() as u64),
+            ("endpoints_cold", cold.count() as u64),
             (
                 "figures_missing",
                 self.routing
--- a/src/logic/direct/endpoint_update.rs
+++ b/src/logic/direct/endpoint_update.rs
@@ -9,8 +9,8 @@
 pub enum EndpointUpdate {
     /// An endpoint is new in the list, or has restarted.
     Listed(InstanceId, EndpointEntry),
-    /// A listed endpoint has become or ceased to be the head of an open group, or is about to
-    /// leave.
+    /// A listed endpoint has become or ceased to be the head of an open group, is about to
+    /// leave, or has become cold or warm.
     Changed {
         /// The endpoint.
         id: InstanceId,
@@ -20,6 +20,9 @@
         beats: u64,
         /// Whether it is about to leave.
         leaving: bool,
+        /// How much longer it is cold, in milliseconds.
+        #[serde(default)]
+        cold_ms: u64,
         /// Model that it has loaded.
         model: Option<Arc<str>>,
         /// Its seat in a group.
@@ -30,10 +33,10 @@
 }
 
 /// Upper bound for the encoded size of a new entry; a test checks it with long names.
-const ENTRY_BYTES: usize = 320;
+const ENTRY_BYTES: usize = 336;
 
 /// Upper bound for the encoded size of a change of an entry.
-const CHANGE_BYTES: usize = 210;
+const CHANGE_BYTES: usize = 226;
 
 /// Upper bound for the encoded size of the id of an endpoint that is gone.
 const GONE_BYTES: usize = 64;
@@ -49,7 +52,7 @@
         if before.born != entry.born {
             return Some(EndpointUpdate::Listed(id.clone(), entry.clone()));
         }
-        let routed_by = |e: &EndpointEntry| (e.open_epoch(), e.leaving);
+        let routed_by = |e: &EndpointEntry| (e.open_epoch(), e.leaving, e.cold_ms > 0);
         (routed_by(before) != routed_by(entry)).then(|| Self::changed(id, entry))
     }
 
@@ -60,6 +63,7 @@
             born: entry.born,
             beats: entry.beats,
             leaving: entry.leaving,
+            cold_ms: entry.cold_ms,
             model: entry.model.clone(),
             seat: entry.seat.clone(),
         }
--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::RateShare;
+use super::{ColdPhase, PacedShare, RateShare};
 use crate::types::{EndpointEntry, Millis};
 
 /// What this router knows about one endpoint.
@@ -36,6 +36,8 @@
     pub quickest_start: Millis,
     /// Requests a second that the endpoint takes from all routers, if it sets a limit.
     pub rate: Option<RateShare>,
+    /// While it is cold: how long, and this router's share of what it bears.
+    pub cold: Option<ColdPhase>,
     /// When the limit was last lowered.
     pub lowered_at: Millis,
     /// Until when this router backs off from it: it gets no new requests.
@@ -68,6 +70,7 @@
             limit: 0,
             quickest_start: 0,
             rate: None,
+            cold: None,
             lowered_at: 0,
             backoff_until: 0,
             failures: 0,
@@ -77,6 +80,12 @@
         }
     }
 
+    /// This router's shares of what it takes from all routers.
+    pub(super) fn shares_mut(&mut self) -> impl Iterator<Item = &mut PacedShare> {
+        let limit = self.rate.iter_mut().map(|limit| &mut limit.share);
+        limit.chain(self.cold.iter_mut().map(|cold| &mut cold.share))
+    }
+
     /// Epoch of its group; 0 if it is in none.
     pub fn epoch(&self) -> u64 {
         self.entry.seat.as_ref().map_or(0, |s| s.epoch)
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,7 +1,7 @@
 //! What this router knows about endpoints, from the endpoint list and from its own runs.
 
 use super::{
-    concurrency_limit, digests, plan, DirectState, EndpointUpdate, EndpointView, Observation,
+    cold, concurrency_limit, digests, plan, DirectState, EndpointUpdate, EndpointView, Observation,
     ProbeResult,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -69,11 +69,13 @@
         }
         return;
     };
+    let mut has_restarted = false;
     if let Some(view) = state.endpoints.get(&id) {
         if is_outdated(view, &entry) {
             return;
         }
-        if entry.restarts(&view.entry) {
+        has_restarted = entry.restarts(&view.entry);
+        if has_restarted {
             on_restart(state, now, &id, &entry, out);
         }
     }
@@ -92,9 +94,11 @@
             seen_start: state.list_applied,
             ..EndpointView::new(entry, now)
         };
-        state.endpoints.insert(id, view);
-        return;
+        let cold_ms = view.entry.cold_ms;
+        state.endpoints.insert(id.clone(), view);
+        return cold::on_cold_named(state, now, &id, cold_ms, out);
     };
+    let is_cold_new = has_restarted || entry.cold_ms != view.entry.cold_ms;
     let update = if view.listed {
         EndpointUpdate::of(&id, &view.entry, &entry)
     } else {
@@ -122,10 +126,14 @@
     }
     view.listed = true;
     view.last_model = entry.model.clone().or_else(|| view.last_model.take());
+    let cold_ms = entry.cold_ms;
     view.entry = entry;
     if let Some(update) = update {
         digests::add_update(state, update);
     }
+    if is_cold_new {
+        cold::on_cold_named(state, now, &id, cold_ms, out);
+    }
 }
 
 /// Whether an entry is older than what is known. A store that was restored from a backup
@@ -189,6 +197,7 @@
         born: *started_ms,
         beats: 0,
         leaving: false,
+        cold_ms: 0,
         model: None,
         seat: seat.clone(),
         ..view.entry.clone()
@@ -235,6 +244,7 @@
             born,
             beats,
             leaving,
+            cold_ms,
             model,
             seat,
         } => {
@@ -249,6 +259,7 @@
             let entry = EndpointEntry {
                 beats,
                 leaving,
+                cold_ms,
                 model,
                 seat,
                 ..older
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -3,6 +3,8 @@
 //! There are no agents beside the endpoints here: engines maintain their groups themselves, and
 //! the platform lists them. A request passes through `accept`, `choose`, `send`, `answer` and
 //! `finish`. `silence` detects silent endpoints and `crashes` detects requests that crash them.
+//! `rate_limit` and `cold` divide among the routers what an endpoint takes, and `evacuation`
+//! keeps requests from halls that operators evacuate.
 //! `plan` forms and repairs groups while this router holds the planner lease, and `digests`
 //! broadcasts what the planner has read to all routers.
 
@@ -13,6 +15,8 @@
 mod answer;
 mod arrivals;
 mod choose;
+mod cold;
+mod cold_phase;
 mod concurrency_limit;
 mod demand;
 mod digest;
@@ -27,9 +31,13 @@
 mod endpoint_update;
 mod endpoint_view;
 mod endpoints;
+mod evacuated_halls;
+mod evacuation;
 mod fingerprint;
 mod finish;
 mod group_order;
+mod hall_change;
+mod holders;
 mod in_flight_request;
 mod list_pace;
 mod mechanism;
@@ -37,6 +45,7 @@
 mod observation;
 mod observation_request;
 mod order_result;
+mod paced_share;
 mod peer_message;
 mod peers;
 mod precedence;
@@ -61,6 +70,7 @@
 mod update_batch;
 mod wait_queue;
 
+pub use cold_phase::ColdPhase;
 pub use demand::Demand;
 pub use digest::Digest;
 pub use digest_state::DigestState;
@@ -71,8 +81,10 @@
 pub use direct_state::DirectState;
 pub use endpoint_update::EndpointUpdate;
 pub use endpoint_view::EndpointView;
+pub use evacuated_halls::EvacuatedHalls;
 pub use fingerprint::Fingerprint;
 pub use group_order::{GroupOrder, GroupStep};
+pub use hall_change::HallChange;
 pub use in_flight_request::{InFlightRequest, Run};
 pub use list_pace::ListPace;
 pub use mechanism::Mechanism;
@@ -80,6 +92,7 @@
 pub use observation::Observation;
 pub use observation_request::ObservationRequest;
 pub use order_result::OrderResult;
+pub use paced_share::PacedShare;
 pub use peer_message::PeerMessage;
 pub use peers::Registration;
 pub use precedence::Precedence;
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -109,10 +109,12 @@
     state
         .retries_from
         .get_or_insert(now + retry_delay_ms(state));
-    state.peers.clear();
+    let before = std::mem::take(&mut state.peers);
+    let changes = state.peer_changes;
     for entry in entries {
         apply_key(state, &entry.key, Some(&entry.value));
     }
+    state.peer_changes = changes + u64::from(state.peers != before);
 }
 
 /// Records how many routers are known, this one included.
@@ -145,10 +147,12 @@
         return;
     };
     let addr = value.and_then(|v| v.parse().ok());
-    match addr.filter(|_| id != state.own_id) {
+    let addr = addr.filter(|_| id != state.own_id);
+    let before = match addr {
         Some(addr) => state.peers.insert(id, addr),
         None => state.peers.remove(&id),
     };
+    state.peer_changes += u64::from(before != addr);
 }
 
 /// Asks up to `max` other routers to probe an endpoint; returns the numbers of these requests.
--- a/src/logic/direct/plan/fleet_view.rs
+++ b/src/logic/direct/plan/fleet_view.rs
@@ -11,7 +11,7 @@
 
 /// Existing groups and needs, read once in a planning pass for all its places.
 pub(super) struct FleetView {
-    /// Groups by place.
+    /// Groups by place, without those in evacuated halls.
     pub(super) groups: BTreeMap<Place, Vec<(Arc<str>, GroupView)>>,
     /// Number of groups of each model by service: those being formed count, those ending
     /// don't.
@@ -23,7 +23,8 @@
 impl FleetView {
     pub(super) fn of(state: &DirectState, now: Millis) -> Self {
         let mut groups: BTreeMap<Place, Vec<(Arc<str>, GroupView)>> = BTreeMap::new();
-        for (name, group) in survey::groups(state) {
+        let groups_now = survey::groups(state).into_iter();
+        for (name, group) in groups_now.filter(|(_, g)| !survey::is_evacuated(state, g)) {
             let place = (group.service.clone(), group.domain.clone());
             groups.entry(place).or_default().push((name, group));
         }
@@ -57,10 +58,14 @@
     }
 }
 
-/// Number of groups of each model by place: those being formed count, those ending don't.
+/// Number of groups of each model by place: those being formed count, those ending and those in
+/// evacuated halls don't.
 pub(super) fn counts_by_place(state: &DirectState) -> BTreeMap<(Place, Arc<str>), usize> {
     let mut counts: BTreeMap<(Place, Arc<str>), usize> = BTreeMap::new();
     for (name, group) in survey::groups(state) {
+        if survey::is_evacuated(state, &group) {
+            continue;
+        }
         let is_ending = state.plan.ending.contains_key(&name);
         let is_forming = state.plan.forming.contains_key(&name);
         if let (false, false, Some(model)) = (is_ending, is_forming, group.model) {
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -36,6 +36,7 @@
 ) {
     let epoch = next_epoch(state);
     let group: Arc<str> = format!("g{epoch}").into();
+    let members = warm_first(state, members);
     let event = LogEvent::new(LogCode::GroupForming)
         .with("group", &group)
         .with("model", &model)
@@ -64,6 +65,16 @@
     state.plan.forming.insert(group, forming);
 }
 
+/// The members with a warm one first, if any is: the first is the head, and a cold head bears few
+/// requests.
+fn warm_first(state: &DirectState, mut members: Vec<InstanceId>) -> Vec<InstanceId> {
+    let is_cold = |id: &InstanceId| state.endpoints.get(id).is_some_and(|v| v.cold.is_some());
+    if let Some(warm) = members.iter().position(|id| !is_cold(id)) {
+        members.swap(0, warm);
+    }
+    members
+}
+
 fn joined_ids(members: &[InstanceId]) -> String {
     let ids: Vec<_> = members.iter().map(InstanceId::as_str).collect();
     ids.join(",")
--- a/src/logic/direct/plan/planner_lease.rs
+++ b/src/logic/direct/plan/planner_lease.rs
@@ -1,5 +1,6 @@
 //! The planner lease: the key in the key-value service whose holder is the planner.
 
+use crate::logic::direct::store_restore::REWRITE_MS;
 use crate::logic::direct::{crashes, peers, DirectState};
 use crate::logic::router::{
     CallId, KeyWrite, RevisionCheck, StoreCall, StoreChange, StoreReply, StoreResult,
@@ -13,10 +14,6 @@
 /// Key with the store's era in which the planner lease was last acquired.
 const ERA_KEY: &str = "runrail/planner/era";
 
-/// Time within which endpoints write again what a store that was restored from a backup
-/// has lost.
-const REWRITE_MS: Millis = 2_000;
-
 /// Renewals within one lease length.
 const RENEWALS_PER_LEASE: u64 = 3;
 
--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -61,12 +61,19 @@
     free
 }
 
-/// Whether an endpoint can serve in a new group: it is planned, listed, not about to leave
-/// and not lost.
+/// Whether the head of a group is in an evacuated hall, so that the group gets no new requests.
+pub(super) fn is_evacuated(state: &DirectState, group: &GroupView) -> bool {
+    let head = group.head().and_then(|head| state.endpoints.get(&head.id));
+    head.is_some_and(|v| state.evacuation.contains(&v.entry.hall))
+}
+
+/// Whether an endpoint can serve in a new group: it is planned, listed, not about to leave,
+/// not lost and in no evacuated hall.
 pub(super) fn is_usable(state: &DirectState, id: &InstanceId, view: &EndpointView) -> bool {
     is_planned(state, view)
         && view.listed
         && !view.entry.leaving
+        && !state.evacuation.contains(&view.entry.hall)
         && !state.plan.lost.contains_key(id)
 }
 
--- a/src/logic/direct/queue.rs
+++ b/src/logic/direct/queue.rs
@@ -66,7 +66,9 @@
     }
     let wait = flight.wait_until.saturating_sub(flight.arrived);
     let fits = (queue.waiting.len() as u64) < queue.max_waiting(now, wait);
-    let active = queue.has_sent(now) || flight.head_sent;
+    let is_open = flight.head_sent || choose::has_open_hall(state, &flight.service);
+    let queue = state.queues.entry(key.clone()).or_default();
+    let active = (queue.has_sent(now) || flight.head_sent) && is_open;
     if !active && !choose::has_candidate(state, &flight) {
         return finish::give_up(state, now, id, "no endpoint can serve it", out);
     }
@@ -86,6 +88,21 @@
     }
 }
 
+/// Refuses the waiting requests of services all of whose halls are evacuated. A stream that was
+/// begun waits on: its caller would lose it.
+pub(super) fn refuse_unservable(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let waiting = state.queues.values().flat_map(|q| q.waiting.iter());
+    let is_over = |id: &u64| {
+        let flight = state.in_flight.get(id);
+        flight.is_some_and(|f| !f.head_sent && !choose::has_open_hall(state, &f.service))
+    };
+    let over: Vec<u64> = waiting.map(|(.., id)| *id).filter(is_over).collect();
+    for id in over {
+        let why = "every data hall of the service is evacuated";
+        finish::give_up(state, now, id, why, out);
+    }
+}
+
 /// Time at which a request's wait ends; `effective` says whether waiting has recently led
 /// to answers. A request that was sent before has already lost time, and waits for the
 /// full time.
--- a/src/logic/direct/rate_limit.rs
+++ b/src/logic/direct/rate_limit.rs
@@ -1,14 +1,11 @@
 //! Rate limits: requests a second that an endpoint takes from all routers together.
 //!
-//! A few routers, the holders, have equal shares of a limit; the others send nothing there.
-//! Holders are chosen by a hash, so that all routers agree on them without a message. A
-//! holder leaves an even gap between its requests and can't save up unused ones. Any four
+//! A limit is divided among holders that leave an even gap between their requests. Any four
 //! seconds then see at most what the limit allows for them and one request of each holder.
 
 use std::net::SocketAddr;
 
-use sha2::{Digest as _, Sha256};
-
+use super::holders::{self, MAX_GAP_MS};
 use super::{DirectEffect, DirectState, EndpointView, PeerMessage, RateShare};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis, RequestRate};
@@ -17,10 +14,6 @@
 /// request of each could take the total past 1.5 times what the limit allows in four seconds.
 const HOLDERS_PER_RATE: u64 = 2;
 
-/// Longest gap between two requests of a holder, so that the end of even a very low limit
-/// is noticed.
-const MAX_GAP_MS: Millis = 10_000;
-
 /// Shortest time after which a limit expires that no answer or router names any more.
 const MIN_EXPIRY_MS: Millis = 10_000;
 
@@ -86,23 +79,24 @@
     rate: RequestRate,
     out: &mut Vec<Effect>,
 ) {
-    let gap = request_gap(state, id, rate);
-    let jitter = state.random_below(gap.unwrap_or(0));
+    let mut share = holders::new_share(state, now, id, rate, max_holders(rate));
+    let gap = share.gap;
     let Some(view) = state.endpoints.get_mut(id) else {
         return;
     };
-    if let Some(share) = view.rate.as_mut().filter(|s| s.rate == rate) {
-        share.confirmed_at = now;
+    if let Some(limit) = view.rate.as_mut().filter(|s| s.rate == rate) {
+        limit.confirmed_at = now;
         return;
     }
-    let next_at = view.rate.as_ref().map_or(now + jitter, |s| s.next_at);
+    if let Some(limit) = &view.rate {
+        share.next_at = limit.share.next_at;
+    }
     view.rate = Some(RateShare {
         rate,
         known_since: now,
         confirmed_at: now,
         broadcast_at: 0,
-        gap,
-        next_at,
+        share,
     });
     let event = LogEvent::new(LogCode::EndpointLimited)
         .with("endpoint", id)
@@ -150,69 +144,30 @@
     }
 }
 
-/// Time between two requests of this router to an endpoint with a limit; none if this
-/// router holds no share of the limit.
-fn request_gap(state: &DirectState, id: &InstanceId, rate: RequestRate) -> Option<Millis> {
-    let routers = state
-        .router_peak
-        .highest()
-        .max(state.peers.len() as u64 + 1);
-    let max = 1 + HOLDERS_PER_RATE * rate.milli() / 1_000;
-    let holders = max.min(routers);
-    let own = holder_rank(id, &state.own_id);
-    let before = state
-        .peers
-        .keys()
-        .filter(|peer| holder_rank(id, peer) < own);
-    if before.count() as u64 >= holders {
-        return None;
-    }
-    let gap = (holders * 1_000_000).checked_div(rate.milli());
-    Some(gap.map_or(MAX_GAP_MS, |gap| gap.min(MAX_GAP_MS)))
-}
-
-/// Rank of a router for an endpoint's limit; the routers with the lowest hashes hold it.
-fn holder_rank(id: &InstanceId, router: &InstanceId) -> [u8; 32] {
-    let mut hash = Sha256::new();
-    hash.update(id.as_str());
-    hash.update([0]);
-    hash.update(router.as_str());
-    hash.finalize().into()
-}
-
-/// Whether the rate limit of an endpoint allows a request of this router now.
-pub(super) fn can_send(view: &EndpointView, now: Millis) -> bool {
-    let share = view.rate.as_ref();
-    share.is_none_or(|s| s.gap.is_some() && now >= s.next_at)
+/// Most holders of a limit.
+fn max_holders(rate: RequestRate) -> u64 {
+    1 + HOLDERS_PER_RATE * rate.milli() / 1_000
 }
 
 /// Whether the rate limit of an endpoint allows a request of this router by a time.
 pub(super) fn can_send_by(view: &EndpointView, until: Millis) -> bool {
-    let share = view.rate.as_ref();
-    share.is_none_or(|s| s.gap.is_some() && s.next_at <= until)
-}
-
-/// Schedules the next request to an endpoint after one is sent.
-pub(super) fn on_sent(view: &mut EndpointView, now: Millis) {
-    if let Some(share) = &mut view.rate {
-        share.next_at = now + share.gap.unwrap_or(MAX_GAP_MS);
-    }
+    view.rate
+        .as_ref()
+        .is_none_or(|s| s.share.can_send_by(until))
 }
 
 /// Divides limits among the routers known now, and forgets expired ones.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let limited = state.endpoints.iter();
     let limited = limited.filter_map(|(id, v)| Some((id.clone(), v.rate.clone()?)));
-    for (id, share) in limited.collect::<Vec<_>>() {
-        let gap = request_gap(state, &id, share.rate);
-        let expiry = MIN_EXPIRY_MS.max(MIN_EXPIRY_GAPS * gap.unwrap_or(MAX_GAP_MS));
-        if now >= share.confirmed_at + expiry {
+    for (id, mut limit) in limited.collect::<Vec<_>>() {
+        let max = max_holders(limit.rate);
+        holders::update_share(state, &id, limit.rate, max, &mut limit.share);
+        let gap = limit.share.gap.unwrap_or(MAX_GAP_MS);
+        if now >= limit.confirmed_at + MIN_EXPIRY_MS.max(MIN_EXPIRY_GAPS * gap) {
             clear_limit(state, &id, out);
-            continue;
-        }
-        let view = state.endpoints.get_mut(&id);
-        if let Some(share) = view.and_then(|v| v.rate.as_mut()) {
-            share.gap = gap;
+        } else if let Some(view) = state.endpoints.get_mut(&id) {
+            view.rate = Some(limit);
         }
     }
 }
--- a/src/logic/direct/rate_share.rs
+++ b/src/logic/direct/rate_share.rs
@@ -1,3 +1,4 @@
+use super::PacedShare;
 use crate::types::{Millis, RequestRate};
 
 /// Rate limit that an endpoint has named for all routers together, and this router's share.
@@ -11,8 +12,6 @@
     pub confirmed_at: Millis,
     /// Time at which this router last broadcast it; 0 before that.
     pub broadcast_at: Millis,
-    /// Milliseconds between two requests of this router; none if it holds no share.
-    pub gap: Option<Millis>,
-    /// Time from which this router may send the next request.
-    pub next_at: Millis,
+    /// This router's share of it.
+    pub share: PacedShare,
 }
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,8 +1,8 @@
 //! Sends a request to an endpoint, and retries it at another one after a failure.
 
 use super::{
-    choose, crashes, finish, peers, queue, rate_limit, DirectEffect, DirectState, InFlightRequest,
-    Mechanism, Precedence, RetryBounds, RetryWindow, Run, RunRequest,
+    choose, crashes, finish, peers, queue, DirectEffect, DirectState, InFlightRequest, Mechanism,
+    Precedence, RetryBounds, RetryWindow, Run, RunRequest,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -55,7 +55,9 @@
     if view.running == 0 {
         view.active_at = view.active_at.max(now);
     }
-    rate_limit::on_sent(view, now);
+    for share in view.shares_mut() {
+        share.on_sent(now);
+    }
     view.running += 1;
     view.unread_tokens += u64::from(flight.prompt_tokens);
     let (addr, epoch) = (view.entry.addr, view.epoch());
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,6 +1,7 @@
 use super::{
-    accept, answer, crashes, demand, digests, endpoints, finish, peers, plan, process_pause, queue,
-    rate_limit, silence, store_restore, DirectEffect, DirectEvent, DirectState, ShutdownStage,
+    accept, answer, cold, crashes, demand, digests, endpoints, evacuation, finish, peers, plan,
+    process_pause, queue, rate_limit, silence, store_restore, DirectEffect, DirectEvent,
+    DirectState, ShutdownStage,
 };
 use crate::logic::{Effect, Event, LogCode, LogEvent};
 use crate::types::{Millis, Routing};
@@ -50,6 +51,13 @@
             state.digests.routing_at = state.previous_tick;
             on_routing(state, routing, out);
         }
+        DirectEvent::HallsRead { at, halls } => {
+            evacuation::on_halls_read(state, now, at, halls, out)
+        }
+        DirectEvent::HallChanges { at, changes } => {
+            evacuation::on_hall_changes(state, now, at, changes, out)
+        }
+        DirectEvent::ColdNamed { id, ms } => cold::on_cold_named(state, now, &id, ms, out),
         DirectEvent::StoreBack => peers::notify_store_back(state, out),
         DirectEvent::RoutingRead => state.digests.routing_at = state.previous_tick,
         DirectEvent::RoutingChecked { read_number } => {
@@ -142,6 +150,8 @@
     silence::on_tick(state, now, out);
     endpoints::on_tick(state, now);
     rate_limit::on_tick(state, now, out);
+    cold::on_tick(state, now);
+    evacuation::on_tick(state, now, out);
     peers::on_tick(state, now, out);
     crashes::on_tick(state, now, out);
     demand::on_tick(state, now, out);
--- a/src/logic/direct/store_restore.rs
+++ b/src/logic/direct/store_restore.rs
@@ -8,6 +8,10 @@
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::Millis;
 
+/// Time within which operators and endpoints write again what a store that was restored from a
+/// backup has lost.
+pub(super) const REWRITE_MS: Millis = 2_000;
+
 /// Handles the store's era; if the store was restored, forgets what no longer holds.
 pub(super) fn on_store_era(state: &mut DirectState, now: Millis, era: u64, out: &mut Vec<Effect>) {
     let Some(before) = state.store_era.replace(era) else {
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -128,6 +128,9 @@
     AnswerUnread = 603 Error "answer of the platform can't be read";
     RoutingOlder = 604 Warn "older routing than the one in force was read";
     RoutingUnchecked = 605 Warn "routing could not be read after a pause";
+    OperatorKeyUnknown = 606 Warn "key of the operators is unknown";
+    HallEvacuated = 607 Warn "data hall evacuated: its endpoints get no new requests";
+    HallReturned = 608 Info "data hall taken back: its endpoints get requests again";
     EndpointListed = 610 Info "endpoint listed";
     EndpointUnlisted = 611 Info "endpoint no longer listed";
     EndpointLeaving = 612 Info "endpoint is leaving";
@@ -161,4 +164,5 @@
     CrashesUnread = 649 Error "record of a request that crashes endpoints can't be read or written";
     EndpointLimited = 650 Warn "endpoint reports a request rate limit";
     EndpointUnlimited = 651 Info "endpoint reports no request rate limit any more";
+    EndpointCold = 652 Info "endpoint is cold and gets requests at a limited rate";
 }
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -177,6 +177,14 @@
             "retries a request",
         ),
         retry_extra: ini.scaled_number("retries", "extra", d.retry_extra, 1_000, "retries"),
+        cold_overage: ini.scaled_number(
+            "cold",
+            "overage",
+            d.cold_overage,
+            1_000,
+            "times the rate of a cold endpoint",
+        ),
+        cold_slack: ini.scaled_number("cold", "slack", d.cold_slack, 1_000, "requests a second"),
         // A window of length 0 would count no earlier retries: the default is used instead.
         retry_window: positive_or(window_ms, d.retry_window),
         grace_ms: ini.scaled_number("stop", "grace_s", d.grace_ms, 1_000, "seconds"),
--- a/src/types/endpoint_entry.rs
+++ b/src/types/endpoint_entry.rs
@@ -21,6 +21,9 @@
     /// Time at which the endpoint last started, in Unix milliseconds; absent where the
     /// platform doesn't report it.
     pub born: Option<u64>,
+    /// How much longer it is cold, from the time at which the entry was written, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
     /// Number of heartbeats since the endpoint last started.
     pub beats: u64,
     /// Fabric domain; empty for a plain service.
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -80,6 +80,11 @@
         self.put(key, value);
     }
 
+    /// Removes a key, as another writer would.
+    pub fn remove_key(&mut self, key: &str) {
+        self.remove(key);
+    }
+
     /// Sets the rate limit, in requests a second, that a replica names in its answers; `None` for
     /// no limit.
     pub fn limit(&mut self, id: &str, limit: Option<f64>) {
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -68,6 +68,7 @@
     let (id, endpoint) = (adapter().parse_entry)(&entry).expect("readable");
     assert_eq!(id.as_str(), "i-1");
     assert!(endpoint.leaving);
+    assert_eq!(endpoint.cold_ms, 251);
     assert_eq!(endpoint.born, Some(1_790_000_000_000));
     let seat = endpoint.seat.expect("a seat");
     assert_eq!((seat.epoch, seat.state), (12, SeatState::Open));
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -51,6 +51,7 @@
         born: entry.born,
         beats: entry.beats,
         leaving: entry.leaving,
+        cold_ms: entry.cold_ms,
         model: entry.model.clone(),
         seat: entry.seat.clone(),
     }
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -389,6 +389,7 @@
         let spec = ServiceSpec {
             name: name.into(),
             connections: 100,
+            cold_rate: None,
             engine,
         };
         routing.services.insert(name.into(), Arc::new(spec));
@@ -415,6 +416,7 @@
         slots: 48,
         leaving: false,
         born: None,
+        cold_ms: 0,
         beats: 1,
         domain: "d1".into(),
         staged: vec![MODEL.into()],
@@ -452,6 +454,8 @@
         list_age: 0,
         routing: 1,
         routing_age: 0,
+        halls: Vec::new(),
+        halls_at: StorePosition::default(),
         told: 2,
         demand: Vec::new(),
         news: Vec::new(),
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -2,10 +2,12 @@
 
 mod adapter;
 mod answers;
+mod cold;
 mod command_line;
 mod crashes;
 mod demand;
 mod digests;
+mod evacuation;
 mod fields;
 mod fixture;
 mod foreign;
--- a/tests/direct/settings.rs
+++ b/tests/direct/settings.rs
@@ -6,7 +6,7 @@
 use runrail::settings::DirectSettings;
 
 /// Numbers that the platform fills into the template.
-const NUMBERS: [&str; 8] = [
+const NUMBERS: [&str; 10] = [
     "Platform.ReadsPerS",
     "Bounds.DrainMs",
     "Bounds.ConfigApplyMs",
@@ -15,6 +15,8 @@
     "Bounds.BudgetExtra",
     "Bounds.BudgetWindowS",
     "Bounds.GraceS",
+    "Bounds.ColdOverage",
+    "Bounds.ColdSlack",
 ];
 
 /// The template with all placeholders filled in, that of `field` with `value`.
