Planner: the first loads are spread over the halls

Change: places come hall by hall wherever the planner goes through the free endpoints.

Test: first_loads_are_spread_over_the_halls.

--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -22,7 +22,7 @@
 
 /// Forms the groups that free endpoints can form, and looks for trades.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    let free = survey::free(state);
+    let free = survey::hall_by_hall(state, survey::free(state));
     if is_initial_phase(state) {
         if now >= state.plan.engine_count.1 + SETTLED_MS {
             form_initial(state, now, free, out);
@@ -104,7 +104,7 @@
 fn form_initial(
     state: &mut DirectState,
     now: Millis,
-    free: BTreeMap<Place, Vec<InstanceId>>,
+    free: Vec<(Place, Vec<InstanceId>)>,
     out: &mut Vec<Effect>,
 ) {
     let targets = targets(state);
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -48,7 +48,7 @@
 /// Orders spares that hold no model to hold one.
 fn stage_spares(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let mut services: BTreeMap<Arc<str>, Option<ServiceReadiness>> = BTreeMap::new();
-    for (place, free) in survey::free(state) {
+    for (place, free) in survey::hall_by_hall(state, survey::free(state)) {
         let readiness = services
             .entry(place.0.clone())
             .or_insert_with(|| ServiceReadiness::of(state, now, &place.0));
--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -61,6 +61,31 @@
     free
 }
 
+/// Places with their free endpoints, those of different halls in turn: where only a part of the
+/// endpoints can be loaded, no hall then holds all groups.
+pub(super) fn hall_by_hall(
+    state: &DirectState,
+    free: BTreeMap<Place, Vec<InstanceId>>,
+) -> Vec<(Place, Vec<InstanceId>)> {
+    let hall = |ids: &[InstanceId]| {
+        let view = ids.first().and_then(|id| state.endpoints.get(id));
+        view.map(|v| v.entry.hall.clone())
+    };
+    let mut seen: BTreeMap<Option<Arc<str>>, usize> = BTreeMap::new();
+    let mut places = Vec::new();
+    for (place, ids) in free {
+        let hall = hall(&ids);
+        let turn = seen.entry(hall.clone()).or_default();
+        *turn += 1;
+        places.push((*turn, hall, place, ids));
+    }
+    places.sort_by(|a, b| (a.0, &a.1).cmp(&(b.0, &b.1)));
+    places
+        .into_iter()
+        .map(|(.., place, ids)| (place, ids))
+        .collect()
+}
+
 /// Whether the head of a group is in an evacuated hall, so that the group gets no new requests.
 pub(super) fn is_evacuated(state: &DirectState, group: &GroupView) -> bool {
     let head = group.head().and_then(|head| state.endpoints.get(&head.id));
--- a/tests/direct/staging.rs
+++ b/tests/direct/staging.rs
@@ -112,3 +112,39 @@
     loads += held(&router.take_effects()).len();
     assert!((8..=16).contains(&loads), "{loads} in five seconds");
 }
+
+/// Pattern: a fleet of which only a part can load its models before the first caller, and a hall
+/// that loses power then. With the loads in the order of the domains' names, the first hall held
+/// all groups.
+#[test]
+fn first_loads_are_spread_over_the_halls() {
+    let mut entries = Vec::new();
+    for n in 0..108 {
+        let (id, mut entry) = engine(n, None);
+        let domain = n / 9;
+        entry.hall = format!("h{}", domain / 4).into();
+        entry.domain = format!("d{domain:02}").into();
+        entry.model = None;
+        entry.staged = Vec::new();
+        entries.push((id, entry));
+    }
+    let halls: std::collections::BTreeMap<String, String> = entries
+        .iter()
+        .map(|(id, entry)| (id.to_string(), entry.hall.to_string()))
+        .collect();
+    let mut router = Router::new(entries);
+    router.state().plan.first_start = true;
+    router.advance_ms(1_000);
+    let held = held(&router.take_effects());
+    assert!(held.len() >= 18, "{held:?}");
+    let mut loads = [0; 3];
+    for (id, _) in &held {
+        let hall = halls[id].trim_start_matches('h');
+        loads[hall.parse::<usize>().expect("a number")] += 1;
+    }
+    let (most, least) = (loads.iter().max(), loads.iter().min());
+    assert!(
+        most.zip(least).is_some_and(|(m, l)| m - l <= 9),
+        "{loads:?}"
+    );
+}
