Planner: orders are sent only while the lease holds, few at a time; many endpoints are one line

Ruled out: a check in the host, which no test without a network would show.

Change: orders are queued with the fence that they were decided under and sent with the next event, at the time of that event, while the lease holds; 128 may await their results. An order that waits isn't queued twice. More than eight endpoints of one event are logged as a count.

Tests: order_queue, two cases. The first was not run against the old code, whose orders have no queue; there orders are effects of the pass itself.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -79,8 +79,16 @@
             self.log_event(&LogEvent::new(LogCode::Stopping));
             self.shared.stopping.set(true);
         }
-        for effect in step(&mut self.node, self.clock.now(), event) {
-            self.carry_out(effect);
+        let mut next = Some(event);
+        while let Some(event) = next.take() {
+            for effect in step(&mut self.node, self.clock.now(), event) {
+                match effect {
+                    Effect::Direct(DirectEffect::SendOrders) => {
+                        next = Some(Event::Direct(DirectEvent::SendOrders));
+                    }
+                    effect => self.carry_out(effect),
+                }
+            }
         }
         if let Node::Direct(state) = &self.node {
             self.shared.routers.set(state.peers.len() + 1);
@@ -172,6 +180,8 @@
                 self.shared.callers.borrow_mut().remove(&request);
             }
             DirectEffect::Refuse { request, problem } => self.refuse(request, problem),
+            // `handle` has replaced it by the next event.
+            DirectEffect::SendOrders => {}
             DirectEffect::Probe { id, addr } => endpoint_calls::send_probe(&self.shared, id, addr),
             DirectEffect::Order {
                 order,
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -51,6 +51,8 @@
         /// Where it listens.
         addr: SocketAddr,
     },
+    /// Handle `DirectEvent::SendOrders` next, with the time of that moment.
+    SendOrders,
     /// Send an order to an endpoint.
     Order {
         /// Number of the order, echoed with its outcome.
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -93,6 +93,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Queued orders are to be sent.
+    SendOrders,
     /// An order to an endpoint has ended.
     OrderResult {
         /// Number of the order.
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -6,7 +6,7 @@
 use super::plan::{IdleReason, PlanState};
 use super::{
     Demand, DigestState, DirectParams, DirectRequest, EndpointView, EvacuatedHalls,
-    InFlightRequest, ObservationRequest, QueueKey, RecentPeak, Registration, RetryWindow,
+    InFlightRequest, ListLog, ObservationRequest, QueueKey, RecentPeak, Registration, RetryWindow,
     RoutingRecheck, ShutdownStage, WaitQueue,
 };
 use crate::logic::router::{CallId, StoreCall};
@@ -50,6 +50,8 @@
     pub digests: DigestState,
     /// Endpoints by id.
     pub endpoints: BTreeMap<InstanceId, EndpointView>,
+    /// Changes of the list that the current event has made, to be logged at its end.
+    pub list_log: ListLog,
     /// In-flight requests: those without a final answer.
     pub in_flight: BTreeMap<u64, InFlightRequest>,
     /// Wait queues of requests for an endpoint.
@@ -114,6 +116,7 @@
             listed_at: StorePosition::default(),
             digests: DigestState::default(),
             endpoints: BTreeMap::new(),
+            list_log: ListLog::default(),
             in_flight: BTreeMap::new(),
             queues: BTreeMap::new(),
             held_requests: Vec::new(),
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -62,9 +62,7 @@
         if let Some(view) = state.endpoints.get_mut(&id).filter(|v| v.listed) {
             view.listed = false;
             view.heartbeat_at = now;
-            out.push(Effect::Log(
-                LogEvent::new(LogCode::EndpointUnlisted).with("endpoint", &id),
-            ));
+            state.list_log.unlisted.push(id.clone());
             digests::add_update(state, EndpointUpdate::Gone(id));
         }
         return;
@@ -83,11 +81,7 @@
     let Some(view) = state.endpoints.get_mut(&id) else {
         // The first reading is logged as a whole, not endpoint by endpoint.
         if state.list_applied {
-            let event = LogEvent::new(LogCode::EndpointListed)
-                .with("endpoint", &id)
-                .with("domain", &entry.domain)
-                .with("service", &entry.service);
-            out.push(Effect::Log(event));
+            state.list_log.listed.push(id.clone());
         }
         digests::add_update(state, EndpointUpdate::Listed(id.clone(), entry.clone()));
         let view = EndpointView {
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -61,7 +61,7 @@
     for member in &forming.members {
         state.plan.staging.remove(member);
     }
-    send_join_orders(state, &group, &forming, out);
+    send_join_orders(state, &group, &forming);
     state.plan.forming.insert(group, forming);
 }
 
@@ -81,12 +81,7 @@
 }
 
 /// Orders every member to join that hasn't accepted that order yet.
-fn send_join_orders(
-    state: &mut DirectState,
-    group: &Arc<str>,
-    forming: &FormingGroup,
-    out: &mut Vec<Effect>,
-) {
+fn send_join_orders(state: &mut DirectState, group: &Arc<str>, forming: &FormingGroup) {
     for id in &forming.members {
         if forming.accepted.contains(id) {
             continue;
@@ -97,7 +92,7 @@
             model: forming.model.clone(),
             members: forming.members.clone(),
         };
-        order::send(state, id, step, OrderUse::Join(group.clone()), out);
+        order::send(state, id, step, OrderUse::Join(group.clone()));
     }
 }
 
@@ -161,7 +156,7 @@
         && now >= forming.ordered_at + state.params.reorder_ms
     {
         forming.ordered_at = now;
-        send_join_orders(state, group, forming, out);
+        send_join_orders(state, group, forming);
     }
     if now + FORM_SLACK_MS >= forming.deadline + LATE_PROBE_MS {
         for (id, seat) in forming.members.iter().zip(&seats) {
@@ -181,7 +176,7 @@
             group: group.clone(),
             epoch: forming.epoch,
         };
-        order::send(state, &head, step, OrderUse::Open(group.clone()), out);
+        order::send(state, &head, step, OrderUse::Open(group.clone()));
     }
     true
 }
--- a/src/logic/direct/plan/idle.rs
+++ b/src/logic/direct/plan/idle.rs
@@ -13,6 +13,9 @@
 /// the next takes less.
 const MIN_IDLE_MS: Millis = 1_000;
 
+/// Most endpoints that one pass logs in a line each.
+const MAX_LINES: usize = 8;
+
 /// An endpoint that is free.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct IdleEndpoint {
@@ -29,6 +32,7 @@
 /// Updates the free endpoints with their reasons, and logs each new reason once.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let mut idle = BTreeMap::new();
+    let mut due_events = Vec::new();
     for id in survey::free(state).into_values().flatten() {
         let reason = idle_reason(state, &id);
         let known = state.plan.idle.get(&id).cloned();
@@ -38,12 +42,12 @@
             .is_some_and(|i| i.logged && i.reason == reason);
         let due = !logged && now >= since + MIN_IDLE_MS;
         if due {
-            out.push(Effect::Log(idle_event(state, now, &id, since, reason)));
+            due_events.push((reason, idle_event(state, now, &id, since, reason)));
         }
         let logged = logged || due;
         let mut leave_sent = known.and_then(|i| i.leave_sent.clone());
         if now >= since + MIN_IDLE_MS && state.params.is_enabled(Mechanism::Freeing) {
-            leave_sent = send_leave_once(state, &id, leave_sent, out);
+            leave_sent = send_leave_once(state, &id, leave_sent);
         }
         let entry = IdleEndpoint {
             since,
@@ -54,6 +58,20 @@
         idle.insert(id, entry);
     }
     state.plan.idle = idle;
+    log_events(due_events, out);
+}
+
+/// Logs a line for each endpoint, or one with counts if there are many.
+fn log_events(due: Vec<(IdleReason, LogEvent)>, out: &mut Vec<Effect>) {
+    if due.len() <= MAX_LINES {
+        return out.extend(due.into_iter().map(|(_, event)| Effect::Log(event)));
+    }
+    let count = |reason| due.iter().filter(|(r, _)| *r == reason).count();
+    let event = LogEvent::new(LogCode::EndpointsIdle)
+        .with("waits", count(IdleReason::Waits))
+        .with("loads", count(IdleReason::Loads))
+        .with("empty", count(IdleReason::Empty));
+    out.push(Effect::Log(event));
 }
 
 /// Orders an endpoint that still has a seat in an ended group to leave it, once for each
@@ -63,7 +81,6 @@
     state: &mut DirectState,
     id: &InstanceId,
     leave_sent: Option<Arc<str>>,
-    out: &mut Vec<Effect>,
 ) -> Option<Arc<str>> {
     let seat = state.endpoints.get(id)?.entry.seat.clone()?;
     let has_ended = state.plan.ended.contains(&seat.group);
@@ -74,7 +91,7 @@
         group: seat.group.clone(),
         epoch: seat.epoch,
     };
-    order::send(state, id, step, OrderUse::Free(id.clone()), out);
+    order::send(state, id, step, OrderUse::Free(id.clone()));
     Some(seat.group)
 }
 
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -26,6 +26,7 @@
 mod mix;
 mod model_load;
 mod order;
+mod order_queue;
 mod place;
 mod plan_state;
 mod planner_lease;
@@ -46,6 +47,7 @@
 pub use idle_reason::IdleReason;
 pub use load_budget::LoadBudget;
 pub use order::OrderUse;
+pub use order_queue::{OrderQueue, QueuedOrder};
 pub use place::{place, PlacementInput, PlacementModel};
 pub use plan_state::PlanState;
 pub use planner_lease::{LeaseCall, PlannerLease};
@@ -53,7 +55,9 @@
 pub use staging::StagedLoad;
 
 pub(super) use form::apply_known_seat;
-pub(super) use order::on_order_result;
+pub(super) use order::{
+    on_order_result, request_sending as request_order_sending, send_queued as send_queued_orders,
+};
 pub(super) use planner_lease::{
     on_store_reply, on_store_restored, on_watch_changes, on_watch_lost,
 };
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -1,8 +1,13 @@
 //! Orders to endpoints, and their results.
+//!
+//! A pass queues its orders. They are sent with the next event, while the planner lease that
+//! they were decided under still holds: a pass may take longer than the rest of the lease, and a
+//! successor knows nothing of what is ordered after it. Only so many await their results at a time,
+//! as each takes a connection, memory and processor time.
 
 use std::sync::Arc;
 
-use super::{form, retire};
+use super::{form, retire, QueuedOrder};
 use crate::logic::direct::{DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
@@ -41,26 +46,72 @@
     }
 }
 
-/// Sends an order to an endpoint and remembers its purpose until the result comes.
-pub(super) fn send(
+/// Orders that may await their results at a time. At the 0.6 s that an unanswered one takes, 200 a
+/// second are sent even if no endpoint answers.
+const MAX_UNANSWERED: usize = 128;
+
+/// Queues an order to an endpoint, unless the same one is queued already.
+pub(super) fn send(state: &mut DirectState, id: &InstanceId, what: GroupStep, purpose: OrderUse) {
+    let order = QueuedOrder {
+        endpoint: id.clone(),
+        body: GroupOrder {
+            what,
+            fence: state.plan.lease.fence,
+        },
+        purpose,
+    };
+    state.plan.order_queue.push(order);
+}
+
+/// Sends queued orders as far as there is room, while the lease that they were decided under holds,
+/// and drops them afterwards.
+pub(in crate::logic::direct) fn send_queued(
     state: &mut DirectState,
-    id: &InstanceId,
-    what: GroupStep,
-    purpose: OrderUse,
+    now: Millis,
     out: &mut Vec<Effect>,
 ) {
-    let Some(addr) = state.endpoints.get(id).map(|v| v.entry.addr) else {
+    if state.plan.order_queue.is_empty() {
         return;
-    };
-    let order = state.next_number();
-    let fence = state.plan.lease.fence;
-    state.plan.orders.insert(order, purpose);
-    out.push(Effect::Direct(DirectEffect::Order {
-        order,
-        id: id.clone(),
-        addr,
-        body: GroupOrder { what, fence },
-    }));
+    }
+    if !state.plan.lease.holds(now) {
+        let event = LogEvent::new(LogCode::OrdersDropped)
+            .with("orders", state.plan.order_queue.len())
+            .with("fence", state.plan.lease.fence);
+        out.push(Effect::Log(event));
+        state.plan.order_queue.clear();
+        return;
+    }
+    while state.plan.orders.len() < MAX_UNANSWERED {
+        let Some(queued) = state.plan.order_queue.pop() else {
+            return;
+        };
+        let view = state.endpoints.get(&queued.endpoint);
+        let addr = view.filter(|_| queued.body.fence == state.plan.lease.fence);
+        let Some(addr) = addr.map(|v| v.entry.addr) else {
+            continue;
+        };
+        let order = state.next_number();
+        state.plan.orders.insert(order, queued.purpose);
+        out.push(Effect::Direct(DirectEffect::Order {
+            order,
+            id: queued.endpoint,
+            addr,
+            body: queued.body,
+        }));
+    }
+}
+
+/// Requests an event for the orders that were queued in this step, if there is room for them.
+pub(in crate::logic::direct) fn request_sending(state: &DirectState, out: &mut Vec<Effect>) {
+    let plan = &state.plan;
+    if !plan.order_queue.is_empty() && plan.orders.len() < MAX_UNANSWERED {
+        out.push(Effect::Direct(DirectEffect::SendOrders));
+    }
+}
+
+/// Orders that wait to be sent or await their results.
+pub(super) fn count_pending(state: &DirectState) -> usize {
+    state.plan.orders.len() + state.plan.order_queue.len()
 }
 
 /// Whether the result of an order to leave shows that the endpoint has no seat in the group
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -3,8 +3,8 @@
 
 use super::survey::Place;
 use super::{
-    EndingGroup, FormingGroup, IdleEndpoint, LoadBudget, OrderUse, PlannerLease, ProbeState,
-    StagedLoad,
+    EndingGroup, FormingGroup, IdleEndpoint, LoadBudget, OrderQueue, OrderUse, PlannerLease,
+    ProbeState, StagedLoad,
 };
 use crate::observe::LabelledCount;
 use crate::types::{GroupSeat, InstanceId, Millis};
@@ -42,6 +42,8 @@
     /// Seats, with their model, in groups that this planner has opened, while the list doesn't
     /// show them yet.
     pub opened_seats: BTreeMap<InstanceId, (GroupSeat, Arc<str>)>,
+    /// Orders that wait to be sent.
+    pub order_queue: OrderQueue,
     /// Purposes of the orders that await a result, by order number.
     pub orders: BTreeMap<u64, OrderUse>,
     /// Number of orders by purpose and result, since this process started.
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -82,6 +82,7 @@
     plan.incomplete.clear();
     plan.staging.clear();
     plan.orders.clear();
+    plan.order_queue.clear();
     plan.opened_seats.clear();
     plan.lost.clear();
     plan.probes.clear();
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -88,19 +88,14 @@
             ending.head.as_ref().map_or("unknown", |id| id.as_str()),
         );
     out.push(Effect::Log(event));
-    send_orders(state, group, &ending, out);
+    send_orders(state, group, &ending);
     if advance(state, now, group, &mut ending, out) {
         state.plan.ending.insert(group.clone(), ending);
     }
 }
 
 /// Sends the orders of the current step.
-fn send_orders(
-    state: &mut DirectState,
-    group: &Arc<str>,
-    ending: &EndingGroup,
-    out: &mut Vec<Effect>,
-) {
+fn send_orders(state: &mut DirectState, group: &Arc<str>, ending: &EndingGroup) {
     let epoch = ending.epoch;
     let leave = |group: &Arc<str>| GroupStep::Leave {
         group: group.clone(),
@@ -112,16 +107,16 @@
                 group: group.clone(),
                 epoch,
             };
-            order::send(state, head, step, OrderUse::Close(group.clone()), out);
+            order::send(state, head, step, OrderUse::Close(group.clone()));
         }
         (EndingStep::Leaving, Some(head)) => {
             let purpose = OrderUse::Leave(group.clone());
-            order::send(state, head, leave(group), purpose, out);
+            order::send(state, head, leave(group), purpose);
         }
         (EndingStep::Breaking, _) => {
             for id in &ending.others {
                 let purpose = OrderUse::Break(group.clone(), id.clone());
-                order::send(state, id, leave(group), purpose, out);
+                order::send(state, id, leave(group), purpose);
             }
         }
         _ => {}
@@ -219,10 +214,10 @@
         ending.step = next;
         ending.step_since = now;
         ending.ordered_at = now;
-        send_orders(state, group, ending, out);
+        send_orders(state, group, ending);
     } else if now >= ending.ordered_at + state.params.reorder_ms {
         ending.ordered_at = now;
-        send_orders(state, group, ending, out);
+        send_orders(state, group, ending);
     }
     true
 }
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -22,9 +22,9 @@
 /// full speed together.
 const INITIAL_LOADS_FACTOR: usize = 3;
 
-/// Unanswered orders from which on spares get no orders to load; a quarter of it holds for
+/// Orders that wait or are unanswered, from which on spares get no orders to load; a quarter of it holds for
 /// second models. Forming groups has priority, and each order costs this router time.
-const MAX_UNANSWERED_ORDERS: usize = 256;
+const MAX_PENDING_ORDERS: usize = 256;
 
 /// Least value of loading a second model, as a part of the service's worth: below it a
 /// load isn't worth its cost.
@@ -34,11 +34,12 @@
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     forget_finished(state, now);
     refill_budget(state, now);
-    if state.plan.orders.len() < MAX_UNANSWERED_ORDERS && state.params.is_enabled(Mechanism::Spares)
+    if order::count_pending(state) < MAX_PENDING_ORDERS
+        && state.params.is_enabled(Mechanism::Spares)
     {
         stage_spares(state, now, out);
     }
-    if state.plan.orders.len() < MAX_UNANSWERED_ORDERS / 4
+    if order::count_pending(state) < MAX_PENDING_ORDERS / 4
         && state.params.is_enabled(Mechanism::SecondModels)
     {
         stage_second_models(state, now, out);
@@ -258,5 +259,5 @@
     if is_cold {
         state.plan.budget.take();
     }
-    order::send(state, id, step, OrderUse::Stage(id.clone()), out);
+    order::send(state, id, step, OrderUse::Stage(id.clone()));
 }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,6 +1,6 @@
 use super::{
-    accept, answer, cold, crashes, demand, digests, endpoints, evacuation, finish, peers, plan,
-    process_pause, queue, rate_limit, silence, store_restore, DirectEffect, DirectEvent,
+    accept, answer, cold, crashes, demand, digests, endpoints, evacuation, finish, list_log, peers,
+    plan, process_pause, queue, rate_limit, silence, store_restore, DirectEffect, DirectEvent,
     DirectState, ShutdownStage,
 };
 use crate::logic::{Effect, Event, LogCode, LogEvent};
@@ -15,6 +15,7 @@
         state.previous_tick = now;
     }
     process_pause::detect(state, now, out);
+    plan::send_queued_orders(state, now, out);
     match event {
         Event::Stop => on_stop(state, now),
         Event::Store { call, result } if state.registration.call == Some(call) => {
@@ -36,6 +37,8 @@
     }
     queue::admit_held(state, now, out);
     queue::send_waiting(state, now, out);
+    list_log::write(state, out);
+    plan::request_order_sending(state, out);
     notify_readiness(state, out);
     digests::on_tick(state, now, out);
 }
@@ -99,6 +102,8 @@
         DirectEvent::PeerMessage { from, message } => {
             peers::on_message(state, now, from, message, out)
         }
+        // Each event sends what is queued.
+        DirectEvent::SendOrders => {}
         DirectEvent::OrderResult { order, result } => {
             plan::on_order_result(state, now, order, result, out)
         }
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -152,6 +152,7 @@
     GroupTraded = 636 Info "group ended in favour of others that add more";
     EndpointIdle = 637 Info "endpoint serves in no group";
     NeedsEstimated = 638 Info "groups that models need by estimate";
+    OrdersDropped = 639 Warn "orders dropped: the planner lease ended before they were sent";
     RequestSent = 640 Info "request sent to an endpoint";
     RequestResent = 641 Info "request sent again";
     RequestCompleted = 642 Info "request answered in full";
@@ -165,4 +166,7 @@
     EndpointLimited = 650 Warn "endpoint reports a request rate limit";
     EndpointUnlimited = 651 Info "endpoint reports no request rate limit any more";
     EndpointCold = 652 Info "endpoint is cold and gets requests at a limited rate";
+    EndpointsListed = 653 Info "many endpoints listed";
+    EndpointsUnlisted = 654 Info "many endpoints no longer listed";
+    EndpointsIdle = 655 Info "many endpoints serve in no group";
 }
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -28,6 +28,8 @@
     pub effects: Vec<Effect>,
     /// Entries that a read of runrail's keys in the key-value service returns.
     pub store_entries: Vec<StoreEntry>,
+    /// Time that the handling of each event takes, in milliseconds.
+    pub step_ms: u64,
     /// Whether a requested check of the routing is answered at once.
     pub checks: bool,
 }
@@ -66,6 +68,7 @@
             now: 1_000,
             effects: Vec::new(),
             store_entries: Vec::new(),
+            step_ms: 0,
             checks: true,
         }
     }
@@ -117,6 +120,7 @@
     /// Feeds an event; calls of the key-value service are answered at once.
     pub fn feed(&mut self, event: Event) {
         let effects = step(&mut self.node, self.now, event);
+        self.now += self.step_ms;
         for effect in effects {
             if let Effect::Store { call, op } = &effect {
                 let reply = match op {
@@ -151,7 +155,11 @@
                     read_number: *read_number,
                 }));
             }
-            self.effects.push(effect);
+            if effect == Effect::Direct(DirectEffect::SendOrders) {
+                self.feed(Event::Direct(DirectEvent::SendOrders));
+            } else {
+                self.effects.push(effect);
+            }
         }
     }
 
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod names;
 mod needs;
+mod order_queue;
 mod pauses;
 mod placing;
 mod planner_lease;
