Planner: one that takes over probes no endpoint without a reason

Ruled out: waiting for the list before the verdict alone: heartbeats seen then say nothing of the last second, and 730 probes are paid for at each takeover.

Change: a new planner probes nobody by itself. At most 64 probes await answers.

--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -39,6 +39,8 @@
     pub needs_due: Millis,
     /// Probes of endpoints.
     pub probes: BTreeMap<InstanceId, ProbeState>,
+    /// Number of probes that await their answers.
+    pub probes_pending: usize,
     /// Seats, with their model, in groups that this planner has opened, while the list doesn't
     /// show them yet.
     pub opened_seats: BTreeMap<InstanceId, (GroupSeat, Arc<str>)>,
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -28,7 +28,6 @@
         if holds {
             state.plan.reread_at = now;
             state.plan.budget = LoadBudget::empty(now);
-            probe::send_to_seated(state, now, out);
         }
         if !holds {
             let event = LogEvent::new(LogCode::PlannerLeaseLost).with("why", "not renewed in time");
@@ -86,6 +85,7 @@
     plan.opened_seats.clear();
     plan.lost.clear();
     plan.probes.clear();
+    plan.probes_pending = 0;
     plan.idle.clear();
 }
 
--- a/src/logic/direct/plan/probe.rs
+++ b/src/logic/direct/plan/probe.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{form, readiness, survey};
+use super::{form, readiness};
 use crate::logic::direct::{endpoints, peers, DirectEffect, DirectState, Observation, ProbeResult};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
@@ -10,6 +10,11 @@
 /// Consecutive probes without an answer after which an endpoint counts as lost.
 const MAX_MISSES: u32 = 2;
 
+/// Probes that may await their answers at a time; others are sent when they are next due. With all
+/// endpoints of a large fleet at once, the planner's own delay makes answers late, which then
+/// count as misses.
+const MAX_PENDING: usize = 64;
+
 /// Shortest time between two probes of an endpoint that answered the first.
 const PROBE_INTERVAL_MS: Millis = 400;
 
@@ -90,19 +95,6 @@
     found.map(|(id, _)| id.clone()).collect()
 }
 
-/// Probes every endpoint with a seat in a group: a new planner doesn't know yet which of
-/// them are lost.
-pub(super) fn send_to_seated(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    let with_seat = state
-        .endpoints
-        .iter()
-        .filter(|(_, v)| v.entry.seat.is_some() && survey::is_planned(state, v));
-    let with_seat: Vec<_> = with_seat.map(|(id, _)| id.clone()).collect();
-    for id in with_seat {
-        send_if_due(state, now, &id, out);
-    }
-}
-
 /// Probes an endpoint, unless a probe is pending or the last one was sent just now.
 pub(super) fn send_if_due(
     state: &mut DirectState,
@@ -121,6 +113,10 @@
     let Some(addr) = state.endpoints.get(id).map(|v| v.entry.addr) else {
         return;
     };
+    if state.plan.probes_pending >= MAX_PENDING {
+        return;
+    }
+    state.plan.probes_pending += 1;
     let probe = state.plan.probes.entry(id.clone()).or_default();
     probe.pending = true;
     probe.sent_at = now;
@@ -145,7 +141,9 @@
     endpoints::on_probe_result(state, now, id, &result, out);
     let observation = endpoints::observation(state, now, id, &result, since);
     let probe = state.plan.probes.entry(id.clone()).or_default();
-    probe.pending = false;
+    if std::mem::take(&mut probe.pending) {
+        state.plan.probes_pending = state.plan.probes_pending.saturating_sub(1);
+    }
     probe.own = Some(observation);
     match result {
         ProbeResult::Alive { seat, .. } => {
@@ -280,6 +278,8 @@
     let endpoints = &state.endpoints;
     state.plan.lost.retain(|id, _| endpoints.contains_key(id));
     state.plan.probes.retain(|id, _| endpoints.contains_key(id));
+    let pending = state.plan.probes.values().filter(|p| p.pending);
+    state.plan.probes_pending = pending.count();
     let has_heartbeat = |id: &InstanceId, since: Millis| {
         let view = endpoints.get(id);
         view.is_some_and(|v| v.listed && v.heartbeat_at > since)
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -141,7 +141,9 @@
     let plan = &mut state.plan;
     plan.opened_seats.remove(id);
     plan.staging.remove(id);
-    plan.probes.remove(id);
+    if plan.probes.remove(id).is_some_and(|p| p.pending) {
+        plan.probes_pending = plan.probes_pending.saturating_sub(1);
+    }
     let was_lost = plan.lost.remove(id).is_some();
     if !plan.lease.holds(now) {
         return;
