Routers that start get the endpoint list from each other

Cause: each router reads the whole list at its start, 16 pages of 50 for 752 endpoints.

Age, era and format are checked.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -6,10 +6,10 @@
 
 use super::answer_body::{AnswerBody, DisconnectGuard, StreamPart};
 use super::link_event::LinkEvent;
-use super::shared::{Caller, Shared};
-use super::{endpoint_calls, peers, runs, store};
+use super::shared::{Caller, ListSource, Shared};
+use super::{endpoint_calls, peers, runs, snapshots, store};
 use crate::host::{Clock, SuspensionDetector};
-use crate::logic::direct::{DirectEffect, DirectEvent, Problem};
+use crate::logic::direct::{snapshot, DirectEffect, DirectEvent, Problem};
 use crate::logic::{step, Effect, Event, LogCode, LogEvent, Node};
 use crate::observe::{exposition, EventLog, LabelledCount, Metrics};
 use crate::types::Millis;
@@ -69,6 +69,15 @@
                 self.shared.callers.borrow_mut().insert(call.id, caller);
                 Event::Direct(DirectEvent::Request(call))
             }
+            LinkEvent::Snapshot(reply) => {
+                let snapshot = match &self.node {
+                    Node::Direct(state) => snapshot(state, self.clock.now()),
+                    _ => None,
+                };
+                // The other router may have disconnected.
+                let _ = reply.send(snapshot);
+                return;
+            }
             LinkEvent::Metrics(reply) => {
                 // The scraper may have disconnected.
                 let _ = reply.send(self.metrics_text());
@@ -195,7 +204,9 @@
                 self.shared.routing_reads.set(read_number);
                 self.restart_watches();
             }
-            DirectEffect::ReadList => self.shared.list_reread.notify_one(),
+            DirectEffect::ReadList => self.shared.start_list(ListSource::Store),
+            DirectEffect::FollowList { at } => self.shared.start_list(ListSource::Snapshot(at)),
+            DirectEffect::FetchList { from } => snapshots::fetch_list(&self.shared, from),
             DirectEffect::SetReadPace { list, hold, upto } => {
                 self.shared.known_upto.set(upto);
                 self.shared.list_pace.set(list);
--- a/src/link/endpoint_calls.rs
+++ b/src/link/endpoint_calls.rs
@@ -127,10 +127,21 @@
     request: Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, CallFault> {
-    let (response, connection) = shared
-        .pool
-        .send(addr, request, false, ORDER_TIMEOUT)
-        .await?;
+    fetch_within(shared, addr, request, max_bytes, ORDER_TIMEOUT).await
+}
+
+/// The same, with a bound on the time for opening the connection.
+///
+/// # Errors
+/// As for [`fetch`].
+pub(super) async fn fetch_within(
+    shared: &Shared,
+    addr: SocketAddr,
+    request: Request<Full<Bytes>>,
+    max_bytes: usize,
+    connect_time: Duration,
+) -> Result<Response<Bytes>, CallFault> {
+    let (response, connection) = shared.pool.send(addr, request, false, connect_time).await?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, max_bytes).collect().await;
     let body = body.map_err(|_| CallFault::Broken)?.to_bytes();
--- a/src/link/link_event.rs
+++ b/src/link/link_event.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 
 use super::answer_body::AnswerBody;
-use crate::logic::direct::DirectRequest;
+use crate::logic::direct::{DirectRequest, ListSnapshot};
 use crate::logic::Event;
 
 /// An event that a task of the process sends to its actor.
@@ -21,6 +21,8 @@
         /// Receives the answer.
         reply: oneshot::Sender<Response<AnswerBody>>,
     },
+    /// Another router asks for a snapshot of the endpoint list.
+    Snapshot(oneshot::Sender<Option<ListSnapshot>>),
     /// A scrape of the metrics of this process.
     Metrics(oneshot::Sender<String>),
 }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -23,6 +23,7 @@
 mod run_direct;
 mod runs;
 mod shared;
+mod snapshots;
 mod store;
 mod store_gate;
 mod store_page;
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -18,7 +18,7 @@
 use super::store::PrefixEntries;
 use super::store_gate::StoreGate;
 use super::watches::{self, WatchPace};
-use super::{callers, operator_watch, peers, ready, PlatformAdapter};
+use super::{callers, operator_watch, peers, ready, snapshots, PlatformAdapter};
 use crate::host::Clock;
 use crate::logic::direct::{DirectEvent, DirectState, ListPace};
 use crate::logic::router::StoreChange;
@@ -70,7 +70,8 @@
         stopping: Cell::new(false),
         closed: Cell::new(false),
         close_listener: Notify::new(),
-        list_reread: Notify::new(),
+        list_source: Cell::new(None),
+        list_restart: Notify::new(),
         list_pace: Cell::new(ListPace::Slow),
         era: Cell::new(None),
         era_changed: Notify::new(),
@@ -91,6 +92,8 @@
         let socket = Rc::new(UdpSocket::bind(listen).await?);
         *shared.peers.borrow_mut() = Some(socket.clone());
         tokio::task::spawn_local(peers::receive(shared.clone(), socket));
+        let listener = TcpListener::bind(listen).await?;
+        tokio::task::spawn_local(snapshots::serve(shared.clone(), listener));
     }
     tokio::task::spawn_local(ready::serve(shared.clone(), readiness));
     if let Some(listen) = settings.metrics {
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -62,8 +62,10 @@
     pub closed: Cell<bool>,
     /// Notified when the listener for callers and its idle connections are to close.
     pub close_listener: Notify,
-    /// Notified when the endpoint list is to be read in full.
-    pub list_reread: Notify,
+    /// Where the endpoint list is to be had from next, until its watch has taken that up.
+    pub list_source: Cell<Option<ListSource>>,
+    /// Notified when that is set.
+    pub list_restart: Notify,
     /// How often changes of the endpoint list are read.
     pub list_pace: Cell<ListPace>,
     /// How often the store was restored from a backup; none before its first answer.
@@ -89,6 +91,15 @@
     pub sink: RefCell<Option<Sink>>,
 }
 
+/// Where the endpoint list comes from.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum ListSource {
+    /// The store: it is read in full, then followed.
+    Store,
+    /// A snapshot of another router: the store is followed from its position.
+    Snapshot(StorePosition),
+}
+
 /// A caller that waits for an answer.
 pub(super) struct Caller {
     /// The request as it was received.
@@ -118,6 +129,12 @@
         Duration::from_millis(ms.unwrap_or(0))
     }
 
+    /// Makes the watch of the endpoint list begin, or begin again, with a source.
+    pub fn start_list(&self, source: ListSource) {
+        self.list_source.set(Some(source));
+        self.list_restart.notify_one();
+    }
+
     /// Sets the era: the store was restored from a backup, or has answered for the first time.
     pub fn enter_era(&self, era: u64) {
         self.era.set(Some(era));
--- /dev/null
+++ b/src/link/snapshots.rs
@@ -0,0 +1,102 @@
+//! Snapshots of the endpoint list, which routers send each other over HTTP in CBOR.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::endpoint_calls::{fetch_within, log_invalid};
+use super::link_event::LinkEvent;
+use super::shared::Shared;
+use crate::logic::direct::{DirectEvent, ListSnapshot};
+
+/// Path of the snapshot.
+const PATH: &str = "/list";
+
+/// Longest snapshot that is read: 80,000 endpoints.
+const MAX_SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Longest time for opening the connection: another router may have lost power.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Longest time for a snapshot: eight of 10,000 endpoints over the slowest link of a router.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Serves other routers until the process ends.
+pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+                answer(shared.clone(), request.uri().path() == PATH)
+            });
+            // An error of the connection is ignored: the other router asks again.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(shared: Rc<Shared>, is_known: bool) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (status, bytes) = if is_known {
+        match snapshot_bytes(&shared).await {
+            Some(bytes) => (StatusCode::OK, bytes),
+            None => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+        }
+    } else {
+        (StatusCode::NOT_FOUND, Vec::new())
+    };
+    let mut response = Response::new(Full::new(Bytes::from(bytes)));
+    *response.status_mut() = status;
+    Ok(response)
+}
+
+async fn snapshot_bytes(shared: &Shared) -> Option<Vec<u8>> {
+    let (reply, snapshot) = oneshot::channel();
+    shared.send(LinkEvent::Snapshot(reply));
+    let snapshot = snapshot.await.ok()??;
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&snapshot, &mut bytes).ok()?;
+    Some(bytes)
+}
+
+/// Asks another router for a snapshot; the answer goes to the reducer.
+pub(super) fn fetch_list(shared: &Rc<Shared>, from: SocketAddr) {
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        let snapshot = fetch_snapshot(&shared, from).await.map(Box::new);
+        shared.send_direct(DirectEvent::ListFetched { from, snapshot });
+    });
+}
+
+async fn fetch_snapshot(shared: &Shared, from: SocketAddr) -> Option<ListSnapshot> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = PATH.parse().ok()?;
+    let host = from.to_string().parse().ok()?;
+    request.headers_mut().insert(http::header::HOST, host);
+    let call = fetch_within(shared, from, request, MAX_SNAPSHOT_BYTES, CONNECT_TIMEOUT);
+    let answer = timeout(FETCH_TIMEOUT, call).await.ok()?.ok()?;
+    if answer.status() != StatusCode::OK {
+        return None;
+    }
+    let snapshot = ciborium::from_reader(&answer.body()[..]);
+    if let Err(why) = &snapshot {
+        log_invalid("a snapshot", &from.to_string(), &why.to_string());
+    }
+    snapshot.ok()
+}
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -7,7 +7,7 @@
 
 use super::backlog::has_backlog;
 use super::endpoint_calls::log_invalid;
-use super::shared::Shared;
+use super::shared::{ListSource, Shared};
 use super::store::{read_all, send_call, PrefixEntries};
 use super::store_use::StoreUse;
 use super::WatchResult;
@@ -67,20 +67,35 @@
     mut on_entries: impl FnMut(PrefixEntries),
     mut on_changes: impl FnMut(StorePosition, Vec<StoreChange>),
 ) {
+    let is_list = matches!(pace.target, WatchTarget::List(_));
+    if is_list {
+        // The reducer decides where a starting router gets the list from.
+        shared.list_restart.notified().await;
+    }
     loop {
         let read_number = shared.routing_reads.get();
-        let Some(read) = read_all(&shared, prefix).await else {
-            continue;
+        let source = if is_list {
+            shared.list_source.take()
+        } else {
+            None
+        };
+        let at = if let Some(ListSource::Snapshot(at)) = source {
+            at
+        } else {
+            let Some(read) = read_all(&shared, prefix).await else {
+                continue;
+            };
+            let at = read.position;
+            on_entries(read);
+            at
         };
-        let at = read.position;
-        on_entries(read);
         send_routing_checked(&shared, pace, read_number);
         let watching = follow_changes(&shared, prefix, pace, at, &mut on_changes);
-        if matches!(pace.target, WatchTarget::List(_)) {
+        if is_list {
             // The reducer may request that the list is read in full again.
             tokio::select! {
                 () = watching => {}
-                () = shared.list_reread.notified() => {}
+                () = shared.list_restart.notified() => {}
             }
         } else {
             watching.await;
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -76,8 +76,18 @@
         /// Number of the reading, echoed with its end.
         read_number: u64,
     },
-    /// Read the complete endpoint list, as its changes lag behind.
+    /// Read the complete endpoint list: at the start, or as its changes lag behind.
     ReadList,
+    /// Ask another router for a snapshot of the endpoint list.
+    FetchList {
+        /// Where that router listens.
+        from: SocketAddr,
+    },
+    /// Read changes of the endpoint list after a position, without a complete reading before.
+    FollowList {
+        /// The position.
+        at: StorePosition,
+    },
     /// If the store is unreachable, try it again now: it has answered another router.
     RetryStore,
     /// Change how the store is read from now on.
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -1,7 +1,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{DirectRequest, HallChange, OrderResult, PeerMessage, ProbeResult, RunPart};
+use super::{
+    DirectRequest, HallChange, ListSnapshot, OrderResult, PeerMessage, ProbeResult, RunPart,
+};
 use crate::types::{EndpointEntry, InstanceId, Millis, RequestRate, Routing, StorePosition};
 
 /// An event for a router with direct links, beside ticks and replies of the store.
@@ -44,6 +46,13 @@
         /// Every entry.
         entries: Vec<(InstanceId, EndpointEntry)>,
     },
+    /// Another router has answered a request for a snapshot of the list.
+    ListFetched {
+        /// That router.
+        from: SocketAddr,
+        /// The snapshot; none if it has none or can't be reached.
+        snapshot: Option<Box<ListSnapshot>>,
+    },
     /// Changes of the list up to a position; there may be none.
     ListChanges {
         /// Position of the store up to which the changes reach.
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -6,8 +6,8 @@
 use super::plan::{IdleReason, PlanState};
 use super::{
     Demand, DigestState, DirectParams, DirectRequest, EndpointView, EvacuatedHalls,
-    InFlightRequest, ListLog, ObservationRequest, QueueKey, RecentPeak, Registration, RetryWindow,
-    RoutingRecheck, ShutdownStage, WaitQueue,
+    InFlightRequest, ListLog, ListStart, ObservationRequest, QueueKey, RecentPeak, Registration,
+    RetryWindow, RoutingRecheck, ShutdownStage, WaitQueue,
 };
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
@@ -38,7 +38,9 @@
     pub routing: Option<Arc<Routing>>,
     /// Data halls that operators evacuate.
     pub evacuation: EvacuatedHalls,
-    /// Whether a complete reading of the endpoint list has arrived.
+    /// Where the endpoint list comes from after the start.
+    pub list_start: ListStart,
+    /// Whether the endpoint list is known, by a complete reading or a snapshot.
     pub listed: bool,
     /// Whether the first complete reading has been applied: later changes are updates.
     pub list_applied: bool,
@@ -110,6 +112,7 @@
             pause: RoutingRecheck::default(),
             routing: None,
             evacuation: EvacuatedHalls::default(),
+            list_start: ListStart::default(),
             listed: false,
             list_applied: false,
             store_era: None,
--- a/src/logic/direct/holders.rs
+++ b/src/logic/direct/holders.rs
@@ -5,7 +5,7 @@
 
 use sha2::{Digest as _, Sha256};
 
-use super::{DirectState, PacedShare};
+use super::{peers, DirectState, PacedShare};
 use crate::types::{InstanceId, Millis, RequestRate};
 
 /// Longest gap between two requests of a holder, so that the end of even a very low limit
@@ -59,7 +59,9 @@
     rate: RequestRate,
     max_holders: u64,
 ) -> Option<Millis> {
-    state.retries_from?;
+    if !peers::are_known(state) {
+        return None;
+    }
     let routers = state
         .router_peak
         .highest()
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -5,6 +5,7 @@
 //! `finish`. `silence` detects silent endpoints and `crashes` detects requests that crash them.
 //! `rate_limit` and `cold` divide among the routers what an endpoint takes, and `evacuation`
 //! keeps requests from halls that operators evacuate.
+//! `list_start` gets the endpoint list after a start.
 //! `plan` forms and repairs groups while this router holds the planner lease, and `digests`
 //! broadcasts what the planner has read to all routers.
 
@@ -41,6 +42,8 @@
 mod in_flight_request;
 mod list_log;
 mod list_pace;
+mod list_snapshot;
+mod list_start;
 mod mechanism;
 mod model_demand;
 mod observation;
@@ -89,6 +92,9 @@
 pub use in_flight_request::{InFlightRequest, Run};
 pub use list_log::ListLog;
 pub use list_pace::ListPace;
+pub use list_snapshot::ListSnapshot;
+pub use list_start::snapshot;
+pub use list_start::ListStart;
 pub use mechanism::Mechanism;
 pub use model_demand::ModelDemand;
 pub use observation::Observation;
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -117,6 +117,11 @@
     state.peer_changes = changes + u64::from(state.peers != before);
 }
 
+/// Whether the other routers were read.
+pub(super) fn are_known(state: &DirectState) -> bool {
+    state.retries_from.is_some()
+}
+
 /// Records how many routers are known, this one included.
 pub(super) fn record_routers(state: &mut DirectState, now: Millis) {
     let routers = state.peers.len() as u64 + 1;
@@ -192,7 +197,7 @@
 }
 
 /// Up to `max` other routers, drawn at random.
-fn pick_peers(state: &mut DirectState, max: usize) -> Vec<SocketAddr> {
+pub(super) fn pick_peers(state: &mut DirectState, max: usize) -> Vec<SocketAddr> {
     let mut peers: Vec<SocketAddr> = state.peers.values().copied().collect();
     let mut drawn = Vec::new();
     while !peers.is_empty() && drawn.len() < max {
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,7 +1,7 @@
 use super::{
-    accept, answer, cold, crashes, demand, digests, endpoints, evacuation, finish, list_log, peers,
-    plan, process_pause, queue, rate_limit, silence, store_restore, DirectEffect, DirectEvent,
-    DirectState, ShutdownStage,
+    accept, answer, cold, crashes, demand, digests, endpoints, evacuation, finish, list_log,
+    list_start, peers, plan, process_pause, queue, rate_limit, silence, store_restore,
+    DirectEffect, DirectEvent, DirectState, ShutdownStage,
 };
 use crate::logic::{Effect, Event, LogCode, LogEvent};
 use crate::types::{Millis, Routing};
@@ -76,10 +76,14 @@
                 at
             };
             state.listed_at = state.listed_at.max(at);
+            state.list_start.decided = true;
             endpoints::on_list_read(state, now, entries, out);
             state.digests.list_incomplete = false;
             digests::on_list_read(state, now, before, at);
         }
+        DirectEvent::ListFetched { from, snapshot } => {
+            list_start::on_fetched(state, now, from, snapshot.map(|s| *s), out)
+        }
         DirectEvent::ListChanges { at, changes } => {
             let before = state.listed_at;
             state.listed_at = before.max(at);
@@ -158,6 +162,7 @@
     cold::on_tick(state, now);
     evacuation::on_tick(state, now, out);
     peers::on_tick(state, now, out);
+    list_start::on_tick(state, now, out);
     crashes::on_tick(state, now, out);
     demand::on_tick(state, now, out);
     plan::on_tick(state, now, out);
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -143,6 +143,8 @@
     EndpointRestarted = 619 Info "endpoint restarted under its id";
     PlannerLeaseTaken = 620 Info "fleet planner lease taken";
     PlannerLeaseLost = 621 Warn "fleet planner lease lost";
+    ListFetched = 626 Info "endpoint list received from another router";
+    ListRefused = 627 Warn "endpoint list of another router can't be used";
     GroupForming = 630 Info "group is being formed";
     GroupOpened = 631 Info "group opened";
     GroupGivenUp = 632 Warn "group given up before it opened";
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -15,6 +15,7 @@
 mod idle;
 mod lag;
 mod limits;
+mod list_start;
 mod logs;
 mod metrics;
 mod names;
--- a/tests/direct/settings.rs
+++ b/tests/direct/settings.rs
@@ -38,6 +38,10 @@
     }
     for name in NUMBERS {
         text = text.replace(&format!("{{{{{name}}}}}"), "10");
+        // A section is there as its field is given.
+        for mark in ["#", "/"] {
+            text = text.replace(&format!("{{{{{mark}{name}}}}}"), "");
+        }
     }
     assert!(
         !text.contains("{{"),
