A new routing costs each router one call

Change: after a suspension all keys of the operators are read, in one call, and the next watch waits up to 0.6 s for the suspension.

--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -55,6 +55,9 @@
 /// all other calls wait, and requested reads of the routing.
 const SHORT_WAIT_MS: u64 = 1;
 
+/// Longest wait for the next suspension of the routing's watch.
+const MAX_HOLD_WAIT: Duration = Duration::from_millis(600);
+
 /// Time for the answer of a watch call beyond the time for which the store may hold it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 
@@ -72,6 +75,8 @@
         // The reducer decides where a starting router gets the list from.
         shared.list_restart.notified().await;
     }
+    // Whether the watch has ended because it was suspended for a while.
+    let mut was_held = false;
     loop {
         let read_number = shared.routing_reads.get();
         let source = if is_list {
@@ -90,21 +95,46 @@
             at
         };
         send_routing_checked(&shared, pace, read_number);
+        if was_held {
+            wait_for_hold(&shared).await;
+        }
         let watching = follow_changes(&shared, prefix, pace, at, &mut on_changes);
         if is_list {
             // The reducer may request that the list is read in full again.
             tokio::select! {
-                () = watching => {}
+                _ = watching => {}
                 () = shared.list_restart.notified() => {}
             }
         } else {
-            watching.await;
+            was_held = watching.await == WatchEnd::Held;
         }
     }
 }
 
+/// Why a watch has ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum WatchEnd {
+    /// The changes can't be followed any further.
+    Lost,
+    /// It was suspended while digests told of the routing. A reading of all keys shows what has
+    /// changed, also where the store no longer keeps the changes.
+    Held,
+}
+
+/// Waits until the watch of the routing is suspended again, which the planner's next digest does
+/// if it tells of the version that was just read. The bound is somewhat longer than the time between
+/// two digests.
+async fn wait_for_hold(shared: &Shared) {
+    let held = async {
+        while !shared.routing_held.get() {
+            shared.pace_changed.notified().await;
+        }
+    };
+    let _ = timeout(MAX_HOLD_WAIT, held).await;
+}
+
 /// Reports changes after a position until the store no longer keeps them or was restored from a
-/// backup. A revision of another era is no position to continue from, although the restored
+/// backup, or until the watch goes on after it was suspended. A revision of another era is no position to continue from, although the restored
 /// store may assign the same number again.
 pub(super) async fn follow_changes(
     shared: &Shared,
@@ -112,16 +142,19 @@
     pace: WatchPace,
     mut at: StorePosition,
     on_changes: &mut impl FnMut(StorePosition, Vec<StoreChange>),
-) {
+) -> WatchEnd {
     let host = shared.store.to_string();
     let mut before = 0;
     // Number of the last requested read of the routing that has been made.
     let mut completed = 0;
     loop {
-        wait_while_held(shared, pace, &mut at).await;
+        let was_held = wait_while_held(shared, pace, &mut at).await;
+        if was_held && pace.target == WatchTarget::Routing {
+            return WatchEnd::Held;
+        }
         let permit = shared.gate.acquire().await;
         if !shared.is_current_era(at.era) {
-            return;
+            return WatchEnd::Lost;
         }
         let read_number = shared.routing_reads.get();
         let wait_ms = if permit.is_trial
@@ -135,12 +168,12 @@
         let request = (shared.adapter.build_watch)(&host, prefix, at.revision, wait_ms);
         let answer = tokio::select! {
             answer = send_call(shared, pace.target.store_use(), permit, request, max_time) => answer,
-            () = shared.wait_era_end(at.era) => return,
+            () = shared.wait_era_end(at.era) => return WatchEnd::Lost,
             // The answer of this call may be old by now, so it is sent again.
             () = shared.watch_restart.notified() => continue,
         };
         if !shared.is_current_era(at.era) {
-            return;
+            return WatchEnd::Lost;
         }
         let watched = answer.map_or(WatchResult::NoAnswer, |(status, body)| {
             (shared.adapter.parse_watch)(status, &body).unwrap_or_else(|why| {
@@ -161,7 +194,10 @@
                 before = count;
             }
             // Without the pause, a store that drops changes at once would be read in a busy loop.
-            WatchResult::Compacted => return sleep(pace.min_pause).await,
+            WatchResult::Compacted => {
+                sleep(pace.min_pause).await;
+                return WatchEnd::Lost;
+            }
             // After a failed call the gate delays the next one; after an invalid answer this
             // pause does.
             WatchResult::NoAnswer => sleep(pace.min_pause).await,
@@ -176,8 +212,8 @@
     }
 }
 
-/// Waits while updates of the planner replace this watch.
-async fn wait_while_held(shared: &Shared, pace: WatchPace, at: &mut StorePosition) {
+/// Waits while updates of the planner replace this watch; returns whether they did.
+async fn wait_while_held(shared: &Shared, pace: WatchPace, at: &mut StorePosition) -> bool {
     let mut waited = false;
     loop {
         let changed = shared.pace_changed.notified();
@@ -194,7 +230,7 @@
     }
     let is_list = matches!(pace.target, WatchTarget::List(_));
     if !waited || !is_list {
-        return;
+        return waited;
     }
     // Changes up to this position came from the planner and aren't read; the reducer knows that
     // its list is incomplete then.
@@ -206,6 +242,7 @@
         // The planner's updates end for all routers at the same time: their calls are spread.
         sleep(shared.min_pause().mul_f64(fastrand::f64())).await;
     }
+    waited
 }
 
 /// How long the store may hold the next watch call, in milliseconds.
