Planner: spares load only what adds enough

Cause, by the logs of tvc with 45 routers and 3,000 endpoints: spares without a model loaded one at the published rate for ever, 6 a second, each an order and a load, while the groups sufficed (8 and 16 of 4 and 8 needed). The least value of a load held for second models only.

--- a/src/logic/direct/plan/readiness.rs
+++ b/src/logic/direct/plan/readiness.rs
@@ -25,6 +25,14 @@
 /// time: it is of use after the load, for about as long again.
 const HORIZON_FACTOR: f64 = 2.0;
 
+/// Least value of loading a model, as a part of the service's worth: below it a load isn't worth
+/// its cost.
+pub(super) const MIN_LOAD_VALUE: f64 = 0.001;
+
+/// Least value of one more group for which a domain's spares load its model. The value of the first
+/// of its members is far less than its share of that.
+const MIN_GROUP_VALUE: f64 = 0.005;
+
 /// Readiness of one domain for one model.
 #[derive(Clone, Copy, Debug, Default)]
 struct DomainReadiness {
@@ -109,6 +117,13 @@
         formation_value + repair_value
     }
 
+    /// Whether a spare of a domain that loads a model adds enough, in a group or as a replacement.
+    pub(super) fn adds(&self, domain: &Arc<str>, model: usize) -> bool {
+        let (need, n) = (&self.needs[model], self.counts[model]);
+        let group_value = need.served(n + 1) - need.served(n);
+        group_value >= MIN_GROUP_VALUE || self.load_value(domain, model, true) >= MIN_LOAD_VALUE
+    }
+
     /// Counts an endpoint of a domain that was ordered to load a model.
     pub(super) fn add_load(&mut self, domain: &Arc<str>, model: usize, is_free: bool) {
         let ready = self.entry(domain, model);
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -7,10 +7,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::readiness::{self, ServiceReadiness};
+use super::readiness::{self, ServiceReadiness, MIN_LOAD_VALUE};
 use super::survey::{self, Place};
 use super::{fill, form, order, value, OrderUse, StagedLoad};
-use crate::logic::direct::{DirectState, EndpointView, GroupStep, Mechanism};
+use crate::logic::direct::{demand, DirectState, EndpointView, GroupStep, Mechanism};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
@@ -26,10 +26,6 @@
 /// second models. Forming groups has priority, and each order costs this router time.
 const MAX_PENDING_ORDERS: usize = 256;
 
-/// Least value of loading a second model, as a part of the service's worth: below it a
-/// load isn't worth its cost.
-const MIN_LOAD_VALUE: f64 = 0.001;
-
 /// Orders endpoints to load models in advance.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     forget_finished(state, now);
@@ -74,6 +70,8 @@
                 continue;
             }
             let model = warm.or_else(|| choose_model(state, &place, &free, readiness));
+            let adds = |m: &usize| readiness.adds(&place.1, *m) || !demand::is_known(state, now);
+            let model = model.filter(|m| warm.is_some() || adds(m));
             if let Some(m) = model {
                 let name = readiness.engine.models[m].name.clone();
                 readiness.add_load(&place.1, m, true);
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -550,3 +550,56 @@
     router.advance_ms(1_000);
     assert_eq!(router.joins(), [], "the survivors wait for its members");
 }
+
+/// Pattern: a planner that takes over in a large fleet. With all endpoints probed at once their
+/// answers were late for its own delay, and groups of 32 that served were given up.
+#[test]
+fn a_planner_that_takes_over_probes_no_endpoint_without_a_reason() {
+    let mut router = Router::new(many_groups(60));
+    router.state().plan.has_traffic = true;
+    router.advance_ms(1_000);
+    assert!(router.holds_lease());
+    assert_eq!(probed(&mut router), 0);
+    assert!(router.joins().is_empty());
+}
+
+/// Late answers of so many probes would count as misses.
+#[test]
+fn a_planner_awaits_few_answers_to_probes_at_a_time() {
+    let mut router = Router::planner(many_groups(60));
+    router.take_effects();
+    for n in (0..180).step_by(3) {
+        let id = InstanceId::new(&format!("e{n}"));
+        let message = PeerMessage::Silent { id };
+        let from = addr(802);
+        router.tell(DirectEvent::PeerMessage { from, message });
+    }
+    assert_eq!(probed(&mut router), 64);
+    for n in 0..30 {
+        router.answer_probe(&format!("e{n}"), alive());
+    }
+    router.take_effects();
+    let id = InstanceId::new("e177");
+    let message = PeerMessage::Silent { id };
+    let from = addr(802);
+    router.tell(DirectEvent::PeerMessage { from, message });
+    assert_eq!(probed(&mut router), 3);
+}
+
+fn many_groups(count: u16) -> Vec<(InstanceId, EndpointEntry)> {
+    let group = |n: u16| {
+        let first = n * 3;
+        let members = open_group(&format!("g{n}"), [first, first + 1, first + 2]);
+        members.into_iter().map(move |(id, mut entry)| {
+            entry.domain = format!("d{n}").into();
+            (id, entry)
+        })
+    };
+    (0..count).flat_map(group).collect()
+}
+
+fn probed(router: &mut Router) -> usize {
+    let effects = router.take_effects();
+    let is_probe = |e: &&DirectEffect| matches!(e, DirectEffect::Probe { .. });
+    effects.iter().filter(is_probe).count()
+}
--- a/tests/direct/staging.rs
+++ b/tests/direct/staging.rs
@@ -3,7 +3,7 @@
 use runrail::logic::direct::{DirectEffect, GroupStep};
 use runrail::types::{EndpointEntry, InstanceId, SeatState};
 
-use crate::fixture::{engine, open_group, order, seat, Router};
+use crate::fixture::{engine, keep_busy, open_group, order, seat, Router};
 
 /// The entry of a spare whose host stores the small model. An endpoint that was listed with the
 /// large model before can serve both.
@@ -148,3 +148,46 @@
         "{loads:?}"
     );
 }
+
+/// Pattern: a fleet of far more endpoints than its callers need. Its spares loaded models at the
+/// highest rate for hours, each by an order and a load that nobody was served by.
+#[test]
+fn spares_load_nothing_while_the_groups_suffice() {
+    let mut entries = Vec::new();
+    for group in 0..6u16 {
+        let first = group * 3;
+        let members = open_group(&format!("g{group}"), [first, first + 1, first + 2]);
+        entries.extend(members.into_iter().map(|(id, mut entry)| {
+            entry.domain = format!("served{group}").into();
+            (id, entry)
+        }));
+    }
+    for group in 0..6u16 {
+        let members = (0..2).map(|rank| {
+            let name = format!("s{group}");
+            engine(
+                40 + group * 2 + rank,
+                seat(&name, rank.into(), SeatState::Open),
+            )
+        });
+        entries.extend(members.map(|(id, mut entry)| {
+            entry.domain = format!("served{group}").into();
+            entry.model = Some("small".into());
+            (id, entry)
+        }));
+    }
+    for n in 100..220 {
+        let (id, mut entry) = engine(n, None);
+        entry.domain = format!("empty{}", n / 6).into();
+        entry.model = None;
+        entry.staged = Vec::new();
+        entries.push((id, entry));
+    }
+    let mut router = Router::planner(entries);
+    keep_busy(&mut router, 1.0, 1.0, 10);
+    router.advance_ms(500);
+    router.take_effects();
+    router.advance_ms(3_000);
+    let held = held(&router.take_effects());
+    assert!(held.is_empty(), "{held:?}");
+}
