Planner: a model that fits no fabric domain is named

Change: E656 once, runrail_models_misfit. Groups over several domains are not tried.

Test: a_model_that_fits_no_domain_is_named_once.

--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -166,6 +166,7 @@
                 "routing_version",
                 self.routing.as_ref().map_or(0, |r| r.version),
             ),
+            ("models_misfit", self.plan.misfits.len() as u64),
             ("halls_evacuated", self.evacuation.len() as u64),
             ("endpoints_cold", cold.count() as u64),
             (
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -35,6 +35,8 @@
     pub lost: BTreeMap<InstanceId, Millis>,
     /// Free endpoints, while this router is the planner.
     pub idle: BTreeMap<InstanceId, IdleEndpoint>,
+    /// Models whose groups are larger than every fabric domain, so that none can be formed.
+    pub misfits: BTreeSet<Arc<str>>,
     /// When the needs of models are logged next.
     pub needs_due: Millis,
     /// Probes of endpoints.
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -1,12 +1,15 @@
 //! The periodic planning pass over all groups and free endpoints.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use super::{
     fill, fleet_view, form, idle, inspect, planner_lease, probe, retire, stage, survey, value,
     LoadBudget,
 };
 use crate::logic::direct::{DirectEffect, DirectState};
 use crate::logic::{Effect, LogCode, LogEvent};
-use crate::types::Millis;
+use crate::types::{EngineSpec, Millis};
 
 /// Endpoints for which the interval between two planning passes grows by 1 ms.
 const ENDPOINTS_PER_MS: Millis = 10;
@@ -105,6 +108,7 @@
         let Some(engine) = &spec.engine else {
             continue;
         };
+        log_misfits(state, service, engine, out);
         let needs = value::needs(state, now, engine);
         let counts = fleet_view::counts(state, service, engine);
         for ((model, need), count) in engine.models.iter().zip(needs).zip(counts) {
@@ -118,6 +122,35 @@
     }
 }
 
+/// Logs each model whose groups are larger than every fabric domain of its service, once, and again
+/// if that has changed meanwhile.
+fn log_misfits(
+    state: &mut DirectState,
+    service: &Arc<str>,
+    engine: &EngineSpec,
+    out: &mut Vec<Effect>,
+) {
+    let mut sizes: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+    let listed = state.endpoints.values().filter(|v| v.listed);
+    for view in listed.filter(|v| v.entry.service == *service && survey::is_planned(state, v)) {
+        *sizes.entry(&view.entry.domain).or_default() += 1;
+    }
+    let Some(largest) = sizes.into_values().max() else {
+        return;
+    };
+    for model in &engine.models {
+        if model.size <= largest {
+            state.plan.misfits.remove(&model.name);
+        } else if state.plan.misfits.insert(model.name.clone()) {
+            let event = LogEvent::new(LogCode::ModelMisfit)
+                .with("model", &model.name)
+                .with("size", model.size)
+                .with("largest_domain", largest);
+            out.push(Effect::Log(event));
+        }
+    }
+}
+
 /// Counts the listed endpoints of engines: the largest count is the basis of what models
 /// need, and the initial placement waits until the count has settled.
 fn update_engine_count(state: &mut DirectState, now: Millis) {
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -171,4 +171,5 @@
     EndpointsListed = 653 Info "many endpoints listed";
     EndpointsUnlisted = 654 Info "many endpoints no longer listed";
     EndpointsIdle = 655 Info "many endpoints serve in no group";
+    ModelMisfit = 656 Error "model fits no fabric domain: no group of it can be formed";
 }
--- a/tests/direct/needs.rs
+++ b/tests/direct/needs.rs
@@ -1,6 +1,7 @@
 //! How many groups a model needs for its demand.
 
 use runrail::logic::direct::{DirectEvent, ModelDemand, PeerMessage};
+use runrail::logic::{Effect, LogCode};
 use runrail::types::{EndpointEntry, InstanceId};
 
 use crate::fixture::{addr, engine, keep_busy, Router, MODEL};
@@ -11,7 +12,7 @@
     router.effects.clear();
     router.advance_ms(100);
     let events = router.effects.iter().filter_map(|e| match e {
-        runrail::logic::Effect::Log(event) if event.code.number() == 638 => Some(event),
+        Effect::Log(event) if event.code.number() == 638 => Some(event),
         _ => None,
     });
     let needed = events.filter_map(|n| {
@@ -89,3 +90,21 @@
     let all = needed(demand(1_000_000, 100_000, 1));
     assert!(all <= 8.0, "{all}");
 }
+
+/// A model that no domain can hold was refused all day without a word.
+#[test]
+fn a_model_that_fits_no_domain_is_named_once() {
+    let entries = (1..=2).map(|n| engine(n, None)).collect();
+    let mut router = Router::planner(entries);
+    router.advance_ms(12_000);
+    let misfits = router.effects.iter().filter_map(|e| match e {
+        Effect::Log(event) if event.code == LogCode::ModelMisfit => Some(event.to_string()),
+        _ => None,
+    });
+    let misfits: Vec<_> = misfits.collect();
+    assert_eq!(misfits.len(), 1, "{misfits:?}");
+    for part in ["model=\"big\"", "size=\"3\"", "largest_domain=\"2\""] {
+        assert!(misfits[0].contains(part), "{misfits:?}");
+    }
+    assert_eq!(router.state().plan.misfits.len(), 1);
+}
