Routers whose watch of the list has lost its place ask each other first

What is known stays in use.

Test: a_router_whose_watch_has_lost_its_place_asks_others_before_it_reads.

--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -101,9 +101,13 @@
         let watching = follow_changes(&shared, prefix, pace, at, &mut on_changes);
         if is_list {
             // The reducer may request that the list is read in full again.
-            tokio::select! {
-                _ = watching => {}
-                () = shared.list_restart.notified() => {}
+            let is_lost = tokio::select! {
+                _ = watching => true,
+                () = shared.list_restart.notified() => false,
+            };
+            if is_lost && shared.list_pace.get() != ListPace::Fast {
+                shared.send_direct(DirectEvent::ListLost);
+                shared.list_restart.notified().await;
             }
         } else {
             was_held = watching.await == WatchEnd::Held;
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -46,6 +46,8 @@
         /// Every entry.
         entries: Vec<(InstanceId, EndpointEntry)>,
     },
+    /// The changes of the list can't be followed any further.
+    ListLost,
     /// Another router has answered a request for a snapshot of the list.
     ListFetched {
         /// That router.
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -20,7 +20,7 @@
 /// Failures in a row at which the backoff reaches its maximum.
 const MAX_BACKOFF_FAILURES: u32 = 3;
 
-/// Applies a complete reading of the endpoint list; endpoints that it lacks are unlisted.
+/// Applies a complete reading of the endpoint list.
 pub(super) fn on_list_read(
     state: &mut DirectState,
     now: Millis,
@@ -28,15 +28,8 @@
     out: &mut Vec<Effect>,
 ) {
     state.listed = true;
-    let listed_ids: std::collections::BTreeSet<_> =
-        entries.iter().map(|(id, _)| id.clone()).collect();
-    let known: Vec<_> = state.endpoints.keys().cloned().collect();
-    for id in known.into_iter().filter(|id| !listed_ids.contains(id)) {
-        on_entry_change(state, now, id, None, out);
-    }
-    for (id, entry) in entries {
-        on_entry_change(state, now, id, Some(entry), out);
-    }
+    let count = entries.len();
+    apply_list(state, now, entries, out);
     state.list_applied = true;
     let heads = state
         .endpoints
@@ -45,11 +38,29 @@
     let event = LogEvent::new(LogCode::ListRead)
         .with("revision", state.listed_at.revision)
         .with("era", state.listed_at.era)
-        .with("endpoints", listed_ids.len())
+        .with("endpoints", count)
         .with("heads", heads.count());
     out.push(Effect::Log(event));
 }
 
+/// Applies all entries of the list; endpoints that it lacks are unlisted.
+pub(super) fn apply_list(
+    state: &mut DirectState,
+    now: Millis,
+    entries: Vec<(InstanceId, EndpointEntry)>,
+    out: &mut Vec<Effect>,
+) {
+    let listed_ids: std::collections::BTreeSet<_> =
+        entries.iter().map(|(id, _)| id.clone()).collect();
+    let known: Vec<_> = state.endpoints.keys().cloned().collect();
+    for id in known.into_iter().filter(|id| !listed_ids.contains(id)) {
+        on_entry_change(state, now, id, None, out);
+    }
+    for (id, entry) in entries {
+        on_entry_change(state, now, id, Some(entry), out);
+    }
+}
+
 /// Applies a change of one entry of the list; `None` means that the entry was removed.
 pub(super) fn on_entry_change(
     state: &mut DirectState,
--- a/src/logic/direct/list_start.rs
+++ b/src/logic/direct/list_start.rs
@@ -1,4 +1,5 @@
-//! Where a router that has just started gets the endpoint list from.
+//! Where a router gets the endpoint list from that has just started, or whose watch has lost its
+//! place as the store has forgotten its history.
 //!
 //! The routers stand in a tree, ordered by a hash of their ids. The few at its top read the list
 //! from the store; each other one gets a snapshot of it from its parent and goes on from its
@@ -7,7 +8,7 @@
 
 use std::net::SocketAddr;
 
-use super::{endpoints, peers, tree, DirectEffect, DirectState, ListSnapshot};
+use super::{digests, endpoints, peers, tree, DirectEffect, DirectState, ListSnapshot};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
@@ -21,6 +22,10 @@
 /// take for the list.
 const ASK_LIMIT_MS: Millis = 1_000;
 
+/// The same for a router that has callers and whose watch has lost its place: it has to know in time
+/// of endpoints that leave.
+const LOST_ASK_LIMIT_MS: Millis = 300;
+
 /// Longest random time beyond that, so that routers which got nothing don't read together.
 const READ_SPREAD_MS: Millis = 1_000;
 
@@ -36,6 +41,8 @@
 pub struct ListStart {
     /// Whether the list is being read from the store, or is known.
     pub decided: bool,
+    /// Since when it needs the list, if not since its start.
+    pub since: Option<Millis>,
     /// Whether an answer of another router is awaited.
     pub pending: bool,
     /// Number of answers without a snapshot.
@@ -51,8 +58,12 @@
     if state.list_start.decided {
         return;
     }
+    let waited = match state.list_start.since {
+        Some(since) => now.saturating_sub(since),
+        None => state.age(now),
+    };
     if !peers::are_known(state) {
-        if state.age(now) >= PEERS_WAIT_MS {
+        if waited >= PEERS_WAIT_MS {
             read(state, out);
         }
         return;
@@ -62,7 +73,11 @@
         None => state.random_below(READ_SPREAD_MS),
     };
     state.list_start.spread = Some(spread);
-    if state.age(now) >= ASK_LIMIT_MS + spread {
+    let limit = match state.list_start.since {
+        Some(_) => LOST_ASK_LIMIT_MS + spread / 4,
+        None => ASK_LIMIT_MS + spread,
+    };
+    if waited >= limit {
         return read(state, out);
     }
     if state.list_start.pending || now < state.list_start.ask_at {
@@ -77,6 +92,14 @@
     }
 }
 
+/// The watch of the list has lost its place. What is known stays in use meanwhile.
+pub(super) fn on_list_lost(state: &mut DirectState, now: Millis) {
+    state.list_start = ListStart {
+        since: Some(now),
+        ..ListStart::default()
+    };
+}
+
 /// The parent, and in turn with it any other router, as the parent may be gone; none for a router at
 /// the top of the tree.
 fn router_to_ask(state: &mut DirectState) -> Option<SocketAddr> {
@@ -118,12 +141,10 @@
                 .with("age", snapshot.age);
             out.push(Effect::Log(event));
             state.list_start.decided = true;
-            for (id, entry) in entries {
-                endpoints::on_entry_change(state, now, id, Some(entry), out);
-            }
+            endpoints::apply_list(state, now, entries, out);
             state.listed = true;
             state.listed_at = snapshot.at;
-            state.digests.known_upto = snapshot.at;
+            digests::on_list_read(state, now, snapshot.at, snapshot.at);
             state.digests.list_at = now.saturating_sub(snapshot.age);
             // It lacks changes that don't affect where requests go.
             state.digests.list_incomplete = true;
@@ -151,6 +172,12 @@
             "age: found {age} ms, expected {MAX_AGE_MS} or less"
         ));
     }
+    if snapshot.at < state.digests.known_upto {
+        let (found, known) = (snapshot.at.revision, state.digests.known_upto.revision);
+        return Err(format!(
+            "revision: found {found}, expected {known} or later"
+        ));
+    }
     if let Some(era) = state.store_era.filter(|era| *era != snapshot.at.era) {
         let found = snapshot.at.era;
         return Err(format!("era of the store: found {found}, expected {era}"));
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -81,6 +81,7 @@
             state.digests.list_incomplete = false;
             digests::on_list_read(state, now, before, at);
         }
+        DirectEvent::ListLost => list_start::on_list_lost(state, now),
         DirectEvent::ListFetched { from, snapshot } => {
             list_start::on_fetched(state, now, from, snapshot.map(|s| *s), out)
         }
--- a/tests/direct/list_start.rs
+++ b/tests/direct/list_start.rs
@@ -156,6 +156,32 @@
     assert_eq!(sources(&mut router), (Vec::new(), true));
 }
 
+/// Pattern: the store forgets its history, so that the watches of all routers lose their place.
+#[test]
+fn a_router_whose_watch_has_lost_its_place_asks_others_before_it_reads() {
+    let (mut router, from) = asking(30);
+    fetched(&mut router, from, Some(snapshot()));
+    let gone = InstanceId::new("e99");
+    let mut entry = engine(99, None).1;
+    entry.service = "gate".into();
+    router.change("e99", Some(entry));
+    router.take_effects();
+    router.tell(DirectEvent::ListLost);
+    assert!(router.state().listed, "what is known stays in use");
+    router.advance_ms(40);
+    let (asked, reads) = sources(&mut router);
+    assert!(asked.len() == 1 && !reads, "{asked:?}");
+    // Digests have told of more than the router asked knows.
+    router.state().digests.known_upto = at(FENCE + 1);
+    fetched(&mut router, asked[0], Some(snapshot()));
+    assert!(router.state().endpoints[&gone].listed);
+    let mut newer = snapshot();
+    newer.at = at(FENCE + 1);
+    router.advance_ms(60);
+    fetched(&mut router, asked[0], Some(newer));
+    assert!(!router.state().endpoints[&gone].listed);
+}
+
 /// What comes from outside is checked: the age, the era of the store, and the format.
 #[test]
 fn a_snapshot_that_is_old_or_wrong_is_refused_with_what_was_found() {
