--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -11,6 +11,7 @@
 mod direct_actor;
 mod endpoint_calls;
 mod event_splitter;
+mod http_listener;
 mod link_event;
 mod operator_key;
 mod operator_watch;
--- a/src/link/snapshots.rs
+++ b/src/link/snapshots.rs
@@ -1,21 +1,18 @@
 //! Snapshots of the endpoint list, which routers send each other over HTTP in CBOR.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::Full;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::endpoint_calls::{fetch_within, log_invalid};
+use super::http_listener;
 use super::link_event::LinkEvent;
 use super::shared::Shared;
 use crate::logic::direct::{DirectEvent, ListSnapshot};
@@ -34,36 +31,17 @@
 
 /// Serves other routers until the process ends.
 pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
-        let shared = shared.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request: Request<hyper::body::Incoming>| {
-                answer(shared.clone(), request.uri().path() == PATH)
-            });
-            // An error of the connection is ignored: the other router asks again.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    http_listener::serve(listener, move |path| answer(shared.clone(), path)).await;
 }
 
-async fn answer(shared: Rc<Shared>, is_known: bool) -> Result<Response<Full<Bytes>>, Infallible> {
-    let (status, bytes) = if is_known {
-        match snapshot_bytes(&shared).await {
-            Some(bytes) => (StatusCode::OK, bytes),
-            None => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
-        }
-    } else {
-        (StatusCode::NOT_FOUND, Vec::new())
-    };
-    let mut response = Response::new(Full::new(Bytes::from(bytes)));
-    *response.status_mut() = status;
-    Ok(response)
+async fn answer(shared: Rc<Shared>, path: String) -> (StatusCode, Bytes) {
+    if path != PATH {
+        return (StatusCode::NOT_FOUND, Bytes::new());
+    }
+    match snapshot_bytes(&shared).await {
+        Some(bytes) => (StatusCode::OK, bytes.into()),
+        None => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    }
 }
 
 async fn snapshot_bytes(shared: &Shared) -> Option<Vec<u8>> {
