--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -8,7 +8,7 @@
 use super::survey::{self, Place};
 use super::trade::{find_trade, has_pending_trade, try_trade};
 use super::value::{readiness, readiness_by_model, worth, COLD};
-use super::{form, place, stage, PlacementInput, PlacementModel};
+use super::{form, place, PlacementInput, PlacementModel};
 use crate::logic::direct::DirectState;
 use crate::logic::Effect;
 use crate::types::{EngineModel, EngineSpec, InstanceId, Millis};
@@ -99,55 +99,39 @@
     targets
 }
 
-/// Forms the groups of the initial placement, as far as loads from the weight store may begin. The
-/// members load as they join, which takes one order each.
+/// Forms the groups of the initial placement for which enough endpoints need no load from
+/// the weight store.
 fn form_initial(
     state: &mut DirectState,
     now: Millis,
     free: Vec<(Place, Vec<InstanceId>)>,
     out: &mut Vec<Effect>,
 ) {
-    let lacking = lacking_groups(state);
+    let targets = targets(state);
+    let mut counts = counts_by_place(state);
     for (place, mut free) in free {
         let Some(engine) = engine(state, &place.0) else {
             continue;
         };
         for model in &engine.models {
             let key = (place.clone(), model.name.clone());
-            for _ in 0..lacking.get(&key).copied().unwrap_or(0) {
+            let wanted = targets.get(&key).copied().unwrap_or(0);
+            let count = counts.entry(key).or_default();
+            while *count < wanted {
                 sort_by_readiness(state, &mut free, &model.name);
-                let is_cold = |id: &InstanceId| readiness(state, id, &model.name) == COLD;
-                let Some(members) = free.get(..model.size) else {
-                    break;
-                };
-                let cold = members.iter().filter(|id| is_cold(id)).count();
-                if cold > 0 && !stage::has_initial_room(state, &engine, cold) {
+                let is_ready = |id: &InstanceId| readiness(state, id, &model.name) < COLD;
+                if free.iter().take_while(|id| is_ready(id)).count() < model.size {
                     break;
                 }
+                *count += 1;
                 let members = free.drain(..model.size).collect();
-                let join_ms = if cold > 0 {
-                    model.load_ms
-                } else {
-                    model.warm_ms
-                };
-                let takes = join_ms + engine.form_ms;
+                let takes = model.warm_ms + engine.form_ms;
                 form::begin(state, now, &place, model.name.clone(), members, takes, out);
             }
         }
     }
 }
 
-/// Groups of the initial placement that each place lacks, by model.
-pub(super) fn lacking_groups(state: &DirectState) -> BTreeMap<(Place, Arc<str>), usize> {
-    let counts = counts_by_place(state);
-    let mut lacking = targets(state);
-    for (key, wanted) in &mut lacking {
-        *wanted = wanted.saturating_sub(counts.get(key).copied().unwrap_or(0));
-    }
-    lacking.retain(|_, lacks| *lacks > 0);
-    lacking
-}
-
 /// Forms the mix of groups that adds most to the service's worth, from endpoints that need
 /// no load from the weight store.
 fn form_best_mix(
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -45,11 +45,7 @@
 /// Orders spares that hold no model to hold one.
 fn stage_spares(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let mut services: BTreeMap<Arc<str>, Option<ServiceReadiness>> = BTreeMap::new();
-    let lacking = places_lacking_groups(state);
     for (place, free) in survey::hall_by_hall(state, survey::free(state)) {
-        if lacking.contains(&place) {
-            continue;
-        }
         let readiness = services
             .entry(place.0.clone())
             .or_insert_with(|| ServiceReadiness::of(state, now, &place.0));
@@ -85,35 +81,6 @@
     }
 }
 
-/// Places that lack groups of the initial placement, in the initial phase: their endpoints load as
-/// they join.
-fn places_lacking_groups(state: &DirectState) -> BTreeSet<Place> {
-    if !fill::is_initial_phase(state) {
-        return BTreeSet::new();
-    }
-    let lacking = fill::lacking_groups(state).into_keys();
-    lacking.map(|(place, _)| place).collect()
-}
-
-/// Whether so many endpoints may begin to load in the initial phase. More than the bound may if no
-/// other load is under way, as a group joins as a whole.
-pub(super) fn has_initial_room(state: &DirectState, engine: &EngineSpec, loads: usize) -> bool {
-    let under_way = initial_loads(state);
-    under_way == 0 || under_way + loads <= max_initial_loads(engine)
-}
-
-/// Loads under way, those of members of groups that are being formed included.
-fn initial_loads(state: &DirectState) -> usize {
-    let is_cold = |id: &InstanceId, model| value::readiness(state, id, model) == value::COLD;
-    let forming = state.plan.forming.values();
-    let members = forming.flat_map(|f| f.members.iter().filter(|id| is_cold(id, &f.model)));
-    state.plan.staging.len() + members.count()
-}
-
-fn max_initial_loads(engine: &EngineSpec) -> usize {
-    INITIAL_LOADS_FACTOR * engine.loads_at_once as usize
-}
-
 /// The readiest of the models that the endpoint can serve without a load from the weight
 /// store.
 fn warm_model(state: &DirectState, id: &InstanceId, engine: &EngineSpec) -> Option<usize> {
@@ -243,9 +210,8 @@
 fn can_load(state: &DirectState, engine: &EngineSpec) -> bool {
     // In the initial phase the published rate doesn't apply. The loads under way are bounded
     // all the same: those that last beyond the first request cost as much as any other.
-    let is_initial = fill::is_initial_phase(state);
-    let few = is_initial && initial_loads(state) < max_initial_loads(engine);
-    few || state.plan.budget.has_room()
+    let few = state.plan.staging.len() < INITIAL_LOADS_FACTOR * engine.loads_at_once as usize;
+    (fill::is_initial_phase(state) && few) || state.plan.budget.has_room()
 }
 
 /// Orders a spare to hold a model, by joining a group of its own. `is_cold` says whether it
--- a/tests/direct/staging.rs
+++ b/tests/direct/staging.rs
@@ -135,15 +135,10 @@
     let mut router = Router::new(entries);
     router.state().plan.first_start = true;
     router.advance_ms(1_000);
-    let effects = router.take_effects();
-    let joins = effects.iter().filter_map(|e| match order(e) {
-        Some((_, id, GroupStep::Join { .. })) => Some(id),
-        _ => None,
-    });
-    let loading: std::collections::BTreeSet<_> = joins.collect();
-    assert!(loading.len() >= 18, "{loading:?}");
+    let held = held(&router.take_effects());
+    assert!(held.len() >= 18, "{held:?}");
     let mut loads = [0; 3];
-    for id in &loading {
+    for (id, _) in &held {
         let hall = halls[id].trim_start_matches('h');
         loads[hall.parse::<usize>().expect("a number")] += 1;
     }
