--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -92,7 +92,7 @@
             model: forming.model.clone(),
             members: forming.members.clone(),
         };
-        order::send(state, id, step, OrderUse::Join(group.clone()));
+        order::enqueue(state, id, step, OrderUse::Join(group.clone()));
     }
 }
 
@@ -176,7 +176,7 @@
             group: group.clone(),
             epoch: forming.epoch,
         };
-        order::send(state, &head, step, OrderUse::Open(group.clone()));
+        order::enqueue(state, &head, step, OrderUse::Open(group.clone()));
     }
     true
 }
--- a/src/logic/direct/plan/idle.rs
+++ b/src/logic/direct/plan/idle.rs
@@ -91,7 +91,7 @@
         group: seat.group.clone(),
         epoch: seat.epoch,
     };
-    order::send(state, id, step, OrderUse::Free(id.clone()));
+    order::enqueue(state, id, step, OrderUse::Free(id.clone()));
     Some(seat.group)
 }
 
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -51,7 +51,12 @@
 const MAX_UNANSWERED: usize = 128;
 
 /// Queues an order to an endpoint, unless the same one is queued already.
-pub(super) fn send(state: &mut DirectState, id: &InstanceId, what: GroupStep, purpose: OrderUse) {
+pub(super) fn enqueue(
+    state: &mut DirectState,
+    id: &InstanceId,
+    what: GroupStep,
+    purpose: OrderUse,
+) {
     let order = QueuedOrder {
         endpoint: id.clone(),
         body: GroupOrder {
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -85,6 +85,7 @@
     plan.staging.clear();
     plan.orders.clear();
     plan.order_queue.clear();
+    plan.misfits.clear();
     plan.opened_seats.clear();
     plan.lost.clear();
     plan.probes.clear();
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -107,16 +107,16 @@
                 group: group.clone(),
                 epoch,
             };
-            order::send(state, head, step, OrderUse::Close(group.clone()));
+            order::enqueue(state, head, step, OrderUse::Close(group.clone()));
         }
         (EndingStep::Leaving, Some(head)) => {
             let purpose = OrderUse::Leave(group.clone());
-            order::send(state, head, leave(group), purpose);
+            order::enqueue(state, head, leave(group), purpose);
         }
         (EndingStep::Breaking, _) => {
             for id in &ending.others {
                 let purpose = OrderUse::Break(group.clone(), id.clone());
-                order::send(state, id, leave(group), purpose);
+                order::enqueue(state, id, leave(group), purpose);
             }
         }
         _ => {}
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -257,5 +257,5 @@
     if is_cold {
         state.plan.budget.take();
     }
-    order::send(state, id, step, OrderUse::Stage(id.clone()));
+    order::enqueue(state, id, step, OrderUse::Stage(id.clone()));
 }
