An operator's next call knows what the last one stored

A submitted bundle entered the router's copy only through the watch, so an approval that came before the watch's event was answered 404 "bundle 1 doesn't exist". An approval that another router had stored was confirmed in the same way before `roll` knew it.

Ruled out: the check of the author (reached only once the bundle is known); the read in flight at the start (a read never removes a bundle).

Change: a stored bundle enters the copy with the write's result, and an approval that exists already is taken from what the write read.

Before: two tests without a network, tests/logic/submitting.rs, fail with "bundle 1 doesn't exist", the refusal above. After: both pass.

--- a/src/logic/router/calls.rs
+++ b/src/logic/router/calls.rs
@@ -1,5 +1,7 @@
+use std::sync::Arc;
+
 use super::QueuedClaim;
-use crate::types::{DomainRecord, Millis};
+use crate::types::{Bundle, DomainRecord, Millis};
 
 /// Number of a call to the key-value service within one process.
 pub type CallId = u64;
@@ -15,8 +17,8 @@
     Submit {
         /// The operator's call.
         job: u64,
-        /// Number that the bundle gets.
-        number: u64,
+        /// The bundle.
+        bundle: Arc<Bundle>,
     },
     /// Store an approval.
     Approve {
--- a/src/logic/router/fleet.rs
+++ b/src/logic/router/fleet.rs
@@ -80,11 +80,7 @@
             revision,
         })
         .collect();
-    changes.extend(entries.into_iter().map(|e| StoreChange {
-        key: e.key,
-        value: Some(e.value),
-        revision: e.revision,
-    }));
+    changes.extend(entries.into_iter().map(StoreChange::from));
     on_changes(state, now, changes, out);
     out.push(Effect::Watch { from: revision + 1 });
 }
--- a/src/logic/router/operator.rs
+++ b/src/logic/router/operator.rs
@@ -1,8 +1,10 @@
 //! Operators' calls: submitting, approving and rolling bundles, and reading the status.
 
+use std::sync::Arc;
+
 use super::{
     fleet, roll, status, CallPurpose, KeyWrite, Keys, OperatorCall, OperatorReply, Problem,
-    RevisionCheck,
+    RevisionCheck, StoreChange,
 };
 use super::{RouterState, StoreCall, StoreReply, StoreResult};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -73,7 +75,8 @@
         body,
     };
     let op = create_key(Keys::bundle(number), &bundle);
-    state.call_store(CallPurpose::Submit { job, number }, op, out);
+    let bundle = Arc::new(bundle);
+    state.call_store(CallPurpose::Submit { job, bundle }, op, out);
 }
 
 /// A write that succeeds only if the key doesn't exist yet.
@@ -94,15 +97,23 @@
 }
 
 /// Handles the result of writing a submitted bundle.
+///
+/// A stored bundle is known from then on: the watch may report it after the operator's next call.
 pub(super) fn on_submit_result(
     state: &mut RouterState,
     job: u64,
-    number: u64,
+    bundle: Arc<Bundle>,
     result: StoreResult,
     out: &mut Vec<Effect>,
 ) {
+    let number = bundle.number;
     match result {
-        Ok(StoreReply::Transaction { done: true, .. }) => {
+        Ok(StoreReply::Transaction {
+            done: true,
+            revision,
+            ..
+        }) => {
+            state.fleet.bundles.insert(number, (bundle, revision));
             let event = LogEvent::new(LogCode::BundleSubmitted).with("bundle", number);
             out.push(Effect::Log(event));
             out.push(Effect::Reply {
@@ -149,25 +160,29 @@
 /// Handles the result of writing an approval. One that exists already counts as success.
 pub(super) fn on_approve_result(
     state: &mut RouterState,
+    now: Millis,
     job: u64,
-    number: u64,
-    by: String,
+    approval: Approval,
     result: StoreResult,
     out: &mut Vec<Effect>,
 ) {
-    let stored = match result {
-        Ok(StoreReply::Transaction { done, revision, .. }) => {
-            let approval = Approval { number, by };
-            if done {
-                state.fleet.approvals.insert(number, (approval, revision));
-            }
-            true
+    let number = approval.number;
+    match result {
+        Ok(StoreReply::Transaction {
+            done: true,
+            revision,
+            ..
+        }) => {
+            state.fleet.approvals.insert(number, (approval, revision));
+        }
+        Ok(StoreReply::Transaction { entries, .. }) => {
+            let changes = entries.into_iter().map(StoreChange::from).collect();
+            fleet::on_changes(state, now, changes, out);
+        }
+        _ => {
+            let detail = "result unknown; approving again is safe";
+            return reply_problem(job, Problem::unknown(504, detail), out);
         }
-        _ => false,
-    };
-    if !stored {
-        let detail = "result unknown; approving again is safe";
-        return reply_problem(job, Problem::unknown(504, detail), out);
     }
     let event = LogEvent::new(LogCode::BundleApproved).with("bundle", number);
     out.push(Effect::Log(event));
--- a/src/logic/router/step.rs
+++ b/src/logic/router/step.rs
@@ -4,7 +4,7 @@
 use super::{attempts, roll, CallId, CallPurpose, ListReply, RouterState, StoreReply, StoreResult};
 use crate::logic::{Effect, Event, LogCode, LogEvent, Peer, PeerRole};
 use crate::message::Message;
-use crate::types::Millis;
+use crate::types::{Approval, Millis};
 
 /// Applies one event to a router.
 pub(crate) fn step(state: &mut RouterState, now: Millis, event: Event, out: &mut Vec<Effect>) {
@@ -125,11 +125,11 @@
                 head::on_head_read(state, now, asked_at, &entries, out);
             }
         }
-        CallPurpose::Submit { job, number } => {
-            operator::on_submit_result(state, job, number, result, out)
+        CallPurpose::Submit { job, bundle } => {
+            operator::on_submit_result(state, job, bundle, result, out)
         }
         CallPurpose::Approve { job, number, by } => {
-            operator::on_approve_result(state, job, number, by, result, out);
+            operator::on_approve_result(state, now, job, Approval { number, by }, result, out);
         }
         CallPurpose::Roll => roll::on_written(state, now, result, out),
         CallPurpose::Claims(claims) => claims::on_batch_written(state, now, claims, result, out),
--- a/src/logic/router/store_change.rs
+++ b/src/logic/router/store_change.rs
@@ -1,3 +1,5 @@
+use super::StoreEntry;
+
 /// One change that a watch reports.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct StoreChange {
@@ -8,3 +10,13 @@
     /// Revision of the change.
     pub revision: i64,
 }
+
+impl From<StoreEntry> for StoreChange {
+    fn from(entry: StoreEntry) -> Self {
+        Self {
+            key: entry.key,
+            value: Some(entry.value),
+            revision: entry.revision,
+        }
+    }
+}
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -6,3 +6,4 @@
 mod pausing;
 mod planning;
 mod remembering;
+mod submitting;
