Digests: the changes of one reading go in several datagrams

Change: changes are applied in the order of their revisions and closed into batches that fit a digest, at a revision that is complete. What no digest had yet goes first, what doesn't fit waits for the next one 40 ms later and suspends no reading until then; each batch goes into three digests. Sizes are those of the encoding, not bounds by kind.

--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -20,7 +20,7 @@
 use super::watches::{self, WatchPace};
 use super::{callers, operator_watch, peers, ready, snapshots, PlatformAdapter};
 use crate::host::Clock;
-use crate::logic::direct::{DirectEvent, DirectState, ListPace};
+use crate::logic::direct::{DirectEvent, DirectState, ListChange, ListPace};
 use crate::logic::router::StoreChange;
 use crate::logic::{Event, LogCode, LogEvent, Node};
 use crate::observe::Metrics;
@@ -174,12 +174,17 @@
         let entries = list.entries.iter().filter_map(read).collect();
         shared.send_direct(DirectEvent::ListRead { at, entries });
     };
-    let on_changes = |at, changes: Vec<StoreChange>| {
+    let on_changes = |at, mut changes: Vec<StoreChange>| {
+        changes.sort_by_key(|c| c.revision);
         // An invalid entry counts as removed, as its endpoint can't be used.
         let changes = changes.iter().filter_map(|c| {
             let id = c.key.strip_prefix(shared.adapter.list_prefix)?;
             let entry = watches::as_entry(c).and_then(|entry| read(&entry));
-            Some((InstanceId::new(id), entry.map(|(_, entry)| entry)))
+            Some(ListChange {
+                id: InstanceId::new(id),
+                revision: c.revision,
+                entry: entry.map(|(_, entry)| entry),
+            })
         });
         let changes = changes.collect();
         shared.send_direct(DirectEvent::ListChanges { at, changes });
--- a/src/logic/direct/digest_part.rs
+++ b/src/logic/direct/digest_part.rs
@@ -1,6 +1,7 @@
 //! Splits endpoint updates into digests that fit a datagram each.
 
 use std::collections::VecDeque;
+use std::ops::Range;
 
 use super::{EndpointUpdate, UpdateBatch};
 use crate::types::StorePosition;
@@ -9,10 +10,12 @@
 /// datagram.
 pub(super) const MAX_UPDATE_BYTES: usize = 1_000;
 
-/// Size of the updates sent at a time, as a number of full digests. Older batches that don't
-/// fit are left out, and routers that miss them read the list.
+/// Size of the updates sent at a time, as a number of full digests.
 const FULL_PARTS: usize = 3;
 
+/// Number of digests that have an update: the later two make up for a lost datagram.
+const MAX_SENDS: u32 = 3;
+
 /// The updates of one digest.
 pub(super) struct DigestPart {
     /// Position of the list after which they begin.
@@ -52,25 +55,37 @@
     }
 }
 
-/// Splits the latest batches of updates into parts of at most `max_bytes`, with as many batches in one part as fit. A
-/// batch isn't spread over several parts: one that is larger than a part is cut, and the other
-/// routers read the list. Without batches there is one empty part at position `at`.
-pub(super) fn split_into_parts(
-    recent: &VecDeque<UpdateBatch>,
-    at: StorePosition,
-    max_bytes: usize,
-) -> Vec<DigestPart> {
+/// The batches that the next digests have: first those that none had yet, in their order, then the
+/// latest of the others. Those after the range have to wait.
+pub(super) fn next_batches(recent: &VecDeque<UpdateBatch>, max_bytes: usize) -> Range<usize> {
     let mut bytes_left = FULL_PARTS * max_bytes;
-    let fits = recent.iter().rev().take_while(|batch| {
-        let bytes = batch.bytes().min(max_bytes);
+    let mut fits = |batch: &&UpdateBatch| {
+        let bytes = batch.bytes.min(max_bytes);
         let fits = bytes <= bytes_left;
         bytes_left = bytes_left.saturating_sub(bytes);
         fits
-    });
-    let skipped = recent.len() - fits.count();
+    };
+    let unsent = recent.iter().rev().take_while(|b| b.sends == 0).count();
+    let sent = recent.len() - unsent;
+    let end = sent + recent.range(sent..).take_while(&mut fits).count();
+    let repeated = recent.range(..sent).rev();
+    let repeated = repeated.take_while(|b| b.sends < MAX_SENDS && fits(b));
+    sent - repeated.count()..end
+}
+
+/// Splits batches of updates into parts of at most `max_bytes`, with as many batches in one part as
+/// fit.
+///
+/// A batch isn't spread over several parts: one that is larger than a part is cut, and the other
+/// routers read the list. Without batches there is one empty part at position `at`.
+pub(super) fn split_into_parts<'a>(
+    batches: impl Iterator<Item = &'a UpdateBatch>,
+    at: StorePosition,
+    max_bytes: usize,
+) -> Vec<DigestPart> {
     let mut parts: Vec<DigestPart> = Vec::new();
-    for batch in recent.iter().skip(skipped) {
-        let fits = |p: &&mut DigestPart| p.bytes + batch.bytes() <= max_bytes;
+    for batch in batches {
+        let fits = |p: &&mut DigestPart| p.bytes + batch.bytes <= max_bytes;
         match parts.last_mut().filter(fits) {
             Some(part) => part.add(batch, max_bytes),
             None => {
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -5,11 +5,11 @@
 //! the store; one that misses an update, or receives nothing for a while, does. In a
 //! calm run of 34 s with 52 routers digests cut the calls to the store from 10,166 to 2,474.
 
-use super::digest_part::{split_into_parts, MAX_UPDATE_BYTES};
+use super::digest_part::{next_batches, split_into_parts, MAX_UPDATE_BYTES};
 use super::{
     demand, endpoints, evacuation, tree, DirectEffect, DirectState, EndpointUpdate, ListPace,
 };
-use super::{Digest, Mechanism, PeerMessage, UpdateBatch};
+use super::{Digest, ListChange, Mechanism, PeerMessage, UpdateBatch};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, StorePosition};
 
@@ -20,8 +20,7 @@
 /// together.
 const MIN_INTERVAL_MS: Millis = 40;
 
-/// Time for which each update is sent again: the next two digests make up for a lost
-/// datagram.
+/// Time after which an update isn't sent any more.
 const REPEAT_MS: Millis = 1_200;
 
 /// Time after the planner's reading within which other routers needn't read the same. The
@@ -52,27 +51,84 @@
 
 /// Makes a batch of the pending updates, which came with a reading of the list (or with a
 /// digest) from `before` up to `after`, and drops batches that need not be repeated.
-pub(super) fn close_batch(
+fn close_batch(state: &mut DirectState, now: Millis, before: StorePosition, after: StorePosition) {
+    let count = state.digests.pending.len();
+    add_batch(state, now, before, after, count);
+}
+
+/// Makes a batch of the first `count` pending updates.
+fn add_batch(
     state: &mut DirectState,
     now: Millis,
     before: StorePosition,
     after: StorePosition,
+    count: usize,
 ) {
     let digests = &mut state.digests;
-    let batch = UpdateBatch {
+    let updates: Vec<_> = digests.pending.drain(..count).collect();
+    digests.has_changes |= !updates.is_empty();
+    digests.recent.push_back(UpdateBatch {
         at: now,
         before,
         after,
-        updates: std::mem::take(&mut digests.pending),
-    };
-    digests.has_changes |= !batch.updates.is_empty();
-    digests.recent.push_back(batch);
+        bytes: updates.iter().map(EndpointUpdate::bytes).sum(),
+        updates,
+        sends: 0,
+    });
     let old = |b: &UpdateBatch| now > b.at + REPEAT_MS;
     while digests.recent.front().is_some_and(old) {
         digests.recent.pop_front();
     }
 }
 
+/// Applies changes of the list, up to position `at`, in the order of their revisions. The updates
+/// of many changes become several batches, each of which fits a digest: the list as it was at a
+/// revision is complete only with all changes of that revision.
+pub(super) fn on_list_changes(
+    state: &mut DirectState,
+    now: Millis,
+    at: StorePosition,
+    changes: Vec<ListChange>,
+    out: &mut Vec<Effect>,
+) {
+    let mut before = state.listed_at;
+    state.listed_at = before.max(at);
+    let max_bytes = max_update_bytes(state);
+    let mut bytes: usize = state
+        .digests
+        .pending
+        .iter()
+        .map(EndpointUpdate::bytes)
+        .sum();
+    // Number and size of the pending updates up to the last revision that is complete.
+    let mut complete = (before, 0, 0);
+    let mut revision = before.revision;
+    for change in changes {
+        let pending = state.digests.pending.len();
+        if change.revision > revision {
+            let upto = StorePosition { revision, ..at };
+            complete = (upto, pending, bytes);
+            revision = change.revision;
+        }
+        endpoints::on_entry_change(state, now, change.id, change.entry, out);
+        let added = &state.digests.pending[pending..];
+        bytes += added.iter().map(EndpointUpdate::bytes).sum::<usize>();
+        let (upto, count, size) = complete;
+        if bytes > max_bytes && count > 0 && upto > before {
+            add_batch(state, now, before, upto, count);
+            before = upto;
+            bytes -= size;
+            complete = (upto, 0, 0);
+        }
+    }
+    on_list_read(state, now, before, at);
+}
+
+/// Most bytes of updates in one digest, beside the names of evacuated halls.
+fn max_update_bytes(state: &DirectState) -> usize {
+    MAX_UPDATE_BYTES.saturating_sub(state.evacuation.encoded_bytes())
+}
+
 /// The list was read from the store, up to position `at`. Where digests have already brought this
 /// router further, the answer may have undone changes that they brought, so that reading goes on
 /// from `at`.
@@ -106,11 +162,21 @@
 
 fn send_digests(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     state.digests.sent_at = now;
-    state.digests.has_changes = false;
     let (told, demand) = demand::known_demand(state, now);
-    let halls_bytes = state.evacuation.encoded_bytes();
-    let max_bytes = MAX_UPDATE_BYTES.saturating_sub(halls_bytes);
-    for part in split_into_parts(&state.digests.recent, state.listed_at, max_bytes) {
+    let max_bytes = max_update_bytes(state);
+    let digests = &mut state.digests;
+    let range = next_batches(&digests.recent, max_bytes);
+    let batches = digests.recent.range(range.clone());
+    let parts = split_into_parts(batches, state.listed_at, max_bytes);
+    digests.has_changes = range.end < digests.recent.len();
+    digests.recent.range_mut(range).for_each(|b| b.sends += 1);
+    // What has to wait may be as old as the reading before the last one.
+    let list_age = if digests.has_changes {
+        VALID_MS
+    } else {
+        now.saturating_sub(digests.list_at)
+    };
+    for part in parts {
         state.digests.number += 1;
         let digests = &state.digests;
         let digest = Digest {
@@ -121,7 +187,7 @@
             from: part.from,
             upto: part.upto,
             whole: part.whole,
-            list_age: now.saturating_sub(digests.list_at),
+            list_age,
             routing: routing_version(state),
             routing_age: now.saturating_sub(digests.routing_at),
             halls: state.evacuation.halls.keys().cloned().collect(),
@@ -208,7 +274,8 @@
     if whole {
         close_batch(state, now, known, known.max(digest.upto));
         state.digests.known_upto = known.max(digest.upto);
-        state.digests.list_until = (now + VALID_MS).saturating_sub(digest.list_age);
+        let until = (now + VALID_MS).saturating_sub(digest.list_age);
+        state.digests.list_until = state.digests.list_until.max(until);
     }
     state.digests.routing_until = if routing_version(state) >= digest.routing {
         (now + VALID_MS).saturating_sub(digest.routing_age)
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -2,7 +2,8 @@
 use std::sync::Arc;
 
 use super::{
-    DirectRequest, HallChange, ListSnapshot, OrderResult, PeerMessage, ProbeResult, RunPart,
+    DirectRequest, HallChange, ListChange, ListSnapshot, OrderResult, PeerMessage, ProbeResult,
+    RunPart,
 };
 use crate::types::{EndpointEntry, InstanceId, Millis, RequestRate, Routing, StorePosition};
 
@@ -59,8 +60,8 @@
     ListChanges {
         /// Position of the store up to which the changes reach.
         at: StorePosition,
-        /// The changes in order; `None` for a removed entry.
-        changes: Vec<(InstanceId, Option<EndpointEntry>)>,
+        /// The changes, in the order of their revisions.
+        changes: Vec<ListChange>,
     },
     /// A caller has sent a request.
     Request(Box<DirectRequest>),
--- a/src/logic/direct/endpoint_update.rs
+++ b/src/logic/direct/endpoint_update.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::digest_part::MAX_UPDATE_BYTES;
+use super::encoded_size::encoded_size;
 use crate::types::{EndpointEntry, GroupSeat, InstanceId};
 
 /// An endpoint update: a change of the endpoint list that affects where requests may go.
@@ -32,14 +34,8 @@
     Gone(InstanceId),
 }
 
-/// Upper bound for the encoded size of a new entry; a test checks it with long names.
-const ENTRY_BYTES: usize = 336;
-
-/// Upper bound for the encoded size of a change of an entry.
-const CHANGE_BYTES: usize = 226;
-
-/// Upper bound for the encoded size of the id of an endpoint that is gone.
-const GONE_BYTES: usize = 64;
+/// Upper bound for the encoded size of the position that precedes an update in a digest.
+const POSITION_BYTES: usize = 33;
 
 impl EndpointUpdate {
     /// The update that other routers need when the entry of a listed endpoint changes; none
@@ -78,12 +74,9 @@
         }
     }
 
-    /// Upper bound for its encoded size, in bytes.
+    /// Upper bound for its encoded size in a digest, in bytes. One that can't be encoded is too
+    /// large for any digest.
     pub(super) fn bytes(&self) -> usize {
-        match self {
-            EndpointUpdate::Listed(..) => ENTRY_BYTES,
-            EndpointUpdate::Changed { .. } => CHANGE_BYTES,
-            EndpointUpdate::Gone(_) => GONE_BYTES,
-        }
+        encoded_size(self).unwrap_or(MAX_UPDATE_BYTES) + POSITION_BYTES
     }
 }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -86,12 +86,7 @@
             list_start::on_fetched(state, now, from, snapshot.map(|s| *s), out)
         }
         DirectEvent::ListChanges { at, changes } => {
-            let before = state.listed_at;
-            state.listed_at = before.max(at);
-            for (id, entry) in changes {
-                endpoints::on_entry_change(state, now, id, entry, out);
-            }
-            digests::on_list_read(state, now, before, at);
+            digests::on_list_changes(state, now, at, changes, out)
         }
         DirectEvent::Request(request) => accept::on_request(state, now, *request, out),
         DirectEvent::CallerGone(id) => finish::on_caller_gone(state, id, out),
--- a/src/logic/direct/update_batch.rs
+++ b/src/logic/direct/update_batch.rs
@@ -1,7 +1,7 @@
 use super::EndpointUpdate;
 use crate::types::{Millis, StorePosition};
 
-/// Endpoint updates that came with one reading of the list or with one digest.
+/// Endpoint updates that came with one reading of the list, a part of one, or one digest.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct UpdateBatch {
     /// When they were read or received.
@@ -12,11 +12,8 @@
     pub after: StorePosition,
     /// The updates, in order.
     pub updates: Vec<EndpointUpdate>,
-}
-
-impl UpdateBatch {
-    /// Upper bound for the encoded size of its updates, in bytes.
-    pub(super) fn bytes(&self) -> usize {
-        self.updates.iter().map(EndpointUpdate::bytes).sum()
-    }
+    /// Upper bound for the encoded size of the updates, in bytes.
+    pub bytes: usize,
+    /// Number of digests of this router that had them.
+    pub sends: u32,
 }
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -9,8 +9,8 @@
 use runrail::types::{EndpointEntry, InstanceId, SeatState, StorePosition};
 
 use crate::fixture::{
-    addr, at, empty_digest, engine, open_group, pace, plain, receive_digest, routing, run, seat,
-    Router, FENCE, MODEL,
+    addr, at, empty_digest, engine, list_change, open_group, pace, plain, receive_digest, routing,
+    run, seat, Router, FENCE, MODEL,
 };
 
 /// Ids of so many routers; the first one is the planner.
@@ -100,7 +100,7 @@
         entry.beats = 9;
         planner.tell(DirectEvent::ListChanges {
             at: at(FENCE + 1),
-            changes: vec![(id.clone(), Some(entry))],
+            changes: vec![list_change(FENCE + 1, id.clone(), Some(entry))],
         });
         planner.advance_ms(60);
         let first = planner.sent_messages();
@@ -360,7 +360,7 @@
     let (_, entry) = open_group("g", [1, 2, 3]).remove(0);
     router.tell(DirectEvent::ListChanges {
         at: at(FENCE + 5),
-        changes: vec![(id, Some(entry))],
+        changes: vec![list_change(FENCE + 5, id, Some(entry))],
     });
     assert_eq!(pace(&mut router), Some((ListPace::Slow, true)));
 }
@@ -485,7 +485,7 @@
         entry.beats = 9;
         planner.tell(DirectEvent::ListChanges {
             at: at(FENCE + i64::from(n)),
-            changes: vec![(id, Some(entry))],
+            changes: vec![list_change(FENCE + i64::from(n), id, Some(entry))],
         });
     }
     planner.advance_ms(60);
@@ -506,6 +506,44 @@
     assert_eq!(pace(&mut router), Some((ListPace::Paused, true)));
 }
 
+/// Guards against a fleet that starts: dozens of endpoints enter the list between two readings
+/// of the planner.
+#[test]
+fn changes_of_one_reading_go_in_several_digests() {
+    let count = 60;
+    let mut planner = Router::named("r0", &names(2), Vec::new());
+    planner.state().plan.lease.holder = None;
+    planner.advance_ms(400);
+    let mut router = Router::named("r1", &names(2), Vec::new());
+    let first = planner.sent_messages();
+    let deliver = |router: &mut Router, sent: Vec<(SocketAddr, PeerMessage)>| {
+        for (_, message) in sent {
+            router.tell(DirectEvent::PeerMessage {
+                from: addr(2_000),
+                message,
+            });
+        }
+    };
+    deliver(&mut router, first);
+    planner.tell(DirectEvent::ListChanges {
+        at: at(FENCE + i64::from(count)),
+        changes: (1..=count)
+            .map(|n| {
+                let (id, entry) = engine(n, None);
+                list_change(FENCE + i64::from(n), id, Some(entry))
+            })
+            .collect(),
+    });
+    for _ in 0..5 {
+        planner.advance_ms(60);
+        let sent = planner.sent_messages();
+        deliver(&mut router, sent);
+        router.advance_ms(60);
+    }
+    assert_eq!(router.state().endpoints.len(), usize::from(count));
+    assert_eq!(pace(&mut router), Some((ListPace::Paused, true)));
+}
+
 /// An entry of the list with long names.
 fn longest_entry() -> (InstanceId, EndpointEntry) {
     let (_, mut entry) = engine(
@@ -528,7 +566,8 @@
     planner.advance_ms(400);
     let named = |n| {
         let (id, entry) = longest_entry();
-        (InstanceId::new(&format!("{id}-{n}")), Some(entry))
+        let id = InstanceId::new(&format!("{id}-{n}"));
+        list_change(FENCE + 1, id, Some(entry))
     };
     planner.take_effects();
     planner.tell(DirectEvent::ListChanges {
@@ -556,10 +595,11 @@
     let mut planner = Router::named("r0", &names(2), Vec::new());
     planner.state().plan.lease.holder = None;
     planner.advance_ms(400);
-    let named = |entry: &Option<EndpointEntry>| -> Vec<_> {
+    let named = |revision: i64, entry: &Option<EndpointEntry>| -> Vec<_> {
         let (id, _) = longest_entry();
         let name = |n| InstanceId::new(&format!("{id}-{n}"));
-        (0..count).map(|n| (name(n), entry.clone())).collect()
+        let change = |n| list_change(revision, name(n), entry.clone());
+        (0..count).map(change).collect()
     };
     let (_, mut entry) = longest_entry();
     entry.born = Some(1_800_000_000_000);
@@ -577,7 +617,7 @@
         };
         planner.tell(DirectEvent::ListChanges {
             at,
-            changes: named(&entry),
+            changes: named(revision, &entry),
         });
         planner.advance_ms(60);
         let sent = planner.sent_messages().into_iter();
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use runrail::logic::direct::{
     Digest, DirectEffect, DirectEvent, DirectParams, DirectRequest, DirectState, Fingerprint,
-    GroupOrder, GroupStep, ListPace, OrderResult, PeerMessage, ProbeResult, Problem, RunPart,
-    RunRequest,
+    GroupOrder, GroupStep, ListChange, ListPace, OrderResult, PeerMessage, ProbeResult, Problem,
+    RunPart, RunRequest,
 };
 use runrail::logic::router::{StoreCall, StoreEntry, StoreReply};
 use runrail::logic::{step, Effect, Event, Node};
@@ -34,6 +34,15 @@
     pub checks: bool,
 }
 
+/// A change of the endpoint list.
+pub fn list_change(revision: i64, id: InstanceId, entry: Option<EndpointEntry>) -> ListChange {
+    ListChange {
+        id,
+        revision,
+        entry,
+    }
+}
+
 impl Router {
     /// A router that has the routing and the endpoint list, without the planner lease.
     pub fn new(entries: Vec<(InstanceId, EndpointEntry)>) -> Self {
@@ -216,7 +225,7 @@
         let id = InstanceId::new(id);
         self.tell(DirectEvent::ListChanges {
             at: at(FENCE),
-            changes: vec![(id, entry)],
+            changes: vec![list_change(FENCE, id, entry)],
         });
     }
 
