Start: routers wait until they know each other before they compete

Change: where the first reading shows no planner, a router waits 400 ms from its start, draws the pause anew as others register, and those that don't read the list wait a second more. With a planner nothing changes.

The fixture waits 480 ms for the lease in place of 400.

--- a/src/logic/direct/list_start.rs
+++ b/src/logic/direct/list_start.rs
@@ -68,6 +68,9 @@
         }
         return;
     }
+    if peers::registration_left(state, now) > 0 {
+        return;
+    }
     let spread = match state.list_start.spread {
         Some(spread) => spread,
         None => state.random_below(READ_SPREAD_MS),
@@ -100,6 +103,11 @@
     };
 }
 
+/// Whether this router is one of those at the top of the tree, which read the list from the store.
+pub(super) fn is_reader(state: &DirectState) -> bool {
+    tree::parent(state, &InstanceId::new(ROOT)).is_none()
+}
+
 /// The parent, and in turn with it any other router, as the parent may be gone; none for a router at
 /// the top of the tree.
 fn router_to_ask(state: &mut DirectState) -> Option<SocketAddr> {
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -32,7 +32,11 @@
 const RETRY_MS: Millis = 500;
 
 /// Time within which routers that start together get to know each other.
-const DISCOVERY_MS: Millis = 1_000;
+pub(super) const DISCOVERY_MS: Millis = 1_000;
+
+/// Time from the start of a process until it knows most of the routers that started with it: each
+/// writes its address, and the watch of these keys brings many together.
+pub(super) const REGISTRATION_MS: Millis = 400;
 
 /// State of a router's own address in the key-value service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -122,6 +126,15 @@
     state.retries_from.is_some()
 }
 
+/// Time for which a router that has just started waits for others that may have started with it.
+/// Where another one plans, the first reading has them all.
+pub(super) fn registration_left(state: &DirectState, now: Millis) -> Millis {
+    if state.plan.lease.holder.is_some() {
+        return 0;
+    }
+    REGISTRATION_MS.saturating_sub(state.age(now))
+}
+
 /// Records how many routers are known, this one included.
 pub(super) fn record_routers(state: &mut DirectState, now: Millis) {
     let routers = state.peers.len() as u64 + 1;
--- a/src/logic/direct/plan/planner_lease.rs
+++ b/src/logic/direct/plan/planner_lease.rs
@@ -1,7 +1,7 @@
 //! The planner lease: the key in the key-value service whose holder is the planner.
 
 use crate::logic::direct::store_restore::REWRITE_MS;
-use crate::logic::direct::{crashes, peers, DirectState};
+use crate::logic::direct::{crashes, list_start, peers, DirectState};
 use crate::logic::router::{
     CallId, KeyWrite, RevisionCheck, StoreCall, StoreChange, StoreReply, StoreResult,
 };
@@ -25,6 +25,10 @@
 const MAX_JITTER_MS: u64 = 60;
 const MAX_JITTER_PER_ROUTER_MS: u64 = 4;
 
+/// Pause of most routers of a system that starts: the few that read the list from the store may
+/// acquire the lease first, and the watch of its key may report that late.
+const STARTER_PAUSE_MS: Millis = 1_000;
+
 fn jitter_ms(state: &mut DirectState) -> Millis {
     let max = MAX_JITTER_MS + MAX_JITTER_PER_ROUTER_MS * state.peers.len() as u64;
     state.random_below(max)
@@ -212,6 +216,7 @@
         crashes::on_store_entries(state, now, entries, out);
     }
     let pause = jitter_ms(state);
+    let age = state.age(now);
     let (era, settling) = (era(state), settling_ms(state));
     let planner_lease = &mut state.plan.lease;
     match (purpose, result) {
@@ -225,6 +230,9 @@
             planner_lease.revision = found.as_ref().map_or(0, |e| e.revision);
             planner_lease.holder = found.map(|e| e.value);
             planner_lease.next_call = now + pause;
+            if planner_lease.holder.is_none() {
+                planner_lease.next_call += peers::REGISTRATION_MS.saturating_sub(age);
+            }
             out.push(Effect::Watch { from: revision + 1 });
         }
         (LeaseCall::Grant(at), Ok(StoreReply::Lease { lease, ttl_s })) => {
@@ -270,6 +278,8 @@
     changes: &[StoreChange],
 ) {
     let pause = jitter_ms(state);
+    let age = state.age(now);
+    let is_reader = list_start::is_reader(state);
     let me = state.own_id.to_string();
     let planner_lease = &mut state.plan.lease;
     for change in changes.iter().filter(|c| c.key == KEY) {
@@ -288,6 +298,14 @@
             planner_lease.next_call = now + pause;
         }
     }
+    // Of routers that start together, each learns only now how many share the pause.
+    let is_starting = age < peers::DISCOVERY_MS;
+    if is_starting && planner_lease.holder.is_none() && planner_lease.lease_id.is_none() {
+        planner_lease.next_call = now + pause + peers::REGISTRATION_MS.saturating_sub(age);
+        if !is_reader {
+            planner_lease.next_call += STARTER_PAUSE_MS;
+        }
+    }
 }
 
 /// Handles the loss of the watch: changes may have been missed, so the key is read again.
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -109,7 +109,7 @@
     pub fn planner(entries: Vec<(InstanceId, EndpointEntry)>) -> Self {
         let mut router = Self::new(entries);
         router.state().plan.has_traffic = true;
-        router.advance_ms(400);
+        router.advance_ms(480);
         assert!(router.holds_lease(), "the planner lease was not taken");
         router
     }
--- a/tests/direct/list_start.rs
+++ b/tests/direct/list_start.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use runrail::logic::direct::{DirectEffect, DirectEvent, ListSnapshot};
-use runrail::logic::router::StoreEntry;
-use runrail::logic::{Effect, LogCode};
+use runrail::logic::router::{StoreChange, StoreEntry};
+use runrail::logic::{Effect, Event, LogCode};
 use runrail::types::{EndpointEntry, InstanceId, SeatState, StorePosition};
 
 use crate::fixture::{
@@ -91,6 +91,29 @@
     }
 }
 
+/// Guards against routers of a system that starts which all take themselves for the few readers,
+/// as no other one has registered yet.
+#[test]
+fn routers_that_start_with_the_system_wait_until_they_know_each_other() {
+    let count = 123;
+    let mut readers = 0;
+    for id in names(count) {
+        let mut router = starting(id.as_str(), count);
+        let registered = std::mem::take(&mut router.store_entries);
+        router.advance_ms(40);
+        let changes = registered.into_iter().map(|e| StoreChange {
+            key: e.key,
+            value: Some(e.value),
+            revision: e.revision,
+        });
+        let routers = changes.filter(|c| c.key.starts_with("runrail/router/"));
+        router.feed(Event::Watch(routers.collect()));
+        router.advance_ms(400);
+        readers += usize::from(sources(&mut router).1);
+    }
+    assert_eq!(readers, 8);
+}
+
 /// A router that asks others, and the first one that it asked.
 fn asking(count: u16) -> (Router, SocketAddr) {
     for id in names(count) {
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -449,7 +449,7 @@
     let mut router = Router::new(entries);
     router.tell(DirectEvent::Routing(Arc::new(routing_for_one_model())));
     router.state().plan.has_traffic = true;
-    router.advance_ms(400);
+    router.advance_ms(480);
     router.take_effects();
     lose(&mut router, "e3");
     router.advance_ms(60);
