Routing: few routers read a new version, the others ask them

A digest only told that there is one.

Change: a router that a digest tells of a newer version asks its parent in the tree of the list for the keys (`/operator-keys/ERA/REVISION` at the address of the peers), up to the position that the digest names. The eight at the top read the store. After 0.4 s without an answer a router reads the store itself, as it does when digests stop, after a pause of the process, and in another era of the store. What is fetched passes the same checks as what is read, and never counts as a check with the store.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -207,8 +207,14 @@
             DirectEffect::ReadList => self.shared.start_list(ListSource::Store),
             DirectEffect::FollowList { at } => self.shared.start_list(ListSource::Snapshot(at)),
             DirectEffect::FetchList { from } => snapshots::fetch_list(&self.shared, from),
-            DirectEffect::SetReadPace { list, hold, upto } => {
+            DirectEffect::SetReadPace {
+                list,
+                hold,
+                upto,
+                keys,
+            } => {
                 self.shared.known_upto.set(upto);
+                self.shared.keys_source.set(keys);
                 self.shared.list_pace.set(list);
                 self.shared.routing_held.set(hold);
                 self.shared.pace_changed.notify_waiters();
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -14,6 +14,7 @@
 mod http_listener;
 mod link_event;
 mod operator_key;
+mod operator_keys;
 mod operator_watch;
 mod page_timeout;
 mod peers;
--- a/src/link/operator_watch.rs
+++ b/src/link/operator_watch.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use super::operator_keys;
 use super::run_direct::log_event;
 use super::shared::Shared;
 use super::store::PrefixEntries;
@@ -47,6 +48,7 @@
     /// Handles all keys. Evacuations come first, so that no request is sent by the first routing
     /// without them.
     fn on_entries(&self, read: PrefixEntries) {
+        operator_keys::keep(&self.shared, &read);
         let at = read.position;
         let mut routing = None;
         let mut halls = Vec::new();
@@ -65,6 +67,7 @@
     }
 
     fn on_changes(&self, at: StorePosition, changes: Vec<StoreChange>) {
+        operator_keys::keep_changes(&self.shared, at, &changes);
         let mut routing = None;
         let mut halls = Vec::new();
         for change in changes {
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -77,6 +77,8 @@
         era_changed: Notify::new(),
         known_upto: Cell::new(StorePosition::default()),
         routing_held: Cell::new(false),
+        operator_keys: RefCell::new(None),
+        keys_source: Cell::new(None),
         pace_changed: Notify::new(),
         own_watch: (Cell::new(StorePosition::default()), Notify::new()),
         exit: Notify::new(),
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -13,10 +13,11 @@
 use super::answer_body::{AnswerBody, StreamPart};
 use super::link_event::{LinkEvent, ReceivedRequest};
 use super::pool::Pool;
+use super::store::PrefixEntries;
 use super::store_gate::StoreGate;
 use super::PlatformAdapter;
 use crate::host::Clock;
-use crate::logic::direct::{DirectEvent, ListPace};
+use crate::logic::direct::{DirectEvent, KeysSource, ListPace};
 use crate::logic::Event;
 use crate::types::{CallerLimits, StorePosition};
 
@@ -77,6 +78,10 @@
     pub known_upto: Cell<StorePosition>,
     /// Whether the routing isn't read, as the planner sends its changes.
     pub routing_held: Cell<bool>,
+    /// The operators' keys as last read, for other routers.
+    pub operator_keys: RefCell<Option<PrefixEntries>>,
+    /// The router that is asked for newer ones next.
+    pub keys_source: Cell<Option<KeysSource>>,
     /// Notified when the list pace, the hold of the routing or the era may have changed.
     pub pace_changed: Notify,
     /// Position after which the routers' own keys are watched, and the signal to begin.
--- a/src/link/snapshots.rs
+++ b/src/link/snapshots.rs
@@ -1,4 +1,4 @@
-//! Snapshots of the endpoint list, which routers send each other over HTTP in CBOR.
+//! Calls between routers over HTTP: snapshots of the endpoint list in CBOR, and operators' keys.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +14,7 @@
 use super::endpoint_calls::{fetch_within, log_invalid};
 use super::http_listener;
 use super::link_event::LinkEvent;
+use super::operator_keys;
 use super::shared::Shared;
 use crate::logic::direct::{DirectEvent, ListSnapshot};
 
@@ -36,10 +37,14 @@
 }
 
 async fn answer(shared: Rc<Shared>, path: String) -> (StatusCode, Bytes) {
-    if path != PATH {
+    let bytes = if path == PATH {
+        snapshot_bytes(&shared).await
+    } else if path.starts_with(operator_keys::PATH) {
+        operator_keys::encoded(&shared, &path)
+    } else {
         return (StatusCode::NOT_FOUND, Bytes::new());
-    }
-    match snapshot_bytes(&shared).await {
+    };
+    match bytes {
         Some(bytes) => (StatusCode::OK, bytes.into()),
         None => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
     }
@@ -67,18 +72,26 @@
 }
 
 async fn fetch_snapshot(shared: &Shared, from: SocketAddr) -> Option<ListSnapshot> {
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = PATH.parse().ok()?;
-    let host = from.to_string().parse().ok()?;
-    request.headers_mut().insert(http::header::HOST, host);
-    let call = fetch_within(shared, from, request, MAX_SNAPSHOT_BYTES, CONNECT_TIMEOUT);
-    let answer = timeout(FETCH_TIMEOUT, call).await.ok()?.ok()?;
-    if answer.status() != StatusCode::OK {
-        return None;
-    }
-    let snapshot = ciborium::from_reader(&answer.body()[..]);
+    let body = get(shared, from, PATH, MAX_SNAPSHOT_BYTES).await?;
+    let snapshot = ciborium::from_reader(&body[..]);
     if let Err(why) = &snapshot {
         log_invalid("a snapshot", &from.to_string(), &why.to_string());
     }
     snapshot.ok()
 }
+
+/// Calls a path at another router; returns the body of a successful answer of at most `max_bytes`.
+pub(super) async fn get(
+    shared: &Shared,
+    from: SocketAddr,
+    path: &str,
+    max_bytes: usize,
+) -> Option<Bytes> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse().ok()?;
+    let host = from.to_string().parse().ok()?;
+    request.headers_mut().insert(http::header::HOST, host);
+    let call = fetch_within(shared, from, request, max_bytes, CONNECT_TIMEOUT);
+    let answer = timeout(FETCH_TIMEOUT, call).await.ok()?.ok()?;
+    (answer.status() == StatusCode::OK).then(|| answer.into_body())
+}
--- a/src/link/store.rs
+++ b/src/link/store.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
+use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
 use super::endpoint_calls::{fetch, log_invalid};
@@ -157,7 +158,7 @@
 }
 
 /// All keys with a prefix.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub(super) struct PrefixEntries {
     /// Position of the store at the first page; changes after it have to be followed.
     pub position: StorePosition,
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -7,6 +7,7 @@
 
 use super::backlog::has_backlog;
 use super::endpoint_calls::log_invalid;
+use super::operator_keys;
 use super::shared::{ListSource, Shared};
 use super::store::{read_all, send_call, PrefixEntries};
 use super::store_use::StoreUse;
@@ -84,17 +85,26 @@
         } else {
             None
         };
+        let fetched = if was_held {
+            operator_keys::fetch(&shared).await
+        } else {
+            None
+        };
         let at = if let Some(ListSource::Snapshot(at)) = source {
             at
+        } else if let Some(keys) = fetched {
+            let at = keys.position;
+            on_entries(keys);
+            at
         } else {
             let Some(read) = read_all(&shared, prefix).await else {
                 continue;
             };
             let at = read.position;
             on_entries(read);
+            send_routing_checked(&shared, pace, read_number);
             at
         };
-        send_routing_checked(&shared, pace, read_number);
         if was_held {
             wait_for_hold(&shared).await;
         }
--- a/src/logic/direct/digest_state.rs
+++ b/src/logic/direct/digest_state.rs
@@ -35,6 +35,9 @@
     pub list_until: Millis,
     /// Until when they make reading the routing unnecessary.
     pub routing_until: Millis,
+    /// Position of the store at which operators' keys are newer than this router's, if the last digest
+    /// told of that.
+    pub newer_keys: Option<StorePosition>,
     /// Pace of reading the list last sent to the host.
     pub pace: Option<ListPace>,
     /// Whether the host was last told not to read the routing.
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -9,7 +9,7 @@
 use super::{
     demand, endpoints, evacuation, tree, DirectEffect, DirectState, EndpointUpdate, ListPace,
 };
-use super::{Digest, ListChange, Mechanism, PeerMessage, UpdateBatch};
+use super::{list_start, Digest, KeysSource, ListChange, Mechanism, PeerMessage, UpdateBatch};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, StorePosition};
 
@@ -277,10 +277,12 @@
         let until = (now + VALID_MS).saturating_sub(digest.list_age);
         state.digests.list_until = state.digests.list_until.max(until);
     }
-    state.digests.routing_until = if routing_version(state) >= digest.routing {
-        (now + VALID_MS).saturating_sub(digest.routing_age)
-    } else {
+    let is_newer = digest.routing > routing_version(state);
+    state.digests.newer_keys = is_newer.then_some(digest.halls_at);
+    state.digests.routing_until = if is_newer {
         0
+    } else {
+        (now + VALID_MS).saturating_sub(digest.routing_age)
     };
 }
 
@@ -305,10 +307,16 @@
         state.digests.pace = Some(pace);
         state.digests.routing_held = hold;
         let upto = state.digests.known_upto;
+        let newer = state.digests.newer_keys.filter(|_| !hold);
+        let keys = newer.and_then(|at| {
+            let from = list_start::parent(state)?;
+            Some(KeysSource { from, at })
+        });
         out.push(Effect::Direct(DirectEffect::SetReadPace {
             list: pace,
             hold,
             upto,
+            keys,
         }));
     }
 }
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{GroupOrder, ListPace, PeerMessage, Problem, RunRequest};
+use super::{GroupOrder, KeysSource, ListPace, PeerMessage, Problem, RunRequest};
 use crate::types::{InstanceId, StorePosition};
 
 /// An action that the host of a router with direct links has to carry out.
@@ -99,6 +99,8 @@
         /// Position of the list up to which all changes that affect where requests go are known.
         /// After a pause with `ListPace::Paused`, reading goes on from there.
         upto: StorePosition,
+        /// The router that is asked for the operators' keys first, as a digest told of newer ones.
+        keys: Option<KeysSource>,
     },
     /// Stop accepting callers' connections and close idle ones.
     StopAccepting,
--- a/src/logic/direct/list_start.rs
+++ b/src/logic/direct/list_start.rs
@@ -103,15 +103,15 @@
     };
 }
 
-/// Whether this router is one of those at the top of the tree, which read the list from the store.
-pub(super) fn is_reader(state: &DirectState) -> bool {
-    tree::parent(state, &InstanceId::new(ROOT)).is_none()
+/// The router that this one asks first; none for those at the top of the tree, which read the store.
+pub(super) fn parent(state: &DirectState) -> Option<SocketAddr> {
+    tree::parent(state, &InstanceId::new(ROOT))
 }
 
 /// The parent, and in turn with it any other router, as the parent may be gone; none for a router at
 /// the top of the tree.
 fn router_to_ask(state: &mut DirectState) -> Option<SocketAddr> {
-    let parent = tree::parent(state, &InstanceId::new(ROOT))?;
+    let parent = parent(state)?;
     if state.list_start.failures % 2 == 1 {
         return peers::pick_peers(state, 1).pop();
     }
--- a/src/logic/direct/plan/planner_lease.rs
+++ b/src/logic/direct/plan/planner_lease.rs
@@ -279,7 +279,7 @@
 ) {
     let pause = jitter_ms(state);
     let age = state.age(now);
-    let is_reader = list_start::is_reader(state);
+    let is_reader = list_start::parent(state).is_none();
     let me = state.own_id.to_string();
     let planner_lease = &mut state.plan.lease;
     for change in changes.iter().filter(|c| c.key == KEY) {
--- a/src/logic/router/store_entry.rs
+++ b/src/logic/router/store_entry.rs
@@ -1,5 +1,7 @@
+use serde::{Deserialize, Serialize};
+
 /// One key of the key-value service.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StoreEntry {
     /// The key.
     pub key: String,
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -13,6 +13,7 @@
 mod foreign;
 mod gate;
 mod idle;
+mod key_readers;
 mod lag;
 mod limits;
 mod list_start;
