--- a/src/logic/direct/digest_state.rs
+++ b/src/logic/direct/digest_state.rs
@@ -18,7 +18,7 @@
     pub number: u64,
     /// When the last digests were sent.
     pub sent_at: Millis,
-    /// Whether there are new updates since.
+    /// Whether the next ones have something new to tell.
     pub has_changes: bool,
     /// Highest fence received.
     pub fence: u64,
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -140,6 +140,7 @@
         out.push(Effect::Log(event));
     }
     state.routing = Some(routing);
+    state.digests.has_changes = true;
 }
 
 fn on_stop(state: &mut DirectState, now: Millis) {
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -202,6 +202,20 @@
     assert_eq!(pace(&mut router), Some((ListPace::Paused, true)));
 }
 
+#[test]
+fn a_planner_tells_of_a_newer_routing_at_once() {
+    let mut planner = Router::planner(open_group("g", [1, 2, 3]));
+    let peer = (InstanceId::new("r2"), addr(2_000));
+    planner.state().peers.extend([peer]);
+    planner.advance_ms(500);
+    planner.sent_messages();
+    planner.tell(DirectEvent::Routing(routing(2).into()));
+    planner.advance_ms(60);
+    let sent = planner.sent_messages();
+    let tells = |m: &PeerMessage| matches!(m, PeerMessage::Digest(d) if d.routing == 2);
+    assert!(sent.iter().any(|(_, m)| tells(m)), "{sent:?}");
+}
+
 #[test]
 fn a_digest_of_an_old_reading_suspends_no_reading() {
     let mut router = follower();
