Digests: only the last of several vouches that the list is current

Cause (found by reading): each of several digests of one sending carried the age of the planner's last reading, also those that reach only an earlier position. A router that got the first and lost the last took its list for current for up to 1.2 s without the changes of the last one.

Change: the parts before the last one suspend no reading, like those sent while updates wait. The time for which another router is asked for the operators' keys bounds the whole exchange, also with one that hangs.

Red before: a_router_that_missed_the_last_of_several_digests_reads_the_list.

--- a/src/link/operator_keys.rs
+++ b/src/link/operator_keys.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout};
 
 use super::endpoint_calls::log_invalid;
 use super::shared::Shared;
 use super::snapshots::get;
 use super::store::PrefixEntries;
+use crate::logic::direct::KeysSource;
 use crate::logic::router::{StoreChange, StoreEntry};
 use crate::types::StorePosition;
 
@@ -72,20 +73,21 @@
 pub(super) async fn fetch(shared: &Shared) -> Option<PrefixEntries> {
     let source = shared.keys_source.take()?;
     let read_number = shared.routing_reads.get();
-    let end = Instant::now() + ASK_LIMIT;
-    while Instant::now() < end && shared.routing_reads.get() == read_number {
+    let keys = timeout(ASK_LIMIT, ask(shared, source)).await.ok()?;
+    let is_usable =
+        shared.routing_reads.get() == read_number && shared.is_current_era(keys.position.era);
+    is_usable.then_some(keys)
+}
+
+/// Asks until the answer has keys that reach far enough.
+async fn ask(shared: &Shared, source: KeysSource) -> PrefixEntries {
+    loop {
         let keys = fetch_once(shared, source.from, source.at).await;
-        let is_usable = |keys: &PrefixEntries| {
-            keys.position >= source.at
-                && shared.is_current_era(keys.position.era)
-                && shared.routing_reads.get() == read_number
-        };
-        if let Some(keys) = keys.filter(is_usable) {
-            return Some(keys);
+        if let Some(keys) = keys.filter(|keys| keys.position >= source.at) {
+            return keys;
         }
         sleep(ASK_PAUSE).await;
     }
-    None
 }
 
 async fn fetch_once(shared: &Shared, from: SocketAddr, at: StorePosition) -> Option<PrefixEntries> {
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -170,13 +170,12 @@
     let parts = split_into_parts(batches, state.listed_at, max_bytes);
     digests.has_changes = range.end < digests.recent.len();
     digests.recent.range_mut(range).for_each(|b| b.sends += 1);
-    // What has to wait may be as old as the reading before the last one.
-    let list_age = if digests.has_changes {
-        VALID_MS
-    } else {
-        now.saturating_sub(digests.list_at)
-    };
-    for part in parts {
+    let list_age = now.saturating_sub(digests.list_at);
+    let last = parts.len() - 1;
+    for (n, part) in parts.into_iter().enumerate() {
+        // The list is known to be current only with all its changes: other parts suspend no reading.
+        let is_complete = n == last && !state.digests.has_changes;
+        let list_age = if is_complete { list_age } else { VALID_MS };
         state.digests.number += 1;
         let digests = &state.digests;
         let digest = Digest {
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -520,6 +520,38 @@
     assert_eq!(pace(&mut router), Some((ListPace::Paused, true)));
 }
 
+/// Guards against a part that vouches for changes which only a later part has.
+#[test]
+fn a_router_that_missed_the_last_of_several_digests_reads_the_list() {
+    let entries = || (1..=24).map(|n| engine(n, None)).collect::<Vec<_>>();
+    let mut planner = Router::named("r0", &names(2), entries());
+    planner.state().plan.lease.holder = None;
+    planner.advance_ms(400);
+    planner.take_effects();
+    let change = |n: u16| {
+        let (id, mut entry) = entries().remove(usize::from(n) - 1);
+        entry.leaving = true;
+        entry.beats = 9;
+        list_change(FENCE + i64::from(n), id, Some(entry))
+    };
+    planner.tell(DirectEvent::ListChanges {
+        at: at(FENCE + 14),
+        changes: (1..=14).map(change).collect(),
+    });
+    planner.advance_ms(60);
+    let mut router = Router::named("r1", &names(2), entries());
+    let sent = planner.sent_messages();
+    let last = |m: &PeerMessage| matches!(m, PeerMessage::Digest(d) if d.upto == at(FENCE + 14));
+    assert!(sent.iter().any(|(_, m)| last(m)), "{sent:?}");
+    for (_, message) in sent.into_iter().filter(|(_, m)| !last(m)) {
+        let from = addr(2_000);
+        router.tell(DirectEvent::PeerMessage { from, message });
+    }
+    let leaving = router.state().endpoints.values();
+    assert!(leaving.filter(|v| v.entry.leaving).count() > 0);
+    assert_ne!(pace(&mut router).map(|p| p.0), Some(ListPace::Paused));
+}
+
 /// Guards against a fleet that starts: dozens of endpoints enter the list between two readings
 /// of the planner.
 #[test]
