Routing: large keys are read from the store, and never sent by a planner

Routers sent that document to eight others each, which takes up a link of 40 Mbit/s for seconds, so that the planner's probes came too late.

Change: keys of more than 128 KiB, and those of the planner, aren't sent; the answer tells the router that asked to read the store at once.

--- a/src/link/snapshots.rs
+++ b/src/link/snapshots.rs
@@ -37,14 +37,13 @@
 }
 
 async fn answer(shared: Rc<Shared>, path: String) -> (StatusCode, Bytes) {
-    let bytes = if path == PATH {
-        snapshot_bytes(&shared).await
-    } else if path.starts_with(operator_keys::PATH) {
-        operator_keys::encoded(&shared, &path)
-    } else {
+    if path.starts_with(operator_keys::PATH) {
+        return operator_keys::answer(&shared, &path);
+    }
+    if path != PATH {
         return (StatusCode::NOT_FOUND, Bytes::new());
-    };
-    match bytes {
+    }
+    match snapshot_bytes(&shared).await {
         Some(bytes) => (StatusCode::OK, bytes.into()),
         None => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
     }
@@ -72,7 +71,10 @@
 }
 
 async fn fetch_snapshot(shared: &Shared, from: SocketAddr) -> Option<ListSnapshot> {
-    let body = get(shared, from, PATH, MAX_SNAPSHOT_BYTES).await?;
+    let (status, body) = get(shared, from, PATH, MAX_SNAPSHOT_BYTES).await?;
+    if status != StatusCode::OK {
+        return None;
+    }
     let snapshot = ciborium::from_reader(&body[..]);
     if let Err(why) = &snapshot {
         log_invalid("a snapshot", &from.to_string(), &why.to_string());
@@ -80,18 +82,18 @@
     snapshot.ok()
 }
 
-/// Calls a path at another router; returns the body of a successful answer of at most `max_bytes`.
+/// Calls a path at another router; returns the answer, if its body has at most `max_bytes`.
 pub(super) async fn get(
     shared: &Shared,
     from: SocketAddr,
     path: &str,
     max_bytes: usize,
-) -> Option<Bytes> {
+) -> Option<(StatusCode, Bytes)> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().ok()?;
     let host = from.to_string().parse().ok()?;
     request.headers_mut().insert(http::header::HOST, host);
     let call = fetch_within(shared, from, request, max_bytes, CONNECT_TIMEOUT);
     let answer = timeout(FETCH_TIMEOUT, call).await.ok()?.ok()?;
-    (answer.status() == StatusCode::OK).then(|| answer.into_body())
+    Some((answer.status(), answer.into_body()))
 }
