--- a/testkit/standin/fleet.rs
+++ b/testkit/standin/fleet.rs
@@ -47,15 +47,31 @@
     until("a group opens", STARTUP_TIMEOUT, || {
         !standin.open_groups().is_empty()
     });
-    until("routers are ready", STARTUP_TIMEOUT, || {
-        routers.iter().all(Router::is_ready)
-    });
+    wait_until_ready(&routers, dir);
     until("a stream is served", STARTUP_TIMEOUT, || {
         served(&routers[0], "first")
     });
     routers
 }
 
+/// Waits until all routers are ready; otherwise fails with the log of the first one that isn't.
+fn wait_until_ready(routers: &[Router], dir: &Path) {
+    let start = Instant::now();
+    while let Some(n) = routers.iter().position(|r| !r.is_ready()) {
+        let id = format!("r{}", n + 1);
+        assert!(
+            start.elapsed() < STARTUP_TIMEOUT,
+            "{id} isn't ready after {STARTUP_TIMEOUT:?}; its log:\n{}",
+            read_log(dir, &id)
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn read_log(dir: &Path, id: &str) -> String {
+    std::fs::read_to_string(dir.join(format!("{id}.log"))).unwrap_or_default()
+}
+
 /// Whether a router answers a stream request with all events.
 pub fn served(router: &Router, attempt: &str) -> bool {
     let answer = call(router.callers, "POST", "/stream/x", attempt);
@@ -64,7 +80,5 @@
 
 /// Logs of the routers `r1` and `r2`, for the message of a failed test.
 pub fn logs(dir: &Path) -> String {
-    let read =
-        |id: &str| std::fs::read_to_string(dir.join(format!("{id}.log"))).unwrap_or_default();
-    format!("r1:\n{}\nr2:\n{}", read("r1"), read("r2"))
+    format!("r1:\n{}\nr2:\n{}", read_log(dir, "r1"), read_log(dir, "r2"))
 }
--- a/testkit/standin/router.rs
+++ b/testkit/standin/router.rs
@@ -119,7 +119,7 @@
         .arg(settings)
         .stdin(Stdio::null())
         .stdout(log_file(settings))
-        .stderr(Stdio::null())
+        .stderr(log_file(settings))
         .spawn()
         .expect("the binary starts")
 }
--- a/tests/direct/digests.rs
+++ b/tests/direct/digests.rs
@@ -57,6 +57,14 @@
     }
 }
 
+/// Delivers messages of the planner to one router.
+fn deliver(router: &mut Router, sent: impl IntoIterator<Item = (SocketAddr, PeerMessage)>) {
+    for (_, message) in sent {
+        let from = addr(2_000);
+        router.tell(DirectEvent::PeerMessage { from, message });
+    }
+}
+
 /// Delivers messages and the messages that they cause, until none is left. Returns the most
 /// messages that one router sent at a time.
 fn deliver_all(
@@ -504,13 +512,7 @@
     }
     planner.advance_ms(60);
     let mut router = Router::named("r1", &names(2), entries());
-    let sent = planner.sent_messages();
-    for (_, message) in sent {
-        router.tell(DirectEvent::PeerMessage {
-            from: addr(2_000),
-            message,
-        });
-    }
+    deliver(&mut router, planner.sent_messages());
     let leaving = router
         .state()
         .endpoints
@@ -543,10 +545,7 @@
     let sent = planner.sent_messages();
     let last = |m: &PeerMessage| matches!(m, PeerMessage::Digest(d) if d.upto == at(FENCE + 14));
     assert!(sent.iter().any(|(_, m)| last(m)), "{sent:?}");
-    for (_, message) in sent.into_iter().filter(|(_, m)| !last(m)) {
-        let from = addr(2_000);
-        router.tell(DirectEvent::PeerMessage { from, message });
-    }
+    deliver(&mut router, sent.into_iter().filter(|(_, m)| !last(m)));
     let leaving = router.state().endpoints.values();
     assert!(leaving.filter(|v| v.entry.leaving).count() > 0);
     assert_ne!(pace(&mut router).map(|p| p.0), Some(ListPace::Paused));
@@ -561,16 +560,7 @@
     planner.state().plan.lease.holder = None;
     planner.advance_ms(400);
     let mut router = Router::named("r1", &names(2), Vec::new());
-    let first = planner.sent_messages();
-    let deliver = |router: &mut Router, sent: Vec<(SocketAddr, PeerMessage)>| {
-        for (_, message) in sent {
-            router.tell(DirectEvent::PeerMessage {
-                from: addr(2_000),
-                message,
-            });
-        }
-    };
-    deliver(&mut router, first);
+    deliver(&mut router, planner.sent_messages());
     planner.tell(DirectEvent::ListChanges {
         at: at(FENCE + i64::from(count)),
         changes: (1..=count)
@@ -582,8 +572,7 @@
     });
     for _ in 0..5 {
         planner.advance_ms(60);
-        let sent = planner.sent_messages();
-        deliver(&mut router, sent);
+        deliver(&mut router, planner.sent_messages());
         router.advance_ms(60);
     }
     assert_eq!(router.state().endpoints.len(), usize::from(count));
