Names that endpoints use and this version doesn't know are logged and counted

Cause: an endpoint that asks for something by a header of its own leaves no trace: the log of the incident shows that its requests were refused, and nothing tells whether a request for a pause was known, forgotten or never read.

A header of an endpoint's answer and a field of its entry or report that the adapter doesn't know is now named once in the log (E609) with the endpoint that used it first, and every occurrence is counted (unknown_names, unknown_seen). Unknown keys of operators (E606) are counted by the same type.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -122,10 +122,12 @@
 
     /// Histograms, gauges and counters of this router in the metrics text format.
     fn metrics_text(&self) -> String {
-        let gauges = match &self.node {
+        let mut gauges = match &self.node {
             Node::Direct(state) => state.metrics(self.clock.now()),
             _ => Vec::new(),
         };
+        let (names, occurrences) = self.shared.unknown.counts();
+        gauges.extend([("unknown_names", names), ("unknown_seen", occurrences)]);
         let mut counts: Vec<_> = self
             .shared
             .calls
--- a/src/link/endpoint_calls.rs
+++ b/src/link/endpoint_calls.rs
@@ -52,14 +52,21 @@
 /// Reads a report. An endpoint whose report is invalid is alive all the same; its seat in a
 /// group is then known from the endpoint list only.
 fn read_report(shared: &Shared, id: &InstanceId, status: StatusCode, body: &[u8]) -> ProbeResult {
-    (shared.adapter.parse_report)(status, body).unwrap_or_else(|why| {
-        log_invalid("a report", id.as_str(), &why);
-        ProbeResult::Alive {
-            started_ms: None,
-            seat: None,
-            slowness: NORMAL_PACE_PER_MILLE,
+    match (shared.adapter.parse_report)(status, body) {
+        Ok(report) => {
+            let place = "field of an endpoint's report";
+            shared.unknown.record(place, &report.unknown, id.as_str());
+            report.result
         }
-    })
+        Err(why) => {
+            log_invalid("a report", id.as_str(), &why);
+            ProbeResult::Alive {
+                started_ms: None,
+                seat: None,
+                slowness: NORMAL_PACE_PER_MILLE,
+            }
+        }
+    }
 }
 
 /// Logs an answer that was received and is invalid.
@@ -100,8 +107,11 @@
 
 /// Passes what an endpoint's answer says of the requests that it takes to the reducer: its limit,
 /// `None` if the answer has none, and for how much longer it is cold. What is invalid is logged and
-/// changes nothing.
+/// changes nothing. Headers that this version doesn't know are logged once.
 pub(super) fn send_limits(shared: &Shared, id: &InstanceId, run: Option<u64>, headers: &HeaderMap) {
+    let unknown = (shared.adapter.unknown_headers)(headers);
+    let place = "header of an endpoint's answer";
+    shared.unknown.record(place, &unknown, id.as_str());
     match (shared.adapter.parse_rate)(headers) {
         Ok(rate) => shared.send_direct(DirectEvent::RateLimit {
             id: id.clone(),
--- a/src/link/operator_watch.rs
+++ b/src/link/operator_watch.rs
@@ -1,7 +1,6 @@
 //! Watch of the keys that operators write: the routing, and the data halls that are evacuated.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::cell::Cell;
 use std::rc::Rc;
 
 use super::operator_keys;
@@ -15,16 +14,12 @@
 use crate::logic::LogCode;
 use crate::types::StorePosition;
 
-/// Most unknown keys that are remembered, so that each is logged once.
-const MAX_UNKNOWN_KEYS: usize = 256;
-
 /// Passes the operators' routing and evacuations to the reducer until the process ends. What is
 /// invalid is logged and changes nothing.
 pub(super) async fn follow(shared: Rc<Shared>, pace: WatchPace) {
     let reader = Reader {
         shared: shared.clone(),
         newest_valid: Cell::new(true),
-        unknown: RefCell::default(),
     };
     watches::follow(
         shared.clone(),
@@ -40,8 +35,6 @@
     shared: Rc<Shared>,
     /// Whether the newest routing is valid; if not, the one in force is not the newest.
     newest_valid: Cell<bool>,
-    /// Unknown keys that were logged.
-    unknown: RefCell<BTreeSet<String>>,
 }
 
 impl Reader {
@@ -111,8 +104,7 @@
             Ok(key) => return Some(key),
             Err(why) => why,
         };
-        let mut unknown = self.unknown.borrow_mut();
-        if unknown.len() < MAX_UNKNOWN_KEYS && unknown.insert(key.to_string()) {
+        if self.shared.unknown.is_new("key of operators", key) {
             log_event(LogCode::OperatorKeyUnknown, &why);
         }
         None
--- a/src/link/platform_adapter.rs
+++ b/src/link/platform_adapter.rs
@@ -2,12 +2,10 @@
 use http::{request, response, HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 
-use super::{OperatorKey, ReplyHead, StorePage, WatchResult};
-use crate::logic::direct::{
-    DirectRequest, GroupOrder, OrderResult, ProbeResult, Problem, RunRequest,
-};
+use super::{OperatorKey, ParsedEntry, ParsedReport, ReplyHead, StorePage, WatchResult};
+use crate::logic::direct::{DirectRequest, GroupOrder, OrderResult, Problem, RunRequest};
 use crate::logic::router::{StoreCall, StoreEntry, StoreResult};
-use crate::types::{EndpointEntry, InstanceId, Millis, RequestRate, Routing};
+use crate::types::{InstanceId, Millis, RequestRate, Routing};
 
 /// Platform adapter: pure functions that convert between the platform's messages and the
 /// product's types, one for each message.
@@ -29,7 +27,7 @@
     /// Parses the operators' routing; an error tells why it is invalid.
     pub parse_routing: fn(&str) -> Result<Routing, String>,
     /// Parses an entry of the endpoint list; an error tells why it is invalid.
-    pub parse_entry: fn(&StoreEntry) -> Result<(InstanceId, EndpointEntry), String>,
+    pub parse_entry: fn(&StoreEntry) -> Result<ParsedEntry, String>,
     /// Parses a caller's request.
     pub parse_request: fn(&request::Parts, &[u8]) -> DirectRequest,
     /// Builds the request to an endpoint for a caller's request.
@@ -42,6 +40,8 @@
     /// Parses how much longer an endpoint is cold, in milliseconds, if its answer says so; an error
     /// tells why it is invalid.
     pub parse_cold: fn(&HeaderMap) -> Result<Option<Millis>, String>,
+    /// Lists the headers of an endpoint's answer that this version doesn't know.
+    pub unknown_headers: fn(&HeaderMap) -> Vec<String>,
     /// Builds the head of a caller's answer from that of an endpoint.
     pub build_head: fn(&response::Parts) -> response::Parts,
     /// Builds the answer that the router itself gives to a request instead of an endpoint.
@@ -49,7 +49,7 @@
     /// Builds the request for an endpoint's report.
     pub build_probe: fn(&InstanceId, &str) -> Request<Full<Bytes>>,
     /// Parses a report; an error tells why it is invalid.
-    pub parse_report: fn(StatusCode, &[u8]) -> Result<ProbeResult, String>,
+    pub parse_report: fn(StatusCode, &[u8]) -> Result<ParsedReport, String>,
     /// Builds an order to an endpoint.
     pub build_order: fn(&InstanceId, &str, &GroupOrder) -> Request<Full<Bytes>>,
     /// Parses the answer to an order.
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -17,6 +17,7 @@
 use super::shared::Shared;
 use super::store::PrefixEntries;
 use super::store_gate::StoreGate;
+use super::unknown_names::UnknownNames;
 use super::watches::{self, WatchPace};
 use super::{callers, operator_watch, peers, ready, snapshots, PlatformAdapter};
 use crate::host::Clock;
@@ -66,6 +67,7 @@
         reads_per_s: settings.reads_per_s,
         gate: StoreGate::default(),
         calls: RefCell::new(BTreeMap::new()),
+        unknown: UnknownNames::default(),
         ready: Cell::new(false),
         stopping: Cell::new(false),
         closed: Cell::new(false),
@@ -165,7 +167,13 @@
 async fn follow_list(shared: Rc<Shared>, pace: WatchPace) {
     let read = |entry: &crate::logic::router::StoreEntry| match (shared.adapter.parse_entry)(entry)
     {
-        Ok(read) => Some(read),
+        Ok(read) => {
+            let from = read.id.as_str();
+            shared
+                .unknown
+                .record("field of an endpoint's entry", &read.unknown, from);
+            Some((read.id, read.entry))
+        }
         Err(why) => {
             log_event(LogCode::EntryUnread, &why);
             None
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -15,6 +15,7 @@
 use super::pool::Pool;
 use super::store::PrefixEntries;
 use super::store_gate::StoreGate;
+use super::unknown_names::UnknownNames;
 use super::PlatformAdapter;
 use crate::host::Clock;
 use crate::logic::direct::{DirectEvent, KeysSource, ListPace};
@@ -55,6 +56,8 @@
     pub gate: StoreGate,
     /// Number of calls to the store by use and outcome.
     pub calls: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
+    /// Names in endpoints' answers and in keys that this version doesn't know.
+    pub unknown: UnknownNames,
     /// Whether the balancer should send callers to this router.
     pub ready: Cell<bool>,
     /// Whether the router is shutting down.
--- a/testkit/standin/replica.rs
+++ b/testkit/standin/replica.rs
@@ -39,11 +39,31 @@
     pub(super) stalled_since: Option<Instant>,
     /// Rate limit that its answers name, in requests a second.
     pub(super) limit: Option<f64>,
-    /// Times at which requests arrived.
-    pub(super) arrivals: Vec<Instant>,
+    /// Time for which it asks each router that it turns away to send nothing; `None` while it
+    /// turns nothing away.
+    pub(super) hold_off: Option<Duration>,
+    /// Whether its answers say that it is leaving.
+    pub(super) leaving: bool,
+    /// Further header of its answers.
+    pub(super) header: Option<(&'static str, &'static str)>,
+    /// Requests that arrived.
+    pub(super) arrivals: Vec<Arrival>,
     pub(super) runtime: Option<Runtime>,
 }
 
+/// A request that arrived at a replica.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Time of its arrival.
+    pub at: Instant,
+    /// Attempt id.
+    pub attempt: String,
+    /// Time for which the replica asked the router to send nothing, if it turned the request away.
+    pub hold_off: Option<Duration>,
+    /// Whether the answer said that the replica is leaving.
+    pub leaving: bool,
+}
+
 #[derive(Clone)]
 pub(super) struct Seat {
     pub(super) group: String,
--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use serde_json::{json, Value};
 use tokio::time::sleep;
 
+use super::replica::Arrival;
 use super::serve::{json_response, Body};
 use super::world::World;
 
@@ -25,10 +26,34 @@
 /// Number of events of one stream.
 pub const EVENTS: u64 = 12;
 
+/// Answers a call with what the replica says in all its answers.
 pub(super) async fn on_replica_call(
     world: Arc<Mutex<World>>,
     own_id: String,
     request: Request<Incoming>,
+) -> Response<Body> {
+    let mut response = answer_call(world.clone(), own_id.clone(), request).await;
+    let world = world.lock().expect("state lock");
+    let Some(replica) = world.replicas.get(&own_id) else {
+        return response;
+    };
+    let headers = response.headers_mut();
+    if let Ok(id) = own_id.parse() {
+        headers.insert("x-replica-id", id);
+    }
+    if replica.leaving {
+        headers.insert("server-leaving", HeaderValue::from_static("1"));
+    }
+    if let Some((name, value)) = replica.header {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    response
+}
+
+async fn answer_call(
+    world: Arc<Mutex<World>>,
+    own_id: String,
+    request: Request<Incoming>,
 ) -> Response<Body> {
     let header = |name: &str| {
         let value = request.headers().get(name).and_then(|v| v.to_str().ok());
@@ -63,14 +88,22 @@
         world.update_list();
         return json_response(status, &Value::Null);
     }
-    let (pool, limit) = {
+    let (pool, limit, hold_off) = {
         let mut world = world.lock().expect("state lock");
         let Some(replica) = world.replicas.get_mut(&own_id) else {
             return json_response(StatusCode::MISDIRECTED_REQUEST, &Value::Null);
         };
-        replica.arrivals.push(Instant::now());
-        (replica.service == "pool", replica.limit)
+        replica.arrivals.push(Arrival {
+            at: Instant::now(),
+            attempt: attempt.clone(),
+            hold_off: replica.hold_off,
+            leaving: replica.leaving,
+        });
+        (replica.service == "pool", replica.limit, replica.hold_off)
     };
+    if let Some(time) = hold_off {
+        return turn_away(time);
+    }
     let body = request.into_body().collect().await;
     let fatal = body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes());
     let can_run = !pool || world.lock().expect("state lock").is_open_head(&own_id);
@@ -99,6 +132,18 @@
     response
 }
 
+/// The answer of a replica that turns a request away and asks its router to send nothing for some
+/// time.
+fn turn_away(time: Duration) -> Response<Body> {
+    let mut response = json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+    let headers = response.headers_mut();
+    headers.insert("x-not-run", HeaderValue::from_static("1"));
+    if let Ok(seconds) = time.as_secs_f64().to_string().parse() {
+        headers.insert("retry-after", seconds);
+    }
+    response
+}
+
 /// Records the start of a run; a request with the fatal body crashes the replica after
 /// [`CRASH_DELAY`].
 fn start_run(world: &Arc<Mutex<World>>, own_id: &str, attempt: &str, fatal: bool) {
@@ -156,7 +201,7 @@
         }
     });
     let mut response = Response::new(StreamBody::new(events).boxed_unsync());
-    let kind = http::HeaderValue::from_static("text/event-stream");
+    let kind = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert("content-type", kind);
     response
 }
--- a/testkit/standin/standin.rs
+++ b/testkit/standin/standin.rs
@@ -82,6 +82,9 @@
             fence: 0,
             stalled_since: None,
             limit: None,
+            hold_off: None,
+            leaving: false,
+            header: None,
             arrivals: Vec::new(),
             runtime: Some(runtime),
         };
@@ -108,6 +111,8 @@
             replica.epoch = 0;
             replica.fence = 0;
             replica.stalled_since = None;
+            replica.hold_off = None;
+            replica.leaving = false;
             replica.runtime = Some(runtime);
         }
         world.update_list();
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -4,7 +4,7 @@
 use http::StatusCode;
 use serde_json::Value;
 
-use super::replica::{Replica, Seat};
+use super::replica::{Arrival, Replica, Seat};
 use super::replica_calls::STALL_TIMEOUT;
 
 /// State of the stand-in platform: its store, its replicas, and the audit of what they did.
@@ -98,10 +98,42 @@
         self.replicas.get(id).is_some_and(|r| r.limit.is_some())
     }
 
+    /// Makes a replica turn all requests away and ask their routers to send nothing for a time;
+    /// `None` ends that.
+    pub fn hold_off(&mut self, id: &str, time: Option<Duration>) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.hold_off = time;
+        }
+    }
+
+    /// Whether a replica turns all requests away.
+    pub fn is_holding_off(&self, id: &str) -> bool {
+        self.replicas.get(id).is_some_and(|r| r.hold_off.is_some())
+    }
+
+    /// Makes a replica say in all its answers that it is leaving.
+    pub fn leave(&mut self, id: &str) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.leaving = true;
+        }
+    }
+
+    /// Makes a replica's answers have a further header.
+    pub fn add_header(&mut self, id: &str, name: &'static str, value: &'static str) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.header = Some((name, value));
+        }
+    }
+
     /// Times at which requests arrived at a replica since a time.
     pub fn arrivals(&self, id: &str, since: Instant) -> Vec<Instant> {
-        let all = self.replicas.get(id).map_or(&[][..], |r| &r.arrivals);
-        all.iter().copied().filter(|at| *at >= since).collect()
+        let times = self.requests(id).iter().map(|a| a.at);
+        times.filter(|at| *at >= since).collect()
+    }
+
+    /// All requests that arrived at a replica, in the order of their arrival.
+    pub fn requests(&self, id: &str) -> &[Arrival] {
+        self.replicas.get(id).map_or(&[], |r| &r.arrivals)
     }
 
     /// Writes an unrelated key `count` times, which only raises the revision.
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -65,8 +65,10 @@
             .to_string(),
         revision: 3,
     };
-    let (id, endpoint) = (adapter().parse_entry)(&entry).expect("readable");
-    assert_eq!(id.as_str(), "i-1");
+    let parsed = (adapter().parse_entry)(&entry).expect("readable");
+    assert_eq!(parsed.id.as_str(), "i-1");
+    assert!(parsed.unknown.is_empty(), "{:?}", parsed.unknown);
+    let endpoint = parsed.entry;
     assert!(endpoint.leaving);
     assert_eq!(endpoint.cold_ms, 251);
     assert_eq!(endpoint.born, Some(1_790_000_000_000));
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -39,3 +39,4 @@
 mod staging;
 mod stopping;
 mod suspension;
+mod unknown_names;
