--- a/testkit/standin/mod.rs
+++ b/testkit/standin/mod.rs
@@ -4,6 +4,7 @@
 //! and whether a member joined another group while the head of its own was open.
 
 mod call;
+mod caller;
 mod config;
 mod fleet;
 mod replica;
@@ -16,6 +17,7 @@
 
 pub(crate) use call::format_request;
 pub use call::{call, send, Answer};
+pub use caller::Caller;
 pub use config::config;
 pub use fleet::{fleet, logs, served, start_fleet, start_routers, until};
 pub use replica::Arrival;
