Endpoints that ask for it by Retry-After get no requests

What callers saw: two of three heads of a model turned everything away for eight seconds; requests went there again and again, used up the retry budget, and up to 13 of 25 in a second were refused though the third head served.

Cause: an answer with status 503 and Retry-After was taken as a full endpoint, which gets nothing for 60 ms. Nothing read the header.

The fix: the time is kept with what the router knows of the endpoint's process, so that it outlives seats, lists and lapses of the entry, and is asked for at the one place where an endpoint is chosen. What no endpoint takes in time is refused at once, with the earliest end as the time to come back; the rest waits or goes elsewhere. After the end the endpoint gets one run, then twice as many with each that begins. A request is written within 0.4 s of the choice of its endpoint or not at all, so that a slow connection doesn't carry it into the hold-off. Probes and orders, which take no slot, go on unless the endpoint turns these away too.

--- a/src/link/endpoint_calls.rs
+++ b/src/link/endpoint_calls.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use super::call_fault::CallFault;
+use super::pool::SendOptions;
 use super::shared::Shared;
 use crate::logic::direct::{DirectEvent, GroupOrder, OrderResult, ProbeResult};
 use crate::logic::{LogCode, LogEvent};
@@ -39,7 +40,7 @@
         .await
         {
             Ok(Ok(answer)) => {
-                send_limits(&shared, &id, None, answer.headers());
+                send_notices(&shared, &id, None, answer.status(), answer.headers());
                 read_report(&shared, &id, answer.status(), answer.body())
             }
             Ok(Err(CallFault::Refused)) => ProbeResult::Refused,
@@ -96,7 +97,7 @@
         .await
         {
             Ok(Ok(answer)) => {
-                send_limits(&shared, &id, None, answer.headers());
+                send_notices(&shared, &id, None, answer.status(), answer.headers());
                 (shared.adapter.parse_order)(answer.status())
             }
             _ => OrderResult::Unanswered,
@@ -106,9 +107,16 @@
 }
 
 /// Passes what an endpoint's answer says of the requests that it takes to the reducer: its limit,
-/// `None` if the answer has none, and for how much longer it is cold. What is invalid is logged and
-/// changes nothing. Headers that this version doesn't know are logged once.
-pub(super) fn send_limits(shared: &Shared, id: &InstanceId, run: Option<u64>, headers: &HeaderMap) {
+/// `None` if the answer has none, for how much longer it is cold, and for how long it wants none.
+/// What is invalid is logged and changes nothing. Headers that this version doesn't know are logged
+/// once.
+pub(super) fn send_notices(
+    shared: &Shared,
+    id: &InstanceId,
+    run: Option<u64>,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
     let unknown = (shared.adapter.unknown_headers)(headers);
     let place = "header of an endpoint's answer";
     shared.unknown.record(place, &unknown, id.as_str());
@@ -125,6 +133,15 @@
         Ok(None) => {}
         Err(why) => log_invalid("a cold time", id.as_str(), &why),
     }
+    match (shared.adapter.parse_hold_off)(status, headers) {
+        Ok(Some(ms)) => shared.send_direct(DirectEvent::HoldOff {
+            id: id.clone(),
+            run,
+            ms,
+        }),
+        Ok(None) => {}
+        Err(why) => log_invalid("a time to come back", id.as_str(), &why),
+    }
 }
 
 /// Sends a request and reads its answer of at most `max_bytes`.
@@ -151,7 +168,11 @@
     max_bytes: usize,
     connect_time: Duration,
 ) -> Result<Response<Bytes>, CallFault> {
-    let (response, connection) = shared.pool.send(addr, request, false, connect_time).await?;
+    let options = SendOptions {
+        connect_time,
+        ..SendOptions::default()
+    };
+    let (response, connection) = shared.pool.send(addr, request, options).await?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, max_bytes).collect().await;
     let body = body.map_err(|_| CallFault::Broken)?.to_bytes();
--- a/src/link/platform_adapter.rs
+++ b/src/link/platform_adapter.rs
@@ -40,6 +40,9 @@
     /// Parses how much longer an endpoint is cold, in milliseconds, if its answer says so; an error
     /// tells why it is invalid.
     pub parse_cold: fn(&HeaderMap) -> Result<Option<Millis>, String>,
+    /// Parses for how many milliseconds an endpoint wants no requests from this router, if its answer
+    /// says so; an error tells why it is invalid.
+    pub parse_hold_off: fn(StatusCode, &HeaderMap) -> Result<Option<Millis>, String>,
     /// Lists the headers of an endpoint's answer that this version doesn't know.
     pub unknown_headers: fn(&HeaderMap) -> Vec<String>,
     /// Builds the head of a caller's answer from that of an endpoint.
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -29,6 +29,18 @@
 /// Longest keep-alive time that is assumed, whatever the peer names.
 const MAX_KEEP_ALIVE: Duration = Duration::from_secs(30);
 
+/// How a request is sent.
+#[derive(Clone, Copy, Default)]
+pub(super) struct SendOptions {
+    /// Whether to skip connections that have been idle for so long that the peer may be closing
+    /// them.
+    pub fresh_only: bool,
+    /// Longest time for opening a new connection.
+    pub connect_time: Duration,
+    /// Time after which the request is no longer written; none for no bound.
+    pub send_by: Option<Millis>,
+}
+
 /// Idle connections by address.
 pub(super) struct Pool {
     clock: Clock,
@@ -77,20 +89,17 @@
 
     /// Sends a request and waits for the head of the answer.
     ///
-    /// `fresh_only` skips connections that have been idle for so long that the peer may be
-    /// closing them; `connect_time` bounds the opening of a new one.
-    ///
     /// # Errors
     /// Returns a [`CallFault`], which tells whether the request may have been sent.
     pub async fn send(
         &self,
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
-        fresh_only: bool,
-        connect_time: Duration,
+        options: SendOptions,
     ) -> Result<(Response<Incoming>, Connection), CallFault> {
         let mut request = request;
-        while let Some(mut connection) = self.take(addr, fresh_only) {
+        while let Some(mut connection) = self.take(addr, options.fresh_only) {
+            self.check_time(options.send_by)?;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 // Nothing was sent if the request comes back: another connection can send it.
@@ -100,7 +109,8 @@
                 },
             }
         }
-        let mut connection = connect(addr, connect_time).await?;
+        let mut connection = connect(addr, options.connect_time).await?;
+        self.check_time(options.send_by)?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
@@ -110,6 +120,15 @@
         }
     }
 
+    /// Checks whether a request may still be written.
+    fn check_time(&self, send_by: Option<Millis>) -> Result<(), CallFault> {
+        let is_late = send_by.is_some_and(|time| self.clock.now() > time);
+        if is_late {
+            return Err(CallFault::NotSent);
+        }
+        Ok(())
+    }
+
     /// Returns a connection to the pool; its last answer must have been read to the end.
     pub fn give_back(&self, connection: Connection, keep_alive: Option<Duration>) {
         if connection.sender.is_closed() {
--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -11,7 +11,7 @@
 use super::call_fault::CallFault;
 use super::endpoint_calls;
 use super::link_event::ReceivedRequest;
-use super::pool::Connection;
+use super::pool::{Connection, SendOptions};
 use super::shared::{ActiveRun, Shared};
 use super::EventSplitter;
 use crate::logic::direct::{DirectEvent, RunPart, RunRequest};
@@ -63,10 +63,12 @@
     received: &ReceivedRequest,
 ) -> Option<RunPart> {
     let request = (shared.adapter.build_run)(run, &received.head, received.body.clone());
-    let sent = shared
-        .pool
-        .send(run.addr, request, run.avoid_stale, CONNECT_TIMEOUT)
-        .await;
+    let options = SendOptions {
+        fresh_only: run.avoid_stale,
+        connect_time: CONNECT_TIMEOUT,
+        send_by: Some(run.send_by),
+    };
+    let sent = shared.pool.send(run.addr, request, options).await;
     let (response, connection) = match sent {
         Ok(answer) => answer,
         Err(CallFault::Refused) => return Some(RunPart::NotSent { refused: true }),
@@ -74,7 +76,7 @@
         Err(CallFault::Broken) => return Some(RunPart::Broken),
     };
     let (head, body) = response.into_parts();
-    endpoint_calls::send_limits(shared, &run.to, Some(run.run), &head.headers);
+    endpoint_calls::send_notices(shared, &run.to, Some(run.run), head.status, &head.headers);
     let reply = (shared.adapter.parse_reply)(&head, &received.label);
     if reply.is_foreign {
         return Some(RunPart::Broken);
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -1,7 +1,8 @@
 //! Handles the answers of endpoints and passes them on to callers.
 
 use super::{
-    concurrency_limit, crashes, endpoints, finish, send, DirectEffect, DirectState, RunPart,
+    concurrency_limit, crashes, endpoints, finish, hold_off, send, DirectEffect, DirectState,
+    RunPart,
 };
 use crate::logic::router::Metric;
 use crate::logic::Effect;
@@ -72,6 +73,7 @@
         );
     }
     endpoints::on_answer_begun(state, id);
+    hold_off::on_run_begun(state, id);
     let Some(flight) = state.in_flight.get_mut(&id) else {
         return;
     };
@@ -136,6 +138,7 @@
         endpoints::release_run(state, id);
         return send::retry(state, now, id, true, "the endpoint failed", out);
     }
+    hold_off::on_run_begun(state, id);
     let pass = DirectEffect::PassAnswer { request: id, run };
     finish::complete(state, now, id, pass, out);
 }
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -1,7 +1,8 @@
 //! Chooses the endpoint that a request is sent to.
 
 use super::{
-    cold, concurrency_limit, rate_limit, DirectState, EndpointView, InFlightRequest, Mechanism,
+    cold, concurrency_limit, hold_off, rate_limit, DirectState, EndpointView, InFlightRequest,
+    Mechanism,
 };
 use crate::types::{EngineSpec, InstanceId, Millis};
 
@@ -37,21 +38,40 @@
 
 /// Whether any endpoint could take the request before its wait ends if it had room.
 pub(super) fn has_candidate(state: &DirectState, flight: &InFlightRequest) -> bool {
+    candidates(state, flight).any(|v| allows_send_by(v, flight.wait_until))
+}
+
+/// When the first of the endpoints that can serve a request ends its hold-off, if all of them hold
+/// off.
+pub(super) fn hold_off_end(
+    state: &DirectState,
+    now: Millis,
+    flight: &InFlightRequest,
+) -> Option<Millis> {
+    hold_off::earliest_end(candidates(state, flight), now)
+}
+
+/// The endpoints that can serve a request, whether they have room or not.
+fn candidates<'a>(
+    state: &'a DirectState,
+    flight: &'a InFlightRequest,
+) -> impl Iterator<Item = &'a EndpointView> {
     let spec = state
         .routing
         .as_ref()
         .and_then(|r| r.services.get(&flight.service));
     let groups = spec.is_some_and(|s| s.engine.is_some());
-    let fits = |v: &EndpointView| {
+    state.endpoints.values().filter(move |v| {
         let fits = v.listed && v.entry.service == flight.service;
-        fits && allows_send_by(v, flight.wait_until) && can_serve(state, v, flight, groups)
-    };
-    state.endpoints.values().any(fits)
+        fits && can_serve(state, v, flight, groups)
+    })
 }
 
-/// Whether an endpoint's rate limit and cold phase allow a request of this router by a time.
+/// Whether an endpoint's rate limit, cold phase and hold-off allow a request of this router by a
+/// time.
 fn allows_send_by(view: &EndpointView, time: Millis) -> bool {
-    rate_limit::can_send_by(view, time) && cold::can_send_by(view, time)
+    let allows_rate = rate_limit::can_send_by(view, time) && cold::can_send_by(view, time);
+    allows_rate && hold_off::can_send_by(view, time)
 }
 
 /// Whether an endpoint of the right service can serve the request: any endpoint of a
@@ -125,6 +145,7 @@
     let entry = &view.entry;
     let fits = entry.service == flight.service && !entry.leaving && view.listed;
     let available = view.backoff_until <= now && view.silent_since.is_none();
+    let available = available && hold_off::has_room(view, now);
     fits && available && allows_send_by(view, now) && can_serve(state, view, flight, groups)
 }
 
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -1,7 +1,9 @@
 //! Finds the requests that crash endpoints.
 
 use super::{broadcast, Crash, CrashRecord, SuspectedCrash};
-use crate::logic::direct::{finish, DirectEffect, DirectState, Fingerprint, ProbeResult, Problem};
+use crate::logic::direct::{
+    finish, hold_off, DirectEffect, DirectState, Fingerprint, ProbeResult, Problem,
+};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
@@ -52,7 +54,10 @@
 
 /// Probes an endpoint that may have crashed, unless a probe is pending or was just answered.
 fn probe(state: &mut DirectState, now: Millis, id: &InstanceId, out: &mut Vec<Effect>) {
-    let addr = state.endpoints.get(id).map(|v| v.entry.addr);
+    let view = state.endpoints.get(id);
+    let addr = view
+        .filter(|v| hold_off::takes_calls(v, now))
+        .map(|v| v.entry.addr);
     let suspected = state.crashes.suspected_crashes.get_mut(id);
     let (Some(addr), Some(suspected)) = (addr, suspected) else {
         return;
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -91,6 +91,16 @@
         /// How much longer, in milliseconds.
         ms: Millis,
     },
+    /// An answer of an endpoint asks this router to send it nothing for a time. Comes before the event
+    /// for the answer itself.
+    HoldOff {
+        /// The endpoint.
+        id: InstanceId,
+        /// The run that it has turned away, if it was a run.
+        run: Option<u64>,
+        /// The time, in milliseconds.
+        ms: Millis,
+    },
     /// The result of a probe.
     Probed {
         /// The endpoint.
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -152,6 +152,7 @@
             .values()
             .filter(|v| v.listed && v.is_open_head());
         let cold = self.endpoints.values().filter(|v| v.cold.is_some());
+        let hold_offs = self.hold_offs(now);
         vec![
             ("endpoints", listed.count() as u64),
             ("endpoints_silent", silent.count() as u64),
@@ -169,6 +170,8 @@
             ("models_misfit", self.plan.misfits.len() as u64),
             ("halls_evacuated", self.evacuation.len() as u64),
             ("endpoints_cold", cold.count() as u64),
+            ("endpoints_held", hold_offs.len() as u64),
+            ("longest_hold_ms", hold_offs.into_iter().max().unwrap_or(0)),
             (
                 "figures_missing",
                 self.routing
@@ -192,6 +195,13 @@
         ]
     }
 
+    /// What is left of the hold-offs of endpoints, in milliseconds.
+    fn hold_offs(&self, now: Millis) -> Vec<Millis> {
+        let all = self.endpoints.values();
+        let left = all.filter_map(|v| Some(v.hold_off.as_ref()?.until.saturating_sub(now)));
+        left.filter(|left| *left > 0).collect()
+    }
+
     /// Number of requests in wait queues or held until the routing and the list are known and
     /// current.
     fn waiting(&self) -> usize {
--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::{ColdPhase, PacedShare, RateShare};
+use super::{ColdPhase, HoldOffPhase, PacedShare, RateShare};
 use crate::types::{EndpointEntry, Millis};
 
 /// What this router knows about one endpoint.
@@ -38,6 +38,8 @@
     pub rate: Option<RateShare>,
     /// While it is cold: how long, and this router's share of what it bears.
     pub cold: Option<ColdPhase>,
+    /// While it has asked this router to send nothing, and while requests come back afterwards.
+    pub hold_off: Option<HoldOffPhase>,
     /// When the limit was last lowered.
     pub lowered_at: Millis,
     /// Until when this router backs off from it: it gets no new requests.
@@ -71,6 +73,7 @@
             quickest_start: 0,
             rate: None,
             cold: None,
+            hold_off: None,
             lowered_at: 0,
             backoff_until: 0,
             failures: 0,
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,8 +1,8 @@
 //! What this router knows about endpoints, from the endpoint list and from its own runs.
 
 use super::{
-    cold, concurrency_limit, digests, plan, DirectState, EndpointUpdate, EndpointView, Observation,
-    ProbeResult,
+    cold, concurrency_limit, digests, hold_off, plan, DirectState, EndpointUpdate, EndpointView,
+    Observation, ProbeResult,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{EndpointEntry, GroupSeat, InstanceId, Millis};
@@ -10,6 +10,9 @@
 /// Time for which an endpoint that has left the list is kept.
 const UNLISTED_KEPT_MS: Millis = 15_000;
 
+/// The same for one that takes no requests of this router: it may be listed again.
+const RESTRICTED_KEPT_MS: Millis = 600_000;
+
 /// Shortest gap between two decoding passes of an engine. Output that follows sooner
 /// belongs to the same pass and is no measure of the engine's pauses.
 const MIN_PASS_GAP_MS: Millis = 15;
@@ -275,12 +278,16 @@
     true
 }
 
-/// Removes endpoints that left the list `UNLISTED_KEPT_MS` ago and have no runs of this router
-/// left.
+/// Removes endpoints that left the list some time ago and have no runs of this router left.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis) {
-    state
-        .endpoints
-        .retain(|_, v| v.listed || v.running > 0 || now < v.heartbeat_at + UNLISTED_KEPT_MS);
+    state.endpoints.retain(|_, v| {
+        let kept_ms = if hold_off::can_send_by(v, now) {
+            UNLISTED_KEPT_MS
+        } else {
+            RESTRICTED_KEPT_MS
+        };
+        v.listed || v.running > 0 || now < v.heartbeat_at + kept_ms
+    });
 }
 
 /// The endpoint at which a request runs.
@@ -362,6 +369,7 @@
 /// Releases the run of a request, however it ended.
 pub(super) fn release_run(state: &mut DirectState, request: u64) {
     on_answer_begun(state, request);
+    hold_off::on_run_settled(state, request);
     let Some(run) = state.in_flight.get_mut(&request).and_then(|f| f.run.take()) else {
         return;
     };
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -1,7 +1,7 @@
 //! Last step of a request: gives the caller exactly one final answer.
 
 use super::{
-    crashes, demand, endpoints, queue, DirectEffect, DirectState, InFlightRequest, Problem,
+    choose, crashes, demand, endpoints, queue, DirectEffect, DirectState, InFlightRequest, Problem,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -95,7 +95,13 @@
     let problem = if flight.has_not_run() {
         let max = flight.deadline.saturating_sub(now) / RETRY_AFTER_DIVISOR;
         let min = state.params.again_ms.min(max);
-        Problem::NotRun(min + (max - min) * (JITTER_STEPS + jitter) / (2 * JITTER_STEPS))
+        let usual = min + (max - min) * (JITTER_STEPS + jitter) / (2 * JITTER_STEPS);
+        // Before the first endpoint takes requests again it would be refused once more.
+        let held = choose::hold_off_end(state, now, flight).map_or(0, |end| {
+            let spread = min * jitter / JITTER_STEPS;
+            (end - now).saturating_add(spread)
+        });
+        Problem::NotRun(usual.max(held))
     } else {
         Problem::Unknown
     };
--- a/src/logic/direct/in_flight_request.rs
+++ b/src/logic/direct/in_flight_request.rs
@@ -85,4 +85,6 @@
     pub begun: bool,
     /// Whether a stream event has arrived.
     pub has_event: bool,
+    /// Whether it counts among the first runs after a hold-off of the endpoint.
+    pub after_hold_off: bool,
 }
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -3,8 +3,8 @@
 //! There are no agents beside the endpoints here: engines maintain their groups themselves, and
 //! the platform lists them. A request passes through `accept`, `choose`, `send`, `answer` and
 //! `finish`. `silence` detects silent endpoints and `crashes` detects requests that crash them.
-//! `rate_limit` and `cold` divide among the routers what an endpoint takes, and `evacuation`
-//! keeps requests from halls that operators evacuate.
+//! `rate_limit` and `cold` divide among the routers what an endpoint takes, `hold_off` keeps requests
+//! from endpoints that ask for it, and `evacuation` from halls that operators evacuate.
 //! `list_start` gets the endpoint list after a start.
 //! `plan` forms and repairs groups while this router holds the planner lease, and `digests`
 //! broadcasts what the planner has read to all routers.
@@ -39,6 +39,8 @@
 mod finish;
 mod group_order;
 mod hall_change;
+mod hold_off;
+mod hold_off_phase;
 mod holders;
 mod in_flight_request;
 mod keys_source;
@@ -92,6 +94,7 @@
 pub use fingerprint::Fingerprint;
 pub use group_order::{GroupOrder, GroupStep};
 pub use hall_change::HallChange;
+pub use hold_off_phase::HoldOffPhase;
 pub use in_flight_request::{InFlightRequest, Run};
 pub use keys_source::KeysSource;
 pub use list_change::ListChange;
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 
 use super::{form, retire, QueuedOrder};
-use crate::logic::direct::{DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult};
+use crate::logic::direct::{
+    hold_off, DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult,
+};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
@@ -86,10 +88,15 @@
         state.plan.order_queue.clear();
         return;
     }
+    let mut held = Vec::new();
     while state.plan.orders.len() < MAX_UNANSWERED {
         let Some(queued) = state.plan.order_queue.pop() else {
-            return;
+            break;
         };
+        if !takes_orders(state, now, &queued) {
+            held.push(queued);
+            continue;
+        }
         let view = state.endpoints.get(&queued.endpoint);
         let addr = view.filter(|_| queued.body.fence == state.plan.lease.fence);
         let Some(addr) = addr.map(|v| v.entry.addr) else {
@@ -104,16 +111,30 @@
             body: queued.body,
         }));
     }
+    for queued in held {
+        state.plan.order_queue.push(queued);
+    }
 }
 
-/// Requests an event for the orders that were queued in this step, if there is room for them.
-pub(in crate::logic::direct) fn request_sending(state: &DirectState, out: &mut Vec<Effect>) {
+/// Requests an event for the queued orders that can be sent, if there is room for them.
+pub(in crate::logic::direct) fn request_sending(
+    state: &DirectState,
+    now: Millis,
+    out: &mut Vec<Effect>,
+) {
     let plan = &state.plan;
-    if !plan.order_queue.is_empty() && plan.orders.len() < MAX_UNANSWERED {
+    let mut queued = plan.order_queue.iter();
+    if plan.orders.len() < MAX_UNANSWERED && queued.any(|o| takes_orders(state, now, o)) {
         out.push(Effect::Direct(DirectEffect::SendOrders));
     }
 }
 
+/// Whether the endpoint of an order doesn't hold off orders.
+fn takes_orders(state: &DirectState, now: Millis, order: &QueuedOrder) -> bool {
+    let view = state.endpoints.get(&order.endpoint);
+    view.is_none_or(|v| hold_off::takes_calls(v, now))
+}
+
 /// Orders that wait to be sent or await their results.
 pub(super) fn count_pending(state: &DirectState) -> usize {
     state.plan.orders.len() + state.plan.order_queue.len()
--- a/src/logic/direct/plan/order_queue.rs
+++ b/src/logic/direct/plan/order_queue.rs
@@ -39,6 +39,11 @@
         self.groups.pop_front().or_else(|| self.loads.pop_front())
     }
 
+    /// The orders, in the order in which they are taken.
+    pub fn iter(&self) -> impl Iterator<Item = &QueuedOrder> {
+        self.groups.iter().chain(&self.loads)
+    }
+
     /// Number of orders.
     pub fn len(&self) -> usize {
         self.groups.len() + self.loads.len()
--- a/src/logic/direct/plan/probe.rs
+++ b/src/logic/direct/plan/probe.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use super::{form, readiness};
-use crate::logic::direct::{endpoints, peers, DirectEffect, DirectState, Observation, ProbeResult};
+use crate::logic::direct::{
+    endpoints, hold_off, peers, DirectEffect, DirectState, Observation, ProbeResult,
+};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
@@ -110,7 +112,11 @@
 }
 
 fn send(state: &mut DirectState, now: Millis, id: &InstanceId, out: &mut Vec<Effect>) {
-    let Some(addr) = state.endpoints.get(id).map(|v| v.entry.addr) else {
+    let view = state.endpoints.get(id);
+    let Some(addr) = view
+        .filter(|v| hold_off::takes_calls(v, now))
+        .map(|v| v.entry.addr)
+    else {
         return;
     };
     if state.plan.probes_pending >= MAX_PENDING {
--- a/src/logic/direct/queue.rs
+++ b/src/logic/direct/queue.rs
@@ -7,7 +7,8 @@
 //! Requests that can still begin within their objective go first.
 
 use super::{
-    accept, choose, finish, send, DirectRequest, DirectState, InFlightRequest, Precedence, QueueKey,
+    accept, choose, finish, hold_off, send, DirectRequest, DirectState, InFlightRequest,
+    Precedence, QueueKey,
 };
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -64,6 +65,11 @@
         }
         return finish::give_up(state, now, id, "no endpoint had room in time", out);
     }
+    if hold_off::outlasts_wait(&flight, choose::hold_off_end(state, now, &flight)) {
+        let why = "every endpoint that can serve it holds off";
+        return finish::give_up(state, now, id, why, out);
+    }
+    let queue = state.queues.entry(key.clone()).or_default();
     let wait = flight.wait_until.saturating_sub(flight.arrived);
     let fits = (queue.waiting.len() as u64) < queue.max_waiting(now, wait);
     let is_open = flight.head_sent || choose::has_open_hall(state, &flight.service);
@@ -88,17 +94,22 @@
     }
 }
 
-/// Refuses the waiting requests of services all of whose halls are evacuated. A stream that was
-/// begun waits on: its caller would lose it.
+/// Refuses the waiting requests of services all of whose halls are evacuated, and those that every
+/// endpoint holds off for longer than they wait. A stream that was begun waits on: its caller would
+/// lose it.
 pub(super) fn refuse_unservable(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let waiting = state.queues.values().flat_map(|q| q.waiting.iter());
-    let is_over = |id: &u64| {
-        let flight = state.in_flight.get(id);
-        flight.is_some_and(|f| !f.head_sent && !choose::has_open_hall(state, &f.service))
+    let reason = |id: &u64| {
+        let flight = state.in_flight.get(id).filter(|f| !f.head_sent)?;
+        if !choose::has_open_hall(state, &flight.service) {
+            return Some("every data hall of the service is evacuated");
+        }
+        let end = choose::hold_off_end(state, now, flight);
+        let is_held = hold_off::outlasts_wait(flight, end);
+        is_held.then_some("every endpoint that can serve it holds off")
     };
-    let over: Vec<u64> = waiting.map(|(.., id)| *id).filter(is_over).collect();
-    for id in over {
-        let why = "every data hall of the service is evacuated";
+    let over = waiting.filter_map(|(.., id)| Some((*id, reason(id)?)));
+    for (id, why) in over.collect::<Vec<_>>() {
         finish::give_up(state, now, id, why, out);
     }
 }
--- a/src/logic/direct/run_request.rs
+++ b/src/logic/direct/run_request.rs
@@ -27,4 +27,6 @@
     /// Whether to use no pooled connection that the endpoint may be closing, as the request
     /// can't be repeated.
     pub avoid_stale: bool,
+    /// Time after which it is no longer written to a connection.
+    pub send_by: Millis,
 }
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,8 +1,8 @@
 //! Sends a request to an endpoint, and retries it at another one after a failure.
 
 use super::{
-    choose, crashes, finish, peers, queue, DirectEffect, DirectState, InFlightRequest, Mechanism,
-    Precedence, RetryBounds, RetryWindow, Run, RunRequest,
+    choose, crashes, finish, hold_off, peers, queue, DirectEffect, DirectState, InFlightRequest,
+    Mechanism, Precedence, RetryBounds, RetryWindow, Run, RunRequest,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -20,6 +20,10 @@
 /// within this time, and callers wait longer.
 const RESUME_WAIT_MS: Millis = 1_500;
 
+/// Longest time from the choice of an endpoint until the request is written to its connection. What
+/// the endpoint says of itself in the meantime isn't known to the choice.
+const MAX_UNSENT_MS: Millis = 400;
+
 /// Sends a request to the best endpoint, enqueues it, or ends it.
 pub(super) fn send_or_wait(state: &mut DirectState, now: Millis, id: u64, out: &mut Vec<Effect>) {
     let Some(flight) = state.in_flight.get(&id) else {
@@ -58,6 +62,7 @@
     for share in view.shares_mut() {
         share.on_sent(now);
     }
+    let after_hold_off = hold_off::on_sent(view);
     view.running += 1;
     view.unread_tokens += u64::from(flight.prompt_tokens);
     let (addr, epoch) = (view.entry.addr, view.epoch());
@@ -83,6 +88,7 @@
         last_event: flight.last_event,
         stream: flight.route.kind == RouteKind::Streaming,
         avoid_stale: !flight.route.repeatable(),
+        send_by: now + MAX_UNSENT_MS,
     }))));
     state.runs.insert(run, id);
     if let Some(flight) = state.in_flight.get_mut(&id) {
@@ -95,6 +101,7 @@
             sent_at: now,
             begun: false,
             has_event: false,
+            after_hold_off,
         });
     }
     true
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,6 +1,6 @@
 use super::{
-    accept, answer, cold, crashes, demand, digests, endpoints, evacuation, finish, list_log,
-    list_start, peers, plan, process_pause, queue, rate_limit, silence, store_restore,
+    accept, answer, cold, crashes, demand, digests, endpoints, evacuation, finish, hold_off,
+    list_log, list_start, peers, plan, process_pause, queue, rate_limit, silence, store_restore,
     DirectEffect, DirectEvent, DirectState, ShutdownStage,
 };
 use crate::logic::{Effect, Event, LogCode, LogEvent};
@@ -38,7 +38,7 @@
     queue::admit_held(state, now, out);
     queue::send_waiting(state, now, out);
     list_log::write(state, out);
-    plan::request_order_sending(state, out);
+    plan::request_order_sending(state, now, out);
     notify_readiness(state, out);
     digests::on_tick(state, now, out);
 }
@@ -61,6 +61,9 @@
             evacuation::on_hall_changes(state, now, at, changes, out)
         }
         DirectEvent::ColdNamed { id, ms } => cold::on_cold_named(state, now, &id, ms, out),
+        DirectEvent::HoldOff { id, run, ms } => {
+            hold_off::on_hold_off(state, now, &id, run, ms, out)
+        }
         DirectEvent::StoreBack => peers::notify_store_back(state, out),
         DirectEvent::RoutingRead => state.digests.routing_at = state.previous_tick,
         DirectEvent::RoutingChecked { read_number } => {
@@ -157,6 +160,7 @@
     endpoints::on_tick(state, now);
     rate_limit::on_tick(state, now, out);
     cold::on_tick(state, now);
+    hold_off::on_tick(state, now, out);
     evacuation::on_tick(state, now, out);
     peers::on_tick(state, now, out);
     list_start::on_tick(state, now, out);
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -174,4 +174,6 @@
     EndpointsUnlisted = 654 Info "many endpoints no longer listed";
     EndpointsIdle = 655 Info "many endpoints serve in no group";
     ModelMisfit = 656 Error "model fits no fabric domain: no group of it can be formed";
+    EndpointHoldsOff = 657 Warn "endpoint asks this router to send it nothing for a time";
+    HoldOffEnded = 658 Info "endpoint takes requests of this router again";
 }
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -128,6 +128,33 @@
     }
 }
 
+/// Several headers count as the longest of them; what can't be read is an error that names it.
+#[test]
+fn the_time_for_which_an_endpoint_wants_no_requests_is_parsed_or_an_error() {
+    let read = |status: u16, values: &[&str]| {
+        let values = values.iter().map(|v| v.parse().expect("a value"));
+        let headers = values.map(|v| (http::header::RETRY_AFTER, v)).collect();
+        let status = StatusCode::from_u16(status).expect("a status");
+        (adapter().parse_hold_off)(status, &headers)
+    };
+    assert_eq!(read(503, &["3"]), Ok(Some(3_000)));
+    assert_eq!(read(503, &[" 0.0304 "]), Ok(Some(31)));
+    assert_eq!(read(503, &["2", "5", "1"]), Ok(Some(5_000)));
+    assert_eq!(read(503, &["3600"]), Ok(Some(3_600_000)));
+    assert_eq!(read(503, &["1e300"]), Ok(Some(u64::MAX)));
+    assert_eq!(read(503, &["0"]), Ok(None));
+    assert_eq!(read(503, &[]), Ok(None));
+    for status in [200, 421, 429, 500, 504] {
+        assert_eq!(read(status, &["3"]), Ok(None), "{status}");
+    }
+    let date = "Thu, 03 Dec 2026 18:46:05 GMT";
+    for wrong in ["", "-1", "NaN", "inf", "soon", "3, 5", date] {
+        let why = read(503, &[wrong]).expect_err(wrong);
+        assert!(why.contains("retry-after") && why.contains(wrong), "{why}");
+    }
+    assert!(read(503, &["3", "soon"]).is_err());
+}
+
 #[test]
 fn a_request_that_is_sent_again_has_the_same_fingerprint() {
     let fingerprint = |head: &http::request::Parts, body: &[u8], account| {
@@ -158,6 +185,7 @@
         last_event: Some(12),
         stream: true,
         avoid_stale: false,
+        send_by: 1_000,
     };
     let sent = (adapter().build_run)(&run, &caller_request(), Bytes::from_static(b"body"));
     let text = |name: &str| {
