Endpoints that announce their leaving in an answer get no requests

Cause: the header by which an endpoint says in all its answers that it is leaving was not read; only the list was, which may show it later, or never while the store can't be reached.

Ruled out: the announcement lost with an entry, as nothing kept it.

The fix: the announcement holds for the rest of the endpoint's process, by the same place that chooses an endpoint as the list's word, and is not taken back by an older entry, a list read anew or another router. The planner is told (a message of its own), ends a group with such a member in order and tells all routers by its digests. What an answer says of its endpoint counts only if it is that endpoint's: another one may have the address.

A request that only leaving endpoints could serve is refused at once where nothing of its kind was sent lately. a_endpoint_that_leaves_gets_nothing_new looked for the refusal only after 1.3 s; it now takes it from the request on, and wants exactly one.

--- a/src/link/endpoint_calls.rs
+++ b/src/link/endpoint_calls.rs
@@ -107,9 +107,9 @@
 }
 
 /// Passes what an endpoint's answer says of the requests that it takes to the reducer: its limit,
-/// `None` if the answer has none, for how much longer it is cold, and for how long it wants none.
-/// What is invalid is logged and changes nothing. Headers that this version doesn't know are logged
-/// once.
+/// `None` if the answer has none, for how much longer it is cold, for how long it wants none, and
+/// that it is leaving. What is invalid is logged and changes nothing, and so does the answer of
+/// another endpoint at the same address. Headers that this version doesn't know are logged once.
 pub(super) fn send_notices(
     shared: &Shared,
     id: &InstanceId,
@@ -120,6 +120,9 @@
     let unknown = (shared.adapter.unknown_headers)(headers);
     let place = "header of an endpoint's answer";
     shared.unknown.record(place, &unknown, id.as_str());
+    if !(shared.adapter.is_answer_of)(status, headers, id) {
+        return;
+    }
     match (shared.adapter.parse_rate)(headers) {
         Ok(rate) => shared.send_direct(DirectEvent::RateLimit {
             id: id.clone(),
@@ -142,6 +145,11 @@
         Ok(None) => {}
         Err(why) => log_invalid("a time to come back", id.as_str(), &why),
     }
+    match (shared.adapter.parse_leaving)(headers) {
+        Ok(true) => shared.send_direct(DirectEvent::LeavingNamed(id.clone())),
+        Ok(false) => {}
+        Err(why) => log_invalid("an announcement", id.as_str(), &why),
+    }
 }
 
 /// Sends a request and reads its answer of at most `max_bytes`.
--- a/src/link/platform_adapter.rs
+++ b/src/link/platform_adapter.rs
@@ -34,6 +34,9 @@
     pub build_run: fn(&RunRequest, &request::Parts, Bytes) -> Request<Full<Bytes>>,
     /// Parses the head of an endpoint's answer to the request with a label.
     pub parse_reply: fn(&response::Parts, &str) -> ReplyHead,
+    /// Whether an answer to a call for an endpoint is from that endpoint; another one may have its
+    /// address.
+    pub is_answer_of: fn(StatusCode, &HeaderMap, &InstanceId) -> bool,
     /// Parses how many requests a second an endpoint takes from all routers, if its answer
     /// has that limit; an error tells why it is invalid.
     pub parse_rate: fn(&HeaderMap) -> Result<Option<RequestRate>, String>,
@@ -43,6 +46,8 @@
     /// Parses for how many milliseconds an endpoint wants no requests from this router, if its answer
     /// says so; an error tells why it is invalid.
     pub parse_hold_off: fn(StatusCode, &HeaderMap) -> Result<Option<Millis>, String>,
+    /// Parses whether an endpoint is leaving, by its answer; an error tells why that is invalid.
+    pub parse_leaving: fn(&HeaderMap) -> Result<bool, String>,
     /// Lists the headers of an endpoint's answer that this version doesn't know.
     pub unknown_headers: fn(&HeaderMap) -> Vec<String>,
     /// Builds the head of a caller's answer from that of an endpoint.
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -51,7 +51,7 @@
     hold_off::earliest_end(candidates(state, flight), now)
 }
 
-/// The endpoints that can serve a request, whether they have room or not.
+/// The endpoints that can serve a request and aren't leaving, whether they have room or not.
 fn candidates<'a>(
     state: &'a DirectState,
     flight: &'a InFlightRequest,
@@ -62,7 +62,7 @@
         .and_then(|r| r.services.get(&flight.service));
     let groups = spec.is_some_and(|s| s.engine.is_some());
     state.endpoints.values().filter(move |v| {
-        let fits = v.listed && v.entry.service == flight.service;
+        let fits = v.listed && !v.is_leaving() && v.entry.service == flight.service;
         fits && can_serve(state, v, flight, groups)
     })
 }
@@ -143,7 +143,7 @@
     groups: bool,
 ) -> bool {
     let entry = &view.entry;
-    let fits = entry.service == flight.service && !entry.leaving && view.listed;
+    let fits = entry.service == flight.service && !view.is_leaving() && view.listed;
     let available = view.backoff_until <= now && view.silent_since.is_none();
     let available = available && hold_off::has_room(view, now);
     fits && available && allows_send_by(view, now) && can_serve(state, view, flight, groups)
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -44,6 +44,11 @@
         return;
     };
     let update = EndpointUpdate::changed(id, &view.entry);
+    send_update(state, now, update);
+}
+
+/// Adds an update that came with no reading of the list; the next digest carries it.
+pub(super) fn send_update(state: &mut DirectState, now: Millis, update: EndpointUpdate) {
     add_update(state, update);
     let known = state.listed_at;
     close_batch(state, now, known, known);
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -101,6 +101,9 @@
         /// The time, in milliseconds.
         ms: Millis,
     },
+    /// An answer of this endpoint says that it is leaving. Comes before the event for the answer
+    /// itself.
+    LeavingNamed(InstanceId),
     /// The result of a probe.
     Probed {
         /// The endpoint.
--- a/src/logic/direct/endpoint_update.rs
+++ b/src/logic/direct/endpoint_update.rs
@@ -30,6 +30,13 @@
         /// Its seat in a group.
         seat: Option<GroupSeat>,
     },
+    /// The process of an endpoint that started at `born` has announced that it is leaving.
+    Leaving {
+        /// The endpoint.
+        id: InstanceId,
+        /// When the process started, in Unix milliseconds; absent if the platform doesn't tell.
+        born: Option<u64>,
+    },
     /// An endpoint is no longer in the list.
     Gone(InstanceId),
 }
@@ -70,6 +77,7 @@
         match self {
             EndpointUpdate::Listed(id, _)
             | EndpointUpdate::Changed { id, .. }
+            | EndpointUpdate::Leaving { id, .. }
             | EndpointUpdate::Gone(id) => id,
         }
     }
--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -14,6 +14,8 @@
     /// Whether it was listed or restarted after this router's first reading of the list, so
     /// that this router knows which models it has held.
     pub seen_start: bool,
+    /// Whether its process has announced that it is leaving. The list may show that later or never.
+    pub leaving: bool,
     /// Whether the list names it now.
     pub listed: bool,
     /// When the entry's last heartbeat was seen, or when it left the list.
@@ -62,6 +64,7 @@
             last_model: entry.model.clone(),
             entry,
             seen_start: false,
+            leaving: false,
             listed: true,
             heartbeat_at: now,
             active_at: now,
@@ -89,6 +92,11 @@
         limit.chain(self.cold.iter_mut().map(|cold| &mut cold.share))
     }
 
+    /// Whether it is leaving, by its own announcement or by the list.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.entry.leaving
+    }
+
     /// Epoch of its group; 0 if it is in none.
     pub fn epoch(&self) -> u64 {
         self.entry.seat.as_ref().map_or(0, |s| s.epoch)
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,8 +1,8 @@
 //! What this router knows about endpoints, from the endpoint list and from its own runs.
 
 use super::{
-    cold, concurrency_limit, digests, hold_off, plan, DirectState, EndpointUpdate, EndpointView,
-    Observation, ProbeResult,
+    cold, concurrency_limit, digests, hold_off, leaving, plan, DirectState, EndpointUpdate,
+    EndpointView, Observation, ProbeResult,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{EndpointEntry, GroupSeat, InstanceId, Millis};
@@ -112,10 +112,11 @@
     } else {
         Some(EndpointUpdate::Listed(id.clone(), entry.clone()))
     };
-    if entry.leaving && !view.entry.leaving {
-        out.push(Effect::Log(
-            LogEvent::new(LogCode::EndpointLeaving).with("endpoint", &id),
-        ));
+    if entry.leaving && !view.is_leaving() {
+        let event = LogEvent::new(LogCode::EndpointLeaving)
+            .with("endpoint", &id)
+            .with("by", "the list");
+        out.push(Effect::Log(event));
     }
     if entry.beats != view.entry.beats {
         view.heartbeat_at = now;
@@ -242,6 +243,7 @@
     match update {
         EndpointUpdate::Gone(id) if later => on_entry_change(state, now, id, None, out),
         EndpointUpdate::Gone(_) => {}
+        EndpointUpdate::Leaving { id, born } => leaving::on_told(state, now, &id, born, out),
         EndpointUpdate::Listed(id, entry) => {
             if newer(entry.born, entry.beats, &entry.seat) {
                 on_entry_change(state, now, id, Some(entry), out);
@@ -281,10 +283,11 @@
 /// Removes endpoints that left the list some time ago and have no runs of this router left.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis) {
     state.endpoints.retain(|_, v| {
-        let kept_ms = if hold_off::can_send_by(v, now) {
-            UNLISTED_KEPT_MS
-        } else {
+        let is_restricted = v.leaving || !hold_off::can_send_by(v, now);
+        let kept_ms = if is_restricted {
             RESTRICTED_KEPT_MS
+        } else {
+            UNLISTED_KEPT_MS
         };
         v.listed || v.running > 0 || now < v.heartbeat_at + kept_ms
     });
--- /dev/null
+++ b/src/logic/direct/leaving.rs
@@ -0,0 +1,67 @@
+//! Endpoints that are leaving by their own announcement.
+//!
+//! An endpoint that is about to stop says so in its answers, often before the list does and also
+//! while the store can't be reached. The announcement holds for the rest of the process, whatever
+//! the list says. The planner is told, so that a group with such a member ends in order, and it
+//! tells the other routers by its digests.
+
+use super::{digests, peers, plan, queue, DirectState, EndpointUpdate, PeerMessage};
+use crate::logic::{Effect, LogCode, LogEvent};
+use crate::types::{InstanceId, Millis};
+
+/// Handles an answer by which an endpoint says that it is leaving.
+pub(super) fn on_announced(
+    state: &mut DirectState,
+    now: Millis,
+    id: &InstanceId,
+    out: &mut Vec<Effect>,
+) {
+    if !mark(state, now, id, "an answer", out) {
+        return;
+    }
+    let born = state.endpoints.get(id).and_then(|v| v.entry.born);
+    let id = id.clone();
+    peers::notify_planner(state, PeerMessage::Leaving { id, born }, out);
+}
+
+/// Handles another router's word that the process of an endpoint that started at `born` is leaving.
+pub(super) fn on_told(
+    state: &mut DirectState,
+    now: Millis,
+    id: &InstanceId,
+    born: Option<u64>,
+    out: &mut Vec<Effect>,
+) {
+    let view = state.endpoints.get(id);
+    if view.is_some_and(|v| v.entry.born == born) {
+        mark(state, now, id, "another router", out);
+    }
+}
+
+/// Marks an endpoint as leaving; false if that was known already.
+fn mark(
+    state: &mut DirectState,
+    now: Millis,
+    id: &InstanceId,
+    by: &'static str,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let Some(view) = state.endpoints.get_mut(id) else {
+        return false;
+    };
+    let was_known = view.is_leaving();
+    view.leaving = true;
+    if was_known {
+        return false;
+    }
+    let born = view.entry.born;
+    let event = LogEvent::new(LogCode::EndpointLeaving)
+        .with("endpoint", id)
+        .with("by", by);
+    out.push(Effect::Log(event));
+    let id = id.clone();
+    digests::send_update(state, now, EndpointUpdate::Leaving { id, born });
+    plan::request_pass(state, now);
+    queue::refuse_unservable(state, now, out);
+    true
+}
--- a/src/logic/direct/list_snapshot.rs
+++ b/src/logic/direct/list_snapshot.rs
@@ -132,7 +132,7 @@
             hall: table.index(&entry.hall),
             domain: table.index(&entry.domain),
             slots: entry.slots,
-            leaving: entry.leaving,
+            leaving: view.is_leaving(),
             born: entry.born,
             cold_ms: cold.map_or(0, |c| c.until.saturating_sub(now)),
             beats: entry.beats,
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -4,7 +4,8 @@
 //! the platform lists them. A request passes through `accept`, `choose`, `send`, `answer` and
 //! `finish`. `silence` detects silent endpoints and `crashes` detects requests that crash them.
 //! `rate_limit` and `cold` divide among the routers what an endpoint takes, `hold_off` keeps requests
-//! from endpoints that ask for it, and `evacuation` from halls that operators evacuate.
+//! from endpoints that ask for it, `leaving` from those that announce their end, and `evacuation` from
+//! halls that operators evacuate.
 //! `list_start` gets the endpoint list after a start.
 //! `plan` forms and repairs groups while this router holds the planner lease, and `digests`
 //! broadcasts what the planner has read to all routers.
@@ -44,6 +45,7 @@
 mod holders;
 mod in_flight_request;
 mod keys_source;
+mod leaving;
 mod list_change;
 mod list_log;
 mod list_pace;
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -44,6 +44,13 @@
         /// The limit; none if the endpoint sets none.
         rate: Option<RequestRate>,
     },
+    /// The process of an endpoint has announced to the sender that it is leaving. Sent to the planner.
+    Leaving {
+        /// The endpoint.
+        id: InstanceId,
+        /// When the process started, in Unix milliseconds; absent if the platform doesn't tell.
+        born: Option<u64>,
+    },
     /// Requests during which endpoints have crashed.
     Crashes(Vec<CrashReport>),
     /// The observation that was asked for.
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use super::{
-    crashes, demand, digests, endpoints, plan, rate_limit, DirectEffect, DirectState,
+    crashes, demand, digests, endpoints, leaving, plan, rate_limit, DirectEffect, DirectState,
     ObservationRequest, PeerMessage, ProbeResult,
 };
 use crate::logic::router::{
@@ -250,6 +250,7 @@
         PeerMessage::Traffic => state.plan.has_traffic = true,
         PeerMessage::Silent { id } => plan::on_head_suspected(state, now, &id, out),
         PeerMessage::Rate { id, rate } => rate_limit::on_peer_rate(state, now, &id, rate, out),
+        PeerMessage::Leaving { id, born } => leaving::on_told(state, now, &id, born, out),
         PeerMessage::Crashes(reports) => crashes::on_crash_reports(state, now, &reports, out),
         PeerMessage::Seen { number, sight } => plan::on_observation(state, number, sight),
     }
@@ -266,7 +267,7 @@
 }
 
 /// Sends a message to the planner, if that is another router whose address is known.
-fn notify_planner(state: &DirectState, message: PeerMessage, out: &mut Vec<Effect>) {
+pub(super) fn notify_planner(state: &DirectState, message: PeerMessage, out: &mut Vec<Effect>) {
     let holder = state.plan.lease.holder.as_deref().map(InstanceId::new);
     if let Some(to) = holder.and_then(|h| state.peers.get(&h)).copied() {
         out.push(Effect::Direct(DirectEffect::SendMessage { to, message }));
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -275,7 +275,7 @@
 /// Whether a member is known, not about to leave and not lost.
 fn is_available(state: &DirectState, id: &InstanceId) -> bool {
     let view = state.endpoints.get(id);
-    let is_staying = view.is_some_and(|v| !v.entry.leaving);
+    let is_staying = view.is_some_and(|v| !v.is_leaving());
     is_staying && !state.plan.lost.contains_key(id)
 }
 
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -61,6 +61,6 @@
 pub(super) use planner_lease::{
     on_store_reply, on_store_restored, on_watch_changes, on_watch_lost,
 };
-pub(super) use planning_pass::on_tick;
+pub(super) use planning_pass::{on_tick, request_pass};
 pub(super) use probe::{on_head_suspected, on_observation, on_probe_result};
 pub(super) use retire::{is_in_retired_group, on_endpoint_restarted};
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -58,6 +58,11 @@
     forget_ended(state);
 }
 
+/// Brings the next planning pass forward to now.
+pub(in crate::logic::direct) fn request_pass(state: &mut DirectState, now: Millis) {
+    state.plan.next_pass = state.plan.next_pass.min(now);
+}
+
 /// Whether the list is complete and at least as new as the planner lease, so that it
 /// shows everything that earlier planners did.
 fn is_list_current(state: &DirectState) -> bool {
--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -39,7 +39,7 @@
         let member = GroupMember {
             id: id.clone(),
             state: seat.state,
-            leaving: view.entry.leaving,
+            leaving: view.is_leaving(),
             listed: view.listed,
         };
         group.seats.insert(seat.rank, member);
@@ -97,7 +97,7 @@
 pub(super) fn is_usable(state: &DirectState, id: &InstanceId, view: &EndpointView) -> bool {
     is_planned(state, view)
         && view.listed
-        && !view.entry.leaving
+        && !view.is_leaving()
         && !state.evacuation.contains(&view.entry.hall)
         && !state.plan.lost.contains_key(id)
 }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,7 +1,7 @@
 use super::{
     accept, answer, cold, crashes, demand, digests, endpoints, evacuation, finish, hold_off,
-    list_log, list_start, peers, plan, process_pause, queue, rate_limit, silence, store_restore,
-    DirectEffect, DirectEvent, DirectState, ShutdownStage,
+    leaving, list_log, list_start, peers, plan, process_pause, queue, rate_limit, silence,
+    store_restore, DirectEffect, DirectEvent, DirectState, ShutdownStage,
 };
 use crate::logic::{Effect, Event, LogCode, LogEvent};
 use crate::types::{Millis, Routing};
@@ -64,6 +64,7 @@
         DirectEvent::HoldOff { id, run, ms } => {
             hold_off::on_hold_off(state, now, &id, run, ms, out)
         }
+        DirectEvent::LeavingNamed(id) => leaving::on_announced(state, now, &id, out),
         DirectEvent::StoreBack => peers::notify_store_back(state, out),
         DirectEvent::RoutingRead => state.digests.routing_at = state.previous_tick,
         DirectEvent::RoutingChecked { read_number } => {
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -155,6 +155,44 @@
     assert!(read(503, &["3", "soon"]).is_err());
 }
 
+#[test]
+fn an_announcement_of_leaving_is_parsed_or_an_error() {
+    let read = |value: &str| {
+        let mut headers = http::HeaderMap::new();
+        headers.insert("server-leaving", value.parse().expect("a value"));
+        (adapter().parse_leaving)(&headers)
+    };
+    assert_eq!(
+        (adapter().parse_leaving)(&http::HeaderMap::new()),
+        Ok(false)
+    );
+    assert_eq!(read(" 1"), Ok(true));
+    assert_eq!(read("0"), Ok(false));
+    for wrong in ["", "2", "yes", "-1"] {
+        let why = read(wrong).expect_err(wrong);
+        assert!(
+            why.contains("server-leaving") && why.contains(wrong),
+            "{why}"
+        );
+    }
+}
+
+/// What another endpoint at the same address says of itself doesn't concern this one.
+#[test]
+fn an_answer_is_of_the_endpoint_that_it_names() {
+    let is_answer = |status: u16, own: Option<&'static str>| {
+        let own = own.map(HeaderValue::from_static);
+        let headers = own.map(|own| (http::HeaderName::from_static("x-replica-id"), own));
+        let status = StatusCode::from_u16(status).expect("a status");
+        let id = InstanceId::new("i-1");
+        (adapter().is_answer_of)(status, &headers.into_iter().collect(), &id)
+    };
+    assert!(is_answer(200, None) && is_answer(503, None));
+    assert!(is_answer(421, Some("i-1")) && is_answer(200, Some("i-1")));
+    assert!(!is_answer(421, None));
+    assert!(!is_answer(421, Some("i-2")) && !is_answer(200, Some("i-2")));
+}
+
 #[test]
 fn a_request_that_is_sent_again_has_the_same_fingerprint() {
     let fingerprint = |head: &http::request::Parts, body: &[u8], account| {
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -169,10 +169,19 @@
     let mut entries = open_group("g", [1, 2, 3]);
     entries[0].1.leaving = true;
     let mut router = Router::new(entries);
-    router.ask(1, "/stream/x");
+    let mut effects = router.ask(1, "/stream/x");
     router.advance_ms(1_300);
-    let effects = router.take_effects();
-    assert!(matches!(problem(&effects), Some(Problem::NotRun(_))));
+    effects.extend(router.take_effects());
+    let refusals = effects.iter().filter(|e| {
+        matches!(
+            e,
+            DirectEffect::Refuse {
+                problem: Problem::NotRun(_),
+                ..
+            }
+        )
+    });
+    assert_eq!(refusals.count(), 1);
     assert!(!effects.iter().any(|e| matches!(e, DirectEffect::Run(_))));
 }
 
