--- a/src/link/operator_watch.rs
+++ b/src/link/operator_watch.rs
@@ -90,6 +90,9 @@
         self.newest_valid.set(routing.is_ok());
         match routing {
             Ok(routing) => {
+                let place = "field of the routing";
+                let unknown = &routing.unknown_fields;
+                self.shared.unknown.record(place, unknown, "operators");
                 self.shared.limits.set(routing.limits);
                 self.shared
                     .send_direct(DirectEvent::Routing(routing.into()));
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -131,7 +131,7 @@
     OperatorKeyUnknown = 606 Warn "key of the operators is unknown";
     HallEvacuated = 607 Warn "data hall evacuated: its endpoints get no new requests";
     HallReturned = 608 Info "data hall taken back: its endpoints get requests again";
-    NameUnknown = 609 Warn "name in an endpoint's answer or entry is unknown";
+    NameUnknown = 609 Warn "name in an answer, an entry or the routing is unknown";
     EndpointListed = 610 Info "endpoint listed";
     EndpointUnlisted = 611 Info "endpoint no longer listed";
     EndpointLeaving = 612 Info "endpoint is leaving";
--- a/src/types/routing.rs
+++ b/src/types/routing.rs
@@ -23,6 +23,8 @@
     pub limits: CallerLimits,
     /// Values that the document lacks, with the defaults used instead.
     pub missing_values: Vec<MissingValue>,
+    /// Names of fields of the document that this version doesn't know.
+    pub unknown_fields: Vec<String>,
 }
 
 impl Routing {
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -15,7 +15,7 @@
 
 use crate::fixture::{addr, open_group, piece, problem, request, run, Router};
 use testkit::direct::FATAL;
-use testkit::direct::{fleet, send, until};
+use testkit::direct::{fleet, logs, send, until};
 
 /// Number of crashes from which on a request is refused.
 const BLOCKING_CRASHES: usize = 3;
@@ -471,5 +471,6 @@
     for n in 0..6 {
         attempt(sent + n);
     }
-    assert_eq!(all - standin.alive().len(), BLOCKING_CRASHES);
+    let crashes = all - standin.alive().len();
+    assert_eq!(crashes, BLOCKING_CRASHES, "{}", logs(dir.path()));
 }
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -42,3 +42,4 @@
 mod stopping;
 mod suspension;
 mod unknown_names;
+mod wire;
