Queue: what is held off past its own wait is refused at once

A request whose queue has lately refused others waits for a sixth of its objective only. The end of a hold-off was compared with the full wait, so that such a request waited for nothing. It is compared with the wait that the request really has.

--- a/src/logic/direct/hold_off.rs
+++ b/src/logic/direct/hold_off.rs
@@ -9,7 +9,7 @@
 //! Probes and orders go on, as they take no slot of the endpoint and groups are repaired by them,
 //! unless the endpoint turns these away as well.
 
-use super::{queue, DirectState, EndpointView, HoldOffPhase, InFlightRequest};
+use super::{queue, DirectState, EndpointView, HoldOffPhase};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
@@ -118,12 +118,6 @@
     endpoints.map(end).min().filter(|end| *end > now)
 }
 
-/// Whether a request can't be served while it waits, as every endpoint that can serve it holds off
-/// for longer. A stream that has begun waits on: its caller would lose it.
-pub(super) fn outlasts_wait(flight: &InFlightRequest, end: Option<Millis>) -> bool {
-    !flight.head_sent && end.is_some_and(|end| end >= flight.wait_until)
-}
-
 /// Logs the end of hold-offs.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     for (id, view) in &mut state.endpoints {
--- a/src/logic/direct/queue.rs
+++ b/src/logic/direct/queue.rs
@@ -7,8 +7,7 @@
 //! Requests that can still begin within their objective go first.
 
 use super::{
-    accept, choose, finish, hold_off, send, DirectRequest, DirectState, InFlightRequest,
-    Precedence, QueueKey,
+    accept, choose, finish, send, DirectRequest, DirectState, InFlightRequest, Precedence, QueueKey,
 };
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -59,15 +58,15 @@
     };
     let key = QueueKey::of(&flight);
     let queue = state.queues.entry(key.clone()).or_default();
-    if now >= wait_end(&flight, id, queue.is_effective(now)) {
+    let end = wait_end(&flight, id, queue.is_effective(now));
+    if now >= end {
         if flight.is_late(now) {
             queue.on_refused(now);
         }
         return finish::give_up(state, now, id, "no endpoint had room in time", out);
     }
-    if hold_off::outlasts_wait(&flight, choose::hold_off_end(state, now, &flight)) {
-        let why = "every endpoint that can serve it holds off";
-        return finish::give_up(state, now, id, why, out);
+    if is_held_off(state, now, &flight, end) {
+        return finish::give_up(state, now, id, HELD_OFF, out);
     }
     let queue = state.queues.entry(key.clone()).or_default();
     let wait = flight.wait_until.saturating_sub(flight.arrived);
@@ -94,23 +93,39 @@
     }
 }
 
+/// Reason of a refusal where every endpoint that can serve a request holds off.
+const HELD_OFF: &str = "every endpoint that can serve it holds off";
+
+/// Whether every endpoint that can serve a request holds off until its wait ends or longer. A stream
+/// that has begun waits on all the same: its caller would lose it.
+fn is_held_off(
+    state: &DirectState,
+    now: Millis,
+    flight: &InFlightRequest,
+    wait_end: Millis,
+) -> bool {
+    let end = choose::hold_off_end(state, now, flight);
+    !flight.head_sent && end.is_some_and(|end| end >= wait_end)
+}
+
 /// Refuses the waiting requests of services all of whose halls are evacuated, and those that every
 /// endpoint holds off for longer than they wait. A stream that was begun waits on: its caller would
 /// lose it.
 pub(super) fn refuse_unservable(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let waiting = state.queues.values().flat_map(|q| q.waiting.iter());
-    let reason = |id: &u64| {
-        let flight = state.in_flight.get(id).filter(|f| !f.head_sent)?;
+    let waiting: Vec<u64> = waiting.map(|(.., id)| *id).collect();
+    for id in waiting {
+        let end = current_wait_end(state, now, id);
+        let flight = state.in_flight.get(&id).filter(|f| !f.head_sent);
+        let Some((flight, end)) = flight.zip(end) else {
+            continue;
+        };
         if !choose::has_open_hall(state, &flight.service) {
-            return Some("every data hall of the service is evacuated");
+            let why = "every data hall of the service is evacuated";
+            finish::give_up(state, now, id, why, out);
+        } else if is_held_off(state, now, flight, end) {
+            finish::give_up(state, now, id, HELD_OFF, out);
         }
-        let end = choose::hold_off_end(state, now, flight);
-        let is_held = hold_off::outlasts_wait(flight, end);
-        is_held.then_some("every endpoint that can serve it holds off")
-    };
-    let over = waiting.filter_map(|(.., id)| Some((*id, reason(id)?)));
-    for (id, why) in over.collect::<Vec<_>>() {
-        finish::give_up(state, now, id, why, out);
     }
 }
 
@@ -214,12 +229,15 @@
 }
 
 fn is_wait_over(state: &mut DirectState, now: Millis, id: u64) -> bool {
-    let Some(flight) = state.in_flight.get(&id) else {
-        return false;
-    };
+    current_wait_end(state, now, id).is_some_and(|end| now >= end)
+}
+
+/// Time at which a request's wait ends by what its queue shows now.
+fn current_wait_end(state: &mut DirectState, now: Millis, id: u64) -> Option<Millis> {
+    let flight = state.in_flight.get(&id)?;
     let queue = state.queues.get_mut(&QueueKey::of(flight));
     let effective = queue.is_none_or(|q| q.is_effective(now));
-    now >= wait_end(flight, id, effective)
+    Some(wait_end(flight, id, effective))
 }
 
 /// Holds a request until the routing and the endpoint list are known and no reading of the routing
