Soak: endpoints that hold off and endpoints that announce their leaving

Both are drawn from the seed by themselves, so that the other faults of a seed stay what they were. Two checks go by what endpoints received: a hold-off and an announcement bind the router that was told, the process of the endpoint that told it and, until the end, the time; a restart or freeze of the router excuses, a fault of the store doesn't. Each check is shown to find what it is meant to find, and not to find what is allowed.

--- a/testkit/src/soak/driver.rs
+++ b/testkit/src/soak/driver.rs
@@ -97,6 +97,8 @@
             }
             Fault::FatalRequest(times) => self.fatal_request(n, *times),
             Fault::LimitEndpoint(rate, ms) => self.limit_endpoint(n, f64::from(*rate), *ms),
+            Fault::HoldOff(hold_ms, ms) => self.hold_off_endpoint(n, *hold_ms, *ms),
+            Fault::Leave(ms) => self.leave_endpoint(n, *ms),
         }
     }
 
@@ -108,6 +110,12 @@
         span
     }
 
+    /// Records a restart or freeze of a router that began at `from_ms` and ends now.
+    fn record_interruption(&self, at: usize, from_ms: u64) {
+        let span = self.record_router_fault(at, from_ms);
+        lock(&self.record).interruptions.push((at, span));
+    }
+
     /// Records a fault of endpoints that began at `from_ms` and ends now.
     fn record_endpoint_fault(&self, from_ms: u64) {
         let to_ms = self.now_ms();
@@ -118,7 +126,7 @@
     fn kill_router(&self, at: usize) {
         let from = self.now_ms();
         self.restart(at);
-        self.record_router_fault(at, from);
+        self.record_interruption(at, from);
     }
 
     /// Restarts a router and waits until it is ready for callers, or was restarted again.
@@ -172,7 +180,7 @@
             record.router_faults.push((at, span));
         }
         self.restart(at);
-        self.record_router_fault(at, ended + 1);
+        self.record_interruption(at, ended + 1);
     }
 
     fn freeze_router(&self, at: usize, ms: u64) {
@@ -180,7 +188,7 @@
         self.signal(at, Signal::SIGSTOP);
         std::thread::sleep(Duration::from_millis(ms));
         self.signal(at, Signal::SIGCONT);
-        self.record_router_fault(at, from);
+        self.record_interruption(at, from);
     }
 
     /// Signals a router unless it has ended.
@@ -294,6 +302,44 @@
         outcome
     }
 
+    /// The head of an open group, or an endpoint of the plain service.
+    fn serving_endpoint(&self, n: usize) -> Option<String> {
+        let heads = self.standin.open_groups().into_iter();
+        let heads = heads.filter_map(|group| group.into_iter().next());
+        let mut serving: Vec<_> = heads.chain(self.standin.plain()).collect();
+        let at = n.checked_rem(serving.len())?;
+        Some(serving.swap_remove(at))
+    }
+
+    fn hold_off_endpoint(&self, n: usize, hold_ms: u64, ms: u64) {
+        let from = self.now_ms();
+        let Some(id) = self.serving_endpoint(n) else {
+            return;
+        };
+        if self.standin.world().is_holding_off(&id) {
+            return;
+        }
+        let time = Duration::from_millis(hold_ms);
+        self.standin.world().hold_off(&id, Some(time));
+        std::thread::sleep(Duration::from_millis(ms));
+        self.standin.world().hold_off(&id, None);
+        self.record_endpoint_fault(from);
+    }
+
+    fn leave_endpoint(&self, n: usize, ms: u64) {
+        let from = self.now_ms();
+        let Some(id) = self.serving_endpoint(n) else {
+            return;
+        };
+        let is_plain = self.standin.plain().contains(&id);
+        let service = if is_plain { "gate" } else { "pool" };
+        self.standin.add(&format!("l{n}"), service);
+        self.standin.world().leave(&id);
+        std::thread::sleep(Duration::from_millis(ms));
+        self.standin.kill(&id);
+        self.record_endpoint_fault(from);
+    }
+
     fn limit_endpoint(&self, n: usize, rate: f64, ms: u64) {
         let id = format!("p{}", n % 2);
         let (from_ms, since) = (self.now_ms(), Instant::now());
--- a/testkit/src/soak/fault.rs
+++ b/testkit/src/soak/fault.rs
@@ -32,6 +32,12 @@
     FatalRequest(u32),
     /// An endpoint names a rate limit, in requests a second, for some milliseconds.
     LimitEndpoint(u32, u64),
+    /// An endpoint turns everything away and asks each router to send nothing for some milliseconds;
+    /// it does so for the second number of milliseconds.
+    HoldOff(u64, u64),
+    /// An endpoint says in its answers that it is leaving, while the list shows it as ready, and ends
+    /// after some milliseconds. Another one is added.
+    Leave(u64),
 }
 
 impl Fault {
@@ -52,6 +58,8 @@
             Fault::Configure => "configure",
             Fault::FatalRequest(_) => "fatal-request",
             Fault::LimitEndpoint(..) => "limit-endpoint",
+            Fault::HoldOff(..) => "hold-off",
+            Fault::Leave(_) => "leave",
         }
     }
 }
--- a/testkit/src/soak/judge.rs
+++ b/testkit/src/soak/judge.rs
@@ -1,5 +1,6 @@
 //! Checks of what must hold in every soak.
 
+use super::received::{broken_hold_offs, sent_to_leaving};
 use super::{Finding, Limited, Outcome, Record, Sample, Span};
 
 /// Time in which all routers learn of the third crash under a request, or of an endpoint's rate
@@ -57,6 +58,14 @@
         late_fatal_runs(record),
     );
     add("the limit of an endpoint is kept", exceeded_limits(record));
+    add(
+        "an endpoint that holds off gets nothing",
+        broken_hold_offs(&record.received, &record.interruptions),
+    );
+    add(
+        "an endpoint that is leaving gets nothing new",
+        sent_to_leaving(&record.received, &record.interruptions),
+    );
     add(
         "memory, descriptors and logs are bounded",
         excessive_usage(record),
--- a/testkit/src/soak/plan.rs
+++ b/testkit/src/soak/plan.rs
@@ -10,6 +10,9 @@
 /// Upper bound of the time between two faults that don't begin together.
 const MAX_GAP_MS: u64 = 2_000;
 
+/// Upper bound of the time between two endpoints that hold off or announce their leaving.
+const MAX_NOTICE_GAP_MS: u64 = 4_000;
+
 /// Percentage of faults that begin at the same time as the one before.
 const TOGETHER_PERCENT: u32 = 40;
 
@@ -69,10 +72,32 @@
                 at_ms += rng.u64(200..MAX_GAP_MS);
             }
         }
+        faults.extend(draw_notices(settings));
+        faults.sort_by_key(|planned| planned.at_ms);
         Self { faults }
     }
 }
 
+/// Draws the times at which endpoints hold off or announce their leaving. They are drawn by
+/// themselves, so that the other faults of a seed stay what they were.
+fn draw_notices(settings: &SoakSettings) -> Vec<PlannedFault> {
+    let mut rng = fastrand::Rng::with_seed(!settings.seed);
+    let mut faults = Vec::new();
+    let mut at_ms = MARGIN_MS;
+    loop {
+        at_ms += rng.u64(500..MAX_NOTICE_GAP_MS);
+        if at_ms + MARGIN_MS >= settings.seconds * 1_000 {
+            return faults;
+        }
+        let fault = if rng.bool() {
+            Fault::HoldOff(rng.u64(300..3_000), rng.u64(1_000..6_000))
+        } else {
+            Fault::Leave(rng.u64(2_500..5_000))
+        };
+        faults.push(PlannedFault { at_ms, fault });
+    }
+}
+
 fn draw(rng: &mut fastrand::Rng, routers: usize) -> Fault {
     let router = rng.usize(0..routers);
     let ms = rng.u64(200..2_500);
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::Sample;
+use super::{Received, Sample};
 
 /// A span of time, in milliseconds from the beginning.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -57,6 +57,10 @@
     pub limited: Vec<Limited>,
     /// Faults of routers, with the index of the router.
     pub router_faults: Vec<(usize, Span)>,
+    /// Restarts and freezes of routers, with the index of the router.
+    pub interruptions: Vec<(usize, Span)>,
+    /// Requests as the endpoints received them.
+    pub received: Vec<Received>,
     /// Faults of endpoints.
     pub endpoint_faults: Vec<Span>,
     /// Shutdowns that ended in time, with the index of the router.
--- a/testkit/src/soak/report.rs
+++ b/testkit/src/soak/report.rs
@@ -59,6 +59,15 @@
         record.shutdowns.len(),
         windows.sum::<usize>()
     );
+    let held = record.received.iter().filter(|r| r.hold_off_ms.is_some());
+    let told = record.received.iter().filter(|r| r.leaving);
+    let _ = writeln!(
+        out,
+        "judged of {} requests at endpoints: {} hold-offs, {} announcements of leaving",
+        record.received.len(),
+        held.count(),
+        told.count()
+    );
     let _ = writeln!(out, "findings: {}", found.len());
     for finding in found {
         let _ = writeln!(out, "- {finding}");
--- a/testkit/src/soak/run.rs
+++ b/testkit/src/soak/run.rs
@@ -1,13 +1,14 @@
 //! Runs a soak and makes its record.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use super::client::Connection;
 use super::driver::{lock, Driver, RouterSlot};
-use super::{Outcome, Plan, ProcessFigures, Record, SoakSettings};
-use crate::direct::{served, start_routers, Standin};
+use super::{Outcome, Plan, ProcessFigures, Received, Record, SoakSettings};
+use crate::direct::{served, start_routers, Standin, World};
 use crate::Relay;
 
 const CALLERS_PER_ROUTER: usize = 4;
@@ -188,7 +189,28 @@
     record.ran = world.ran.clone().into_iter().collect();
     record.once = world.once.clone().into_iter().collect();
     record.audit = world.broken.clone();
-    let after = |at: &Instant| at.duration_since(driver.begin).as_millis() as u64;
+    let after = |at: &Instant| at.saturating_duration_since(driver.begin).as_millis() as u64;
+    record.received = received(&record, &world, after);
     record.fatal_ms = world.fatal.iter().map(after).collect();
     record
 }
+
+/// The callers' requests as the endpoints received them.
+fn received(record: &Record, world: &World, after: impl Fn(&Instant) -> u64) -> Vec<Received> {
+    let samples = record.samples.iter().map(|s| (s.attempt.as_str(), s));
+    let samples: HashMap<_, _> = samples.collect();
+    let all = world.all_requests().filter_map(|(id, arrival)| {
+        let sample = samples.get(arrival.attempt.as_str())?;
+        Some(Received {
+            endpoint: id.to_string(),
+            life: arrival.life,
+            router: sample.router,
+            sent_ms: sample.at_ms,
+            at_ms: after(&arrival.at),
+            done_ms: sample.at_ms + sample.took_ms,
+            hold_off_ms: arrival.hold_off.map(|time| time.as_millis() as u64),
+            leaving: arrival.leaving,
+        })
+    });
+    all.collect()
+}
--- a/testkit/standin/standin.rs
+++ b/testkit/standin/standin.rs
@@ -125,6 +125,14 @@
         alive.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Ids of the replicas of the plain service that run.
+    pub fn plain(&self) -> Vec<String> {
+        let world = self.world();
+        let plain = world.replicas.iter();
+        let plain = plain.filter(|(_, r)| r.alive && r.service == "gate");
+        plain.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Kills a replica without starting it again.
     pub fn kill(&self, id: &str) {
         self.world().kill(id);
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -136,6 +136,12 @@
         self.replicas.get(id).map_or(&[], |r| &r.arrivals)
     }
 
+    /// All requests that arrived at replicas, each with the replica's id.
+    pub fn all_requests(&self) -> impl Iterator<Item = (&str, &Arrival)> {
+        let replicas = self.replicas.iter();
+        replicas.flat_map(|(id, r)| r.arrivals.iter().map(move |a| (id.as_str(), a)))
+    }
+
     /// Writes an unrelated key `count` times, which only raises the revision.
     pub fn write_unrelated(&mut self, count: usize) {
         for n in 0..count {
--- a/tests/direct/soak_checks.rs
+++ b/tests/direct/soak_checks.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use testkit::soak::{
-    judge, Limited, Outcome, Plan, ProcessFigures, Record, Sample, SoakSettings, Span,
+    judge, Fault, Limited, Outcome, Plan, ProcessFigures, Received, Record, Sample, SoakSettings,
+    Span,
 };
 
 /// A record without violations.
@@ -102,6 +103,16 @@
                 r.limited.push(limited(1.0, arrivals));
             }),
         ),
+        (
+            "an endpoint that holds off gets nothing",
+            Box::new(|r| {
+                r.received = held([0, 600, 900, 1_900].map(|at_ms| (0, at_ms)));
+            }),
+        ),
+        (
+            "an endpoint that is leaving gets nothing new",
+            Box::new(|r| r.received = told([0, 2_100].map(|at_ms| (0, at_ms)))),
+        ),
         (
             "memory, descriptors and logs are bounded",
             Box::new(|r| r.usages[0].memory_kb = 300_000),
@@ -144,6 +155,101 @@
     assert!(over.is_empty(), "{over:?}");
 }
 
+/// Requests of routers at their times; the first one is asked for a hold-off of 2 s.
+fn held<const N: usize>(requests: [(usize, u64); N]) -> Vec<Received> {
+    let mut received = Vec::from(requests.map(received));
+    received[0].hold_off_ms = Some(2_000);
+    received
+}
+
+/// Requests of routers at their times; the answer to the first one says that the endpoint is leaving.
+fn told<const N: usize>(requests: [(usize, u64); N]) -> Vec<Received> {
+    let mut received = Vec::from(requests.map(received));
+    received[0].leaving = true;
+    received
+}
+
+fn received((router, at_ms): (usize, u64)) -> Received {
+    Received {
+        endpoint: "p0".into(),
+        router,
+        sent_ms: at_ms,
+        at_ms,
+        done_ms: at_ms + 10,
+        ..Received::default()
+    }
+}
+
+/// What binds one router, one process of an endpoint and one time isn't reported of others, nor
+/// where the router was restarted or frozen in between.
+#[test]
+fn hold_offs_and_announcements_bind_whom_they_were_told_to() {
+    let late = [(0, 0), (0, 600), (0, 900), (0, 1_900)];
+    type Change = Box<dyn Fn(&mut Record)>;
+    let cases: Vec<(&str, Change)> = vec![
+        (
+            "two requests",
+            Box::new(|r| r.received = held([(0, 0), (0, 600), (0, 900)])),
+        ),
+        (
+            "within half a second, and after the end",
+            Box::new(|r| r.received = held([(0, 0), (0, 100), (0, 200), (0, 400), (0, 2_000)])),
+        ),
+        (
+            "another router",
+            Box::new(|r| r.received = held([(0, 0), (1, 600), (1, 900), (1, 1_900)])),
+        ),
+        (
+            "a restart of the router",
+            Box::new(move |r| {
+                r.received = held(late);
+                r.interruptions.push((0, span(100, 200)));
+            }),
+        ),
+        (
+            "a restart of the endpoint",
+            Box::new(move |r| {
+                r.received = held(late);
+                r.received[1..].iter_mut().for_each(|r| r.life = 9);
+            }),
+        ),
+        (
+            "a request that was sent in time",
+            Box::new(|r| r.received = told([(0, 0), (0, 2_005)])),
+        ),
+        (
+            "another router is told later",
+            Box::new(|r| r.received = told([(0, 0), (1, 5_000)])),
+        ),
+    ];
+    for (name, change) in cases {
+        assert_eq!(failed_checks(|r| change(r)), Vec::<&str>::new(), "{name}");
+    }
+    let cut_store = failed_checks(|r| {
+        r.received = held(late);
+        r.router_faults.push((0, span(100, 200)));
+    });
+    assert_eq!(cut_store.len(), 1, "a fault of the store excuses nothing");
+}
+
+#[test]
+fn plans_have_endpoints_that_hold_off_and_endpoints_that_leave() {
+    let plans: Vec<_> = (1..=10)
+        .map(|seed| {
+            Plan::draw(&SoakSettings {
+                seed,
+                ..SoakSettings::default()
+            })
+        })
+        .collect();
+    let count = |is: fn(&Fault) -> bool| {
+        let faults = plans.iter().flat_map(|plan| &plan.faults);
+        faults.filter(|planned| is(&planned.fault)).count()
+    };
+    assert!(count(|f| matches!(f, Fault::HoldOff(..))) > 10);
+    assert!(count(|f| matches!(f, Fault::Leave(_))) > 10);
+}
+
 #[test]
 fn the_same_seed_draws_the_same_plan() {
     let settings = SoakSettings::default();
