Soak: stores that lose answers, write late, forget or answer nobody; settings that change

Five more faults: a store whose answers don't come back, one that carries out every third write without an answer, one that writes a second late without an answer, one that forgets its history, and a signal that settings have changed. A new check: a router without a fault for 3 s has each configuration in force 2 s after it was written (0.5 s more are allowed for the reading). It is shown to find what it is meant to find.

--- a/testkit/src/relay.rs
+++ b/testkit/src/relay.rs
@@ -18,6 +18,7 @@
     target: SocketAddr,
     cut: bool,
     silent: bool,
+    one_way: bool,
     delay: Duration,
     open: Vec<TcpStream>,
 }
@@ -34,6 +35,7 @@
             target,
             cut: false,
             silent: false,
+            one_way: false,
             delay: Duration::ZERO,
             open: Vec::new(),
         }));
@@ -73,16 +75,25 @@
         self.lock().silent = silent;
     }
 
+    /// Holds back the bytes from the target, or ends that; those to it are passed on.
+    pub fn set_one_way(&self, one_way: bool) {
+        self.lock().one_way = one_way;
+    }
+
     /// Delays all bytes by this time before they are passed on.
     pub fn set_delay(&self, delay: Duration) {
         self.lock().delay = delay;
     }
 
-    /// Waits for the delay, and then for as long as the relay is silent.
-    fn hold(&self) {
+    /// Waits for the delay, and then for as long as the relay is silent in this direction.
+    fn hold(&self, from_target: bool) {
         let delay = self.lock().delay;
         std::thread::sleep(delay);
-        while self.lock().silent {
+        let is_silent = || {
+            let state = self.lock();
+            state.silent || (state.one_way && from_target)
+        };
+        while is_silent() {
             std::thread::sleep(SILENCE_CHECK_INTERVAL);
         }
     }
@@ -101,10 +112,10 @@
         };
         let _ = from.set_nodelay(true);
         let _ = to.set_nodelay(true);
-        for (a, b) in [(&from, &to), (&to, &from)] {
+        for (a, b, from_target) in [(&from, &to, false), (&to, &from, true)] {
             if let (Ok(read), Ok(write)) = (a.try_clone(), b.try_clone()) {
                 let relay = self.clone();
-                std::thread::spawn(move || pump(&relay, read, write));
+                std::thread::spawn(move || pump(&relay, read, write, from_target));
             }
         }
         state.open.push(from);
@@ -112,10 +123,10 @@
     }
 }
 
-fn pump(relay: &Relay, mut from: TcpStream, mut to: TcpStream) {
+fn pump(relay: &Relay, mut from: TcpStream, mut to: TcpStream, from_target: bool) {
     let mut buffer = [0; 16 * 1024];
     while let Ok(n) = from.read(&mut buffer) {
-        relay.hold();
+        relay.hold(from_target);
         if n == 0 || to.write_all(&buffer[..n]).is_err() {
             break;
         }
--- a/testkit/src/soak/driver.rs
+++ b/testkit/src/soak/driver.rs
@@ -7,7 +7,7 @@
 
 use super::client::Connection;
 use super::{Fault, Limited, Outcome, Record, Sample, Span};
-use crate::direct::{config, Backup, Router, Standin, FATAL};
+use crate::direct::{config, Backup, Router, Standin, World, FATAL};
 use crate::Relay;
 
 /// Time limit from `SIGTERM` to the end of a router's process.
@@ -22,6 +22,9 @@
 /// Pause between two sends of the fatal request.
 const FATAL_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time by which the store carries out writes late.
+const WRITE_DELAY: Duration = Duration::from_secs(1);
+
 /// Engines that are added after the sends of a fatal request, as it crashes engines.
 const ADDED_ENGINES: usize = 3;
 
@@ -87,6 +90,23 @@
                 let backup = lock(&self.backup).take();
                 self.store_down(n, *ms, backup);
             }
+            Fault::OneWayStore(at, ms) => {
+                let relay = &self.relays[*at];
+                self.disturb_store(*at, *ms, |on| relay.set_one_way(on));
+            }
+            Fault::LostAnswers(ms) => {
+                self.disturb_writes(*ms, |world, on| world.loses_answers = on);
+            }
+            Fault::LateWrites(ms) => {
+                let delay = |on| if on { Some(WRITE_DELAY) } else { None };
+                self.disturb_writes(*ms, |world, on| world.write_delay = delay(on));
+            }
+            Fault::ForgetHistory => {
+                let from = self.now_ms();
+                self.standin.world().forget_history();
+                self.record_store_fault(from);
+            }
+            Fault::Reload(at) => self.signal(*at, Signal::SIGHUP),
             Fault::ReplaceMember => self.replace_member(n),
             Fault::RestartEndpoint => self.restart_endpoint(n),
             Fault::ForeignEntry => self.write_foreign_entry(n),
@@ -94,6 +114,8 @@
                 let mut version = lock(&self.version);
                 *version += 1;
                 self.standin.world().configure(&config(*version));
+                let written = (self.now_ms(), *version);
+                lock(&self.record).configured.push(written);
             }
             Fault::FatalRequest(times) => self.fatal_request(n, *times),
             Fault::LimitEndpoint(rate, ms) => self.limit_endpoint(n, f64::from(*rate), *ms),
@@ -208,6 +230,22 @@
         self.record_router_fault(at, from);
     }
 
+    /// Disturbs the store's writes for `ms` milliseconds.
+    fn disturb_writes(&self, ms: u64, set: impl Fn(&mut World, bool)) {
+        let from = self.now_ms();
+        set(&mut self.standin.world(), true);
+        std::thread::sleep(Duration::from_millis(ms));
+        set(&mut self.standin.world(), false);
+        self.record_store_fault(from);
+    }
+
+    /// Records a fault of the store, which concerns all routers, that began at `from_ms` and ends now.
+    fn record_store_fault(&self, from_ms: u64) {
+        for at in 0..self.slots.len() {
+            self.record_router_fault(at, from_ms);
+        }
+    }
+
     /// Takes the store down for `ms` milliseconds. With a backup, it is then restored from it, and
     /// the newest configuration is written again after half that time, as operators would.
     fn store_down(&self, n: usize, ms: u64, backup: Option<Backup>) {
@@ -228,9 +266,7 @@
             let version = lock(&self.version);
             self.standin.world().configure(&config(*version));
         }
-        for at in 0..self.slots.len() {
-            self.record_router_fault(at, from);
-        }
+        self.record_store_fault(from);
     }
 
     /// Writes an invalid entry of the endpoint list, under an id of its own or that of an endpoint.
--- a/testkit/src/soak/fault.rs
+++ b/testkit/src/soak/fault.rs
@@ -20,6 +20,16 @@
     StoreDown(u64),
     /// The same, after which the store is restored from a backup.
     StoreRestored(u64),
+    /// A router's requests reach the store, but no answers come back, for some milliseconds.
+    OneWayStore(usize, u64),
+    /// The store carries out some writes without an answer for some milliseconds.
+    LostAnswers(u64),
+    /// The store carries out writes a second late and without an answer for some milliseconds.
+    LateWrites(u64),
+    /// The store forgets its history, so that watches lose their place.
+    ForgetHistory,
+    /// A router is told that its settings have changed.
+    Reload(usize),
     /// A member of an open group is killed and another engine is added.
     ReplaceMember,
     /// An endpoint is killed and restarted under its id.
@@ -52,6 +62,11 @@
             Fault::SilentStore(..) => "silent-store",
             Fault::StoreDown(_) => "store-down",
             Fault::StoreRestored(_) => "store-restored",
+            Fault::OneWayStore(..) => "one-way-store",
+            Fault::LostAnswers(_) => "lost-answers",
+            Fault::LateWrites(_) => "late-writes",
+            Fault::ForgetHistory => "forget-history",
+            Fault::Reload(_) => "reload",
             Fault::ReplaceMember => "replace-member",
             Fault::RestartEndpoint => "restart-endpoint",
             Fault::ForeignEntry => "foreign-entry",
--- a/testkit/src/soak/judge.rs
+++ b/testkit/src/soak/judge.rs
@@ -11,6 +11,15 @@
 /// third run.
 const MAX_LATE_RUNS: usize = 3;
 
+/// Time in which a configuration has to be in force at routers without a recent fault.
+const APPLY_MS: u64 = 2_000;
+
+/// Longest time that a reading of the version in force takes.
+const READING_MS: u64 = 500;
+
+/// Time without a fault after which a router counts as being without one.
+const CONTACT_MS: u64 = 3_000;
+
 /// Window over which requests at an endpoint with a rate limit are counted.
 const RATE_WINDOW_MS: u64 = 4_000;
 
@@ -48,6 +57,10 @@
         "a configuration never goes back",
         decreasing_versions(record),
     );
+    add(
+        "a configuration is in force in time",
+        late_configurations(record),
+    );
     add("a stop cuts nothing", cut_requests(record));
     add(
         "harmless requests are not refused for good",
@@ -110,6 +123,30 @@
         .collect()
 }
 
+/// Older routing versions that routers reported though a newer one had been written long enough
+/// before and they had had no fault for a while.
+fn late_configurations(record: &Record) -> Vec<String> {
+    let mut seen = Vec::new();
+    for (at_ms, router, version) in &record.readings {
+        let before = Span {
+            from_ms: at_ms.saturating_sub(CONTACT_MS),
+            to_ms: *at_ms,
+        };
+        let is_fault = |(at, fault): &(usize, Span)| at == router && fault.overlaps(&before);
+        if record.router_faults.iter().any(is_fault) {
+            continue;
+        }
+        let due = record.configured.iter();
+        let due = due.filter(|(written, _)| written + APPLY_MS + READING_MS < *at_ms);
+        if let Some((written, newer)) = due.max_by_key(|(_, v)| *v).filter(|(_, v)| v > version) {
+            seen.push(format!(
+                "router {router} has {version} at {at_ms} ms, {newer} was written at {written} ms"
+            ));
+        }
+    }
+    seen
+}
+
 /// Requests that ran at an endpoint and whose connection was closed without a complete answer while
 /// their router was shutting down, though there was no other fault.
 fn cut_requests(record: &Record) -> Vec<String> {
--- a/testkit/src/soak/plan.rs
+++ b/testkit/src/soak/plan.rs
@@ -10,9 +10,6 @@
 /// Upper bound of the time between two faults that don't begin together.
 const MAX_GAP_MS: u64 = 2_000;
 
-/// Upper bound of the time between two endpoints that hold off or announce their leaving.
-const MAX_NOTICE_GAP_MS: u64 = 4_000;
-
 /// Percentage of faults that begin at the same time as the one before.
 const TOGETHER_PERCENT: u32 = 40;
 
@@ -72,27 +69,33 @@
                 at_ms += rng.u64(200..MAX_GAP_MS);
             }
         }
-        faults.extend(draw_notices(settings));
+        faults.extend(draw_further(settings));
         faults.sort_by_key(|planned| planned.at_ms);
         Self { faults }
     }
 }
 
-/// Draws the times at which endpoints hold off or announce their leaving. They are drawn by
-/// themselves, so that the other faults of a seed stay what they were.
-fn draw_notices(settings: &SoakSettings) -> Vec<PlannedFault> {
+/// Draws what endpoints ask for, and further faults of the store. They are drawn by themselves, so
+/// that the other faults of a seed stay what they were.
+fn draw_further(settings: &SoakSettings) -> Vec<PlannedFault> {
     let mut rng = fastrand::Rng::with_seed(!settings.seed);
     let mut faults = Vec::new();
     let mut at_ms = MARGIN_MS;
     loop {
-        at_ms += rng.u64(500..MAX_NOTICE_GAP_MS);
+        at_ms += rng.u64(300..MAX_GAP_MS);
         if at_ms + MARGIN_MS >= settings.seconds * 1_000 {
             return faults;
         }
-        let fault = if rng.bool() {
-            Fault::HoldOff(rng.u64(300..3_000), rng.u64(1_000..6_000))
-        } else {
-            Fault::Leave(rng.u64(2_500..5_000))
+        let router = rng.usize(0..settings.routers);
+        let ms = rng.u64(200..2_500);
+        let fault = match rng.u32(0..10) {
+            0..3 => Fault::HoldOff(rng.u64(300..3_000), 1_000 + 2 * ms),
+            3..5 => Fault::Leave(2_500 + ms),
+            5 => Fault::OneWayStore(router, ms),
+            6 => Fault::LostAnswers(ms),
+            7 => Fault::LateWrites(ms),
+            8 => Fault::ForgetHistory,
+            _ => Fault::Reload(router),
         };
         faults.push(PlannedFault { at_ms, fault });
     }
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -68,6 +68,10 @@
     /// Routing versions that routers reported, in order, by index of the router and number of its
     /// restarts.
     pub versions: BTreeMap<(usize, u32), Vec<u64>>,
+    /// Routing versions that routers reported: time in milliseconds, index of the router, version.
+    pub readings: Vec<(u64, usize, u64)>,
+    /// Versions of the configuration with the times at which they were written, in milliseconds.
+    pub configured: Vec<(u64, u64)>,
     /// Resource usage, by index of the router.
     pub usages: Vec<ProcessFigures>,
     /// Milliseconds that the recovery took after the last fault; `None` where it wasn't complete in
--- a/testkit/src/soak/run.rs
+++ b/testkit/src/soak/run.rs
@@ -141,6 +141,9 @@
                 let mut record = lock(&driver.record);
                 let versions = record.versions.entry((at, restarts)).or_default();
                 versions.extend(version);
+                let at_ms = driver.now_ms();
+                let reading = version.map(|version| (at_ms, at, version));
+                record.readings.extend(reading);
             }
         }
         std::thread::sleep(SAMPLE_INTERVAL);
--- a/testkit/standin/store_calls.rs
+++ b/testkit/standin/store_calls.rs
@@ -53,23 +53,84 @@
     if world.lock().expect("state lock").store_down {
         return json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
     }
-    let path = request.uri().path().to_string();
-    let prefix = query_value(&request, "PathPrefix");
-    let delete = request.method() == Method::DELETE;
-    let body = request
-        .into_body()
-        .collect()
-        .await
-        .map(|b| b.to_bytes())
-        .unwrap_or_default();
-    let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    let call = Call::read(request).await;
+    if !call.is_write() {
+        return carry_out(world, &call);
+    }
+    let (delay, is_lost) = {
+        let mut world = world.lock().expect("state lock");
+        let is_last = world.writes + 1 == LOST_ANSWERS_DIVISOR;
+        world.writes = if is_last { 0 } else { world.writes + 1 };
+        (world.write_delay, world.loses_answers && is_last)
+    };
+    if let Some(delay) = delay {
+        let world = world.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            carry_out(&world, &call);
+        });
+        return no_answer().await;
+    }
+    let response = carry_out(world, &call);
+    if is_lost {
+        return no_answer().await;
+    }
+    response
+}
+
+/// One in this many answers to writes is lost while the store loses answers.
+const LOST_ANSWERS_DIVISOR: u64 = 3;
+
+/// Waits until the caller closes its connection.
+async fn no_answer() -> Response<Body> {
+    std::future::pending().await
+}
+
+/// A call that isn't a watch.
+struct Call {
+    path: String,
+    prefix: String,
+    method: Method,
+    body: Value,
+}
+
+impl Call {
+    async fn read(request: Request<Incoming>) -> Self {
+        let path = request.uri().path().to_string();
+        let prefix = query_value(&request, "PathPrefix");
+        let method = request.method().clone();
+        let body = request.into_body().collect().await;
+        let body = body.map(|b| b.to_bytes()).unwrap_or_default();
+        Self {
+            path,
+            prefix,
+            method,
+            body: serde_json::from_slice(&body).unwrap_or(Value::Null),
+        }
+    }
+
+    /// Whether it changes something; renewals of leases count as reads.
+    fn is_write(&self) -> bool {
+        self.path.ends_with("kv-txn") || self.path.ends_with("kv-lease")
+    }
+}
+
+/// Carries out a call that isn't a watch.
+fn carry_out(world: &Arc<Mutex<World>>, call: &Call) -> Response<Body> {
+    let Call {
+        path,
+        prefix,
+        method,
+        body,
+    } = call;
+    let delete = method == Method::DELETE;
     let mut world = world.lock().expect("state lock");
     let number = path.rsplit('/').next().and_then(|n| n.parse::<i64>().ok());
     if path.ends_with("kv-range") {
         let items: Vec<_> = world
             .items
             .iter()
-            .filter(|(k, _)| k.starts_with(&prefix))
+            .filter(|(k, _)| k.starts_with(prefix))
             .map(|(k, i)| item_json(k, &i.0, i.1))
             .collect();
         return json_response(
@@ -99,7 +160,7 @@
         let ttl = found.1.as_millis() as u64;
         return json_response(StatusCode::OK, &json!({"TtlMs": ttl}));
     }
-    write_if_current(&mut world, &body)
+    write_if_current(&mut world, body)
 }
 
 /// Executes the writes of a transaction; 412 and no write where an expected revision doesn't
@@ -133,7 +194,7 @@
 
 /// Answers a watch with the changes of a prefix after revision `since`; waits up to `wait`
 /// milliseconds for the first one. 410 where the history after `since` isn't known: the store was
-/// restored from a backup during the watch, or `since` is higher than its revision.
+/// restored from a backup during the watch, has forgotten it, or `since` is higher than its revision.
 pub(super) async fn answer_watch(
     world: &Arc<Mutex<World>>,
     prefix: &str,
@@ -145,7 +206,8 @@
     loop {
         {
             let world = world.lock().expect("state lock");
-            if world.era != start_era || since > world.revision {
+            let is_forgotten = since < world.history_from || since > world.revision;
+            if world.era != start_era || is_forgotten {
                 return (json_response(StatusCode::GONE, &Value::Null), world.era);
             }
             let changes = world
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -15,12 +15,20 @@
     pub(super) revision: i64,
     /// By key: value, revision and lease (0 for none).
     pub(super) items: BTreeMap<String, (String, i64, i64)>,
-    /// Every change: revision, key, and value unless the key was removed.
+    /// Every change after `history_from`: revision, key, and value unless the key was removed.
     pub(super) history: Vec<(i64, String, Option<String>)>,
+    /// Revision up to which the changes are forgotten.
+    pub(super) history_from: i64,
     /// By lease: its end and its time to live.
     pub(super) leases: HashMap<i64, (Instant, Duration)>,
     /// Whether the store answers every new call with 503.
     pub store_down: bool,
+    /// Whether the store carries out every third write without an answer.
+    pub loses_answers: bool,
+    /// Delay with which the store carries out writes, without an answer.
+    pub write_delay: Option<Duration>,
+    /// Number of writes since the last one whose answer may be lost.
+    pub(super) writes: u64,
     pub(super) replicas: BTreeMap<String, Replica>,
     /// Number of runs by attempt id, of requests that may not be repeated.
     pub once: HashMap<String, u32>,
@@ -39,6 +47,7 @@
     pub(super) items: BTreeMap<String, (String, i64, i64)>,
     /// Every change: revision, key, and value unless the key was removed.
     pub(super) history: Vec<(i64, String, Option<String>)>,
+    pub(super) history_from: i64,
     pub(super) leases: HashMap<i64, (Instant, Duration)>,
 }
 
@@ -54,6 +63,7 @@
             revision: self.revision,
             items: self.items.clone(),
             history: self.history.clone(),
+            history_from: self.history_from,
             leases: self.leases.clone(),
         }
     }
@@ -65,9 +75,16 @@
         self.revision = backup.revision;
         self.items = backup.items;
         self.history = backup.history;
+        self.history_from = backup.history_from;
         self.leases = backup.leases;
     }
 
+    /// Makes the store forget all changes so far: watches from earlier revisions get 410.
+    pub fn forget_history(&mut self) {
+        self.history.clear();
+        self.history_from = self.revision;
+    }
+
     /// Makes a replica stop updating its entry of the endpoint list; it goes on serving.
     pub fn silence(&mut self, id: &str) {
         if let Some(replica) = self.replicas.get_mut(id) {
--- a/tests/direct/soak_checks.rs
+++ b/tests/direct/soak_checks.rs
@@ -81,6 +81,13 @@
                 r.versions.insert((1, 0), vec![3, 2]);
             }),
         ),
+        (
+            "a configuration is in force in time",
+            Box::new(|r| {
+                r.configured.push((1_000, 2));
+                r.readings.push((3_600, 0, 1));
+            }),
+        ),
         (
             "a stop cuts nothing",
             Box::new(|r| {
@@ -155,6 +162,22 @@
     assert!(over.is_empty(), "{over:?}");
 }
 
+/// A router that had a fault lately, or is asked soon after, may have an older version.
+#[test]
+fn an_older_configuration_is_reported_of_routers_without_a_recent_fault_only() {
+    let reported = |at_ms, fault: Option<Span>| {
+        failed_checks(|r| {
+            r.configured.push((1_000, 2));
+            r.readings.push((at_ms, 0, 1));
+            r.readings.push((3_600, 1, 2));
+            r.router_faults.extend(fault.map(|fault| (0, fault)));
+        })
+    };
+    assert_eq!(reported(3_400, None), Vec::<&str>::new());
+    assert_eq!(reported(3_600, Some(span(500, 700))), Vec::<&str>::new());
+    assert_eq!(reported(4_000, Some(span(500, 700))).len(), 1);
+}
+
 /// Requests of routers at their times; the first one is asked for a hold-off of 2 s.
 fn held<const N: usize>(requests: [(usize, u64); N]) -> Vec<Received> {
     let mut received = Vec::from(requests.map(received));
