Tests and docs: what was seen to fail with its rule taken out

The test of a refusal at once passed with that rule off, as a queue that has sent nothing refuses anyway. It sends requests first now, and fails without the rule.

--- a/tests/direct/hold_off.rs
+++ b/tests/direct/hold_off.rs
@@ -244,7 +244,10 @@
 /// Guards against callers that wait for an endpoint that won't take their request in time.
 #[test]
 fn a_request_is_refused_at_once_with_the_earliest_end_if_all_hold_off_for_longer() {
-    let mut router = router();
+    let mut router = Router::new(vec![plain(0), plain(1)]);
+    // Where requests were sent lately, others wait for room.
+    count_sent(&mut router, HELD, 200, "/safe/x");
+    hold_off(&mut router, HELD, Some(1), HOLD_MS);
     hold_off(&mut router, OTHER, Some(2), 2 * HOLD_MS);
     router.advance_ms(1_000);
     let refused = problem(&router.ask(1, "/safe/x"));
