Names and comments: what a reading of the whole change found

UnknownNames kept the names that were logged in a field called known; the handler of another router's word is named like its sibling for limits; the state of a hold-off says what its end means. The table test allowed two words that no source has.

--- a/src/link/unknown_names.rs
+++ b/src/link/unknown_names.rs
@@ -11,8 +11,8 @@
 /// and every occurrence is counted.
 #[derive(Default)]
 pub(super) struct UnknownNames {
-    /// Where each name occurs, and the name.
-    known: RefCell<BTreeSet<(&'static str, String)>>,
+    /// Names that were logged, each with the kind of message that it occurs in.
+    logged: RefCell<BTreeSet<(&'static str, String)>>,
     occurrences: Cell<u64>,
 }
 
@@ -31,12 +31,12 @@
     /// Counts a name; true the first time that it occurs in this kind of message.
     pub fn is_new(&self, place: &'static str, name: &str) -> bool {
         self.occurrences.set(self.occurrences.get() + 1);
-        let mut known = self.known.borrow_mut();
-        known.len() < MAX_NAMES && known.insert((place, name.to_string()))
+        let mut logged = self.logged.borrow_mut();
+        logged.len() < MAX_NAMES && logged.insert((place, name.to_string()))
     }
 
-    /// Number of different names, and of their occurrences.
+    /// Number of different names that were logged, and number of all occurrences.
     pub fn counts(&self) -> (u64, u64) {
-        (self.known.borrow().len() as u64, self.occurrences.get())
+        (self.logged.borrow().len() as u64, self.occurrences.get())
     }
 }
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -144,8 +144,8 @@
 ) -> bool {
     let entry = &view.entry;
     let fits = entry.service == flight.service && !view.is_leaving() && view.listed;
-    let available = view.backoff_until <= now && view.silent_since.is_none();
-    let available = available && hold_off::has_room(view, now);
+    let is_responsive = view.backoff_until <= now && view.silent_since.is_none();
+    let available = is_responsive && hold_off::has_room(view, now);
     fits && available && allows_send_by(view, now) && can_serve(state, view, flight, groups)
 }
 
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -243,7 +243,9 @@
     match update {
         EndpointUpdate::Gone(id) if later => on_entry_change(state, now, id, None, out),
         EndpointUpdate::Gone(_) => {}
-        EndpointUpdate::Leaving { id, born } => leaving::on_told(state, now, &id, born, out),
+        EndpointUpdate::Leaving { id, born } => {
+            leaving::on_peer_leaving(state, now, &id, born, out)
+        }
         EndpointUpdate::Listed(id, entry) => {
             if newer(entry.born, entry.beats, &entry.seat) {
                 on_entry_change(state, now, id, Some(entry), out);
--- a/src/logic/direct/hold_off_phase.rs
+++ b/src/logic/direct/hold_off_phase.rs
@@ -8,7 +8,7 @@
     pub until: Millis,
     /// When it ends for probes and orders; 0 unless the endpoint has turned one of these away.
     pub calls_until: Millis,
-    /// Whether its end was logged.
+    /// Whether its end for requests has passed and was logged.
     pub ended: bool,
     /// Most runs sent after its end that may not have begun yet. It doubles with each that begins.
     pub max_unbegun: u32,
--- a/src/logic/direct/leaving.rs
+++ b/src/logic/direct/leaving.rs
@@ -16,7 +16,7 @@
     id: &InstanceId,
     out: &mut Vec<Effect>,
 ) {
-    if !mark(state, now, id, "an answer", out) {
+    if !mark_leaving(state, now, id, "an answer", out) {
         return;
     }
     let born = state.endpoints.get(id).and_then(|v| v.entry.born);
@@ -25,7 +25,7 @@
 }
 
 /// Handles another router's word that the process of an endpoint that started at `born` is leaving.
-pub(super) fn on_told(
+pub(super) fn on_peer_leaving(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
@@ -34,12 +34,12 @@
 ) {
     let view = state.endpoints.get(id);
     if view.is_some_and(|v| v.entry.born == born) {
-        mark(state, now, id, "another router", out);
+        mark_leaving(state, now, id, "another router", out);
     }
 }
 
-/// Marks an endpoint as leaving; false if that was known already.
-fn mark(
+/// Marks an endpoint as leaving, and says so to whom it concerns; false if that was known already.
+fn mark_leaving(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -250,7 +250,7 @@
         PeerMessage::Traffic => state.plan.has_traffic = true,
         PeerMessage::Silent { id } => plan::on_head_suspected(state, now, &id, out),
         PeerMessage::Rate { id, rate } => rate_limit::on_peer_rate(state, now, &id, rate, out),
-        PeerMessage::Leaving { id, born } => leaving::on_told(state, now, &id, born, out),
+        PeerMessage::Leaving { id, born } => leaving::on_peer_leaving(state, now, &id, born, out),
         PeerMessage::Crashes(reports) => crashes::on_crash_reports(state, now, &reports, out),
         PeerMessage::Seen { number, sight } => plan::on_observation(state, number, sight),
     }
--- a/tests/direct/wire.rs
+++ b/tests/direct/wire.rs
@@ -24,7 +24,7 @@
 const SETTINGS: &str = include_str!("../../deploy/router.ini");
 
 /// Words in the adapter's sources that aren't names on the wire.
-const OTHER_WORDS: [&str; 5] = ["bearer", "dynamic", "nothing", "null", "x-forwarded-for"];
+const OTHER_WORDS: [&str; 3] = ["bearer", "nothing", "null"];
 
 /// Headers that concern a single connection, which are never passed on.
 const HOP_BY_HOP: [&str; 7] = [
