Folders for admission and limits; settings for optional parts of the policy

What decides which waiting requests get room, and what endpoints limit themselves, each get a folder; nothing but paths changes there.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use super::admission::queue;
 use super::{
-    crashes, demand, finish, peers, queue, send, DirectRequest, DirectState, InFlightRequest,
-    Precedence, Problem, ShutdownStage,
+    crashes, demand, finish, peers, send, DirectRequest, DirectState, InFlightRequest, Precedence,
+    Problem, ShutdownStage,
 };
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
--- a/src/logic/direct/concurrency_limit.rs
+++ b/src/logic/direct/admission/concurrency_limit.rs
@@ -7,7 +7,8 @@
 //! What counts as well within is derived from the quickest recent first token: without any
 //! queue it takes 120 to 170 ms of objectives of 200 to 500 ms, which no limit changes.
 
-use super::{DirectState, EndpointView, InFlightRequest, Precedence};
+use super::Precedence;
+use crate::logic::direct::{DirectState, EndpointView, InFlightRequest};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// One run in the unit of limits, thousandths of a run.
@@ -56,7 +57,7 @@
 
 /// Whether a head may get one more prompt to read. The prompts read in one pass delay every
 /// stream there, so too many tokens at once make all of them late.
-pub(super) fn can_read(
+pub(in crate::logic::direct) fn can_read(
     view: &EndpointView,
     routers: u64,
     flight: &InFlightRequest,
@@ -77,7 +78,7 @@
 }
 
 /// Whether an endpoint has room for one more run of this router.
-pub(super) fn has_room(
+pub(in crate::logic::direct) fn has_room(
     view: &EndpointView,
     routers: u64,
     flight: &InFlightRequest,
@@ -111,7 +112,7 @@
 }
 
 /// Handles a run that began after `took` milliseconds, with an objective of `target`.
-pub(super) fn on_run_begun(
+pub(in crate::logic::direct) fn on_run_begun(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
@@ -140,7 +141,7 @@
 }
 
 /// Handles an endpoint's refusal of a run for lack of room.
-pub(super) fn on_full(state: &mut DirectState, now: Millis, id: &InstanceId) {
+pub(in crate::logic::direct) fn on_full(state: &mut DirectState, now: Millis, id: &InstanceId) {
     let routers = state.peers.len() as u64 + 1;
     if let Some(view) = state.endpoints.get_mut(id) {
         let limit = current_limit(view, routers);
--- a/src/logic/direct/queue.rs
+++ b/src/logic/direct/admission/queue.rs
@@ -6,8 +6,9 @@
 //! with it than are sent within that time, and that waiting has recently led to answers.
 //! Requests that can still begin within their objective go first.
 
-use super::{
-    accept, choose, finish, send, DirectRequest, DirectState, InFlightRequest, Precedence, QueueKey,
+use super::{Precedence, QueueKey};
+use crate::logic::direct::{
+    accept, choose, finish, send, DirectRequest, DirectState, InFlightRequest,
 };
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -32,12 +33,12 @@
 const MAX_HELD: usize = 256;
 
 /// How long a request may wait whose caller waits for `wait` milliseconds.
-pub(super) fn max_wait(wait: Option<Millis>) -> Millis {
+pub(in crate::logic::direct) fn max_wait(wait: Option<Millis>) -> Millis {
     wait.map_or(DEFAULT_WAIT_MS, |wait| wait / MAX_WAIT_DIVISOR)
 }
 
 /// Handles a request that is sent to an endpoint: removes it from its queue and counts it.
-pub(super) fn on_sent(state: &mut DirectState, now: Millis, id: u64) {
+pub(in crate::logic::direct) fn on_sent(state: &mut DirectState, now: Millis, id: u64) {
     remove(state, id);
     if let Some(flight) = state.in_flight.get(&id) {
         let late = flight.is_late(now);
@@ -47,7 +48,7 @@
 }
 
 /// Enqueues a request that found no endpoint, or gives it up if it can't wait.
-pub(super) fn wait_or_give_up(
+pub(in crate::logic::direct) fn wait_or_give_up(
     state: &mut DirectState,
     now: Millis,
     id: u64,
@@ -111,7 +112,11 @@
 /// Refuses the waiting requests of services all of whose halls are evacuated, and those that every
 /// endpoint holds off for longer than they wait. A stream that was begun waits on: its caller would
 /// lose it.
-pub(super) fn refuse_unservable(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+pub(in crate::logic::direct) fn refuse_unservable(
+    state: &mut DirectState,
+    now: Millis,
+    out: &mut Vec<Effect>,
+) {
     let waiting = state.queues.values().flat_map(|q| q.waiting.iter());
     let waiting: Vec<u64> = waiting.map(|(.., id)| *id).collect();
     for id in waiting {
@@ -157,7 +162,7 @@
 }
 
 /// Removes a request from its queue, if it waits in one.
-pub(super) fn remove(state: &mut DirectState, id: u64) {
+pub(in crate::logic::direct) fn remove(state: &mut DirectState, id: u64) {
     let Some(flight) = state.in_flight.get(&id) else {
         return;
     };
@@ -168,7 +173,11 @@
 }
 
 /// Sends waiting requests as far as endpoints have room.
-pub(super) fn send_waiting(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+pub(in crate::logic::direct) fn send_waiting(
+    state: &mut DirectState,
+    now: Millis,
+    out: &mut Vec<Effect>,
+) {
     let waiting = state.queues.iter().filter(|(_, l)| !l.waiting.is_empty());
     let keys: Vec<QueueKey> = waiting.map(|(key, _)| key.clone()).collect();
     for key in keys {
@@ -204,7 +213,11 @@
 
 /// Ends the wait of requests whose time to wait is over, in the queues and among those held by
 /// `hold`.
-pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+pub(in crate::logic::direct) fn on_tick(
+    state: &mut DirectState,
+    now: Millis,
+    out: &mut Vec<Effect>,
+) {
     let waiting = state.queues.values().flat_map(|l| l.waiting.iter());
     let waiting: Vec<u64> = waiting.map(|(.., id)| *id).collect();
     for id in waiting {
@@ -242,7 +255,11 @@
 
 /// Holds a request until the routing and the endpoint list are known and no reading of the routing
 /// after a pause is awaited; false if there are too many.
-pub(super) fn hold(state: &mut DirectState, now: Millis, request: &DirectRequest) -> bool {
+pub(in crate::logic::direct) fn hold(
+    state: &mut DirectState,
+    now: Millis,
+    request: &DirectRequest,
+) -> bool {
     let has_room = state.held_requests.len() < MAX_HELD;
     if has_room {
         state.held_requests.push((now, request.clone()));
@@ -252,7 +269,11 @@
 
 /// Admits the held requests once the routing and the endpoint list are known and no reading of the
 /// routing after a pause is awaited.
-pub(super) fn admit_held(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+pub(in crate::logic::direct) fn admit_held(
+    state: &mut DirectState,
+    now: Millis,
+    out: &mut Vec<Effect>,
+) {
     if state.routing.is_none() || !state.listed || state.pause.waiting_since.is_some() {
         return;
     }
--- a/src/logic/direct/queue_key.rs
+++ b/src/logic/direct/admission/queue_key.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::InFlightRequest;
+use crate::logic::direct::InFlightRequest;
 
 /// What the requests of one wait queue have in common.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -15,7 +15,7 @@
 
 impl QueueKey {
     /// Key of the queue that a request waits in.
-    pub(super) fn of(flight: &InFlightRequest) -> Self {
+    pub(in crate::logic::direct) fn of(flight: &InFlightRequest) -> Self {
         Self {
             service: flight.service.clone(),
             model: flight.model.clone(),
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -1,9 +1,8 @@
 //! Handles the answers of endpoints and passes them on to callers.
 
-use super::{
-    concurrency_limit, crashes, endpoints, finish, hold_off, send, DirectEffect, DirectState,
-    RunPart,
-};
+use super::admission::concurrency_limit;
+use super::limits::hold_off;
+use super::{crashes, endpoints, finish, send, DirectEffect, DirectState, RunPart};
 use crate::logic::router::Metric;
 use crate::logic::Effect;
 use crate::types::Millis;
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -1,9 +1,8 @@
 //! Chooses the endpoint that a request is sent to.
 
-use super::{
-    cold, concurrency_limit, hold_off, rate_limit, DirectState, EndpointView, InFlightRequest,
-    Mechanism,
-};
+use super::admission::concurrency_limit;
+use super::limits::{cold, hold_off, rate_limit};
+use super::{DirectState, EndpointView, InFlightRequest, Mechanism};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// Added to the expected delay of an endpoint in another data hall.
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -1,9 +1,8 @@
 //! Finds the requests that crash endpoints.
 
 use super::{broadcast, Crash, CrashRecord, SuspectedCrash};
-use crate::logic::direct::{
-    finish, hold_off, DirectEffect, DirectState, Fingerprint, ProbeResult, Problem,
-};
+use crate::logic::direct::limits::hold_off;
+use crate::logic::direct::{finish, DirectEffect, DirectState, Fingerprint, ProbeResult, Problem};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
--- a/src/logic/direct/direct_params.rs
+++ b/src/logic/direct/direct_params.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
-use super::Mechanism;
-use crate::types::Millis;
+use super::{FeatureMode, Features, Mechanism};
+use crate::types::{EngineSpec, Millis};
 
 /// Parameters of a router with direct links.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -34,6 +34,8 @@
     pub grace_ms: Millis,
     /// Usual shortest time after which a refused caller is told to come back.
     pub again_ms: Millis,
+    /// Optional parts of the policy.
+    pub features: Features,
     /// Mechanisms that are switched off, to measure their effect.
     pub disabled: BTreeSet<Mechanism>,
 }
@@ -43,6 +45,17 @@
     pub(crate) fn is_enabled(&self, mechanism: Mechanism) -> bool {
         !self.disabled.contains(&mechanism)
     }
+
+    /// Whether an optional part of the policy takes effect for a service with this engine, if it
+    /// has one.
+    pub fn is_active(&self, part: Mechanism, engine: Option<&EngineSpec>) -> bool {
+        let is_called_for = match self.features.mode(part) {
+            FeatureMode::Off => false,
+            FeatureMode::Auto => engine.is_some_and(EngineSpec::is_contended),
+            FeatureMode::On => true,
+        };
+        is_called_for && self.is_enabled(part)
+    }
 }
 
 impl Default for DirectParams {
@@ -61,6 +74,7 @@
             cold_slack: 1_000,
             grace_ms: 8_000,
             again_ms: 400,
+            features: Features::default(),
             disabled: BTreeSet::new(),
         }
     }
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -6,8 +6,8 @@
 use super::plan::{IdleReason, PlanState};
 use super::{
     Demand, DigestState, DirectParams, DirectRequest, EndpointView, EvacuatedHalls,
-    InFlightRequest, ListLog, ListStart, ObservationRequest, QueueKey, RecentPeak, Registration,
-    RetryWindow, RoutingRecheck, ShutdownStage, WaitQueue,
+    InFlightRequest, ListLog, ListStart, Mechanism, ObservationRequest, QueueKey, RecentPeak,
+    Registration, RetryWindow, RoutingRecheck, ShutdownStage, WaitQueue,
 };
 use crate::logic::router::{CallId, StoreCall};
 use crate::logic::Effect;
@@ -216,6 +216,13 @@
         idle.count() as u64
     }
 
+    /// Whether an optional part of the policy takes effect for a service.
+    pub fn is_active(&self, part: Mechanism, service: &str) -> bool {
+        let spec = self.routing.as_ref().and_then(|r| r.services.get(service));
+        let engine = spec.and_then(|s| s.engine.as_ref());
+        self.params.is_active(part, engine)
+    }
+
     /// Time since this process handled its first event, in milliseconds.
     pub(super) fn age(&self, now: Millis) -> Millis {
         self.started.map_or(0, |at| now.saturating_sub(at))
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,8 +1,9 @@
 //! What this router knows about endpoints, from the endpoint list and from its own runs.
 
+use super::admission::concurrency_limit;
+use super::limits::{cold, hold_off};
 use super::{
-    cold, concurrency_limit, digests, hold_off, leaving, plan, DirectState, EndpointUpdate,
-    EndpointView, Observation, ProbeResult,
+    digests, leaving, plan, DirectState, EndpointUpdate, EndpointView, Observation, ProbeResult,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{EndpointEntry, GroupSeat, InstanceId, Millis};
--- a/src/logic/direct/evacuation.rs
+++ b/src/logic/direct/evacuation.rs
@@ -8,8 +8,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::admission::queue;
+use super::limits::cold;
 use super::store_restore::REWRITE_MS;
-use super::{cold, queue, DirectState, HallChange};
+use super::{DirectState, HallChange};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{Millis, StorePosition};
 
--- /dev/null
+++ b/src/logic/direct/features.rs
@@ -0,0 +1,30 @@
+use super::{FeatureMode, Mechanism};
+
+/// The optional parts of the policy, which are off unless the settings say otherwise.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Features {
+    /// One decision for all requests that compete for the same endpoints.
+    pub admission: FeatureMode,
+    /// Plans capacity ahead of demand, of halls that are emptied and of lost members.
+    pub capacity: FeatureMode,
+    /// Tells refused callers when there will be room for them.
+    pub returns: FeatureMode,
+    /// Learns how fast each endpoint and group is.
+    pub speeds: FeatureMode,
+    /// Divides the slots of heads among the routers by demand.
+    pub shares: FeatureMode,
+}
+
+impl Features {
+    /// The mode of a part; a mechanism that isn't optional is always on.
+    pub fn mode(&self, mechanism: Mechanism) -> FeatureMode {
+        match mechanism {
+            Mechanism::Admission => self.admission,
+            Mechanism::Capacity => self.capacity,
+            Mechanism::Returns => self.returns,
+            Mechanism::Speeds => self.speeds,
+            Mechanism::Shares => self.shares,
+            _ => FeatureMode::On,
+        }
+    }
+}
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -1,7 +1,8 @@
 //! Last step of a request: gives the caller exactly one final answer.
 
+use super::admission::queue;
 use super::{
-    choose, crashes, demand, endpoints, queue, DirectEffect, DirectState, InFlightRequest, Problem,
+    choose, crashes, demand, endpoints, DirectEffect, DirectState, InFlightRequest, Problem,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
--- a/src/logic/direct/leaving.rs
+++ b/src/logic/direct/leaving.rs
@@ -5,7 +5,8 @@
 //! the list says. The planner is told, so that a group with such a member ends in order, and it
 //! tells the other routers by its digests.
 
-use super::{digests, peers, plan, queue, DirectState, EndpointUpdate, PeerMessage};
+use super::admission::queue;
+use super::{digests, peers, plan, DirectState, EndpointUpdate, PeerMessage};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
--- a/src/logic/direct/cold.rs
+++ b/src/logic/direct/limits/cold.rs
@@ -4,7 +4,8 @@
 //! What it bears is divided among a few routers, like a rate limit. In any second it then gets at
 //! most the published rate and one request of each holder.
 
-use super::{holders, ColdPhase, DirectState, EndpointView, PacedShare};
+use super::{holders, ColdPhase, PacedShare};
+use crate::logic::direct::{DirectState, EndpointView};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis, RequestRate};
 
@@ -17,7 +18,7 @@
 const RETURN_MS: Millis = 1_000;
 
 /// Handles an entry or an answer that says for how much longer an endpoint is cold, which may be 0.
-pub(super) fn on_cold_named(
+pub(in crate::logic::direct) fn on_cold_named(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
@@ -43,7 +44,7 @@
 }
 
 /// Handles the end of the evacuation of a hall.
-pub(super) fn on_hall_returned(state: &mut DirectState, now: Millis, hall: &str) {
+pub(in crate::logic::direct) fn on_hall_returned(state: &mut DirectState, now: Millis, hall: &str) {
     let endpoints = state.endpoints.iter();
     let returned = endpoints.filter(|(_, v)| v.listed && *v.entry.hall == *hall);
     let returned: Vec<_> = returned.map(|(id, _)| id.clone()).collect();
@@ -95,13 +96,13 @@
 }
 
 /// Whether an endpoint that may be cold takes a request of this router by a time.
-pub(super) fn can_send_by(view: &EndpointView, time: Millis) -> bool {
+pub(in crate::logic::direct) fn can_send_by(view: &EndpointView, time: Millis) -> bool {
     let cold = view.cold.as_ref();
     cold.is_none_or(|c| c.until <= time || c.share.can_send_by(time))
 }
 
 /// Divides what cold endpoints bear among the routers known now, and ends cold phases.
-pub(super) fn on_tick(state: &mut DirectState, now: Millis) {
+pub(in crate::logic::direct) fn on_tick(state: &mut DirectState, now: Millis) {
     let cold = state.endpoints.iter().filter(|(_, v)| v.cold.is_some());
     let cold: Vec<_> = cold.map(|(id, _)| id.clone()).collect();
     for id in cold {
--- a/src/logic/direct/hold_off.rs
+++ b/src/logic/direct/limits/hold_off.rs
@@ -9,7 +9,9 @@
 //! Probes and orders go on, as they take no slot of the endpoint and groups are repaired by them,
 //! unless the endpoint turns these away as well.
 
-use super::{queue, DirectState, EndpointView, HoldOffPhase};
+use super::HoldOffPhase;
+use crate::logic::direct::admission::queue;
+use crate::logic::direct::{DirectState, EndpointView};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
@@ -22,7 +24,7 @@
 
 /// Handles an answer by which an endpoint asks for a hold-off. `run` is the run that it turned away;
 /// none if it was a probe or an order.
-pub(super) fn on_hold_off(
+pub(in crate::logic::direct) fn on_hold_off(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
@@ -56,32 +58,32 @@
 }
 
 /// Whether an endpoint takes requests of this router by a time, as far as its hold-off goes.
-pub(super) fn can_send_by(view: &EndpointView, time: Millis) -> bool {
+pub(in crate::logic::direct) fn can_send_by(view: &EndpointView, time: Millis) -> bool {
     let hold_off = view.hold_off.as_ref();
     hold_off.is_none_or(|h| h.is_over_by(time))
 }
 
 /// Whether an endpoint takes one more run of this router now, as far as its hold-off goes.
-pub(super) fn has_room(view: &EndpointView, now: Millis) -> bool {
+pub(in crate::logic::direct) fn has_room(view: &EndpointView, now: Millis) -> bool {
     let hold_off = view.hold_off.as_ref();
     hold_off.is_none_or(|h| h.has_room(now))
 }
 
 /// Whether an endpoint takes probes and orders of this router now.
-pub(super) fn takes_calls(view: &EndpointView, now: Millis) -> bool {
+pub(in crate::logic::direct) fn takes_calls(view: &EndpointView, now: Millis) -> bool {
     let hold_off = view.hold_off.as_ref();
     hold_off.is_none_or(|h| h.calls_until <= now)
 }
 
 /// Handles a run that is sent; returns whether it counts as one of the first after a hold-off.
-pub(super) fn on_sent(view: &mut EndpointView) -> bool {
+pub(in crate::logic::direct) fn on_sent(view: &mut EndpointView) -> bool {
     let hold_off = view.hold_off.as_mut();
     hold_off.map(|h| h.unbegun += 1).is_some()
 }
 
 /// Handles the beginning of the answer to a request's run: the endpoint takes more runs at a time.
 /// Once these are as many as its slots, the hold-off bounds nothing any more.
-pub(super) fn on_run_begun(state: &mut DirectState, request: u64) {
+pub(in crate::logic::direct) fn on_run_begun(state: &mut DirectState, request: u64) {
     let Some(view) = on_run_settled(state, request) else {
         return;
     };
@@ -96,7 +98,10 @@
 
 /// Handles a request's run that has begun or ended: it no longer counts among the first after a
 /// hold-off. Returns its endpoint if it did.
-pub(super) fn on_run_settled(state: &mut DirectState, request: u64) -> Option<&mut EndpointView> {
+pub(in crate::logic::direct) fn on_run_settled(
+    state: &mut DirectState,
+    request: u64,
+) -> Option<&mut EndpointView> {
     let run = state.in_flight.get_mut(&request)?.run.as_mut()?;
     if !std::mem::take(&mut run.after_hold_off) {
         return None;
@@ -110,7 +115,7 @@
 
 /// The earliest end of a hold-off among the endpoints that can serve a request, if all of them hold
 /// off.
-pub(super) fn earliest_end<'a>(
+pub(in crate::logic::direct) fn earliest_end<'a>(
     endpoints: impl Iterator<Item = &'a EndpointView>,
     now: Millis,
 ) -> Option<Millis> {
@@ -119,7 +124,11 @@
 }
 
 /// Logs the end of hold-offs.
-pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+pub(in crate::logic::direct) fn on_tick(
+    state: &mut DirectState,
+    now: Millis,
+    out: &mut Vec<Effect>,
+) {
     for (id, view) in &mut state.endpoints {
         let hold_off = view.hold_off.as_mut();
         if let Some(hold_off) = hold_off.filter(|h| !h.ended && h.is_over_by(now)) {
--- a/src/logic/direct/holders.rs
+++ b/src/logic/direct/limits/holders.rs
@@ -5,7 +5,8 @@
 
 use sha2::{Digest as _, Sha256};
 
-use super::{peers, DirectState, PacedShare};
+use super::PacedShare;
+use crate::logic::direct::{peers, DirectState};
 use crate::types::{InstanceId, Millis, RequestRate};
 
 /// Longest gap between two requests of a holder, so that the end of even a very low limit
--- a/src/logic/direct/rate_limit.rs
+++ b/src/logic/direct/limits/rate_limit.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddr;
 
 use super::holders::{self, MAX_GAP_MS};
-use super::{DirectEffect, DirectState, EndpointView, PeerMessage, RateShare};
+use super::RateShare;
+use crate::logic::direct::{DirectEffect, DirectState, EndpointView, PeerMessage};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis, RequestRate};
 
@@ -25,7 +26,7 @@
 
 /// Handles the rate limit in an endpoint's answer, or its absence. Only the answer to a run
 /// that was sent after the limit became known shows that the limit has ended.
-pub(super) fn on_answer_rate(
+pub(in crate::logic::direct) fn on_answer_rate(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
@@ -117,7 +118,7 @@
 }
 
 /// Handles another router's message about a limit, or about the end of one.
-pub(super) fn on_peer_rate(
+pub(in crate::logic::direct) fn on_peer_rate(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
@@ -150,14 +151,18 @@
 }
 
 /// Whether the rate limit of an endpoint allows a request of this router by a time.
-pub(super) fn can_send_by(view: &EndpointView, until: Millis) -> bool {
+pub(in crate::logic::direct) fn can_send_by(view: &EndpointView, until: Millis) -> bool {
     view.rate
         .as_ref()
         .is_none_or(|s| s.share.can_send_by(until))
 }
 
 /// Divides limits among the routers known now, and forgets expired ones.
-pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+pub(in crate::logic::direct) fn on_tick(
+    state: &mut DirectState,
+    now: Millis,
+    out: &mut Vec<Effect>,
+) {
     let limited = state.endpoints.iter();
     let limited = limited.filter_map(|(id, v)| Some((id.clone(), v.rate.clone()?)));
     for (id, mut limit) in limited.collect::<Vec<_>>() {
--- a/src/logic/direct/mechanism.rs
+++ b/src/logic/direct/mechanism.rs
@@ -27,10 +27,20 @@
     Demand,
     /// Orders members that stay behind in an ended group to leave it.
     Freeing,
+    /// Decides for all requests that compete for the same endpoints together.
+    Admission,
+    /// Plans capacity ahead of demand, of halls that are emptied and of lost members.
+    Capacity,
+    /// Tells refused callers when there will be room for them.
+    Returns,
+    /// Learns how fast each endpoint and group is.
+    Speeds,
+    /// Divides the slots of heads among the routers by demand.
+    Shares,
 }
 
 /// Every mechanism by its name in the settings.
-const NAMES: [(&str, Mechanism); 11] = [
+const NAMES: [(&str, Mechanism); 16] = [
     ("reading-bound", Mechanism::ReadingBound),
     ("limits", Mechanism::Limits),
     ("trades", Mechanism::Trades),
@@ -42,6 +52,11 @@
     ("news", Mechanism::Updates),
     ("demand", Mechanism::Demand),
     ("freeing", Mechanism::Freeing),
+    ("admission", Mechanism::Admission),
+    ("capacity", Mechanism::Capacity),
+    ("returns", Mechanism::Returns),
+    ("speeds", Mechanism::Speeds),
+    ("shares", Mechanism::Shares),
 ];
 
 impl Mechanism {
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -3,23 +3,22 @@
 //! There are no agents beside the endpoints here: engines maintain their groups themselves, and
 //! the platform lists them. A request passes through `accept`, `choose`, `send`, `answer` and
 //! `finish`. `silence` detects silent endpoints and `crashes` detects requests that crash them.
-//! `rate_limit` and `cold` divide among the routers what an endpoint takes, `hold_off` keeps requests
-//! from endpoints that ask for it, `leaving` from those that announce their end, and `evacuation` from
-//! halls that operators evacuate.
+//! `admission` decides which requests get room where not all have it. `limits` keeps to what endpoints
+//! set themselves, `leaving` keeps requests from those that announce their end, and `evacuation` from halls
+//! that operators evacuate.
 //! `list_start` gets the endpoint list after a start.
 //! `plan` forms and repairs groups while this router holds the planner lease, and `digests`
 //! broadcasts what the planner has read to all routers.
 
+pub mod admission;
 pub mod crashes;
+pub mod limits;
 pub mod plan;
 
 mod accept;
 mod answer;
 mod arrivals;
 mod choose;
-mod cold;
-mod cold_phase;
-mod concurrency_limit;
 mod demand;
 mod digest;
 mod digest_part;
@@ -36,13 +35,12 @@
 mod endpoints;
 mod evacuated_halls;
 mod evacuation;
+mod feature_mode;
+mod features;
 mod fingerprint;
 mod finish;
 mod group_order;
 mod hall_change;
-mod hold_off;
-mod hold_off_phase;
-mod holders;
 mod in_flight_request;
 mod keys_source;
 mod leaving;
@@ -56,17 +54,11 @@
 mod observation;
 mod observation_request;
 mod order_result;
-mod paced_share;
 mod peer_message;
 mod peers;
-mod precedence;
 mod probe_result;
 mod problem;
 mod process_pause;
-mod queue;
-mod queue_key;
-mod rate_limit;
-mod rate_share;
 mod recent_peak;
 mod retry_bounds;
 mod retry_window;
@@ -79,9 +71,8 @@
 mod store_restore;
 mod tree;
 mod update_batch;
-mod wait_queue;
 
-pub use cold_phase::ColdPhase;
+pub use admission::{Precedence, QueueKey, WaitQueue};
 pub use demand::Demand;
 pub use digest::Digest;
 pub use digest_state::DigestState;
@@ -93,12 +84,14 @@
 pub use endpoint_update::EndpointUpdate;
 pub use endpoint_view::EndpointView;
 pub use evacuated_halls::EvacuatedHalls;
+pub use feature_mode::FeatureMode;
+pub use features::Features;
 pub use fingerprint::Fingerprint;
 pub use group_order::{GroupOrder, GroupStep};
 pub use hall_change::HallChange;
-pub use hold_off_phase::HoldOffPhase;
 pub use in_flight_request::{InFlightRequest, Run};
 pub use keys_source::KeysSource;
+pub use limits::{ColdPhase, HoldOffPhase, PacedShare, RateShare};
 pub use list_change::ListChange;
 pub use list_log::ListLog;
 pub use list_pace::ListPace;
@@ -110,15 +103,11 @@
 pub use observation::Observation;
 pub use observation_request::ObservationRequest;
 pub use order_result::OrderResult;
-pub use paced_share::PacedShare;
 pub use peer_message::PeerMessage;
 pub use peers::Registration;
-pub use precedence::Precedence;
 pub use probe_result::ProbeResult;
 pub use problem::Problem;
 pub use process_pause::RoutingRecheck;
-pub use queue_key::QueueKey;
-pub use rate_share::RateShare;
 pub use recent_peak::RecentPeak;
 pub use retry_bounds::RetryBounds;
 pub use retry_window::RetryWindow;
@@ -127,4 +116,3 @@
 pub use shutdown_stage::ShutdownStage;
 pub(crate) use step::step;
 pub use update_batch::UpdateBatch;
-pub use wait_queue::WaitQueue;
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -6,8 +6,9 @@
 
 use std::net::SocketAddr;
 
+use super::limits::rate_limit;
 use super::{
-    crashes, demand, digests, endpoints, leaving, plan, rate_limit, DirectEffect, DirectState,
+    crashes, demand, digests, endpoints, leaving, plan, DirectEffect, DirectState,
     ObservationRequest, PeerMessage, ProbeResult,
 };
 use crate::logic::router::{
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -8,9 +8,8 @@
 use std::sync::Arc;
 
 use super::{form, retire, QueuedOrder};
-use crate::logic::direct::{
-    hold_off, DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult,
-};
+use crate::logic::direct::limits::hold_off;
+use crate::logic::direct::{DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
--- a/src/logic/direct/plan/probe.rs
+++ b/src/logic/direct/plan/probe.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 
 use super::{form, readiness};
-use crate::logic::direct::{
-    endpoints, hold_off, peers, DirectEffect, DirectState, Observation, ProbeResult,
-};
+use crate::logic::direct::limits::hold_off;
+use crate::logic::direct::{endpoints, peers, DirectEffect, DirectState, Observation, ProbeResult};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,8 +1,10 @@
 //! Sends a request to an endpoint, and retries it at another one after a failure.
 
+use super::admission::queue;
+use super::limits::hold_off;
 use super::{
-    choose, crashes, finish, hold_off, peers, queue, DirectEffect, DirectState, InFlightRequest,
-    Mechanism, Precedence, RetryBounds, RetryWindow, Run, RunRequest,
+    choose, crashes, finish, peers, DirectEffect, DirectState, InFlightRequest, Mechanism,
+    Precedence, RetryBounds, RetryWindow, Run, RunRequest,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,7 +1,9 @@
+use super::admission::queue;
+use super::limits::{cold, hold_off, rate_limit};
 use super::{
-    accept, answer, cold, crashes, demand, digests, endpoints, evacuation, finish, hold_off,
-    leaving, list_log, list_start, peers, plan, process_pause, queue, rate_limit, silence,
-    store_restore, DirectEffect, DirectEvent, DirectState, ShutdownStage,
+    accept, answer, crashes, demand, digests, endpoints, evacuation, finish, leaving, list_log,
+    list_start, peers, plan, process_pause, silence, store_restore, DirectEffect, DirectEvent,
+    DirectState, ShutdownStage,
 };
 use crate::logic::{Effect, Event, LogCode, LogEvent};
 use crate::types::{Millis, Routing};
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -6,7 +6,7 @@
 use super::ini_reader::IniReader;
 use super::SettingsError;
 use crate::link::{WatchPace, WatchTarget};
-use crate::logic::direct::{DirectParams, Mechanism};
+use crate::logic::direct::{DirectParams, Features, Mechanism};
 use crate::types::MissingValue;
 
 /// Settings of a router that reaches endpoints by direct HTTP links.
@@ -188,10 +188,24 @@
         // A window of length 0 would count no earlier retries: the default is used instead.
         retry_window: positive_or(window_ms, d.retry_window),
         grace_ms: ini.scaled_number("stop", "grace_s", d.grace_ms, 1_000, "seconds"),
+        features: read_features(ini),
         disabled: read_disabled(ini),
     }
 }
 
+/// Reads when each optional part of the policy takes effect.
+fn read_features(ini: &mut IniReader) -> Features {
+    let d = Features::default();
+    let mut mode = |key, default| ini.parsed("features", key, default, "off, auto or on");
+    Features {
+        admission: mode("admission", d.admission),
+        capacity: mode("capacity", d.capacity),
+        returns: mode("returns", d.returns),
+        speeds: mode("speeds", d.speeds),
+        shares: mode("shares", d.shares),
+    }
+}
+
 /// Reads the mechanisms that are switched off: names separated by commas.
 fn read_disabled(ini: &mut IniReader) -> BTreeSet<Mechanism> {
     let text: String = ini.parsed("policy", "off", String::new(), "names of mechanisms");
--- a/src/types/engine_spec.rs
+++ b/src/types/engine_spec.rs
@@ -34,4 +34,11 @@
     pub fn model(&self, name: &str) -> Option<&EngineModel> {
         self.models.iter().find(|m| &*m.name == name)
     }
+
+    /// Whether concurrent requests slow each other down so much that a token step of a full group
+    /// takes more than twice that of an idle one. Latency then bounds the useful number of
+    /// concurrent requests, not the slots.
+    pub fn is_contended(&self) -> bool {
+        u64::from(self.slots) * self.per_request_ns > self.step_us * 1_000
+    }
 }
--- a/testkit/src/bin/ablate.rs
+++ b/testkit/src/bin/ablate.rs
@@ -7,6 +7,8 @@
 //! ```text
 //! cargo run -p testkit --bin ablate -- --bench PATH --sites A.toml,B.toml --seeds 4
 //! ```
+//!
+//! `--only a,b` restricts it to some mechanisms.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -32,7 +34,7 @@
 const PARALLEL_RUNS: usize = 6;
 
 /// Mechanisms that can be switched off, as the settings name them.
-const MECHANISMS: [&str; 11] = [
+const MECHANISMS: [&str; 16] = [
     "reading-bound",
     "limits",
     "trades",
@@ -44,6 +46,11 @@
     "news",
     "demand",
     "freeing",
+    "admission",
+    "capacity",
+    "returns",
+    "speeds",
+    "shares",
 ];
 
 /// The `worth` that the benchmark prints, by day and seed.
@@ -64,16 +71,40 @@
     let bench: String = args.value_from_str("--bench").map_err(text)?;
     let sites: String = args.value_from_str("--sites").map_err(text)?;
     let seeds: u64 = args.value_from_str("--seeds").map_err(text)?;
+    let only: Option<String> = args.opt_value_from_str("--only").map_err(text)?;
+    let only = only.as_deref().map(|names| names.split(',').collect());
+    let mechanisms = select_mechanisms(only)?;
     let template = std::fs::read_to_string(TEMPLATE).map_err(|e| format!("{TEMPLATE}: {e}"))?;
     let sites: Vec<&str> = sites.split(',').collect();
-    let result = table(&bench, &sites, seeds, &template);
+    let result = table(&bench, &sites, seeds, &mechanisms, &template);
     std::fs::write(TEMPLATE, template).map_err(|e| format!("{TEMPLATE}: {e}"))?;
     result
 }
 
+/// The mechanisms to switch off: those named, or all.
+fn select_mechanisms(only: Option<Vec<&str>>) -> Result<Vec<&'static str>, String> {
+    let Some(names) = only else {
+        return Ok(MECHANISMS.to_vec());
+    };
+    let find = |name: &str| {
+        let found = MECHANISMS.iter().find(|known| **known == name);
+        found.copied().ok_or_else(|| {
+            let known = MECHANISMS.join(", ");
+            format!("--only: found {name:?}, expected some of {known}")
+        })
+    };
+    names.into_iter().map(find).collect()
+}
+
 /// Prints a row for each mechanism: by site, the mean of the worth lost without it and the standard
 /// error of that mean.
-fn table(bench: &str, sites: &[&str], seeds: u64, template: &str) -> Result<(), String> {
+fn table(
+    bench: &str,
+    sites: &[&str],
+    seeds: u64,
+    mechanisms: &[&str],
+    template: &str,
+) -> Result<(), String> {
     let baseline = run_sites(bench, sites, seeds)?;
     let names = sites.iter().map(|s| stem(s)).collect::<Vec<_>>();
     println!("| switched off | {} |", names.join(" | "));
@@ -83,7 +114,7 @@
         "| nothing: worth | {} |",
         means.collect::<Vec<_>>().join(" | ")
     );
-    for mechanism in MECHANISMS {
+    for mechanism in mechanisms {
         let text = format!("{template}\n[policy]\noff = {mechanism}\n");
         std::fs::write(TEMPLATE, text).map_err(|e| format!("{TEMPLATE}: {e}"))?;
         let off = run_sites(bench, sites, seeds)?;
--- a/tests/direct/settings.rs
+++ b/tests/direct/settings.rs
@@ -2,8 +2,11 @@
 
 use std::process::Command;
 
-use runrail::logic::direct::{DirectParams, RetryBounds, RetryWindow};
+use runrail::logic::direct::{
+    DirectParams, FeatureMode, Features, Mechanism, RetryBounds, RetryWindow,
+};
 use runrail::settings::DirectSettings;
+use runrail::types::EngineSpec;
 
 /// Numbers that the platform fills into the template.
 const NUMBERS: [&str; 10] = [
@@ -140,3 +143,42 @@
         "each router has its part of 57.35, rounded down to whole retries"
     );
 }
+
+/// A deployment that doesn't ask for an optional part of the policy is served as before.
+#[test]
+fn optional_parts_of_the_policy_are_off_unless_the_settings_name_them() {
+    let none = DirectParams::default();
+    let contended = EngineSpec {
+        slots: 48,
+        step_us: 6_000,
+        per_request_ns: 240_000,
+        ..EngineSpec::default()
+    };
+    let uncontended = EngineSpec {
+        per_request_ns: 45_000,
+        ..contended.clone()
+    };
+    assert!(!none.is_active(Mechanism::Admission, Some(&contended)));
+    let features = Features {
+        admission: FeatureMode::Auto,
+        ..Features::default()
+    };
+    let auto = DirectParams { features, ..none };
+    assert!(auto.is_active(Mechanism::Admission, Some(&contended)));
+    assert!(!auto.is_active(Mechanism::Admission, Some(&uncontended)));
+    assert!(!auto.is_active(Mechanism::Admission, None));
+    assert!(!auto.is_active(Mechanism::Returns, Some(&contended)));
+}
+
+#[test]
+fn an_unknown_mode_of_an_optional_part_is_named() {
+    let text = fill_template("Bounds.GraceS", "8");
+    let start = text.find("admission = ").expect("the mode");
+    let end = start + text[start..].find('\n').expect("a line");
+    let error = load(&text.replace(&text[start..end], "admission = maybe"));
+    let error = error.expect_err("maybe is no mode");
+    assert!(
+        error.contains("admission") && error.contains("off, auto or on"),
+        "{error}"
+    );
+}
