--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -120,6 +120,7 @@
         account,
         priority,
         precedence: Precedence::Fresh,
+        kept_appointment: false,
         wait_until: arrived_at + queue::max_wait(Some(wait)),
         arrived: arrived_at,
         deadline: arrived_at + wait.max(MIN_WAIT_MS),
--- a/src/logic/direct/in_flight_request.rs
+++ b/src/logic/direct/in_flight_request.rs
@@ -30,6 +30,8 @@
     pub priority: u8,
     /// Its precedence over other requests that wait.
     pub precedence: Precedence,
+    /// Whether its caller was refused before and has come back at the time that it was told.
+    pub kept_appointment: bool,
     /// Time until which it may wait for an endpoint.
     pub wait_until: Millis,
     /// Time of its arrival.
