Orders: each has a higher fence than all earlier ones, one in progress per endpoint

Cause: all orders of one planner lease carried the same fence. An order that got no answer was carried out after newer ones: a head that had left joined and opened its former group while its members joined the next one.

Change: an order's fence is the lease's times 2^16 plus its number under that lease; a lease that has used its fences is handed back (E659). An endpoint has one order in progress; the others wait in the queue, and are dropped when their group or load has no use for them any more. An order without a result counts as in progress for 1 s.

--- a/src/logic/direct/group_order.rs
+++ b/src/logic/direct/group_order.rs
@@ -7,7 +7,8 @@
 pub struct GroupOrder {
     /// What the endpoint has to do.
     pub what: GroupStep,
-    /// Fence of the planner that sends it; rises from planner to planner.
+    /// Its fence, above those of all earlier orders of any planner: an endpoint that has seen it refuses
+    /// them.
     pub fence: u64,
 }
 
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -34,6 +34,7 @@
 mod probe;
 mod readiness;
 mod retire;
+mod sent_order;
 mod stage;
 mod staging;
 mod survey;
@@ -52,6 +53,7 @@
 pub use plan_state::PlanState;
 pub use planner_lease::{LeaseCall, PlannerLease};
 pub use probe::ProbeState;
+pub use sent_order::SentOrder;
 pub use staging::StagedLoad;
 
 pub(super) use form::apply_known_seat;
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -4,10 +4,16 @@
 //! they were decided under still holds: a pass may take longer than the rest of the lease, and a
 //! successor knows nothing of what is ordered after it. Only so many await their results at a time,
 //! as each takes a connection, memory and processor time.
+//!
+//! An order without an answer may be carried out later, after newer ones. The fence of each order is
+//! therefore higher than those of all earlier ones, so that its endpoint refuses the earlier ones from
+//! then on. An endpoint has at most one order in progress, as orders that overtake each other would be
+//! refused as well.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::{form, retire, QueuedOrder};
+use super::{form, retire, PlanState, QueuedOrder, SentOrder};
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -51,6 +57,10 @@
 /// second are sent even if no endpoint answers.
 const MAX_UNANSWERED: usize = 128;
 
+/// Time after which an order counts as no longer in progress even if no result came, which the link
+/// reports after 0.6 s.
+const PROGRESS_LIMIT_MS: Millis = 1_000;
+
 /// Queues an order to an endpoint, unless the same one is queued already.
 pub(super) fn enqueue(
     state: &mut DirectState,
@@ -60,10 +70,8 @@
 ) {
     let order = QueuedOrder {
         endpoint: id.clone(),
-        body: GroupOrder {
-            what,
-            fence: state.plan.lease.fence,
-        },
+        what,
+        lease: state.plan.lease.fence,
         purpose,
     };
     state.plan.order_queue.push(order);
@@ -87,32 +95,69 @@
         state.plan.order_queue.clear();
         return;
     }
-    let mut held = Vec::new();
-    while state.plan.orders.len() < MAX_UNANSWERED {
-        let Some(queued) = state.plan.order_queue.pop() else {
-            break;
-        };
-        if !takes_orders(state, now, &queued) {
-            held.push(queued);
-            continue;
-        }
-        let view = state.endpoints.get(&queued.endpoint);
-        let addr = view.filter(|_| queued.body.fence == state.plan.lease.fence);
-        let Some(addr) = addr.map(|v| v.entry.addr) else {
+    drop_obsolete(state);
+    let mut busy = busy_endpoints(&state.plan, now);
+    let mut room = MAX_UNANSWERED.saturating_sub(state.plan.orders.len());
+    room = room.min(state.plan.lease.orders_left() as usize);
+    let mut queue = std::mem::take(&mut state.plan.order_queue);
+    let due = queue.take_where(|queued| {
+        let is_due =
+            room > 0 && takes_orders(state, now, queued) && busy.insert(queued.endpoint.clone());
+        room -= usize::from(is_due);
+        is_due
+    });
+    state.plan.order_queue = queue;
+    for queued in due {
+        let Some(addr) = state.endpoints.get(&queued.endpoint).map(|v| v.entry.addr) else {
             continue;
         };
         let order = state.next_number();
-        state.plan.orders.insert(order, queued.purpose);
+        let fence = state.plan.lease.next_order_fence();
+        let sent = SentOrder {
+            endpoint: queued.endpoint.clone(),
+            purpose: queued.purpose,
+            sent_at: now,
+        };
+        state.plan.orders.insert(order, sent);
+        let body = GroupOrder {
+            what: queued.what,
+            fence,
+        };
         out.push(Effect::Direct(DirectEffect::Order {
             order,
             id: queued.endpoint,
             addr,
-            body: queued.body,
+            body,
         }));
     }
-    for queued in held {
-        state.plan.order_queue.push(queued);
-    }
+}
+
+/// Drops queued orders that no longer have a purpose: those of an earlier planner lease, of groups that
+/// have opened, were given up or have ended since, and of loads that were called off.
+fn drop_obsolete(state: &mut DirectState) {
+    let plan = &mut state.plan;
+    let mut queue = std::mem::take(&mut plan.order_queue);
+    queue.take_where(|queued| {
+        let has_purpose = match &queued.purpose {
+            OrderUse::Join(group) | OrderUse::Open(group) => plan.forming.contains_key(group),
+            OrderUse::Close(group) | OrderUse::Leave(group) | OrderUse::Break(group, _) => {
+                plan.ending.contains_key(group)
+            }
+            OrderUse::Stage(id) => plan.staging.contains_key(id),
+            OrderUse::Free(_) => true,
+        };
+        !has_purpose
+            || queued.lease != plan.lease.fence
+            || !state.endpoints.contains_key(&queued.endpoint)
+    });
+    plan.order_queue = queue;
+}
+
+/// Endpoints with an order in progress.
+fn busy_endpoints(plan: &PlanState, now: Millis) -> BTreeSet<InstanceId> {
+    let sent = plan.orders.values();
+    let in_progress = sent.filter(|o| now < o.sent_at + PROGRESS_LIMIT_MS);
+    in_progress.map(|o| o.endpoint.clone()).collect()
 }
 
 /// Requests an event for the queued orders that can be sent, if there is room for them.
@@ -122,8 +167,15 @@
     out: &mut Vec<Effect>,
 ) {
     let plan = &state.plan;
-    let mut queued = plan.order_queue.iter();
-    if plan.orders.len() < MAX_UNANSWERED && queued.any(|o| takes_orders(state, now, o)) {
+    if plan.order_queue.is_empty()
+        || plan.orders.len() >= MAX_UNANSWERED
+        || plan.lease.orders_left() == 0
+    {
+        return;
+    }
+    let busy = busy_endpoints(plan, now);
+    let is_due = |o: &QueuedOrder| !busy.contains(&o.endpoint) && takes_orders(state, now, o);
+    if plan.order_queue.iter().any(is_due) {
         out.push(Effect::Direct(DirectEffect::SendOrders));
     }
 }
@@ -153,7 +205,7 @@
     result: OrderResult,
     out: &mut Vec<Effect>,
 ) {
-    let Some(purpose) = state.plan.orders.remove(&order) else {
+    let Some(SentOrder { purpose, .. }) = state.plan.orders.remove(&order) else {
         return;
     };
     let labels = (purpose.name(), result.name());
--- a/src/logic/direct/plan/order_queue.rs
+++ b/src/logic/direct/plan/order_queue.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 use super::OrderUse;
-use crate::logic::direct::GroupOrder;
+use crate::logic::direct::GroupStep;
 use crate::types::InstanceId;
 
 /// An order that waits to be sent.
@@ -9,8 +9,10 @@
 pub struct QueuedOrder {
     /// The endpoint.
     pub endpoint: InstanceId,
-    /// The order, with the fence that it was decided under.
-    pub body: GroupOrder,
+    /// What the endpoint has to do.
+    pub what: GroupStep,
+    /// Fence of the planner lease that it was decided under.
+    pub lease: u64,
     /// Its purpose.
     pub purpose: OrderUse,
 }
@@ -34,9 +36,16 @@
         }
     }
 
-    /// Takes the next order.
-    pub fn pop(&mut self) -> Option<QueuedOrder> {
-        self.groups.pop_front().or_else(|| self.loads.pop_front())
+    /// Takes those of the orders that `take` selects, in their order; the others keep theirs.
+    pub fn take_where(&mut self, mut take: impl FnMut(&QueuedOrder) -> bool) -> Vec<QueuedOrder> {
+        let mut taken = Vec::new();
+        for queue in [&mut self.groups, &mut self.loads] {
+            let (selected, rest): (VecDeque<_>, _) =
+                std::mem::take(queue).into_iter().partition(|o| take(o));
+            *queue = rest;
+            taken.extend(selected);
+        }
+        taken
     }
 
     /// The orders, in the order in which they are taken.
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -3,8 +3,8 @@
 
 use super::survey::Place;
 use super::{
-    EndingGroup, FormingGroup, IdleEndpoint, LoadBudget, OrderQueue, OrderUse, PlannerLease,
-    ProbeState, StagedLoad,
+    EndingGroup, FormingGroup, IdleEndpoint, LoadBudget, OrderQueue, PlannerLease, ProbeState,
+    SentOrder, StagedLoad,
 };
 use crate::observe::LabelledCount;
 use crate::types::{GroupSeat, InstanceId, Millis};
@@ -48,8 +48,8 @@
     pub opened_seats: BTreeMap<InstanceId, (GroupSeat, Arc<str>)>,
     /// Orders that wait to be sent.
     pub order_queue: OrderQueue,
-    /// Purposes of the orders that await a result, by order number.
-    pub orders: BTreeMap<u64, OrderUse>,
+    /// Orders that await a result, by order number.
+    pub orders: BTreeMap<u64, SentOrder>,
     /// Number of orders by purpose and result, since this process started.
     pub counts: BTreeMap<(&'static str, &'static str), u64>,
     /// Budget of loads from the weight store.
--- a/src/logic/direct/plan/planner_lease.rs
+++ b/src/logic/direct/plan/planner_lease.rs
@@ -34,6 +34,10 @@
     state.random_below(max)
 }
 
+/// Order fences that belong to one planner lease. A lease that has used them up is handed back: at the
+/// 200 orders a second of [`order`](super::order), after five minutes.
+const ORDERS_PER_FENCE: u64 = 1 << 16;
+
 /// State of the planner lease as this router knows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct PlannerLease {
@@ -49,8 +53,11 @@
     pub ttl_ms: Millis,
     /// When the call that created the own lease was sent.
     pub grant_sent: Millis,
-    /// Fence of this router's orders as planner; 0 while it isn't the planner.
+    /// Fence of this router as planner, from which those of its orders follow; 0 while it isn't the
+    /// planner.
     pub fence: u64,
+    /// Orders sent under this fence.
+    pub orders_sent: u64,
     /// Position of the store at which the key was written.
     pub taken_at: StorePosition,
     /// Earliest time at which a lease may be requested. After the store was restored from a
@@ -86,6 +93,18 @@
         self.fence > 0 && now < self.valid_until
     }
 
+    /// The fence of the next order: above those of all earlier orders, of earlier planner leases
+    /// included.
+    pub(super) fn next_order_fence(&mut self) -> u64 {
+        self.orders_sent += 1;
+        self.fence * ORDERS_PER_FENCE + self.orders_sent
+    }
+
+    /// Number of orders that may still be sent under this lease.
+    pub(super) fn orders_left(&self) -> u64 {
+        (ORDERS_PER_FENCE - 1).saturating_sub(self.orders_sent)
+    }
+
     /// Resets the state after the lease was lost or revoked; the key is read again.
     pub fn reset(&mut self) {
         *self = PlannerLease {
@@ -113,6 +132,13 @@
             (LeaseCall::Revoke, StoreCall::Revoke { lease })
         }
         _ if state.stop_since.is_some() => return,
+        (Some(lease), _) if planner_lease.orders_left() == 0 => {
+            let event = LogEvent::new(LogCode::OrderFencesUsed)
+                .with("fence", planner_lease.fence)
+                .with("orders", planner_lease.orders_sent);
+            out.push(Effect::Log(event));
+            (LeaseCall::Revoke, StoreCall::Revoke { lease })
+        }
         (Some(lease), _) => {
             state.plan.lease.next_call = now + planner_lease.ttl_ms / RENEWALS_PER_LEASE;
             (LeaseCall::Renew(now), StoreCall::Renew { lease })
@@ -246,6 +272,7 @@
             planner_lease.lease_id = Some(lease);
             planner_lease.taken_at = StorePosition { era, revision };
             planner_lease.fence = planner_lease.taken_at.fence();
+            planner_lease.orders_sent = 0;
             planner_lease.valid_until = planner_lease.grant_sent + planner_lease.ttl_ms;
             planner_lease.holder = Some(state.own_id.to_string());
             let event =
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod idle;
 mod key_readers;
 mod lag;
+mod late_orders;
 mod leaving;
 mod limits;
 mod list_start;
