Ending groups: members that can't be reached have not left; orders to them are bounded

Cause: a group whose head was lost ended after the stall time if no other member was known, or all others were lost. Members whose entries had lapsed, or that only the planner didn't reach, then joined another group while they could still serve with their head. Orders to leave were also repeated for as long as a member was dead.

Change: the head of such a group counts as broken only after a member is known to have left; members that are listed or found later are ordered to. An endpoint that is lost or not listed gets no more orders after three without an answer (E660), until it answers a probe or is listed again. Lost members are ordered to leave only where all others are lost.

--- a/src/logic/direct/plan/ending.rs
+++ b/src/logic/direct/plan/ending.rs
@@ -7,7 +7,7 @@
     pub epoch: u64,
     /// Its head; none while no entry of the list shows it.
     pub head: Option<InstanceId>,
-    /// Its other members that aren't lost.
+    /// Its other members as far as known, lost ones included.
     pub others: Vec<InstanceId>,
     /// The current step.
     pub step: EndingStep,
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -61,13 +61,21 @@
 /// reports after 0.6 s.
 const PROGRESS_LIMIT_MS: Millis = 1_000;
 
-/// Queues an order to an endpoint, unless the same one is queued already.
+/// Orders in a row without an answer after which an endpoint that is lost or not listed gets no more
+/// until it answers a probe or is listed again: each takes a connection and 0.6 s.
+const MAX_REPEATS: u32 = 3;
+
+/// Queues an order to an endpoint, unless the same one is queued already or the endpoint is out of
+/// reach.
 pub(super) fn enqueue(
     state: &mut DirectState,
     id: &InstanceId,
     what: GroupStep,
     purpose: OrderUse,
 ) {
+    if is_out_of_reach(state, id) {
+        return;
+    }
     let order = QueuedOrder {
         endpoint: id.clone(),
         what,
@@ -135,8 +143,8 @@
 /// Drops queued orders that no longer have a purpose: those of an earlier planner lease, of groups that
 /// have opened, were given up or have ended since, and of loads that were called off.
 fn drop_obsolete(state: &mut DirectState) {
-    let plan = &mut state.plan;
-    let mut queue = std::mem::take(&mut plan.order_queue);
+    let mut queue = std::mem::take(&mut state.plan.order_queue);
+    let plan = &state.plan;
     queue.take_where(|queued| {
         let has_purpose = match &queued.purpose {
             OrderUse::Join(group) | OrderUse::Open(group) => plan.forming.contains_key(group),
@@ -149,8 +157,38 @@
         !has_purpose
             || queued.lease != plan.lease.fence
             || !state.endpoints.contains_key(&queued.endpoint)
+            || is_out_of_reach(state, &queued.endpoint)
     });
-    plan.order_queue = queue;
+    state.plan.order_queue = queue;
+}
+
+/// Whether an endpoint gets no orders, as it is lost or not listed and hasn't answered the last ones.
+pub(super) fn is_out_of_reach(state: &DirectState, id: &InstanceId) -> bool {
+    let is_absent =
+        state.plan.lost.contains_key(id) || state.endpoints.get(id).is_none_or(|view| !view.listed);
+    let unanswered = state.plan.unanswered.get(id);
+    is_absent && unanswered.is_some_and(|count| *count >= MAX_REPEATS)
+}
+
+/// Counts the orders in a row that an endpoint hasn't answered.
+fn count_unanswered(
+    state: &mut DirectState,
+    id: &InstanceId,
+    result: OrderResult,
+    out: &mut Vec<Effect>,
+) {
+    if result != OrderResult::Unanswered {
+        state.plan.unanswered.remove(id);
+        return;
+    }
+    *state.plan.unanswered.entry(id.clone()).or_default() += 1;
+    if !is_out_of_reach(state, id) {
+        return;
+    }
+    let event = LogEvent::new(LogCode::OrdersStopped)
+        .with("endpoint", id)
+        .with("unanswered", state.plan.unanswered.get(id).unwrap_or(&0));
+    out.push(Effect::Log(event));
 }
 
 /// Endpoints with an order in progress.
@@ -205,9 +243,13 @@
     result: OrderResult,
     out: &mut Vec<Effect>,
 ) {
-    let Some(SentOrder { purpose, .. }) = state.plan.orders.remove(&order) else {
+    let Some(sent) = state.plan.orders.remove(&order) else {
         return;
     };
+    let SentOrder {
+        endpoint, purpose, ..
+    } = sent;
+    count_unanswered(state, &endpoint, result, out);
     let labels = (purpose.name(), result.name());
     *state.plan.counts.entry(labels).or_default() += 1;
     let is_accepted = matches!(result, OrderResult::Begun | OrderResult::Done);
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -50,6 +50,8 @@
     pub order_queue: OrderQueue,
     /// Orders that await a result, by order number.
     pub orders: BTreeMap<u64, SentOrder>,
+    /// Orders in a row that endpoints haven't answered.
+    pub unanswered: BTreeMap<InstanceId, u32>,
     /// Number of orders by purpose and result, since this process started.
     pub counts: BTreeMap<(&'static str, &'static str), u64>,
     /// Budget of loads from the weight store.
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -89,6 +89,7 @@
     plan.incomplete.clear();
     plan.staging.clear();
     plan.orders.clear();
+    plan.unanswered.clear();
     plan.order_queue.clear();
     plan.misfits.clear();
     plan.opened_seats.clear();
--- a/src/logic/direct/plan/probe.rs
+++ b/src/logic/direct/plan/probe.rs
@@ -156,6 +156,7 @@
                 sent_at: probe.sent_at,
                 ..ProbeState::default()
             };
+            state.plan.unanswered.remove(id);
             if state.plan.lost.remove(id).is_some() {
                 out.push(Effect::Log(
                     LogEvent::new(LogCode::EndpointFound).with("endpoint", id),
@@ -283,6 +284,8 @@
     let endpoints = &state.endpoints;
     state.plan.lost.retain(|id, _| endpoints.contains_key(id));
     state.plan.probes.retain(|id, _| endpoints.contains_key(id));
+    let unanswered = &mut state.plan.unanswered;
+    unanswered.retain(|id, _| endpoints.contains_key(id));
     let pending = state.plan.probes.values().filter(|p| p.pending);
     state.plan.probes_pending = pending.count();
     let has_heartbeat = |id: &InstanceId, since: Millis| {
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -29,10 +29,9 @@
     out: &mut Vec<Effect>,
 ) {
     let head = view.head().map(|s| s.id.clone());
-    let others = view.seats.values().skip(usize::from(head.is_some()));
     let ending = EndingGroup {
         epoch: view.epoch,
-        others: others.map(|s| s.id.clone()).collect(),
+        others: listed_others(state, group),
         head: head.or_else(|| lost_head(state, group)),
         step: if drain {
             EndingStep::Closing
@@ -65,6 +64,17 @@
     found.map(|(id, _)| id.clone())
 }
 
+/// The other members of a group by the entries of the endpoints, lost ones included: an endpoint that
+/// can't be reached may still serve with the head.
+fn listed_others(state: &DirectState, group: &Arc<str>) -> Vec<InstanceId> {
+    let is_other = |v: &EndpointView| {
+        let seat = v.entry.seat.as_ref();
+        seat.is_some_and(|s| s.group == *group && s.rank != 0)
+    };
+    let found = state.endpoints.iter().filter(|(_, v)| is_other(v));
+    found.map(|(id, _)| id.clone()).collect()
+}
+
 /// Adds a group to those that are ending and sends the first orders.
 pub(super) fn add_ending(
     state: &mut DirectState,
@@ -114,7 +124,10 @@
             order::enqueue(state, head, leave(group), purpose);
         }
         (EndingStep::Breaking, _) => {
-            for id in &ending.others {
+            // One that has left is enough; lost ones are unlikely to answer.
+            let is_lost = |id: &&InstanceId| state.plan.lost.contains_key(*id);
+            let (lost, found): (Vec<_>, Vec<_>) = ending.others.iter().partition(is_lost);
+            for id in if found.is_empty() { lost } else { found } {
                 let purpose = OrderUse::Break(group.clone(), id.clone());
                 order::enqueue(state, id, leave(group), purpose);
             }
@@ -204,12 +217,28 @@
     if ending.head.is_none() {
         ending.head = listed_head(state, group);
     }
+    if matches!(ending.step, EndingStep::Confirming | EndingStep::Breaking) {
+        for id in listed_others(state, group) {
+            if !ending.others.contains(&id) {
+                ending.others.push(id);
+            }
+        }
+        // An instance of it that is listed again shows the group anew.
+        let mut members = ending.head.iter().chain(&ending.others);
+        if !members.any(|id| state.endpoints.contains_key(id)) {
+            return false;
+        }
+    }
     if is_head_stopped(state, now, group, ending) {
         state.plan.ended.insert(group.clone());
         return false;
     }
-    if let (EndingStep::Confirming, Some(head)) = (ending.step, &ending.head) {
-        probe::send_if_due(state, now, head, out);
+    if let Some(head) = &ending.head {
+        let is_confirming = ending.step == EndingStep::Confirming;
+        let is_absent = order::is_out_of_reach(state, head) && !state.plan.lost.contains_key(head);
+        if is_confirming || is_absent {
+            probe::send_if_due(state, now, head, out);
+        }
     }
     let next = next_step(state, now, group, ending);
     if next != ending.step {
@@ -283,11 +312,10 @@
             .head
             .as_ref()
             .is_some_and(|id| probe::is_stop_confirmed(state, id)),
-        EndingStep::Breaking => {
-            let without_members = ending.others.is_empty().then_some(ending.step_since);
-            let since = ending.left_at.or(without_members);
-            since.is_some_and(|at| now >= at + state.params.stall_ms + BREAK_SLACK_MS)
-        }
+        // Members that no entry shows have not left: their entries may have lapsed.
+        EndingStep::Breaking => ending
+            .left_at
+            .is_some_and(|at| now >= at + state.params.stall_ms + BREAK_SLACK_MS),
         EndingStep::Closing | EndingStep::Leaving => false,
     }
 }
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -177,4 +177,5 @@
     EndpointHoldsOff = 657 Warn "endpoint asks this router to send it nothing for a time";
     HoldOffEnded = 658 Info "endpoint takes requests of this router again";
     OrderFencesUsed = 659 Info "planner lease handed back: its order fences are used up";
+    OrdersStopped = 660 Warn "endpoint gets no more orders: it answers none and is lost or not listed";
 }
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -608,3 +608,97 @@
     let is_probe = |e: &&DirectEffect| matches!(e, DirectEffect::Probe { .. });
     effects.iter().filter(is_probe).count()
 }
+
+/// Endpoints that orders to leave were sent to.
+fn told_to_leave(router: &mut Router) -> Vec<String> {
+    let left = leaves(&router.take_effects());
+    left.into_iter().map(|(_, id)| id).collect()
+}
+
+/// Guards against an instance in two groups: a planner that takes over knows only the head of a
+/// group, as the entries of the members have lapsed while the store was away. It counted the head
+/// as broken for want of members, and the members as free once they were listed again.
+#[test]
+fn members_that_the_list_lacks_have_not_left_their_group() {
+    let mut entries = fleet();
+    let members: Vec<_> = entries.drain(1..3).collect();
+    let mut router = Router::planner(entries);
+    router.take_effects();
+    lose(&mut router, "e1");
+    router.advance_ms(10_000);
+    for (id, entry) in members {
+        router.change(id.as_str(), Some(entry));
+    }
+    router.advance_ms(100);
+    assert_eq!(router.joins(), [], "the head may still be open");
+    router.advance_ms(1_000);
+    let effects = router.take_effects();
+    let left = leaves(&effects);
+    assert!(left.iter().any(|(_, id)| id == "e2"), "{effects:?}");
+    router.answer_order(left[0].0, OrderResult::Done);
+    router.advance_ms(3_500);
+    assert_eq!(router.joins(), [], "the head may still be open");
+    router.advance_ms(1_200);
+    assert!(!router.joins().is_empty());
+}
+
+/// Guards against an instance in two groups: members that the planner doesn't reach may still serve
+/// with a head that it doesn't reach either.
+#[test]
+fn lost_members_have_not_left_their_group() {
+    let mut router = Router::planner(fleet());
+    router.take_effects();
+    lose(&mut router, "e2");
+    lose(&mut router, "e3");
+    router.advance_ms(100);
+    lose(&mut router, "e1");
+    router.advance_ms(10_000);
+    router.take_effects();
+    router.answer_probe("e2", alive());
+    router.answer_probe("e3", alive());
+    router.advance_ms(100);
+    assert_eq!(router.joins(), [], "the head may still be open");
+    router.advance_ms(1_000);
+    assert!(!told_to_leave(&mut router).is_empty());
+}
+
+/// Guards against orders that are repeated for as long as an endpoint is dead: each takes a
+/// connection and 0.6 s. The group doesn't end by their absence.
+#[test]
+fn orders_to_a_lost_endpoint_are_repeated_a_few_times_only() {
+    let mut router = Router::planner(fleet());
+    router.take_effects();
+    lose(&mut router, "e1");
+    let mut told = Vec::new();
+    let mut tell = |router: &mut Router, ms: u64| {
+        for _ in 0..ms / 20 {
+            router.advance_ms(20);
+            let effects = router.take_effects();
+            for effect in &effects {
+                let group = match order(effect) {
+                    Some((_, _, GroupStep::Join { members, .. })) => members.len() > 1,
+                    _ => false,
+                };
+                assert!(!group, "the head may still be open: {effect:?}");
+            }
+            for (number, id) in leaves(&effects) {
+                router.answer_order(number, OrderResult::Unanswered);
+                told.push(id);
+            }
+        }
+        told.clone()
+    };
+    tell(&mut router, 1_000);
+    lose(&mut router, "e2");
+    lose(&mut router, "e3");
+    let count = |told: &[String], id: &str| told.iter().filter(|t| *t == id).count();
+    let told = tell(&mut router, 10_000);
+    for id in ["e2", "e3"] {
+        assert!((1..=3).contains(&count(&told, id)), "{told:?}");
+    }
+    // Once it answers again, it gets orders again.
+    router.answer_probe("e2", alive());
+    router.advance_ms(1_000);
+    let told = told_to_leave(&mut router);
+    assert_eq!(count(&told, "e2"), 1, "{told:?}");
+}
