Crashes: a harmless request at the same crashes as another isn't refused for good

Cause: a request that all callers send alike was at the same three crashes as the one that crashes endpoints, without a whole answer in between, and both were refused for good.

Change: records keep for how long a run had been at each crashed endpoint. A request whose crashes are all shared with another that was there at more crashes, or for a shorter time, is held: callers are told to come back, and the planner sends one at a time (E661). A whole answer clears it, also in the key-value service; a crash under it makes it refused. Within 1 s of its last crash a request that shares all other crashes with a stronger suspect isn't refused for good yet, as a report may be late; it isn't sent meanwhile either.

The first of the new tests failed before the change at the refusal that it is about.

--- a/src/logic/direct/crashes/broadcast.rs
+++ b/src/logic/direct/crashes/broadcast.rs
@@ -1,6 +1,6 @@
 //! Exchanges crash records with the other routers.
 
-use super::{detect, CrashReport};
+use super::{trial, CrashReport};
 use crate::logic::direct::{DirectEffect, DirectState, Fingerprint, PeerMessage};
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -113,7 +113,7 @@
     table.merge(now, report.request, &report.record);
     let newly_blocked = !before && table.is_blocked(&report.request);
     if newly_blocked {
-        detect::end_in_flight(state, report.request, out);
+        trial::on_blocked(state, now, report.request, out);
     }
     newly_blocked
 }
--- a/src/logic/direct/crashes/crash_record.rs
+++ b/src/logic/direct/crashes/crash_record.rs
@@ -1,15 +1,16 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
-use super::{Crash, MIN_BLOCKING_CRASHES};
+use super::{Crash, MIN_BLOCKING_CRASHES, MIN_RISKY_CRASHES};
+use crate::types::InstanceId;
 
 /// Largest number of crashes that one record holds.
 const MAX_CRASHES: usize = 8;
 
 /// The crashes of endpoints that one request may have caused.
 ///
-/// Both sets only grow, so that the records of two routers can be merged by union in any order, as
+/// Sets and ages only grow, so that the records of two routers can be merged by union in any order, as
 /// long as they have at most `MAX_CRASHES` crashes together.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CrashRecord {
@@ -17,6 +18,10 @@
     pub crashes: BTreeSet<Crash>,
     /// Crashes that no longer count, as the request was answered in full afterwards.
     pub cleared: BTreeSet<Crash>,
+    /// For each endpoint that crashed, the longest time for which a run of the request had been there,
+    /// in milliseconds. Routers of earlier versions don't report it.
+    #[serde(default)]
+    pub ages: BTreeMap<InstanceId, u32>,
 }
 
 impl CrashRecord {
@@ -24,16 +29,55 @@
     pub fn of(crash: Crash) -> Self {
         Self {
             crashes: BTreeSet::from([crash]),
-            cleared: BTreeSet::new(),
+            ..Self::default()
         }
     }
 
+    /// Creates a record of one crash, at which a run of the request had been there for `age_ms`.
+    pub fn of_run(crash: Crash, age_ms: u32) -> Self {
+        Self {
+            ages: BTreeMap::from([(crash.endpoint.clone(), age_ms)]),
+            ..Self::of(crash)
+        }
+    }
+
+    /// Crashes that count against the request.
+    pub fn counted(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.difference(&self.cleared)
+    }
+
     /// Number of crashes that count against the request.
     pub fn counted_crashes(&self) -> usize {
-        self.crashes.difference(&self.cleared).count()
+        self.counted().count()
+    }
+
+    /// Whether the request was refused, also if it has been cleared since.
+    pub fn was_blocked(&self) -> bool {
+        self.crashes.len() >= MIN_BLOCKING_CRASHES
     }
 
-    /// Whether routers refuse the request.
+    /// Whether another request has caused the crashes of this one, by the evidence: it was there at all
+    /// of these crashes but at most `missing`, and either at others too or, as endpoints crash soon
+    /// after they begin it, for a shorter time.
+    pub fn is_explained_by(&self, other: &Self, missing: usize) -> bool {
+        let is_common = |c: &&Crash| other.crashes.contains(*c) && !other.cleared.contains(*c);
+        let (common, rest): (Vec<_>, Vec<_>) = self.counted().partition(is_common);
+        if rest.len() > missing || common.len() < MIN_RISKY_CRASHES {
+            return false;
+        }
+        if rest.is_empty() && other.counted_crashes() > common.len() {
+            return true;
+        }
+        let age = |record: &Self| -> Option<u64> {
+            let ages = common.iter().map(|c| record.ages.get(&c.endpoint));
+            ages.map(|age| age.copied().map(u64::from)).sum()
+        };
+        age(self)
+            .zip(age(other))
+            .is_some_and(|(own, of_other)| of_other < own)
+    }
+
+    /// Whether routers don't send the request.
     pub fn is_blocked(&self) -> bool {
         self.counted_crashes() >= MIN_BLOCKING_CRASHES
     }
@@ -50,6 +94,12 @@
         let kept = other.cleared.intersection(&self.crashes).cloned();
         let kept: Vec<_> = kept.collect();
         self.cleared.extend(kept);
+        for (endpoint, age) in &other.ages {
+            if self.crashes.iter().any(|c| c.endpoint == *endpoint) {
+                let known = self.ages.entry(endpoint.clone()).or_default();
+                *known = (*known).max(*age);
+            }
+        }
         self.crashes.len() + self.cleared.len() > before
     }
 
--- a/src/logic/direct/crashes/crash_report.rs
+++ b/src/logic/direct/crashes/crash_report.rs
@@ -22,6 +22,10 @@
         const CRASH_BYTES: usize = 30;
         let all = self.record.crashes.iter().chain(&self.record.cleared);
         let ids = all.map(|c| CRASH_BYTES + c.endpoint.as_str().len());
-        FRAME_BYTES + ids.sum::<usize>()
+        /// An age without the endpoint's id.
+        const AGE_BYTES: usize = 8;
+        let ages = self.record.ages.keys();
+        let ages = ages.map(|id| AGE_BYTES + id.as_str().len());
+        FRAME_BYTES + ids.sum::<usize>() + ages.sum::<usize>()
     }
 }
--- a/src/logic/direct/crashes/crash_state.rs
+++ b/src/logic/direct/crashes/crash_state.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{CrashTable, RecentlyServed, SuspectedCrash};
 use crate::logic::direct::Fingerprint;
@@ -12,6 +12,8 @@
     pub table: CrashTable,
     /// Endpoints that may have crashed and are probed.
     pub suspected_crashes: BTreeMap<InstanceId, SuspectedCrash>,
+    /// Requests that aren't sent and not refused for good either.
+    pub held: BTreeSet<Fingerprint>,
     /// Requests that were answered in full recently, and are not suspected of crashes.
     pub served: RecentlyServed,
     /// Requests whose records are still to be sent to the other routers: when next, and how
--- a/src/logic/direct/crashes/crash_store.rs
+++ b/src/logic/direct/crashes/crash_store.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use super::crash_table::RETENTION_MS;
-use super::{broadcast, CrashReport, CrashStore};
+use super::{broadcast, CrashRecord, CrashReport, CrashStore};
 use crate::logic::direct::{DirectState, Fingerprint};
 use crate::logic::router::{KeyWrite, StoreCall, StoreChange, StoreEntry, StoreReply, StoreResult};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -33,7 +33,9 @@
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let table = &state.crashes.table;
     let store = &mut state.crashes.store;
-    store.queue.retain(|request, _| table.is_blocked(request));
+    store
+        .queue
+        .retain(|request, _| table.get(request).is_some_and(CrashRecord::was_blocked));
     if store.call.is_some() || now < store.next_at {
         return;
     }
@@ -141,8 +143,15 @@
     match serde_json::from_str::<CrashReport>(value) {
         Ok(report) => {
             broadcast::merge_report(state, now, &report, out);
-            // The record is stored already: this router needn't write it as well.
-            state.crashes.store.queue.remove(&report.request);
+            let record = state.crashes.table.get(&report.request);
+            let is_cleared = |r: &CrashRecord| r.cleared.is_subset(&report.record.cleared);
+            if record.is_none_or(is_cleared) {
+                // The record is stored already: this router needn't write it as well.
+                state.crashes.store.queue.remove(&report.request);
+            } else {
+                // Another router has written it without knowing that the request was cleared.
+                state.crashes.store.queue.insert(report.request, now);
+            }
         }
         Err(e) => out.push(invalid_record(key, &e.to_string())),
     }
--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::CrashRecord;
+use super::{CrashRecord, Verdict};
 use crate::logic::direct::Fingerprint;
 use crate::types::Millis;
 
@@ -13,6 +13,11 @@
 /// new version of the service: once its record has expired, it is sent again.
 pub(super) const RETENTION_MS: Millis = 600_000;
 
+/// Time that other routers get to report the last crash of a request, three sends of a report
+/// included. Within it a request that shares all other crashes with one of stronger evidence isn't
+/// refused for good.
+const SETTLING_MS: Millis = 1_000;
+
 /// The crash records of requests.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct CrashTable {
@@ -37,12 +42,32 @@
         self.get(request).map_or(0, CrashRecord::counted_crashes)
     }
 
-    /// Whether routers refuse a request.
+    /// Whether routers don't send a request unless it is tried.
     pub fn is_blocked(&self, request: &Fingerprint) -> bool {
         self.get(request).is_some_and(CrashRecord::is_blocked)
     }
 
-    /// The requests that routers refuse.
+    /// What follows for a request from all records.
+    pub fn verdict(&self, now: Millis, request: &Fingerprint) -> Verdict {
+        let Some(entry) = self.records.get(request) else {
+            return Verdict::Sent;
+        };
+        if !entry.record.is_blocked() {
+            return Verdict::Sent;
+        }
+        let is_settling = now < entry.updated_at + SETTLING_MS;
+        let is_explained = |missing: usize| {
+            let mut others = self.records.iter().filter(|(other, _)| *other != request);
+            others.any(|(_, e)| entry.record.is_explained_by(&e.record, missing))
+        };
+        match is_settling {
+            true if is_explained(1) => Verdict::Unsettled,
+            false if is_explained(0) => Verdict::Held,
+            _ => Verdict::Refused,
+        }
+    }
+
+    /// The requests that routers refuse or hold.
     pub fn blocked(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         let blocked = self.records.iter().filter(|(_, e)| e.record.is_blocked());
         blocked.map(|(request, _)| *request)
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -1,15 +1,11 @@
 //! Finds the requests that crash endpoints.
 
-use super::{broadcast, Crash, CrashRecord, SuspectedCrash};
+use super::{broadcast, trial, Crash, CrashRecord, SuspectedCrash, Verdict, MIN_RISKY_CRASHES};
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{finish, DirectEffect, DirectState, Fingerprint, ProbeResult, Problem};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
-/// Number of crashes from which on a request is risky: only one of its kind is in flight at a
-/// time, and no router retries it after a run that may have begun.
-const MIN_RISKY_CRASHES: usize = 2;
-
 /// Shortest time from the result of a probe to the next probe of the endpoint.
 const PROBE_INTERVAL_MS: Millis = 400;
 
@@ -47,7 +43,9 @@
         suspected.born = view.entry.born;
         suspected.misses = 0;
     }
-    suspected.requests.insert(flight.fingerprint);
+    let age = u32::try_from(now.saturating_sub(run.sent_at)).unwrap_or(u32::MAX);
+    let longest = suspected.requests.entry(flight.fingerprint).or_default();
+    *longest = age.max(*longest);
     probe(state, now, &at, out);
 }
 
@@ -100,8 +98,9 @@
         endpoint: id.clone(),
         born: suspected.born,
     };
-    for request in requests {
-        count_crash(state, now, request, &CrashRecord::of(crash.clone()), out);
+    for (request, age) in requests {
+        let record = CrashRecord::of_run(crash.clone(), age);
+        count_crash(state, now, request, &record, out);
         let event = LogEvent::new(LogCode::CrashCounted)
             .with("fingerprint", request)
             .with("endpoint", id)
@@ -140,11 +139,11 @@
     broadcast::schedule_broadcast(state, now, request);
     if !blocked && state.crashes.table.is_blocked(&request) {
         state.crashes.store.queue.insert(request, now);
-        end_in_flight(state, request, out);
+        trial::on_blocked(state, now, request, out);
     }
 }
 
-/// Ends the in-flight requests of a fingerprint that is blocked from now on, except those
+/// Ends the in-flight requests of a fingerprint that is refused from now on, except those
 /// whose run has had an event.
 pub(super) fn end_in_flight(state: &mut DirectState, request: Fingerprint, out: &mut Vec<Effect>) {
     let record = state.crashes.table.get(&request);
@@ -175,6 +174,11 @@
     if state.crashes.table.clear(&request) {
         let event = LogEvent::new(LogCode::CrashesCleared).with("fingerprint", request);
         out.push(Effect::Log(event));
+        let record = state.crashes.table.get(&request);
+        if record.is_some_and(CrashRecord::was_blocked) {
+            // Routers that start later read it from the key-value service.
+            state.crashes.store.queue.insert(request, now);
+        }
         broadcast::schedule_broadcast(state, now, request);
         broadcast::send_due(state, now, out);
     }
@@ -184,14 +188,24 @@
 /// another one with its fingerprint is in flight.
 pub(in crate::logic::direct) fn refusal(
     state: &mut DirectState,
+    now: Millis,
     request: &Fingerprint,
+    out: &mut Vec<Effect>,
 ) -> Option<(Problem, &'static str)> {
-    if state.crashes.table.is_blocked(request) {
-        state.crashes.refusals += 1;
-        return Some((
-            Problem::CrashesEndpoints,
-            "endpoints crashed while running it",
-        ));
+    match state.crashes.table.verdict(now, request) {
+        Verdict::Sent => {}
+        Verdict::Held if trial::begin(state, now, request, out) => return None,
+        Verdict::Held | Verdict::Unsettled => {
+            let retry = Problem::NotRun(state.params.again_ms);
+            return Some((retry, "endpoints crashed while running it and another"));
+        }
+        Verdict::Refused => {
+            state.crashes.refusals += 1;
+            return Some((
+                Problem::CrashesEndpoints,
+                "endpoints crashed while running it",
+            ));
+        }
     }
     let is_same = |f: &crate::logic::direct::InFlightRequest| f.fingerprint == *request;
     let risky = state.crashes.table.counted_crashes(request) >= MIN_RISKY_CRASHES;
@@ -210,7 +224,7 @@
 pub(in crate::logic::direct) fn is_risky(state: &DirectState, request: &Fingerprint) -> bool {
     let suspected_crashes = state.crashes.suspected_crashes.values();
     let unconfirmed = suspected_crashes
-        .filter(|d| d.requests.contains(request))
+        .filter(|d| d.requests.contains_key(request))
         .count();
     state.crashes.table.counted_crashes(request) + unconfirmed >= MIN_RISKY_CRASHES
 }
@@ -233,6 +247,7 @@
     for id in due {
         probe(state, now, &id, out);
     }
+    trial::on_tick(state, now, out);
     broadcast::send_due(state, now, out);
     super::crash_store::on_tick(state, now, out);
 }
--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! A crash breaks off all runs of the endpoint, so that other requests are suspected as well.
 //! They are unlikely to run at the endpoint of the next crash too, and are cleared once they
-//! are answered in full.
+//! are answered in full. One that was at the same three crashes as another with stronger evidence is
+//! held: callers are told to come back, and the planner tries one alone.
 
 mod broadcast;
 mod crash;
@@ -18,6 +19,8 @@
 mod detect;
 mod recently_served;
 mod suspected_crash;
+mod trial;
+mod verdict;
 
 pub use crash::Crash;
 pub use crash_record::CrashRecord;
@@ -26,6 +29,7 @@
 pub use crash_table::CrashTable;
 pub use recently_served::RecentlyServed;
 pub use suspected_crash::SuspectedCrash;
+pub use verdict::Verdict;
 
 pub(super) use broadcast::on_crash_reports;
 pub(super) use crash_store::{
@@ -33,5 +37,9 @@
 };
 pub(super) use detect::{is_risky, on_answered, on_probe_result, on_run_broken, on_tick, refusal};
 
+/// Number of crashes from which on a request is risky: only one of its kind is in flight at a
+/// time, and no router retries it after a run that may have begun.
+const MIN_RISKY_CRASHES: usize = 2;
+
 /// Number of crashes from which on a request is refused.
 pub(super) const MIN_BLOCKING_CRASHES: usize = 3;
--- a/src/logic/direct/crashes/suspected_crash.rs
+++ b/src/logic/direct/crashes/suspected_crash.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use crate::logic::direct::Fingerprint;
 use crate::types::Millis;
@@ -9,9 +9,10 @@
     /// When the endpoint process started, in Unix milliseconds; absent where the platform
     /// doesn't report it.
     pub born: Option<u64>,
-    /// Requests whose run there broke off before its first event; empty once a probe has
-    /// decided, or the endpoint is no longer probed.
-    pub requests: BTreeSet<Fingerprint>,
+    /// Requests whose run there broke off before its first event, with the longest time for which a
+    /// run of each had been there; empty once a probe has decided, or the endpoint is no longer
+    /// probed.
+    pub requests: BTreeMap<Fingerprint, u32>,
     /// Whether the result of a probe is awaited.
     pub probe_pending: bool,
     /// When the next probe may be sent.
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -178,4 +178,5 @@
     HoldOffEnded = 658 Info "endpoint takes requests of this router again";
     OrderFencesUsed = 659 Info "planner lease handed back: its order fences are used up";
     OrdersStopped = 660 Warn "endpoint gets no more orders: it answers none and is lost or not listed";
+    SuspectTried = 661 Info "request at the same crashes as another is tried alone";
 }
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -419,6 +419,7 @@
                     born: Some(u64::MAX - n),
                 })
                 .collect(),
+            ages: (0..8).map(|n| (id(n), u32::MAX)).collect(),
         },
     };
     for request in 0..20 {
@@ -485,3 +486,242 @@
     }
     assert_eq!(crashes(), BLOCKING_CRASHES, "{}", logs(dir.path()));
 }
+
+/// A harmless request that all callers send in the same form, under the given number.
+fn common(id: u64) -> DirectRequest {
+    DirectRequest {
+        fingerprint: Fingerprint::of(&[b"common"]),
+        ..request(id, "/stream/x")
+    }
+}
+
+/// The members of a single open group.
+fn group_of_three(n: u16) -> Vec<(InstanceId, EndpointEntry)> {
+    open_group(&format!("g{n}"), [10 * n, 10 * n + 1, 10 * n + 2])
+}
+
+fn run_of(router: &mut Router, request: DirectRequest) -> (u64, InstanceId) {
+    let sent = run(&router.ask_for(request));
+    (sent.run, sent.to)
+}
+
+/// Replaces the open group by the next one.
+fn replace_group(router: &mut Router, n: u16) {
+    for (id, _) in group_of_three(n) {
+        router.change(id.as_str(), None);
+    }
+    for (id, entry) in group_of_three(n + 1) {
+        router.change(id.as_str(), Some(entry));
+    }
+    router.advance_ms(100);
+    router.take_effects();
+}
+
+/// Lets the harmless request and then the fatal one run at the head of a group, which crashes
+/// `after` milliseconds later. Their callers leave, and the next group takes the place of this one.
+fn crash_under_both(router: &mut Router, n: u16, after: u64) {
+    let (harmless, at) = run_of(router, common(100 + u64::from(n)));
+    router.advance_ms(120);
+    let (fatal, head) = run_of(router, fatal(200 + u64::from(n)));
+    assert_eq!(at, head);
+    router.advance_ms(after);
+    router.effects.clear();
+    for run in [harmless, fatal] {
+        router.tell(DirectEvent::RunPart {
+            run,
+            part: RunPart::Broken,
+        });
+    }
+    for id in [100, 200] {
+        router.tell(DirectEvent::CallerGone(id + u64::from(n)));
+    }
+    router.answer_probe(head.as_str(), ProbeResult::Refused);
+    replace_group(router, n);
+}
+
+/// Guards against a harmless request that is refused for good, as it ran at all endpoints that
+/// another request crashed and was not answered in full in between.
+#[test]
+fn a_harmless_request_at_the_same_crashes_is_tried_alone_and_cleared() {
+    let mut router = Router::planner(group_of_three(0));
+    for n in 0..3 {
+        crash_under_both(&mut router, n, 20);
+    }
+    let answer = refused(&mut router, fatal(1));
+    assert_eq!(answer, Some(Problem::CrashesEndpoints));
+    assert_eq!(refused(&mut router, common(2)), Some(Problem::NotRun(400)));
+    router.advance_ms(2_000);
+    let sent = run(&router.ask_for(common(3)));
+    assert_eq!(refused(&mut router, common(4)), Some(Problem::NotRun(400)));
+    router.part(sent.run, RunPart::Head);
+    router.part(sent.run, piece(1));
+    router.part(sent.run, RunPart::End);
+    assert_eq!(refused(&mut router, common(5)), None);
+    let answer = refused(&mut router, fatal(6));
+    assert_eq!(answer, Some(Problem::CrashesEndpoints));
+}
+
+/// Guards against an endpoint crashing for each trial: if the evidence names the wrong one, the
+/// request that crashes endpoints crashes one more, is refused, and the harmless one is cleared.
+#[test]
+fn a_request_that_crashes_an_endpoint_when_tried_alone_is_refused() {
+    let mut router = Router::planner(group_of_three(0));
+    for n in 0..3 {
+        // The harmless request comes after the fatal one, which crashes the endpoint late.
+        let (first, head) = run_of(&mut router, fatal(100 + u64::from(n)));
+        router.advance_ms(100);
+        let (second, _) = run_of(&mut router, common(200 + u64::from(n)));
+        router.advance_ms(20);
+        router.effects.clear();
+        for run in [first, second] {
+            router.part(run, RunPart::Broken);
+        }
+        for id in [100, 200] {
+            router.tell(DirectEvent::CallerGone(id + u64::from(n)));
+        }
+        router.answer_probe(head.as_str(), ProbeResult::Refused);
+        replace_group(&mut router, n);
+    }
+    assert_eq!(refused(&mut router, fatal(1)), Some(Problem::NotRun(400)));
+    router.advance_ms(2_000);
+    let (tried, head) = run_of(&mut router, fatal(2));
+    assert_eq!(refused(&mut router, fatal(3)), Some(Problem::NotRun(400)));
+    router.part(tried, RunPart::Broken);
+    router.answer_probe(head.as_str(), ProbeResult::Refused);
+    replace_group(&mut router, 3);
+    router.advance_ms(2_000);
+    let answer = Some(Problem::CrashesEndpoints);
+    assert_eq!(refused(&mut router, fatal(4)), answer);
+    // The other one was at no crash of its own.
+    let sent = run(&router.ask_for(common(5)));
+    router.part(sent.run, RunPart::Head);
+    router.part(sent.run, piece(1));
+    router.part(sent.run, RunPart::End);
+    assert_eq!(refused(&mut router, common(6)), None);
+    router.advance_ms(2_000);
+    assert_eq!(refused(&mut router, fatal(7)), answer);
+}
+
+fn crash_at(n: u64) -> Crash {
+    Crash {
+        endpoint: InstanceId::new(&format!("e{n}")),
+        born: None,
+    }
+}
+
+/// A report of crashes at which a run of the request had been there for `age` milliseconds.
+fn report_of(request: Fingerprint, crashes: &[u64], age: u32) -> CrashReport {
+    let mut record = CrashRecord::default();
+    for n in crashes {
+        record.merge(&CrashRecord::of_run(crash_at(*n), age));
+    }
+    CrashReport { request, record }
+}
+
+fn receive(router: &mut Router, reports: Vec<CrashReport>) {
+    router.tell(DirectEvent::PeerMessage {
+        from: addr(2_000),
+        message: PeerMessage::Crashes(reports),
+    });
+}
+
+fn names() -> (Fingerprint, Fingerprint) {
+    let name = |r: DirectRequest| r.fingerprint.for_account(Some("ann"));
+    (name(fatal(0)), name(common(0)))
+}
+
+/// Guards against a harmless request that is refused for good at a router that learns of the third
+/// crash under the fatal one late, as datagrams were lost, and against trials at several routers.
+#[test]
+fn a_router_waits_for_the_reports_of_others_before_it_refuses_a_request_for_good() {
+    let (deadly, harmless) = names();
+    let mut router = Router::new(open_groups());
+    router.advance_ms(100);
+    receive(&mut router, vec![report_of(deadly, &[1, 2], 20)]);
+    receive(&mut router, vec![report_of(harmless, &[1, 2, 3], 90)]);
+    assert_eq!(refused(&mut router, common(1)), Some(Problem::NotRun(400)));
+    router.advance_ms(600);
+    receive(&mut router, vec![report_of(deadly, &[1, 2, 3], 20)]);
+    assert_eq!(
+        refused(&mut router, fatal(2)),
+        Some(Problem::CrashesEndpoints)
+    );
+    router.advance_ms(3_000);
+    // This router isn't the planner.
+    router.state().plan.lease.fence = 0;
+    assert_eq!(refused(&mut router, common(3)), Some(Problem::NotRun(400)));
+    let mut cleared = report_of(harmless, &[1, 2, 3], 90);
+    cleared.record.clear();
+    receive(&mut router, vec![cleared]);
+    assert_eq!(refused(&mut router, common(4)), None);
+}
+
+/// Guards against a request that is never refused for good: no report of another one comes.
+#[test]
+fn a_request_that_was_alone_at_a_crash_is_refused_within_a_second() {
+    let (deadly, harmless) = names();
+    let mut router = Router::new(open_groups());
+    receive(&mut router, vec![report_of(harmless, &[1, 2], 20)]);
+    receive(&mut router, vec![report_of(deadly, &[1, 2, 3], 90)]);
+    assert_eq!(refused(&mut router, fatal(1)), Some(Problem::NotRun(400)));
+    router.advance_ms(1_020);
+    assert_eq!(
+        refused(&mut router, fatal(2)),
+        Some(Problem::CrashesEndpoints)
+    );
+}
+
+/// Guards against a clearing that a router which starts later doesn't know of.
+#[test]
+fn a_router_that_starts_later_sends_a_request_that_was_cleared() {
+    let (deadly, harmless) = names();
+    let mut router = Router::planner(open_groups());
+    let reports = [
+        report_of(deadly, &[1, 2, 3], 20),
+        report_of(harmless, &[1, 2, 3], 90),
+    ];
+    receive(&mut router, reports.to_vec());
+    router.advance_ms(4_000);
+    let sent = run(&router.ask_for(common(1)));
+    router.part(sent.run, RunPart::Head);
+    router.part(sent.run, piece(1));
+    router.part(sent.run, RunPart::End);
+    router.effects.clear();
+    // Another router that doesn't know of it writes the record as it was.
+    let key = format!("runrail/crashes/{harmless}");
+    router.feed(Event::Watch(vec![StoreChange {
+        key: key.clone(),
+        value: Some(serde_json::to_string(&reports[1]).expect("text")),
+        revision: 9,
+    }]));
+    router.advance_ms(1_000);
+    let puts = router.effects.iter().filter_map(|e| match e {
+        Effect::Store {
+            op: StoreCall::Transaction { puts, .. },
+            ..
+        } => puts.iter().find(|p| p.key == key),
+        _ => None,
+    });
+    let put = puts.last().cloned().expect("a write");
+    let mut later = Router::bare();
+    later.store_entries = vec![StoreEntry {
+        key: put.key,
+        value: put.value,
+        revision: 1,
+    }];
+    later.initialize(open_groups());
+    later.advance_ms(400);
+    assert_eq!(refused(&mut later, common(9)), None);
+}
+
+/// Guards against reports that routers of an earlier version don't understand, or the reverse.
+#[test]
+fn reports_without_ages_are_understood() {
+    let known = serde_json::json!({
+        "request": names().0,
+        "record": {"crashes": [{"endpoint": "e1", "born": 5}], "cleared": [], "later": 1},
+    });
+    let report: CrashReport = serde_json::from_value(known).expect("a report");
+    assert_eq!(report.record.crashes.len(), 1);
+    assert!(report.record.ages.is_empty());
+}
