Planner: an endpoint whose entry lags may be the member that a group lacks

Cause: a planner that took over read an open group of which the list showed two of three members. The third one's entry lagged and showed no seat, so that it counted as free and was ordered to join another group while its own was open.

Change: where a group lacks a member that no entry shows, endpoints of its domain that have sent no heartbeat since this router became the planner don't count as free.

The new test of lag fails without the rule (e3 was joined).

--- a/src/logic/direct/plan/inspect.rs
+++ b/src/logic/direct/plan/inspect.rs
@@ -84,9 +84,7 @@
 /// Number of members that a group needs. Unknown while no member shows the model; the
 /// members listed so far may not be all.
 fn group_size(state: &DirectState, group: &GroupView) -> Option<usize> {
-    let routing = state.routing.as_ref()?;
-    let engine = routing.services.get(&group.service)?.engine.as_ref()?;
-    Some(engine.model(group.model.as_ref()?)?.size)
+    survey::model_size(state, &group.service, group.model.as_ref()?)
 }
 
 /// Continues to form a group that another planner has begun.
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -16,6 +16,8 @@
     pub lease: PlannerLease,
     /// Whether this router held the planner lease at the last tick.
     pub was_planner: bool,
+    /// When this router last became the planner.
+    pub planner_since: Millis,
     /// When the whole list may be requested again, while it is incomplete or older than the planner
     /// lease.
     pub reread_at: Millis,
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -29,6 +29,7 @@
         state.plan.was_planner = holds;
         clear_pass_state(state);
         if holds {
+            state.plan.planner_since = now;
             state.plan.reread_at = now;
             state.plan.budget = LoadBudget::empty(now);
         }
--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -52,15 +52,70 @@
     let forming = state.plan.forming.values().flat_map(|f| &f.members);
     let forming: BTreeSet<&InstanceId> = forming.collect();
     let mut free: BTreeMap<Place, Vec<InstanceId>> = BTreeMap::new();
+    let mut stale = Vec::new();
     for (id, view) in &state.endpoints {
         if is_usable(state, id, view) && !forming.contains(id) && !is_seated(state, view) {
             let place = (view.entry.service.clone(), view.entry.domain.clone());
+            if view.heartbeat_at <= state.plan.planner_since {
+                stale.push((place, id));
+            } else {
+                free.entry(place).or_default().push(id.clone());
+            }
+        }
+    }
+    if !stale.is_empty() {
+        let incomplete = places_with_unknown_members(state);
+        for (place, id) in stale.into_iter().filter(|(p, _)| !incomplete.contains(p)) {
             free.entry(place).or_default().push(id.clone());
         }
+        free.values_mut().for_each(|ids| ids.sort());
     }
     free
 }
 
+/// Places with a group of which the list doesn't show all members. Any endpoint there whose entry is
+/// from before this router became the planner may be one of them, as an earlier planner may have
+/// ordered it to join and its entry may lag.
+fn places_with_unknown_members(state: &DirectState) -> BTreeSet<Place> {
+    let mut groups: BTreeMap<&Arc<str>, ListedGroup> = BTreeMap::new();
+    for view in state.endpoints.values().filter(|v| is_seated(state, v)) {
+        let Some(seat) = &view.entry.seat else {
+            continue;
+        };
+        let group = groups.entry(&seat.group).or_insert_with(|| ListedGroup {
+            place: (view.entry.service.clone(), view.entry.domain.clone()),
+            model: None,
+            ranks: BTreeSet::new(),
+        });
+        group.model = group.model.or(view.entry.model.as_ref());
+        group.ranks.insert(seat.rank);
+    }
+    let is_incomplete = |group: &ListedGroup| {
+        let model = group.model;
+        let size = model.and_then(|m| model_size(state, &group.place.0, m));
+        size.is_none_or(|size| (0..size).any(|rank| !group.ranks.contains(&rank)))
+    };
+    let incomplete = groups.into_values().filter(is_incomplete);
+    incomplete.map(|group| group.place).collect()
+}
+
+/// What the list shows of a group, lost members included.
+struct ListedGroup<'a> {
+    place: Place,
+    model: Option<&'a Arc<str>>,
+    ranks: BTreeSet<usize>,
+}
+
+/// Number of members of a group of this model.
+pub(super) fn model_size(
+    state: &DirectState,
+    service: &Arc<str>,
+    model: &Arc<str>,
+) -> Option<usize> {
+    let spec = state.routing.as_ref()?.services.get(service)?;
+    Some(spec.engine.as_ref()?.model(model)?.size)
+}
+
 /// Places with their free endpoints, those of different halls in turn: where only a part of the
 /// endpoints can be loaded, no hall then holds all groups.
 pub(super) fn hall_by_hall(
--- a/tests/direct/lag.rs
+++ b/tests/direct/lag.rs
@@ -88,3 +88,47 @@
         assert_eq!(router.state().plan.lease.ttl_ms, length);
     }
 }
+
+/// Endpoints that were ordered to join a group of several members.
+fn joined(router: &mut Router) -> Vec<String> {
+    let joins = router.joins();
+    joins.into_iter().flat_map(|(_, members)| members).collect()
+}
+
+/// Guards against an instance in two groups: a planner formed and opened a group of e1, e2 and e3 and
+/// failed. The entry of e3 lags behind, so that its successor took it for free, and let it join
+/// another group while that one was open.
+#[test]
+fn an_endpoint_without_a_seat_may_be_the_member_that_a_group_lacks() {
+    let mut first = Router::planner((1..=3).map(|n| engine(n, None)).collect());
+    let formed = first.joins().remove(0);
+    assert_eq!(formed.1, ["e1", "e2", "e3"]);
+    let place = |rank, state| {
+        let mut place = seat(&formed.0, rank, state);
+        place.iter_mut().for_each(|s| s.epoch = 4_097);
+        place
+    };
+    let mut second = Router::planner(vec![
+        engine(1, place(0, SeatState::Open)),
+        engine(2, place(1, SeatState::Ready)),
+        engine(3, None),
+        engine(4, None),
+        engine(5, None),
+    ]);
+    second.advance_ms(300);
+    assert_eq!(joined(&mut second), Vec::<String>::new());
+    // Heartbeats since it plans show that two of them are free.
+    for n in [4, 5] {
+        let (id, mut entry) = engine(n, None);
+        entry.beats += 1;
+        second.change(id.as_str(), Some(entry));
+    }
+    second.advance_ms(300);
+    assert!(!joined(&mut second).contains(&"e3".to_string()));
+    // Once it has a heartbeat, it is free as well.
+    let (id, mut entry) = engine(3, None);
+    entry.beats += 1;
+    second.change(id.as_str(), Some(entry));
+    second.advance_ms(300);
+    assert!(joined(&mut second).contains(&"e3".to_string()));
+}
