Crashes: a held request may lack one shared crash; unsettled evidence refuses nobody

Change: crashes of two requests need to agree in all but one. Crashes of requests that were tried alone are recorded as such and outweigh all other evidence.

--- a/src/logic/direct/crashes/crash_record.rs
+++ b/src/logic/direct/crashes/crash_record.rs
@@ -8,6 +8,9 @@
 /// Largest number of crashes that one record holds.
 const MAX_CRASHES: usize = 8;
 
+/// Crashes that two requests needn't share: a router that ends loses what it hasn't reported yet.
+const MAX_UNSHARED: usize = 1;
+
 /// The crashes of endpoints that one request may have caused.
 ///
 /// Sets and ages only grow, so that the records of two routers can be merged by union in any order, as
@@ -22,6 +25,9 @@
     /// in milliseconds. Routers of earlier versions don't report it.
     #[serde(default)]
     pub ages: BTreeMap<InstanceId, u32>,
+    /// Crashes at which the request was tried alone.
+    #[serde(default)]
+    pub alone: BTreeSet<Crash>,
 }
 
 impl CrashRecord {
@@ -33,10 +39,12 @@
         }
     }
 
-    /// Creates a record of one crash, at which a run of the request had been there for `age_ms`.
-    pub fn of_run(crash: Crash, age_ms: u32) -> Self {
+    /// Creates a record of one crash, at which a run of the request had been there for `age_ms`, and was
+    /// tried alone if `alone` is true.
+    pub fn of_run(crash: Crash, age_ms: u32, alone: bool) -> Self {
         Self {
             ages: BTreeMap::from([(crash.endpoint.clone(), age_ms)]),
+            alone: alone.then(|| crash.clone()).into_iter().collect(),
             ..Self::of(crash)
         }
     }
@@ -56,20 +64,25 @@
         self.crashes.len() >= MIN_BLOCKING_CRASHES
     }
 
-    /// Whether another request has caused the crashes of this one, by the evidence: it was there at all
-    /// of these crashes but at most `missing`, and either at others too or, as endpoints crash soon
-    /// after they begin it, for a shorter time.
-    pub fn is_explained_by(&self, other: &Self, missing: usize) -> bool {
-        let is_common = |c: &&Crash| other.crashes.contains(*c) && !other.cleared.contains(*c);
-        let (common, rest): (Vec<_>, Vec<_>) = self.counted().partition(is_common);
-        if rest.len() > missing || common.len() < MIN_RISKY_CRASHES {
-            return false;
-        }
-        if rest.is_empty() && other.counted_crashes() > common.len() {
-            return true;
+    /// The counted crashes at which another request was as well, if all but one at most are, and at
+    /// least two.
+    pub fn shared_crashes(&self, other: &Self) -> Option<Vec<&Crash>> {
+        let is_shared = |c: &&Crash| other.crashes.contains(*c) && !other.cleared.contains(*c);
+        let shared: Vec<_> = self.counted().filter(is_shared).collect();
+        let is_enough = shared.len() >= MIN_RISKY_CRASHES
+            && shared.len() + MAX_UNSHARED >= self.counted_crashes();
+        is_enough.then_some(shared)
+    }
+
+    /// Whether the evidence against this request is weaker than that against another one that was at
+    /// the same crashes: the other one crashed an endpoint when it was tried alone, or its runs had
+    /// been at these endpoints for a shorter time, as endpoints crash soon after they begin it.
+    pub fn is_weaker_than(&self, other: &Self, shared: &[&Crash]) -> bool {
+        if self.has_crashed_alone() || other.has_crashed_alone() {
+            return !self.has_crashed_alone();
         }
         let age = |record: &Self| -> Option<u64> {
-            let ages = common.iter().map(|c| record.ages.get(&c.endpoint));
+            let ages = shared.iter().map(|c| record.ages.get(&c.endpoint));
             ages.map(|age| age.copied().map(u64::from)).sum()
         };
         age(self)
@@ -77,6 +90,11 @@
             .is_some_and(|(own, of_other)| of_other < own)
     }
 
+    /// Whether an endpoint has crashed when the request was tried alone.
+    pub fn has_crashed_alone(&self) -> bool {
+        self.alone.difference(&self.cleared).next().is_some()
+    }
+
     /// Whether routers don't send the request.
     pub fn is_blocked(&self) -> bool {
         self.counted_crashes() >= MIN_BLOCKING_CRASHES
@@ -94,6 +112,9 @@
         let kept = other.cleared.intersection(&self.crashes).cloned();
         let kept: Vec<_> = kept.collect();
         self.cleared.extend(kept);
+        let kept = other.alone.intersection(&self.crashes).cloned();
+        let kept: Vec<_> = kept.collect();
+        self.alone.extend(kept);
         for (endpoint, age) in &other.ages {
             if self.crashes.iter().any(|c| c.endpoint == *endpoint) {
                 let known = self.ages.entry(endpoint.clone()).or_default();
--- a/src/logic/direct/crashes/crash_report.rs
+++ b/src/logic/direct/crashes/crash_report.rs
@@ -21,6 +21,7 @@
         /// The names of the fields of a crash and its time, without the endpoint's id.
         const CRASH_BYTES: usize = 30;
         let all = self.record.crashes.iter().chain(&self.record.cleared);
+        let all = all.chain(&self.record.alone);
         let ids = all.map(|c| CRASH_BYTES + c.endpoint.as_str().len());
         /// An age without the endpoint's id.
         const AGE_BYTES: usize = 8;
--- a/src/logic/direct/crashes/crash_state.rs
+++ b/src/logic/direct/crashes/crash_state.rs
@@ -14,6 +14,8 @@
     pub suspected_crashes: BTreeMap<InstanceId, SuspectedCrash>,
     /// Requests that aren't sent and not refused for good either.
     pub held: BTreeSet<Fingerprint>,
+    /// Id of the held request that was last tried alone.
+    pub trial: Option<u64>,
     /// Requests that were answered in full recently, and are not suspected of crashes.
     pub served: RecentlyServed,
     /// Requests whose records are still to be sent to the other routers: when next, and how
--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -55,15 +55,24 @@
         if !entry.record.is_blocked() {
             return Verdict::Sent;
         }
+        let record = &entry.record;
         let is_settling = now < entry.updated_at + SETTLING_MS;
-        let is_explained = |missing: usize| {
-            let mut others = self.records.iter().filter(|(other, _)| *other != request);
-            others.any(|(_, e)| entry.record.is_explained_by(&e.record, missing))
+        let is_suspected_more = |other: &CrashRecord| {
+            let Some(shared) = record.shared_crashes(other) else {
+                return false;
+            };
+            let is_weaker = record.is_weaker_than(other, &shared);
+            let is_incomplete = shared.len() < record.counted_crashes();
+            match is_settling {
+                true => is_weaker || (is_incomplete && !record.has_crashed_alone()),
+                false => is_weaker && other.is_blocked(),
+            }
         };
-        match is_settling {
-            true if is_explained(1) => Verdict::Unsettled,
-            false if is_explained(0) => Verdict::Held,
-            _ => Verdict::Refused,
+        let mut others = self.records.iter().filter(|(other, _)| *other != request);
+        match others.any(|(_, e)| is_suspected_more(&e.record)) {
+            false => Verdict::Refused,
+            true if is_settling => Verdict::Unsettled,
+            true => Verdict::Held,
         }
     }
 
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -42,10 +42,14 @@
     if suspected.requests.is_empty() {
         suspected.born = view.entry.born;
         suspected.misses = 0;
+        suspected.tried = None;
     }
     let age = u32::try_from(now.saturating_sub(run.sent_at)).unwrap_or(u32::MAX);
     let longest = suspected.requests.entry(flight.fingerprint).or_default();
     *longest = age.max(*longest);
+    if state.crashes.trial == Some(id) {
+        suspected.tried = Some(flight.fingerprint);
+    }
     probe(state, now, &at, out);
 }
 
@@ -91,6 +95,7 @@
         return;
     }
     let requests = std::mem::take(&mut suspected.requests);
+    let tried = suspected.tried.take();
     if !has_ended(suspected, result) {
         return;
     }
@@ -99,7 +104,7 @@
         born: suspected.born,
     };
     for (request, age) in requests {
-        let record = CrashRecord::of_run(crash.clone(), age);
+        let record = CrashRecord::of_run(crash.clone(), age, tried == Some(request));
         count_crash(state, now, request, &record, out);
         let event = LogEvent::new(LogCode::CrashCounted)
             .with("fingerprint", request)
@@ -189,15 +194,16 @@
 pub(in crate::logic::direct) fn refusal(
     state: &mut DirectState,
     now: Millis,
+    id: u64,
     request: &Fingerprint,
     out: &mut Vec<Effect>,
 ) -> Option<(Problem, &'static str)> {
     match state.crashes.table.verdict(now, request) {
         Verdict::Sent => {}
-        Verdict::Held if trial::begin(state, now, request, out) => return None,
+        Verdict::Held if trial::begin(state, now, id, request, out) => return None,
         Verdict::Held | Verdict::Unsettled => {
             let retry = Problem::NotRun(state.params.again_ms);
-            return Some((retry, "endpoints crashed while running it and another"));
+            return Some((retry, trial::WHY_HELD));
         }
         Verdict::Refused => {
             state.crashes.refusals += 1;
--- a/src/logic/direct/crashes/suspected_crash.rs
+++ b/src/logic/direct/crashes/suspected_crash.rs
@@ -13,6 +13,8 @@
     /// run of each had been there; empty once a probe has decided, or the endpoint is no longer
     /// probed.
     pub requests: BTreeMap<Fingerprint, u32>,
+    /// The request that was tried alone there, if any was.
+    pub tried: Option<Fingerprint>,
     /// Whether the result of a probe is awaited.
     pub probe_pending: bool,
     /// When the next probe may be sent.
--- a/src/logic/direct/crashes/trial.rs
+++ b/src/logic/direct/crashes/trial.rs
@@ -8,6 +8,9 @@
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::Millis;
 
+/// Why a held request isn't sent.
+pub(super) const WHY_HELD: &str = "endpoints crashed while running it and another";
+
 /// Handles a request that isn't sent from now on: those in flight end, unless another request has
 /// probably caused the crashes.
 pub(super) fn on_blocked(
@@ -21,12 +24,12 @@
     }
     state.crashes.held.insert(request);
     let is_waiting = |f: &crate::logic::direct::InFlightRequest| {
-        f.fingerprint == request && f.run.is_none() && f.has_not_run() && !f.head_sent
+        f.fingerprint == request && f.run.is_none() && !f.head_sent
     };
     let in_flight = state.in_flight.iter();
     let waiting = in_flight.filter(|(_, f)| is_waiting(f));
     for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
-        finish::refuse_held(state, id, out);
+        finish::give_up(state, now, id, WHY_HELD, out);
     }
 }
 
@@ -48,6 +51,7 @@
 pub(super) fn begin(
     state: &mut DirectState,
     now: Millis,
+    id: u64,
     request: &Fingerprint,
     out: &mut Vec<Effect>,
 ) -> bool {
@@ -61,5 +65,6 @@
         .with("fingerprint", request)
         .with("crashes", table.counted_crashes(request));
     out.push(Effect::Log(event));
+    state.crashes.trial = Some(id);
     true
 }
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -127,13 +127,6 @@
     finish(state, id, Problem::CrashesEndpoints, why, out);
 }
 
-/// Refuses a request that waits, as endpoints crashed while running it, perhaps because of another.
-pub(super) fn refuse_held(state: &mut DirectState, id: u64, out: &mut Vec<Effect>) {
-    let retry = Problem::NotRun(state.params.again_ms);
-    let why = "endpoints crashed while running it and another";
-    finish(state, id, retry, why, out);
-}
-
 fn finish(
     state: &mut DirectState,
     id: u64,
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -420,6 +420,7 @@
                 })
                 .collect(),
             ages: (0..8).map(|n| (id(n), u32::MAX)).collect(),
+            ..CrashRecord::default()
         },
     };
     for request in 0..20 {
@@ -613,7 +614,7 @@
 fn report_of(request: Fingerprint, crashes: &[u64], age: u32) -> CrashReport {
     let mut record = CrashRecord::default();
     for n in crashes {
-        record.merge(&CrashRecord::of_run(crash_at(*n), age));
+        record.merge(&CrashRecord::of_run(crash_at(*n), age, false));
     }
     CrashReport { request, record }
 }
@@ -725,3 +726,20 @@
     assert_eq!(report.record.crashes.len(), 1);
     assert!(report.record.ages.is_empty());
 }
+
+/// Guards against a harmless request that is refused for good, as the router that knew of the other
+/// one's run at one of the crashes has ended without reporting it.
+#[test]
+fn a_request_that_shares_all_crashes_but_one_is_tried_as_well() {
+    let (deadly, harmless) = names();
+    let mut router = Router::planner(open_groups());
+    receive(&mut router, vec![report_of(harmless, &[1, 2, 3], 90)]);
+    receive(&mut router, vec![report_of(deadly, &[1, 3, 4, 5], 20)]);
+    router.advance_ms(2_000);
+    run(&router.ask_for(common(1)));
+    assert_eq!(refused(&mut router, common(2)), Some(Problem::NotRun(400)));
+    assert_eq!(
+        refused(&mut router, fatal(3)),
+        Some(Problem::CrashesEndpoints)
+    );
+}
