Crashes: reports of requests that share crashes travel together

Routers refused the harmless request for good for 0.4 s: one had just started and knew its crashes only; at others the probe of the other one's crash was still out, so that they shared one crash only.

Change: a report of a request that isn't sent any more takes those of risky requests at the same crashes along, and all are merged before the request is judged. Within 1 s of its last crash a request that shares a crash with a risky one isn't refused for good.

--- a/src/logic/direct/crashes/broadcast.rs
+++ b/src/logic/direct/crashes/broadcast.rs
@@ -18,12 +18,20 @@
 /// Size of the reports in one datagram, which leaves room for its other parts.
 const MAX_REPORT_BYTES: usize = 1_100;
 
-/// Schedules the changed record of a request for sending to the other routers.
+/// Schedules the changed record of a request for sending to the other routers. Once routers don't
+/// send it, they also get the records of others that may have caused its crashes, as one of them may
+/// have just started.
 pub(super) fn schedule_broadcast(state: &mut DirectState, now: Millis, request: Fingerprint) {
-    state
-        .crashes
-        .pending_reports
-        .insert(request, (now, MAX_SENDS));
+    let table = &state.crashes.table;
+    let sharing = if table.is_blocked(&request) {
+        table.sharing(&request)
+    } else {
+        Vec::new()
+    };
+    let pending = &mut state.crashes.pending_reports;
+    for request in sharing.into_iter().chain([request]) {
+        pending.insert(request, (now, MAX_SENDS));
+    }
 }
 
 /// Sends the records that are due to all other routers.
@@ -80,10 +88,8 @@
     reports: &[CrashReport],
     out: &mut Vec<Effect>,
 ) {
-    for report in reports {
-        if !merge_report(state, now, report, out) {
-            continue;
-        }
+    for report in newly_blocked(state, now, reports) {
+        trial::on_blocked(state, now, report.request, out);
         let combined = !report.record.is_blocked();
         let delay = if combined {
             0
@@ -101,19 +107,29 @@
     }
 }
 
-/// Merges a report; returns whether the request is blocked from now on and was not before.
-pub(super) fn merge_report(
+/// Merges a report from the key-value service.
+pub(super) fn merge_stored(
     state: &mut DirectState,
     now: Millis,
     report: &CrashReport,
     out: &mut Vec<Effect>,
-) -> bool {
-    let table = &mut state.crashes.table;
-    let before = table.is_blocked(&report.request);
-    table.merge(now, report.request, &report.record);
-    let newly_blocked = !before && table.is_blocked(&report.request);
-    if newly_blocked {
+) {
+    for report in newly_blocked(state, now, std::slice::from_ref(report)) {
         trial::on_blocked(state, now, report.request, out);
     }
-    newly_blocked
+}
+
+/// Merges all reports; returns those of requests that are blocked from now on and were not before.
+fn newly_blocked<'a>(
+    state: &mut DirectState,
+    now: Millis,
+    reports: &'a [CrashReport],
+) -> Vec<&'a CrashReport> {
+    let table = &mut state.crashes.table;
+    let is_new = |report: &&CrashReport| {
+        let before = table.is_blocked(&report.request);
+        table.merge(now, report.request, &report.record);
+        !before && table.is_blocked(&report.request)
+    };
+    reports.iter().filter(is_new).collect()
 }
--- a/src/logic/direct/crashes/crash_record.rs
+++ b/src/logic/direct/crashes/crash_record.rs
@@ -2,15 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Crash, MIN_BLOCKING_CRASHES, MIN_RISKY_CRASHES};
+use super::{Crash, MIN_BLOCKING_CRASHES};
 use crate::types::InstanceId;
 
 /// Largest number of crashes that one record holds.
 const MAX_CRASHES: usize = 8;
 
-/// Crashes that two requests needn't share: a router that ends loses what it hasn't reported yet.
-const MAX_UNSHARED: usize = 1;
-
 /// The crashes of endpoints that one request may have caused.
 ///
 /// Sets and ages only grow, so that the records of two routers can be merged by union in any order, as
@@ -64,14 +61,10 @@
         self.crashes.len() >= MIN_BLOCKING_CRASHES
     }
 
-    /// The counted crashes at which another request was as well, if all but one at most are, and at
-    /// least two.
-    pub fn shared_crashes(&self, other: &Self) -> Option<Vec<&Crash>> {
+    /// The counted crashes at which another request was as well.
+    pub fn shared_crashes(&self, other: &Self) -> Vec<&Crash> {
         let is_shared = |c: &&Crash| other.crashes.contains(*c) && !other.cleared.contains(*c);
-        let shared: Vec<_> = self.counted().filter(is_shared).collect();
-        let is_enough = shared.len() >= MIN_RISKY_CRASHES
-            && shared.len() + MAX_UNSHARED >= self.counted_crashes();
-        is_enough.then_some(shared)
+        self.counted().filter(is_shared).collect()
     }
 
     /// Whether the evidence against this request is weaker than that against another one that was at
--- a/src/logic/direct/crashes/crash_store.rs
+++ b/src/logic/direct/crashes/crash_store.rs
@@ -142,7 +142,7 @@
     }
     match serde_json::from_str::<CrashReport>(value) {
         Ok(report) => {
-            broadcast::merge_report(state, now, &report, out);
+            broadcast::merge_stored(state, now, &report, out);
             let record = state.crashes.table.get(&report.request);
             let is_cleared = |r: &CrashRecord| r.cleared.is_subset(&report.record.cleared);
             if record.is_none_or(is_cleared) {
--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::{CrashRecord, Verdict};
+use super::{CrashRecord, Verdict, MIN_RISKY_CRASHES};
 use crate::logic::direct::Fingerprint;
 use crate::types::Millis;
 
@@ -13,6 +13,10 @@
 /// new version of the service: once its record has expired, it is sent again.
 pub(super) const RETENTION_MS: Millis = 600_000;
 
+/// Crashes that two requests with the same cause needn't share: a router that ends loses what it
+/// hasn't reported yet.
+const MAX_UNSHARED: usize = 1;
+
 /// Time that other routers get to report the last crash of a request, three sends of a report
 /// included. Within it a request that shares all other crashes with one of stronger evidence isn't
 /// refused for good.
@@ -58,13 +62,18 @@
         let record = &entry.record;
         let is_settling = now < entry.updated_at + SETTLING_MS;
         let is_suspected_more = |other: &CrashRecord| {
-            let Some(shared) = record.shared_crashes(other) else {
-                return false;
-            };
-            let is_weaker = record.is_weaker_than(other, &shared);
-            let is_incomplete = shared.len() < record.counted_crashes();
+            let shared = record.shared_crashes(other);
+            let unshared = record.counted_crashes() - shared.len();
+            let is_weaker = shared.len() >= MIN_RISKY_CRASHES
+                && unshared <= MAX_UNSHARED
+                && record.is_weaker_than(other, &shared);
+            // Reports may still show that the other one was at the rest of these crashes.
+            let may_be_weaker = !shared.is_empty()
+                && unshared > 0
+                && other.counted_crashes() >= MIN_RISKY_CRASHES
+                && !record.has_crashed_alone();
             match is_settling {
-                true => is_weaker || (is_incomplete && !record.has_crashed_alone()),
+                true => is_weaker || may_be_weaker,
                 false => is_weaker && other.is_blocked(),
             }
         };
@@ -76,6 +85,20 @@
         }
     }
 
+    /// Other requests that were at crashes which count against a request, and are risky themselves.
+    pub fn sharing(&self, request: &Fingerprint) -> Vec<Fingerprint> {
+        let Some(record) = self.get(request) else {
+            return Vec::new();
+        };
+        let is_sharing = |(other, e): &(&Fingerprint, &TableEntry)| {
+            *other != request
+                && e.record.counted_crashes() >= MIN_RISKY_CRASHES
+                && !record.shared_crashes(&e.record).is_empty()
+        };
+        let sharing = self.records.iter().filter(is_sharing);
+        sharing.map(|(other, _)| *other).collect()
+    }
+
     /// The requests that routers refuse or hold.
     pub fn blocked(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         let blocked = self.records.iter().filter(|(_, e)| e.record.is_blocked());
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -103,9 +103,12 @@
         endpoint: id.clone(),
         born: suspected.born,
     };
+    let mut blocked = Vec::new();
     for (request, age) in requests {
         let record = CrashRecord::of_run(crash.clone(), age, tried == Some(request));
-        count_crash(state, now, request, &record, out);
+        if count_crash(state, now, request, &record) {
+            blocked.push(request);
+        }
         let event = LogEvent::new(LogCode::CrashCounted)
             .with("fingerprint", request)
             .with("endpoint", id)
@@ -113,6 +116,9 @@
             .with("crashes", state.crashes.table.counted_crashes(&request));
         out.push(Effect::Log(event));
     }
+    for request in blocked {
+        trial::on_blocked(state, now, request, out);
+    }
     broadcast::send_due(state, now, out);
 }
 
@@ -129,23 +135,24 @@
     }
 }
 
-/// Counts a crash against a request, and schedules it for sending to the other routers.
+/// Counts a crash against a request, and schedules it for sending to the other routers; returns
+/// whether the request is blocked from now on and was not before.
 fn count_crash(
     state: &mut DirectState,
     now: Millis,
     request: Fingerprint,
     record: &CrashRecord,
-    out: &mut Vec<Effect>,
-) {
-    let blocked = state.crashes.table.is_blocked(&request);
+) -> bool {
+    let before = state.crashes.table.is_blocked(&request);
     if !state.crashes.table.merge(now, request, record) {
-        return;
+        return false;
     }
     broadcast::schedule_broadcast(state, now, request);
-    if !blocked && state.crashes.table.is_blocked(&request) {
+    let newly_blocked = !before && state.crashes.table.is_blocked(&request);
+    if newly_blocked {
         state.crashes.store.queue.insert(request, now);
-        trial::on_blocked(state, now, request, out);
     }
+    newly_blocked
 }
 
 /// Ends the in-flight requests of a fingerprint that is refused from now on, except those
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -743,3 +743,44 @@
         Some(Problem::CrashesEndpoints)
     );
 }
+
+/// Guards against a harmless request that is refused for good at a router that has just started: it
+/// learnt of the request's crashes, but not of those under the one that caused them.
+#[test]
+fn routers_report_a_refused_request_together_with_those_at_the_same_crashes() {
+    let (deadly, harmless) = names();
+    let mut router = Router::new(open_groups());
+    router
+        .state()
+        .peers
+        .insert(InstanceId::new("r2"), addr(2_000));
+    receive(&mut router, vec![report_of(deadly, &[2, 3], 20)]);
+    receive(&mut router, vec![report_of(harmless, &[1, 2], 90)]);
+    receive(&mut router, vec![report_of(harmless, &[3], 90)]);
+    router.advance_ms(20);
+    let messages = router.sent_messages();
+    let reports = messages.into_iter().filter_map(|(_, m)| match m {
+        PeerMessage::Crashes(reports) => Some(reports),
+        _ => None,
+    });
+    let reports: Vec<_> = reports.flatten().collect();
+    let mut started = Router::new(open_groups());
+    receive(&mut started, reports);
+    assert_eq!(refused(&mut started, common(1)), Some(Problem::NotRun(400)));
+}
+
+/// Guards against a harmless request that is refused for good until the probes show the other
+/// crashes of the one that caused them.
+#[test]
+fn a_request_that_shares_a_crash_with_a_risky_one_is_not_refused_for_good_at_once() {
+    let (deadly, harmless) = names();
+    let mut router = Router::new(open_groups());
+    receive(&mut router, vec![report_of(deadly, &[2, 5], 20)]);
+    receive(&mut router, vec![report_of(harmless, &[1, 2, 3], 90)]);
+    assert_eq!(refused(&mut router, common(1)), Some(Problem::NotRun(400)));
+    router.advance_ms(400);
+    receive(&mut router, vec![report_of(deadly, &[2, 3, 5], 20)]);
+    assert_eq!(refused(&mut router, common(2)), Some(Problem::NotRun(400)));
+    router.advance_ms(2_000);
+    run(&router.ask_for(common(3)));
+}
