Crashes: co-suspects of a risky request are reported; waiting ones of a held request end

A router that had just started knew the crashes of the harmless request only, as the other one's were not reported along before its third; and a run of the fatal request that waited to be sent again, its head passed on, crashed one more endpoint while the evidence wasn't settled.

Change: the records of risky requests at the same crashes are reported from the second crash on; of a held request all in flight without an event and a run end.

Both new tests failed before.

--- a/src/logic/direct/crashes/broadcast.rs
+++ b/src/logic/direct/crashes/broadcast.rs
@@ -1,6 +1,6 @@
 //! Exchanges crash records with the other routers.
 
-use super::{trial, CrashReport};
+use super::{trial, CrashReport, MIN_RISKY_CRASHES};
 use crate::logic::direct::{DirectEffect, DirectState, Fingerprint, PeerMessage};
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -18,12 +18,12 @@
 /// Size of the reports in one datagram, which leaves room for its other parts.
 const MAX_REPORT_BYTES: usize = 1_100;
 
-/// Schedules the changed record of a request for sending to the other routers. Once routers don't
-/// send it, they also get the records of others that may have caused its crashes, as one of them may
+/// Schedules the changed record of a request for sending to the other routers. With that of a risky
+/// request they also get the records of others that may have caused its crashes, as one of them may
 /// have just started.
 pub(super) fn schedule_broadcast(state: &mut DirectState, now: Millis, request: Fingerprint) {
     let table = &state.crashes.table;
-    let sharing = if table.is_blocked(&request) {
+    let sharing = if table.counted_crashes(&request) >= MIN_RISKY_CRASHES {
         table.sharing(&request)
     } else {
         Vec::new()
--- a/src/logic/direct/crashes/trial.rs
+++ b/src/logic/direct/crashes/trial.rs
@@ -24,7 +24,7 @@
     }
     state.crashes.held.insert(request);
     let is_waiting = |f: &crate::logic::direct::InFlightRequest| {
-        f.fingerprint == request && f.run.is_none() && !f.head_sent
+        f.fingerprint == request && f.run.is_none() && f.last_event.is_none()
     };
     let in_flight = state.in_flight.iter();
     let waiting = in_flight.filter(|(_, f)| is_waiting(f));
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -1,5 +1,6 @@
 //! Requests that crash the endpoints that run them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use runrail::logic::direct::crashes::{
@@ -759,6 +760,7 @@
     receive(&mut router, vec![report_of(harmless, &[3], 90)]);
     router.advance_ms(20);
     let messages = router.sent_messages();
+    assert_eq!(reported(&messages), BTreeSet::from([deadly, harmless]));
     let reports = messages.into_iter().filter_map(|(_, m)| match m {
         PeerMessage::Crashes(reports) => Some(reports),
         _ => None,
@@ -769,6 +771,53 @@
     assert_eq!(refused(&mut started, common(1)), Some(Problem::NotRun(400)));
 }
 
+/// Requests in the reports among some messages.
+fn reported(messages: &[(std::net::SocketAddr, PeerMessage)]) -> BTreeSet<Fingerprint> {
+    let reports = messages.iter().flat_map(|(_, m)| match m {
+        PeerMessage::Crashes(reports) => reports.as_slice(),
+        _ => &[],
+    });
+    reports.map(|r| r.request).collect()
+}
+
+/// Guards against a router that has just started, and learns of the second crash under a harmless
+/// request but not of those under the one that caused them.
+#[test]
+fn routers_report_a_risky_request_together_with_those_at_the_same_crashes() {
+    let (deadly, harmless) = names();
+    let mut router = Router::new(group_of_three(0));
+    receive(&mut router, vec![report_of(deadly, &[1, 2], 20)]);
+    receive(&mut router, vec![report_of(harmless, &[2], 90)]);
+    router.advance_ms(20);
+    let peers = &mut router.state().peers;
+    peers.insert(InstanceId::new("r2"), addr(2_000));
+    // The second crash is counted by this router.
+    let (sent, head) = run_of(&mut router, common(1));
+    router.part(sent, RunPart::Broken);
+    router.answer_probe(head.as_str(), ProbeResult::Refused);
+    let sent = router.sent_messages();
+    assert_eq!(reported(&sent), BTreeSet::from([deadly, harmless]));
+}
+
+/// Guards against a crash more than before: a run of the fatal request broke off after the head of its
+/// answer, and it waited to be sent again while reports of other routers showed its third crash.
+#[test]
+fn a_request_that_waits_to_be_sent_again_isnt_once_it_has_three_crashes() {
+    let (deadly, harmless) = names();
+    let mut router = Router::new(group_of_three(0));
+    let (sent, head) = run_of(&mut router, fatal(1));
+    router.part(sent, RunPart::Head);
+    router.part(sent, RunPart::Broken);
+    router.answer_probe(head.as_str(), ProbeResult::Refused);
+    receive(&mut router, vec![report_of(harmless, &[1, 2], 20)]);
+    receive(&mut router, vec![report_of(deadly, &[1, 2, 3], 90)]);
+    replace_group(&mut router, 0);
+    router.advance_ms(100);
+    assert_eq!(refused(&mut router, fatal(2)), Some(Problem::NotRun(400)));
+    let state = router.state();
+    assert!(state.in_flight.is_empty(), "{:?}", state.in_flight);
+}
+
 /// Guards against a harmless request that is refused for good until the probes show the other
 /// crashes of the one that caused them.
 #[test]
