--- a/src/logic/direct/crashes/crash_record.rs
+++ b/src/logic/direct/crashes/crash_record.rs
@@ -1,15 +1,16 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use super::{Crash, MIN_BLOCKING_CRASHES};
+use crate::types::InstanceId;
 
 /// Largest number of crashes that one record holds.
 const MAX_CRASHES: usize = 8;
 
 /// The crashes of endpoints that one request may have caused.
 ///
-/// Both sets only grow, so that the records of two routers can be merged by union in any order, as
+/// Sets and ages only grow, so that the records of two routers can be merged by union in any order, as
 /// long as they have at most `MAX_CRASHES` crashes together.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CrashRecord {
@@ -17,6 +18,13 @@
     pub crashes: BTreeSet<Crash>,
     /// Crashes that no longer count, as the request was answered in full afterwards.
     pub cleared: BTreeSet<Crash>,
+    /// For each endpoint that crashed, the longest time for which a run of the request had been there,
+    /// in milliseconds. Routers of earlier versions don't report it.
+    #[serde(default)]
+    pub ages: BTreeMap<InstanceId, u32>,
+    /// Crashes at which the request was tried alone.
+    #[serde(default)]
+    pub alone: BTreeSet<Crash>,
 }
 
 impl CrashRecord {
@@ -24,16 +32,63 @@
     pub fn of(crash: Crash) -> Self {
         Self {
             crashes: BTreeSet::from([crash]),
-            cleared: BTreeSet::new(),
+            ..Self::default()
         }
     }
 
+    /// Creates a record of one crash, at which a run of the request had been there for `age_ms`, and was
+    /// tried alone if `alone` is true.
+    pub fn of_run(crash: Crash, age_ms: u32, alone: bool) -> Self {
+        Self {
+            ages: BTreeMap::from([(crash.endpoint.clone(), age_ms)]),
+            alone: alone.then(|| crash.clone()).into_iter().collect(),
+            ..Self::of(crash)
+        }
+    }
+
+    /// Crashes that count against the request.
+    pub fn counted(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.difference(&self.cleared)
+    }
+
     /// Number of crashes that count against the request.
     pub fn counted_crashes(&self) -> usize {
-        self.crashes.difference(&self.cleared).count()
+        self.counted().count()
+    }
+
+    /// Whether the request was refused, also if it has been cleared since.
+    pub fn was_blocked(&self) -> bool {
+        self.crashes.len() >= MIN_BLOCKING_CRASHES
+    }
+
+    /// The counted crashes at which another request was as well.
+    pub fn shared_crashes(&self, other: &Self) -> Vec<&Crash> {
+        let is_shared = |c: &&Crash| other.crashes.contains(*c) && !other.cleared.contains(*c);
+        self.counted().filter(is_shared).collect()
     }
 
-    /// Whether routers refuse the request.
+    /// Whether the evidence against this request is weaker than that against another one that was at
+    /// the same crashes: the other one crashed an endpoint when it was tried alone, or its runs had
+    /// been at these endpoints for a shorter time, as endpoints crash soon after they begin it.
+    pub fn is_weaker_than(&self, other: &Self, shared: &[&Crash]) -> bool {
+        if self.has_crashed_alone() || other.has_crashed_alone() {
+            return !self.has_crashed_alone();
+        }
+        let age = |record: &Self| -> Option<u64> {
+            let ages = shared.iter().map(|c| record.ages.get(&c.endpoint));
+            ages.map(|age| age.copied().map(u64::from)).sum()
+        };
+        age(self)
+            .zip(age(other))
+            .is_some_and(|(own, of_other)| of_other < own)
+    }
+
+    /// Whether an endpoint has crashed when the request was tried alone.
+    pub fn has_crashed_alone(&self) -> bool {
+        self.alone.difference(&self.cleared).next().is_some()
+    }
+
+    /// Whether routers don't send the request.
     pub fn is_blocked(&self) -> bool {
         self.counted_crashes() >= MIN_BLOCKING_CRASHES
     }
@@ -50,6 +105,15 @@
         let kept = other.cleared.intersection(&self.crashes).cloned();
         let kept: Vec<_> = kept.collect();
         self.cleared.extend(kept);
+        let kept = other.alone.intersection(&self.crashes).cloned();
+        let kept: Vec<_> = kept.collect();
+        self.alone.extend(kept);
+        for (endpoint, age) in &other.ages {
+            if self.crashes.iter().any(|c| c.endpoint == *endpoint) {
+                let known = self.ages.entry(endpoint.clone()).or_default();
+                *known = (*known).max(*age);
+            }
+        }
         self.crashes.len() + self.cleared.len() > before
     }
 
--- a/src/logic/direct/crashes/crash_report.rs
+++ b/src/logic/direct/crashes/crash_report.rs
@@ -21,7 +21,12 @@
         /// The names of the fields of a crash and its time, without the endpoint's id.
         const CRASH_BYTES: usize = 30;
         let all = self.record.crashes.iter().chain(&self.record.cleared);
+        let all = all.chain(&self.record.alone);
         let ids = all.map(|c| CRASH_BYTES + c.endpoint.as_str().len());
-        FRAME_BYTES + ids.sum::<usize>()
+        /// An age without the endpoint's id.
+        const AGE_BYTES: usize = 8;
+        let ages = self.record.ages.keys();
+        let ages = ages.map(|id| AGE_BYTES + id.as_str().len());
+        FRAME_BYTES + ids.sum::<usize>() + ages.sum::<usize>()
     }
 }
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -1,15 +1,11 @@
 //! Finds the requests that crash endpoints.
 
-use super::{broadcast, Crash, CrashRecord, SuspectedCrash};
+use super::{broadcast, trial, Crash, CrashRecord, SuspectedCrash, Verdict, MIN_RISKY_CRASHES};
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{finish, DirectEffect, DirectState, Fingerprint, ProbeResult, Problem};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
-/// Number of crashes from which on a request is risky: only one of its kind is in flight at a
-/// time, and no router retries it after a run that may have begun.
-const MIN_RISKY_CRASHES: usize = 2;
-
 /// Shortest time from the result of a probe to the next probe of the endpoint.
 const PROBE_INTERVAL_MS: Millis = 400;
 
@@ -46,8 +42,14 @@
     if suspected.requests.is_empty() {
         suspected.born = view.entry.born;
         suspected.misses = 0;
+        suspected.tried = None;
+    }
+    let age = u32::try_from(now.saturating_sub(run.sent_at)).unwrap_or(u32::MAX);
+    let longest = suspected.requests.entry(flight.fingerprint).or_default();
+    *longest = age.max(*longest);
+    if state.crashes.trial == Some(id) {
+        suspected.tried = Some(flight.fingerprint);
     }
-    suspected.requests.insert(flight.fingerprint);
     probe(state, now, &at, out);
 }
 
@@ -93,6 +95,7 @@
         return;
     }
     let requests = std::mem::take(&mut suspected.requests);
+    let tried = suspected.tried.take();
     if !has_ended(suspected, result) {
         return;
     }
@@ -100,8 +103,12 @@
         endpoint: id.clone(),
         born: suspected.born,
     };
-    for request in requests {
-        count_crash(state, now, request, &CrashRecord::of(crash.clone()), out);
+    let mut blocked = Vec::new();
+    for (request, age) in requests {
+        let record = CrashRecord::of_run(crash.clone(), age, tried == Some(request));
+        if count_crash(state, now, request, &record) {
+            blocked.push(request);
+        }
         let event = LogEvent::new(LogCode::CrashCounted)
             .with("fingerprint", request)
             .with("endpoint", id)
@@ -109,6 +116,9 @@
             .with("crashes", state.crashes.table.counted_crashes(&request));
         out.push(Effect::Log(event));
     }
+    for request in blocked {
+        trial::on_blocked(state, now, request, out);
+    }
     broadcast::send_due(state, now, out);
 }
 
@@ -125,26 +135,27 @@
     }
 }
 
-/// Counts a crash against a request, and schedules it for sending to the other routers.
+/// Counts a crash against a request, and schedules it for sending to the other routers; returns
+/// whether the request is blocked from now on and was not before.
 fn count_crash(
     state: &mut DirectState,
     now: Millis,
     request: Fingerprint,
     record: &CrashRecord,
-    out: &mut Vec<Effect>,
-) {
-    let blocked = state.crashes.table.is_blocked(&request);
+) -> bool {
+    let before = state.crashes.table.is_blocked(&request);
     if !state.crashes.table.merge(now, request, record) {
-        return;
+        return false;
     }
     broadcast::schedule_broadcast(state, now, request);
-    if !blocked && state.crashes.table.is_blocked(&request) {
+    let newly_blocked = !before && state.crashes.table.is_blocked(&request);
+    if newly_blocked {
         state.crashes.store.queue.insert(request, now);
-        end_in_flight(state, request, out);
     }
+    newly_blocked
 }
 
-/// Ends the in-flight requests of a fingerprint that is blocked from now on, except those
+/// Ends the in-flight requests of a fingerprint that is refused from now on, except those
 /// whose run has had an event.
 pub(super) fn end_in_flight(state: &mut DirectState, request: Fingerprint, out: &mut Vec<Effect>) {
     let record = state.crashes.table.get(&request);
@@ -175,6 +186,11 @@
     if state.crashes.table.clear(&request) {
         let event = LogEvent::new(LogCode::CrashesCleared).with("fingerprint", request);
         out.push(Effect::Log(event));
+        let record = state.crashes.table.get(&request);
+        if record.is_some_and(CrashRecord::was_blocked) {
+            // Routers that start later read it from the key-value service.
+            state.crashes.store.queue.insert(request, now);
+        }
         broadcast::schedule_broadcast(state, now, request);
         broadcast::send_due(state, now, out);
     }
@@ -184,14 +200,25 @@
 /// another one with its fingerprint is in flight.
 pub(in crate::logic::direct) fn refusal(
     state: &mut DirectState,
+    now: Millis,
+    id: u64,
     request: &Fingerprint,
+    out: &mut Vec<Effect>,
 ) -> Option<(Problem, &'static str)> {
-    if state.crashes.table.is_blocked(request) {
-        state.crashes.refusals += 1;
-        return Some((
-            Problem::CrashesEndpoints,
-            "endpoints crashed while running it",
-        ));
+    match state.crashes.table.verdict(now, request) {
+        Verdict::Sent => {}
+        Verdict::Held if trial::begin(state, now, id, request, out) => return None,
+        Verdict::Held | Verdict::Unsettled => {
+            let retry = Problem::NotRun(state.params.again_ms);
+            return Some((retry, trial::WHY_HELD));
+        }
+        Verdict::Refused => {
+            state.crashes.refusals += 1;
+            return Some((
+                Problem::CrashesEndpoints,
+                "endpoints crashed while running it",
+            ));
+        }
     }
     let is_same = |f: &crate::logic::direct::InFlightRequest| f.fingerprint == *request;
     let risky = state.crashes.table.counted_crashes(request) >= MIN_RISKY_CRASHES;
@@ -210,7 +237,7 @@
 pub(in crate::logic::direct) fn is_risky(state: &DirectState, request: &Fingerprint) -> bool {
     let suspected_crashes = state.crashes.suspected_crashes.values();
     let unconfirmed = suspected_crashes
-        .filter(|d| d.requests.contains(request))
+        .filter(|d| d.requests.contains_key(request))
         .count();
     state.crashes.table.counted_crashes(request) + unconfirmed >= MIN_RISKY_CRASHES
 }
@@ -233,6 +260,7 @@
     for id in due {
         probe(state, now, &id, out);
     }
+    trial::on_tick(state, now, out);
     broadcast::send_due(state, now, out);
     super::crash_store::on_tick(state, now, out);
 }
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -29,6 +29,7 @@
         state.plan.was_planner = holds;
         clear_pass_state(state);
         if holds {
+            state.plan.planner_since = now;
             state.plan.reread_at = now;
             state.plan.budget = LoadBudget::empty(now);
         }
@@ -89,6 +90,7 @@
     plan.incomplete.clear();
     plan.staging.clear();
     plan.orders.clear();
+    plan.unanswered.clear();
     plan.order_queue.clear();
     plan.misfits.clear();
     plan.opened_seats.clear();
