Admission: the pure decisions under contention

No decision takes the client account into account, requests of one model wait in queues that are served in the order of their routes' names, and what can't begin in time is answered late. This adds the decisions as separate types, not used yet: use of accounts with a half-life of 2 s and a bounded table, start-time fair order, forecast of the first event per head, contention and send rate of a pool, and the verdict on a request that found no room.

--- /dev/null
+++ b/src/logic/direct/admission/account_usage.rs
@@ -0,0 +1,134 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::types::Millis;
+
+/// Length of one step of the decay.
+const STEP_MS: Millis = 100;
+
+/// Steps after which half of a use is left: 2 s, in which a head serves some dozens of requests.
+const HALF_LIFE_STEPS: u64 = 20;
+
+/// What one step leaves of a use, in millionths: the twentieth root of a half.
+const STEP_LEFT_MILLIONTHS: u128 = 965_936;
+
+/// Most accounts that are kept.
+const MAX_ACCOUNTS: usize = 1_024;
+
+/// Most accounts in one message to another router.
+pub const MAX_REPORTED: usize = 12;
+
+/// Age from which the use at other routers no longer counts.
+pub const REPORT_VALID_MS: Millis = 2_000;
+
+/// A use that decays.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Decaying {
+    value: u64,
+    /// Step up to which the value has decayed.
+    step: u64,
+}
+
+impl Decaying {
+    fn at(self, step: u64) -> u64 {
+        let steps = step.saturating_sub(self.step);
+        let halvings = (steps / HALF_LIFE_STEPS).min(63);
+        let halved = self.value >> halvings;
+        (0..steps % HALF_LIFE_STEPS).fold(halved, |value, _| {
+            (u128::from(value) * STEP_LEFT_MILLIONTHS / 1_000_000) as u64
+        })
+    }
+}
+
+/// What client accounts have used: the cost of their requests that were sent, in microseconds of
+/// engine time, with a half-life of 2 s.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct AccountUsage {
+    /// Use through this router.
+    own: BTreeMap<Arc<str>, Decaying>,
+    /// Use of the largest accounts through other routers.
+    others: BTreeMap<Arc<str>, Decaying>,
+    /// When the use through other routers was last reported.
+    others_at: Option<Millis>,
+}
+
+impl AccountUsage {
+    /// Charges an account. If the table is full, the account with the least use is evicted for a
+    /// new one; returns whether that happened.
+    pub fn charge(&mut self, now: Millis, account: &Arc<str>, cost: u64) -> bool {
+        let step = now / STEP_MS;
+        if let Some(used) = self.own.get_mut(account) {
+            let value = used.at(step).saturating_add(cost);
+            *used = Decaying { value, step };
+            return false;
+        }
+        let is_full = self.own.len() >= MAX_ACCOUNTS;
+        if is_full {
+            let least = self.own.iter().min_by_key(|(_, used)| used.at(step));
+            if let Some(least) = least.map(|(account, _)| account.clone()) {
+                self.own.remove(&least);
+            }
+        }
+        self.own
+            .insert(account.clone(), Decaying { value: cost, step });
+        is_full
+    }
+
+    /// Use of an account through all routers, as far as it is known.
+    pub fn of(&self, now: Millis, account: &str) -> u64 {
+        let step = now / STEP_MS;
+        let used = |table: &BTreeMap<_, Decaying>| table.get(account).map_or(0, |u| u.at(step));
+        let is_fresh = self.others_at.is_some_and(|at| now < at + REPORT_VALID_MS);
+        let others = if is_fresh { used(&self.others) } else { 0 };
+        used(&self.own).saturating_add(others)
+    }
+
+    /// Use of all accounts through this router.
+    pub fn own(&self, now: Millis) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        let step = now / STEP_MS;
+        self.own.iter().map(move |(a, used)| (a, used.at(step)))
+    }
+
+    /// Handles the use of the largest accounts through all routers, this one included.
+    pub fn on_totals(&mut self, now: Millis, totals: &[(Arc<str>, u64)]) {
+        let step = now / STEP_MS;
+        let own = |account: &Arc<str>| self.own.get(account).map_or(0, |u| u.at(step));
+        let others = totals.iter().take(MAX_REPORTED).map(|(account, total)| {
+            let value = total.saturating_sub(own(account));
+            (account.clone(), Decaying { value, step })
+        });
+        self.others = others.collect();
+        self.others_at = Some(now);
+    }
+
+    /// Forgets accounts whose use has decayed to nothing.
+    pub fn on_tick(&mut self, now: Millis) {
+        let step = now / STEP_MS;
+        self.own.retain(|_, used| used.at(step) > 0);
+    }
+
+    /// Number of accounts that are kept.
+    pub fn len(&self) -> usize {
+        self.own.len()
+    }
+
+    /// Whether no account is kept.
+    pub fn is_empty(&self) -> bool {
+        self.own.is_empty()
+    }
+}
+
+/// Adds up reports of accounts' use and returns the largest accounts, the largest first.
+pub fn largest_accounts<'a>(
+    reports: impl Iterator<Item = (&'a Arc<str>, u64)>,
+) -> Vec<(Arc<str>, u64)> {
+    let mut sums: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+    for (account, used) in reports.filter(|(_, used)| *used > 0) {
+        let sum = sums.entry(account).or_default();
+        *sum = sum.saturating_add(used);
+    }
+    let mut sums: Vec<(Arc<str>, u64)> = sums.into_iter().map(|(a, u)| (a.clone(), u)).collect();
+    sums.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
+    sums.truncate(MAX_REPORTED);
+    sums
+}
--- /dev/null
+++ b/src/logic/direct/admission/fair_order.rs
@@ -0,0 +1,60 @@
+use std::collections::BTreeMap;
+
+use super::Precedence;
+
+/// A waiting request, as far as its place in the order depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct QueuedRequest<'a> {
+    /// Its id; ids follow the order of arrival.
+    pub id: u64,
+    /// Its precedence.
+    pub precedence: Precedence,
+    /// Whether it can't begin within its objective any more.
+    pub late: bool,
+    /// Its priority; 0 goes first.
+    pub priority: u8,
+    /// Whether it has come back at the time that it was told.
+    pub kept_appointment: bool,
+    /// Account that it counts for.
+    pub account: &'a str,
+    /// Its cost, in the unit of the account's use.
+    pub cost: u64,
+}
+
+impl QueuedRequest<'_> {
+    /// What orders it before fairness does.
+    fn rank(&self) -> (Precedence, bool, u8, bool) {
+        (
+            self.precedence,
+            self.late,
+            self.priority,
+            !self.kept_appointment,
+        )
+    }
+}
+
+/// Orders waiting requests: resumed streams, then requests in time by priority, then late ones.
+/// Within one priority those that kept an appointment go first. Among equals start-time fair
+/// queueing decides: each account's requests are tagged with its use so far and the cost of its
+/// requests before them, and the lowest tag goes first; then arrival decides.
+pub fn fair_order<'a>(
+    mut requests: Vec<QueuedRequest<'a>>,
+    used: impl Fn(&str) -> u64,
+) -> Vec<QueuedRequest<'a>> {
+    if requests.len() < 2 {
+        return requests;
+    }
+    requests.sort_unstable_by_key(|r| (r.rank(), r.id));
+    let mut tags: BTreeMap<&str, u64> = BTreeMap::new();
+    let tagged = requests.into_iter().map(|request| {
+        let next = tags
+            .entry(request.account)
+            .or_insert_with(|| used(request.account));
+        let start = *next;
+        *next = start.saturating_add(request.cost);
+        (start, request)
+    });
+    let mut tagged: Vec<_> = tagged.collect();
+    tagged.sort_unstable_by_key(|(start, r)| (r.rank(), *start, r.id));
+    tagged.into_iter().map(|(_, request)| request).collect()
+}
--- a/src/logic/direct/admission/mod.rs
+++ b/src/logic/direct/admission/mod.rs
@@ -4,10 +4,22 @@
 pub(in crate::logic::direct) mod concurrency_limit;
 pub(in crate::logic::direct) mod queue;
 
+mod account_usage;
+mod fair_order;
+mod pool_load;
 mod precedence;
 mod queue_key;
+mod request_cost;
+mod start_forecast;
+mod verdict;
 mod wait_queue;
 
+pub use account_usage::{largest_accounts, AccountUsage, MAX_REPORTED};
+pub use fair_order::{fair_order, QueuedRequest};
+pub use pool_load::PoolLoad;
 pub use precedence::Precedence;
 pub use queue_key::QueueKey;
+pub use request_cost::request_cost;
+pub use start_forecast::StartForecast;
+pub use verdict::{Verdict, WaitingCase};
 pub use wait_queue::WaitQueue;
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! Tests of routers with direct links: decisions, platform adapter and links.
 
 mod adapter;
+mod admission;
 mod answers;
 mod cold;
 mod command_line;
