Admission: one decision for all requests of a capacity pool, behind the switch

Requests of one model waited in queues by route, served in the order of the routes' names, without regard to the account; limits of runs left out the wait in the router, and what couldn't begin in time was answered late. With [features] admission on, the requests of a pool wait in one queue and are sent in fair order, late ones only where none in time waits; limits are judged by what was left of the objective at sending; a request that can't begin in time is refused at once while others contend, and says which limit applied. Pools are passed over after stream events, which free no room. Metrics admission_refused, admission_late, accounts_tracked; events E662 to E664. Off by default: queues are keyed and served as before.

--- a/src/logic/direct/admission/account_usage.rs
+++ b/src/logic/direct/admission/account_usage.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::AccountUse;
 use crate::types::Millis;
 
 /// Length of one step of the decay.
@@ -90,12 +91,12 @@
     }
 
     /// Handles the use of the largest accounts through all routers, this one included.
-    pub fn on_totals(&mut self, now: Millis, totals: &[(Arc<str>, u64)]) {
+    pub fn on_totals(&mut self, now: Millis, totals: &[AccountUse]) {
         let step = now / STEP_MS;
         let own = |account: &Arc<str>| self.own.get(account).map_or(0, |u| u.at(step));
-        let others = totals.iter().take(MAX_REPORTED).map(|(account, total)| {
-            let value = total.saturating_sub(own(account));
-            (account.clone(), Decaying { value, step })
+        let others = totals.iter().take(MAX_REPORTED).map(|total| {
+            let value = total.used.saturating_sub(own(&total.account));
+            (total.account.clone(), Decaying { value, step })
         });
         self.others = others.collect();
         self.others_at = Some(now);
@@ -119,16 +120,18 @@
 }
 
 /// Adds up reports of accounts' use and returns the largest accounts, the largest first.
-pub fn largest_accounts<'a>(
-    reports: impl Iterator<Item = (&'a Arc<str>, u64)>,
-) -> Vec<(Arc<str>, u64)> {
+pub fn largest_accounts<'a>(reports: impl Iterator<Item = (&'a Arc<str>, u64)>) -> Vec<AccountUse> {
     let mut sums: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
     for (account, used) in reports.filter(|(_, used)| *used > 0) {
         let sum = sums.entry(account).or_default();
         *sum = sum.saturating_add(used);
     }
-    let mut sums: Vec<(Arc<str>, u64)> = sums.into_iter().map(|(a, u)| (a.clone(), u)).collect();
-    sums.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
-    sums.truncate(MAX_REPORTED);
-    sums
+    let account_use = |(account, used): (&Arc<str>, u64)| AccountUse {
+        account: account.clone(),
+        used,
+    };
+    let mut largest: Vec<AccountUse> = sums.into_iter().map(account_use).collect();
+    largest.sort_by(|a, b| b.used.cmp(&a.used).then_with(|| a.account.cmp(&b.account)));
+    largest.truncate(MAX_REPORTED);
+    largest
 }
--- a/src/logic/direct/admission/concurrency_limit.rs
+++ b/src/logic/direct/admission/concurrency_limit.rs
@@ -62,14 +62,14 @@
     routers: u64,
     flight: &InFlightRequest,
     engine: &EngineSpec,
-    now: Millis,
+    late: bool,
 ) -> bool {
     let model = view.entry.model.as_ref().and_then(|m| engine.model(m));
     let pace = model.map_or(1_000, |m| m.pace).max(1);
     let tokens_per_ms = engine.read_rate / pace;
     let max_tokens =
         flight.route.gap_ms * READING_PERCENT / 100 * tokens_per_ms * SHARE_FACTOR / routers.max(1);
-    let max_tokens = if flight.is_late(now) {
+    let max_tokens = if late {
         max_tokens * LATE_READING_PERCENT / 100
     } else {
         max_tokens
@@ -82,12 +82,12 @@
     view: &EndpointView,
     routers: u64,
     flight: &InFlightRequest,
-    now: Millis,
+    late: bool,
 ) -> bool {
     let limit = current_limit(view, routers);
     let limit = match flight.precedence {
         Precedence::Resumed => limit * RESUMED_LIMIT_PERCENT / 100,
-        Precedence::Fresh if flight.is_late(now) => limit * LATE_LIMIT_PERCENT / 100,
+        Precedence::Fresh if late => limit * LATE_LIMIT_PERCENT / 100,
         Precedence::Fresh => limit,
     };
     u64::from(view.running) * RUN_MILLI < limit
@@ -111,13 +111,14 @@
     (even_share(view, routers) * MIN_LIMIT_PERCENT / 100).max(MIN_LIMIT_MILLI)
 }
 
-/// Handles a run that began after `took` milliseconds, with an objective of `target`.
+/// Handles a run that began after `took` milliseconds, of which `target` were within the objective;
+/// none if the objective says nothing about the run.
 pub(in crate::logic::direct) fn on_run_begun(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
     took: Millis,
-    target: Millis,
+    target: Option<Millis>,
 ) {
     let routers = state.peers.len() as u64 + 1;
     let Some(view) = state.endpoints.get_mut(id) else {
@@ -131,6 +132,9 @@
     } else {
         took.min(grown)
     };
+    let Some(target) = target else {
+        return;
+    };
     let well_in_time =
         view.quickest_start + target.saturating_sub(view.quickest_start) / WELL_IN_TIME_DIVISOR;
     if took > target {
--- a/src/logic/direct/admission/mod.rs
+++ b/src/logic/direct/admission/mod.rs
@@ -2,9 +2,12 @@
 //! is.
 
 pub(in crate::logic::direct) mod concurrency_limit;
+pub(in crate::logic::direct) mod pool;
 pub(in crate::logic::direct) mod queue;
 
 mod account_usage;
+mod account_use;
+mod admission_state;
 mod fair_order;
 mod pool_load;
 mod precedence;
@@ -15,11 +18,13 @@
 mod wait_queue;
 
 pub use account_usage::{largest_accounts, AccountUsage, MAX_REPORTED};
+pub use account_use::AccountUse;
+pub use admission_state::{AdmissionState, PoolState};
 pub use fair_order::{fair_order, QueuedRequest};
 pub use pool_load::PoolLoad;
 pub use precedence::Precedence;
 pub use queue_key::QueueKey;
 pub use request_cost::request_cost;
 pub use start_forecast::StartForecast;
-pub use verdict::{Verdict, WaitingCase};
+pub use verdict::{usable_forecast, Verdict, WaitingCase};
 pub use wait_queue::WaitQueue;
--- a/src/logic/direct/admission/queue.rs
+++ b/src/logic/direct/admission/queue.rs
@@ -6,7 +6,7 @@
 //! with it than are sent within that time, and that waiting has recently led to answers.
 //! Requests that can still begin within their objective go first.
 
-use super::{Precedence, QueueKey};
+use super::{pool, Precedence, QueueKey};
 use crate::logic::direct::{
     accept, choose, finish, send, DirectRequest, DirectState, InFlightRequest,
 };
@@ -37,14 +37,26 @@
     wait.map_or(DEFAULT_WAIT_MS, |wait| wait / MAX_WAIT_DIVISOR)
 }
 
-/// Handles a request that is sent to an endpoint: removes it from its queue and counts it.
-pub(in crate::logic::direct) fn on_sent(state: &mut DirectState, now: Millis, id: u64) {
+/// Handles a request that is sent to an endpoint: removes it from its queue and counts it. Returns
+/// whether it is late.
+pub(in crate::logic::direct) fn on_sent(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    out: &mut Vec<Effect>,
+) -> bool {
     remove(state, id);
-    if let Some(flight) = state.in_flight.get(&id) {
-        let late = flight.is_late(now);
-        let queue = state.queues.entry(QueueKey::of(flight)).or_default();
-        queue.on_sent(now, late);
+    let Some(flight) = state.in_flight.get(&id) else {
+        return false;
+    };
+    let late = pool::is_late(state, now, flight);
+    let is_pooled = pool::is_active(state, &flight.service);
+    let key = QueueKey::of(state, flight);
+    state.queues.entry(key).or_default().on_sent(now, late);
+    if is_pooled {
+        pool::on_sent(state, now, id, late, out);
     }
+    late
 }
 
 /// Enqueues a request that found no endpoint, or gives it up if it can't wait.
@@ -57,14 +69,17 @@
     let Some(flight) = state.in_flight.get(&id).cloned() else {
         return;
     };
-    let key = QueueKey::of(&flight);
+    let key = QueueKey::of(state, &flight);
+    let is_pooled = pool::is_active(state, &flight.service);
     let queue = state.queues.entry(key.clone()).or_default();
-    let end = wait_end(&flight, id, queue.is_effective(now));
+    let end = wait_end(&flight, id, is_pooled || queue.is_effective(now));
     if now >= end {
-        if flight.is_late(now) {
+        if is_pooled {
+            pool::on_no_room(state, now, id);
+        } else if flight.is_late(now) {
             queue.on_refused(now);
         }
-        return finish::give_up(state, now, id, "no endpoint had room in time", out);
+        return finish::give_up(state, now, id, NO_ROOM, out);
     }
     if is_held_off(state, now, &flight, end) {
         return finish::give_up(state, now, id, HELD_OFF, out);
@@ -76,7 +91,7 @@
     let queue = state.queues.entry(key.clone()).or_default();
     let active = (queue.has_sent(now) || flight.head_sent) && is_open;
     if !active && !choose::has_candidate(state, &flight) {
-        return finish::give_up(state, now, id, "no endpoint can serve it", out);
+        return finish::give_up(state, now, id, NO_ENDPOINT, out);
     }
     let place = (flight.precedence, flight.priority, id);
     if fits || flight.precedence == Precedence::Resumed {
@@ -88,12 +103,65 @@
         Some(old) if !flight.is_late(now) => {
             insert(state, &key, place);
             remove(state, old);
-            finish::give_up(state, now, old, "the wait queue is full", out);
+            finish::give_up(state, now, old, FULL, out);
         }
-        _ => finish::give_up(state, now, id, "the wait queue is full", out),
+        _ => finish::give_up(state, now, id, FULL, out),
+    }
+}
+
+/// Why a request that waits in the queue of its pool, or would have to, is refused whatever others
+/// do, if it is.
+pub(in crate::logic::direct) fn unservable(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+) -> Option<&'static str> {
+    let flight = state.in_flight.get(&id)?;
+    if now >= flight.wait_until {
+        return Some(NO_ROOM);
     }
+    if is_held_off(state, now, flight, flight.wait_until) {
+        return Some(HELD_OFF);
+    }
+    let is_open = flight.head_sent || choose::has_open_hall(state, &flight.service);
+    let has_candidate = choose::has_candidate(state, flight);
+    let key = QueueKey::of(state, flight);
+    let head_sent = flight.head_sent;
+    let queue = state.queues.entry(key).or_default();
+    let active = (queue.has_sent(now) || head_sent) && is_open;
+    (!active && !has_candidate).then_some(NO_ENDPOINT)
 }
 
+/// Adds a request to the queue of its pool.
+pub(in crate::logic::direct) fn enqueue(state: &mut DirectState, key: &QueueKey, id: u64) {
+    let Some(flight) = state.in_flight.get(&id) else {
+        return;
+    };
+    let place = (flight.precedence, flight.priority, id);
+    let queue = state.queues.entry(key.clone()).or_default();
+    queue.waiting.insert(place);
+}
+
+/// Moves the waiting requests to the queues that a new routing asks for: it may change whether the
+/// requests of a service wait in one queue.
+pub(in crate::logic::direct) fn on_routing_changed(state: &mut DirectState) {
+    let queues = state.queues.values_mut();
+    let waiting: Vec<_> = queues
+        .flat_map(|queue| std::mem::take(&mut queue.waiting))
+        .collect();
+    for (.., id) in waiting {
+        if let Some(flight) = state.in_flight.get(&id) {
+            let key = QueueKey::of(state, flight);
+            enqueue(state, &key, id);
+        }
+    }
+}
+
+/// Reasons of refusals.
+const NO_ROOM: &str = "no endpoint had room in time";
+const NO_ENDPOINT: &str = "no endpoint can serve it";
+pub(super) const FULL: &str = "the wait queue is full";
+
 /// Reason of a refusal where every endpoint that can serve a request holds off.
 const HELD_OFF: &str = "every endpoint that can serve it holds off";
 
@@ -167,20 +235,29 @@
         return;
     };
     let place = (flight.precedence, flight.priority, id);
-    if let Some(queue) = state.queues.get_mut(&QueueKey::of(flight)) {
+    let key = QueueKey::of(state, flight);
+    if let Some(queue) = state.queues.get_mut(&key) {
         queue.waiting.remove(&place);
     }
 }
 
-/// Sends waiting requests as far as endpoints have room.
+/// Sends waiting requests as far as endpoints have room. Pools are passed over if the event can't
+/// have freed any.
 pub(in crate::logic::direct) fn send_waiting(
     state: &mut DirectState,
     now: Millis,
+    may_free_room: bool,
     out: &mut Vec<Effect>,
 ) {
     let waiting = state.queues.iter().filter(|(_, l)| !l.waiting.is_empty());
     let keys: Vec<QueueKey> = waiting.map(|(key, _)| key.clone()).collect();
     for key in keys {
+        if pool::is_active(state, &key.service) {
+            if may_free_room {
+                pool::send_waiting(state, now, &key, out);
+            }
+            continue;
+        }
         for id in send_order(state, now, &key) {
             let sent = send::try_send(state, now, id, out);
             // A resumed request skips endpoints that it was sent to, which others may use.
@@ -248,8 +325,10 @@
 /// Time at which a request's wait ends by what its queue shows now.
 fn current_wait_end(state: &mut DirectState, now: Millis, id: u64) -> Option<Millis> {
     let flight = state.in_flight.get(&id)?;
-    let queue = state.queues.get_mut(&QueueKey::of(flight));
-    let effective = queue.is_none_or(|q| q.is_effective(now));
+    let is_pooled = pool::is_active(state, &flight.service);
+    let key = QueueKey::of(state, flight);
+    let queue = state.queues.get_mut(&key);
+    let effective = is_pooled || queue.is_none_or(|q| q.is_effective(now));
     Some(wait_end(flight, id, effective))
 }
 
--- a/src/logic/direct/admission/verdict.rs
+++ b/src/logic/direct/admission/verdict.rs
@@ -3,6 +3,17 @@
 /// A caller that is refused within its objective divided by this has a full second attempt.
 const EARLY_DIVISOR: Millis = 4;
 
+/// Part of the objective that any request may wait, whatever the forecast: its objective divided by
+/// this. Where the forecast alone exceeds an objective, no admission makes its requests timely, and
+/// these would get nothing.
+const MIN_SLACK_DIVISOR: Millis = 6;
+
+/// Forecast that a request with this objective is judged by; most of the objective if there is none.
+pub fn usable_forecast(forecast: Option<Millis>, target: Millis) -> Millis {
+    let max = target - target / MIN_SLACK_DIVISOR;
+    forecast.map_or(max, |forecast| forecast.min(max))
+}
+
 /// A request that found no room, as far as the decision about it depends on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct WaitingCase {
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -1,6 +1,6 @@
 //! Handles the answers of endpoints and passes them on to callers.
 
-use super::admission::concurrency_limit;
+use super::admission::pool;
 use super::limits::hold_off;
 use super::{crashes, endpoints, finish, send, DirectEffect, DirectState, RunPart};
 use crate::logic::router::Metric;
@@ -58,19 +58,7 @@
 }
 
 fn on_head(state: &mut DirectState, now: Millis, id: u64, run: u64, out: &mut Vec<Effect>) {
-    let run_now = state
-        .in_flight
-        .get(&id)
-        .and_then(|f| Some((f.run.clone()?, f.route.target_ms)));
-    if let Some((run, target)) = run_now.filter(|(r, _)| !r.begun) {
-        concurrency_limit::on_run_begun(
-            state,
-            now,
-            &run.endpoint,
-            now.saturating_sub(run.sent_at),
-            target,
-        );
-    }
+    pool::on_run_begun(state, now, id);
     endpoints::on_answer_begun(state, id);
     hold_off::on_run_begun(state, id);
     let Some(flight) = state.in_flight.get_mut(&id) else {
@@ -138,6 +126,7 @@
         return send::retry(state, now, id, true, "the endpoint failed", out);
     }
     hold_off::on_run_begun(state, id);
+    pool::learn_start(state, now, id);
     let pass = DirectEffect::PassAnswer { request: id, run };
     finish::complete(state, now, id, pass, out);
 }
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -1,6 +1,8 @@
 //! Chooses the endpoint that a request is sent to.
 
-use super::admission::concurrency_limit;
+use std::sync::Arc;
+
+use super::admission::{concurrency_limit, pool};
 use super::limits::{cold, hold_off, rate_limit};
 use super::{DirectState, EndpointView, InFlightRequest, Mechanism};
 use crate::types::{EngineSpec, InstanceId, Millis};
@@ -62,10 +64,50 @@
     let groups = spec.is_some_and(|s| s.engine.is_some());
     state.endpoints.values().filter(move |v| {
         let fits = v.listed && !v.is_leaving() && v.entry.service == flight.service;
-        fits && can_serve(state, v, flight, groups)
+        fits && can_serve(state, v, flight.model.as_ref(), groups)
     })
 }
 
+/// The endpoints that can serve requests for a model, or for a service without models, and that
+/// answer.
+pub(super) fn responsive<'a>(
+    state: &'a DirectState,
+    service: &'a str,
+    model: Option<&'a Arc<str>>,
+) -> impl Iterator<Item = &'a EndpointView> {
+    let spec = state.routing.as_ref().and_then(|r| r.services.get(service));
+    let groups = spec.is_some_and(|s| s.engine.is_some());
+    state.endpoints.values().filter(move |v| {
+        let listed = v.listed && !v.is_leaving() && *v.entry.service == *service;
+        listed && v.silent_since.is_none() && can_serve(state, v, model, groups)
+    })
+}
+
+/// The limit that keeps a request from being sent now, as the reason of its refusal.
+pub(super) fn blocking_limit(
+    state: &DirectState,
+    now: Millis,
+    flight: &InFlightRequest,
+) -> &'static str {
+    let spec = state.routing.as_ref();
+    let spec = spec.and_then(|r| r.services.get(&flight.service));
+    let engine = spec.and_then(|s| s.engine.as_ref());
+    let late = pool::is_late(state, now, flight);
+    let routers = state.peers.len() as u64 + 1;
+    let candidates = || candidates(state, flight);
+    let can_take = |v: &&EndpointView| can_take(state, v, now, flight, engine.is_some());
+    let has_room = |v: &&EndpointView| concurrency_limit::has_room(v, routers, flight, late);
+    if candidates().filter(can_take).filter(has_room).count() > 0 {
+        "it can't begin in time: its heads have other prompts to read"
+    } else if candidates().filter(can_take).count() > 0 {
+        "it can't begin in time: its heads are at their limit of runs"
+    } else if candidates().count() > 0 {
+        "it can't begin in time: its endpoints are at their rate, cold, or backed off from"
+    } else {
+        "it can't begin in time: no endpoint serves its model now"
+    }
+}
+
 /// Whether an endpoint's rate limit, cold phase and hold-off allow a request of this router by a
 /// time.
 fn allows_send_by(view: &EndpointView, time: Millis) -> bool {
@@ -73,16 +115,16 @@
     allows_rate && hold_off::can_send_by(view, time)
 }
 
-/// Whether an endpoint of the right service can serve the request: any endpoint of a
+/// Whether an endpoint of the right service can serve requests for a model: any endpoint of a
 /// plain service, or a head of a group with the right model if the service has `groups`, but none
 /// in an evacuated hall.
 fn can_serve(
     state: &DirectState,
     view: &EndpointView,
-    flight: &InFlightRequest,
+    model: Option<&Arc<str>>,
     groups: bool,
 ) -> bool {
-    let model = flight.model.is_none() || view.entry.model == flight.model;
+    let model = model.is_none() || view.entry.model.as_ref() == model;
     let fits = !groups || (view.is_open_head() && model);
     fits && !state.evacuation.contains(&view.entry.hall)
 }
@@ -99,6 +141,7 @@
     let mut found: Option<(u64, u64, InstanceId)> = None;
     let routers = state.peers.len() as u64 + 1;
     let random = state.random_below(u64::MAX);
+    let late = pool::is_late(state, now, flight);
     let params = &state.params;
     for (id, view) in &state.endpoints {
         if !can_take(state, view, now, flight, engine.is_some())
@@ -108,9 +151,9 @@
         }
         let has_room = |e: &EngineSpec| {
             (!params.is_enabled(Mechanism::Limits)
-                || concurrency_limit::has_room(view, routers, flight, now))
+                || concurrency_limit::has_room(view, routers, flight, late))
                 && (!params.is_enabled(Mechanism::ReadingBound)
-                    || concurrency_limit::can_read(view, routers, flight, e, now))
+                    || concurrency_limit::can_read(view, routers, flight, e, late))
         };
         if !engine.is_none_or(has_room) {
             continue;
@@ -120,7 +163,7 @@
         } else {
             OTHER_HALL_US
         };
-        let cost = expected_us(view, flight, engine) + extra;
+        let cost = expected_us(view, flight.prompt_tokens.into(), engine) + extra;
         let tie = random.rotate_left(u32::from(id.as_str().bytes().last().unwrap_or(0)));
         if found
             .as_ref()
@@ -145,23 +188,35 @@
     let fits = entry.service == flight.service && !view.is_leaving() && view.listed;
     let is_responsive = view.backoff_until <= now && view.silent_since.is_none();
     let available = is_responsive && hold_off::has_room(view, now);
-    fits && available && allows_send_by(view, now) && can_serve(state, view, flight, groups)
+    fits && available
+        && allows_send_by(view, now)
+        && can_serve(state, view, flight.model.as_ref(), groups)
 }
 
-/// Expected time in microseconds until an endpoint begins with a request.
-fn expected_us(view: &EndpointView, flight: &InFlightRequest, engine: Option<&EngineSpec>) -> u64 {
+/// Expected time in microseconds until an endpoint begins with a request of so many prompt tokens.
+pub(super) fn expected_us(
+    view: &EndpointView,
+    prompt_tokens: u64,
+    engine: Option<&EngineSpec>,
+) -> u64 {
     let running = u64::from(view.running);
     let Some(engine) = engine else {
         return running * PLAIN_REQUEST_US;
     };
-    let pace = view
-        .entry
-        .model
-        .as_ref()
-        .and_then(|m| engine.model(m))
-        .map_or(1_000, |m| m.pace);
-    let tokens = view.unread_tokens + u64::from(flight.prompt_tokens);
+    let pace = pace(engine, view.entry.model.as_deref());
+    let tokens = view.unread_tokens + prompt_tokens;
     let read = tokens * 1_000_000 / engine.read_rate.max(1);
     let write = running * engine.step_us / 2;
     (read + write) * pace / 1_000
 }
+
+/// Time in microseconds that a model takes to read prompt tokens.
+pub(super) fn read_us(engine: &EngineSpec, model: Option<&str>, tokens: u64) -> u64 {
+    tokens * 1_000_000 / engine.read_rate.max(1) * pace(engine, model) / 1_000
+}
+
+fn pace(engine: &EngineSpec, model: Option<&str>) -> u64 {
+    model
+        .and_then(|m| engine.model(m))
+        .map_or(1_000, |m| m.pace)
+}
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::admission::AdmissionState;
 use super::crashes::CrashState;
 use super::plan::{IdleReason, PlanState};
 use super::{
@@ -58,6 +59,8 @@
     pub in_flight: BTreeMap<u64, InFlightRequest>,
     /// Wait queues of requests for an endpoint.
     pub queues: BTreeMap<QueueKey, WaitQueue>,
+    /// Use of client accounts and load of capacity pools.
+    pub admission: AdmissionState,
     /// Requests held until the routing and the list are known, or until the routing was read again
     /// after a pause, with their arrival.
     pub held_requests: Vec<(Millis, DirectRequest)>,
@@ -122,6 +125,7 @@
             list_log: ListLog::default(),
             in_flight: BTreeMap::new(),
             queues: BTreeMap::new(),
+            admission: AdmissionState::default(),
             held_requests: Vec::new(),
             demand: Demand::default(),
             runs: BTreeMap::new(),
@@ -191,6 +195,9 @@
                 self.crashes.table.blocked().count() as u64,
             ),
             ("blocked_refused", self.crashes.refusals),
+            ("admission_refused", self.admission.refused),
+            ("admission_late", self.admission.late),
+            ("accounts_tracked", self.admission.usage.len() as u64),
             ("crashes_counted", self.crashes.table.all_counted() as u64),
             ("age_ms", self.age(now)),
         ]
--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use super::admission::StartForecast;
 use super::{ColdPhase, HoldOffPhase, PacedShare, RateShare};
 use crate::types::{EndpointEntry, Millis};
 
@@ -36,6 +37,8 @@
     /// Shortest recent time from sending a request there to the beginning of its answer, in
     /// milliseconds; 0 before the first one.
     pub quickest_start: Millis,
+    /// How much later or sooner than expected its first events come.
+    pub start: StartForecast,
     /// Requests a second that the endpoint takes from all routers, if it sets a limit.
     pub rate: Option<RateShare>,
     /// While it is cold: how long, and this router's share of what it bears.
@@ -74,6 +77,7 @@
             unread_tokens: 0,
             limit: 0,
             quickest_start: 0,
+            start: StartForecast::default(),
             rate: None,
             cold: None,
             hold_off: None,
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -1,6 +1,6 @@
 //! What this router knows about endpoints, from the endpoint list and from its own runs.
 
-use super::admission::concurrency_limit;
+use super::admission::{concurrency_limit, StartForecast};
 use super::limits::{cold, hold_off};
 use super::{
     digests, leaving, plan, DirectState, EndpointUpdate, EndpointView, Observation, ProbeResult,
@@ -127,6 +127,7 @@
         // What was learnt about it in its former group doesn't apply to another group.
         view.limit = 0;
         view.quickest_start = 0;
+        view.start = StartForecast::default();
         view.silent_since = None;
         view.active_at = now;
         view.longest_pause = 0;
--- a/src/logic/direct/in_flight_request.rs
+++ b/src/logic/direct/in_flight_request.rs
@@ -83,6 +83,11 @@
     pub epoch: u64,
     /// Time at which it was sent.
     pub sent_at: Millis,
+    /// Whether it couldn't begin within the request's objective any more when it was sent.
+    pub late: bool,
+    /// Expected time until its first event by the endpoint's load when it was sent, in
+    /// milliseconds.
+    pub expected: Millis,
     /// Whether the endpoint has begun to answer.
     pub begun: bool,
     /// Whether a stream event has arrived.
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to an endpoint, and retries it at another one after a failure.
 
-use super::admission::queue;
+use super::admission::{pool, queue};
 use super::limits::hold_off;
 use super::{
     choose, crashes, finish, peers, DirectEffect, DirectState, InFlightRequest, Mechanism,
@@ -34,6 +34,9 @@
     if now >= flight.deadline {
         return finish::time_out(state, now, id, out);
     }
+    if pool::is_active(state, &flight.service) {
+        return pool::send_or_wait(state, now, id, out);
+    }
     if !try_send(state, now, id, out) {
         queue::wait_or_give_up(state, now, id, out);
     }
@@ -52,7 +55,13 @@
     let Some(to) = choose::pick(state, now, &flight) else {
         return false;
     };
-    queue::on_sent(state, now, id);
+    let late = queue::on_sent(state, now, id, out);
+    let spec = state.routing.as_ref();
+    let spec = spec.and_then(|r| r.services.get(&flight.service));
+    let engine = spec.and_then(|s| s.engine.as_ref());
+    let prompt = u64::from(flight.prompt_tokens);
+    let expected = state.endpoints.get(&to);
+    let expected = expected.map_or(0, |v| choose::expected_us(v, prompt, engine) / 1_000);
     let run = state.next_number();
     let version = state.routing.as_ref().map_or(0, |r| r.version);
     let Some(view) = state.endpoints.get_mut(&to) else {
@@ -101,6 +110,8 @@
             endpoint: to,
             epoch,
             sent_at: now,
+            late,
+            expected,
             begun: false,
             has_event: false,
             after_hold_off,
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,9 +1,9 @@
-use super::admission::queue;
+use super::admission::{pool, queue};
 use super::limits::{cold, hold_off, rate_limit};
 use super::{
     accept, answer, crashes, demand, digests, endpoints, evacuation, finish, leaving, list_log,
     list_start, peers, plan, process_pause, silence, store_restore, DirectEffect, DirectEvent,
-    DirectState, ShutdownStage,
+    DirectState, RunPart, ShutdownStage,
 };
 use crate::logic::{Effect, Event, LogCode, LogEvent};
 use crate::types::{Millis, Routing};
@@ -18,6 +18,7 @@
     }
     process_pause::detect(state, now, out);
     plan::send_queued_orders(state, now, out);
+    let may_free_room = !is_stream_event(&event);
     match event {
         Event::Stop => on_stop(state, now),
         Event::Store { call, result } if state.registration.call == Some(call) => {
@@ -38,13 +39,21 @@
         _ => {}
     }
     queue::admit_held(state, now, out);
-    queue::send_waiting(state, now, out);
+    queue::send_waiting(state, now, may_free_room, out);
     list_log::write(state, out);
     plan::request_order_sending(state, now, out);
     notify_readiness(state, out);
     digests::on_tick(state, now, out);
 }
 
+/// Whether an event is one of a stream that goes on: it leaves the room at its head as it is.
+fn is_stream_event(event: &Event) -> bool {
+    let Event::Direct(DirectEvent::RunPart { part, .. }) = event else {
+        return false;
+    };
+    matches!(part, RunPart::Event { .. })
+}
+
 fn on_direct_event(
     state: &mut DirectState,
     now: Millis,
@@ -146,6 +155,7 @@
         out.push(Effect::Log(event));
     }
     state.routing = Some(routing);
+    queue::on_routing_changed(state);
     state.digests.has_changes = true;
 }
 
@@ -159,6 +169,7 @@
     process_pause::on_tick(state, now, out);
     finish::on_tick(state, now, out);
     queue::on_tick(state, now, out);
+    pool::on_tick(state, now, out);
     silence::on_tick(state, now, out);
     endpoints::on_tick(state, now);
     rate_limit::on_tick(state, now, out);
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -176,4 +176,7 @@
     ModelMisfit = 656 Error "model fits no fabric domain: no group of it can be formed";
     EndpointHoldsOff = 657 Warn "endpoint asks this router to send it nothing for a time";
     HoldOffEnded = 658 Info "endpoint takes requests of this router again";
+    PoolContended = 662 Info "requests contend for endpoints";
+    PoolCalm = 663 Info "requests no longer contend for endpoints";
+    AccountsEvicted = 664 Warn "more client accounts than are kept: the least used ones are forgotten";
 }
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -3,16 +3,28 @@
 use std::sync::Arc;
 
 use runrail::logic::direct::admission::{
-    fair_order, largest_accounts, request_cost, AccountUsage, PoolLoad, QueuedRequest,
+    fair_order, largest_accounts, request_cost, AccountUsage, AccountUse, PoolLoad, QueuedRequest,
     StartForecast, Verdict, WaitingCase, MAX_REPORTED,
 };
-use runrail::logic::direct::Precedence;
-use runrail::types::{EngineModel, EngineSpec};
+use runrail::logic::direct::{
+    DirectEffect, DirectEvent, DirectRequest, FeatureMode, Precedence, Problem, RunPart,
+};
+use runrail::logic::Effect;
+use runrail::types::{EngineModel, EngineSpec, InstanceId, KeyedAccount, Routing};
+
+use crate::fixture::{open_group, piece, problem, request, routing, run, Router};
 
 fn name(text: &str) -> Arc<str> {
     text.into()
 }
 
+fn of(account: &str, used: u64) -> AccountUse {
+    AccountUse {
+        account: name(account),
+        used,
+    }
+}
+
 /// A use that never fell would shut an account out for good, one that fell at once wouldn't limit
 /// it.
 #[test]
@@ -51,7 +63,7 @@
 fn use_through_other_routers_counts_for_two_seconds() {
     let mut usage = AccountUsage::default();
     usage.charge(1_000, &name("ann"), 100);
-    usage.on_totals(1_000, &[(name("ann"), 900), (name("bob"), 400)]);
+    usage.on_totals(1_000, &[of("ann", 900), of("bob", 400)]);
     assert_eq!(
         usage.of(1_000, "ann"),
         900,
@@ -72,8 +84,8 @@
     let theirs = [(&names[3], 1_000)];
     let largest = largest_accounts(mine.chain(theirs));
     assert_eq!(largest.len(), MAX_REPORTED);
-    assert_eq!(largest[0], (name("a3"), 1_003));
-    assert_eq!(largest[1], (name("a39"), 39));
+    assert_eq!(largest[0], of("a3", 1_003));
+    assert_eq!(largest[1], of("a39", 39));
 }
 
 fn queued(id: u64, account: &str) -> QueuedRequest<'_> {
@@ -263,3 +275,317 @@
     assert!(late.is_late());
     assert_eq!(late.verdict(), Verdict::Refuse);
 }
+
+/// Routing with accounts `a0` to `a9`, which have the keys `k0` to `k9`, and another streaming route
+/// that comes first by name.
+fn ten_accounts(version: u64) -> Routing {
+    let mut routing = routing(version);
+    for n in 0..10 {
+        let account = KeyedAccount {
+            name: format!("a{n}").into(),
+            priority: None,
+        };
+        routing
+            .accounts
+            .insert(format!("k{n}").into(), Arc::new(account));
+    }
+    let stream = routing.route("a.example", "/stream/x").expect("a route");
+    let other = runrail::types::RouteSpec {
+        name: "/a/".into(),
+        prefix: "/a/".into(),
+        ..(**stream).clone()
+    };
+    routing.add_route("a.example", other);
+    routing
+}
+
+/// A router with one head, on which admission is switched on.
+fn router() -> Router {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    router.state().params.features.admission = FeatureMode::On;
+    router.tell(DirectEvent::Routing(Arc::new(ten_accounts(2))));
+    router.take_effects();
+    router
+}
+
+/// A request of account `a<account>`.
+fn by(account: u64, id: u64, path: &str) -> DirectRequest {
+    DirectRequest {
+        key: Some(format!("k{account}")),
+        ..request(id, path)
+    }
+}
+
+fn sent(effects: &[DirectEffect]) -> Vec<(u64, u64)> {
+    let run = |e: &DirectEffect| match e {
+        DirectEffect::Run(run) => Some((run.request, run.run)),
+        _ => None,
+    };
+    effects.iter().filter_map(run).collect()
+}
+
+fn refused(effects: &[DirectEffect]) -> Vec<u64> {
+    let refuse = |e: &DirectEffect| match e {
+        DirectEffect::Refuse { request, .. } => Some(*request),
+        _ => None,
+    };
+    effects.iter().filter_map(refuse).collect()
+}
+
+/// Fills the head with 48 runs of account `a9`, each of which begins after `took` milliseconds.
+fn fill(router: &mut Router, took: u64) -> Vec<u64> {
+    let runs: Vec<u64> = (0..48)
+        .map(|id| run(&router.ask_for(by(9, id, "/stream/x"))).run)
+        .collect();
+    router.advance_ms(took);
+    for run in &runs {
+        router.part(*run, RunPart::Head);
+    }
+    runs
+}
+
+/// Advances the clock while the head sends events of this run, so that it isn't taken to be silent.
+fn go_on(router: &mut Router, run: u64, ms: u64) -> Vec<DirectEffect> {
+    let mut effects = Vec::new();
+    for _ in 0..ms / 20 {
+        router.advance_ms(20);
+        effects.extend(router.take_effects());
+        effects.extend(router.part(run, piece(router.now)));
+    }
+    effects
+}
+
+/// Ends runs one after another, and returns the requests that are sent then.
+fn end_runs(router: &mut Router, runs: &[u64]) -> Vec<u64> {
+    let ended = runs.iter().flat_map(|run| {
+        let effects = router.part(*run, RunPart::End);
+        sent(&effects).into_iter().map(|(request, _)| request)
+    });
+    ended.collect()
+}
+
+/// A large account that has filled the head would also get the next room, because its requests
+/// have waited longest.
+#[test]
+fn the_account_that_used_least_goes_first_whatever_the_route() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    for (id, (account, path)) in [(9, "/a/x"), (9, "/stream/x"), (1, "/stream/x"), (2, "/a/x")]
+        .into_iter()
+        .enumerate()
+    {
+        let effects = router.ask_for(by(account, 100 + id as u64, path));
+        assert!(effects.is_empty(), "{effects:?}");
+    }
+    assert_eq!(end_runs(&mut router, &runs[..4]), [102, 103, 100, 101]);
+    assert_eq!(router.state().admission.usage.len(), 3);
+}
+
+/// A request that arrives when room has just become free would overtake those that wait.
+#[test]
+fn a_request_that_arrives_takes_its_place_in_the_order() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    router
+        .state()
+        .endpoints
+        .get_mut(&InstanceId::new("e1"))
+        .expect("a head")
+        .running -= 1;
+    let effects = router.ask_for(by(9, 101, "/stream/x"));
+    let first: Vec<u64> = sent(&effects).into_iter().map(|(id, _)| id).collect();
+    assert_eq!(first, [100]);
+    assert_eq!(end_runs(&mut router, &runs[..1]), [101]);
+}
+
+/// Callers that are refused late have no time for a second attempt.
+#[test]
+fn under_contention_what_can_t_begin_in_time_is_refused_within_a_quarter_of_its_objective() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    let effects = go_on(&mut router, runs[0], 320);
+    assert!(refused(&effects).is_empty(), "there is no contention");
+    let effects = router.ask_for(by(2, 101, "/stream/x"));
+    assert!(
+        effects.is_empty(),
+        "the first one is late, but 48 were sent in a second"
+    );
+    let effects = go_on(&mut router, runs[0], 600);
+    assert_eq!(refused(&effects), [101, 100], "late as well");
+    router.effects.clear();
+    router.tell(DirectEvent::Request(Box::new(by(3, 102, "/stream/x"))));
+    let reasons = refusal_reasons(&router);
+    let effects = router.take_effects();
+    assert_eq!(refused(&effects), [102], "nothing is sent any more");
+    assert!(matches!(problem(&effects), Some(Problem::NotRun(_))));
+    assert_eq!(
+        reasons,
+        ["it can't begin in time: its heads are at their limit of runs"]
+    );
+    assert_eq!(router.state().admission.refused, 3);
+}
+
+fn refusal_reasons(router: &Router) -> Vec<String> {
+    let reasons = router.effects.iter().filter_map(|e| match e {
+        Effect::Log(event) if event.code.number() == 643 => {
+            let field = event.fields.iter().find(|(name, _)| *name == "why");
+            field.map(|(_, why)| why.clone())
+        }
+        _ => None,
+    });
+    reasons.collect()
+}
+
+/// A request that waits alone would be refused although nobody needs its place.
+#[test]
+fn without_contention_a_late_request_waits_for_a_late_answer() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    let effects = go_on(&mut router, runs[0], 900);
+    assert!(refused(&effects).is_empty());
+    let ended = end_runs(&mut router, &runs);
+    assert_eq!(ended, [100]);
+    assert_eq!(router.state().admission.late, 1);
+}
+
+/// Two late requests would both hold on, each as the reason for the other to be refused.
+#[test]
+fn a_request_that_becomes_late_under_contention_is_refused_then() {
+    let mut router = router();
+    fill(&mut router, 100);
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    router.advance_ms(60);
+    assert!(router.ask_for(by(2, 101, "/stream/x")).is_empty());
+    let mut gone = Vec::new();
+    for _ in 0..30 {
+        router.advance_ms(20);
+        gone.extend(refused(&router.take_effects()));
+    }
+    assert_eq!(
+        gone,
+        [101, 100],
+        "the first is late alone until the second one is"
+    );
+}
+
+/// Late work that is sent before work in time makes that late as well.
+#[test]
+fn late_requests_get_what_those_in_time_leave() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    go_on(&mut router, runs[0], 400);
+    for id in 101..103 {
+        assert!(router.ask_for(by(9, id, "/stream/x")).is_empty());
+    }
+    assert_eq!(end_runs(&mut router, &runs[..19]), [101, 102]);
+    assert_eq!(
+        end_runs(&mut router, &runs[19..22]),
+        [100],
+        "below 60 % of 48"
+    );
+}
+
+/// What the caller observes is the wait in the router and the time at the head.
+#[test]
+fn a_limit_is_judged_by_what_was_left_of_the_objective() {
+    for (waited, lowered) in [(40, false), (200, true)] {
+        let mut router = router();
+        let runs = fill(&mut router, 100);
+        let head = InstanceId::new("e1");
+        router
+            .state()
+            .endpoints
+            .get_mut(&head)
+            .expect("a head")
+            .limit = 48_000;
+        assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+        go_on(&mut router, runs[1], waited);
+        let effects = router.part(runs[0], RunPart::End);
+        let begun = sent(&effects)[0].1;
+        // The objective is 400 ms.
+        go_on(&mut router, runs[1], 300);
+        router.part(begun, RunPart::Head);
+        let limit = router.state().endpoints[&head].limit;
+        assert_eq!(limit < 48_000, lowered, "{waited} ms waited: {limit}");
+    }
+}
+
+/// A request that was sent late begins late however little runs at its head.
+#[test]
+fn a_request_that_was_sent_late_doesn_t_lower_the_limit() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    let head = InstanceId::new("e1");
+    router
+        .state()
+        .endpoints
+        .get_mut(&head)
+        .expect("a head")
+        .limit = 48_000;
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    go_on(&mut router, runs[0], 500);
+    let late: Vec<u64> = runs
+        .iter()
+        .flat_map(|run| sent(&router.part(*run, RunPart::End)))
+        .map(|(_, run)| run)
+        .collect();
+    assert_eq!(late.len(), 1);
+    router.advance_ms(600);
+    router.part(late[0], RunPart::Head);
+    assert_eq!(router.state().endpoints[&head].limit, 48_000);
+}
+
+/// The queues are keyed otherwise with the switch on: a request that waits under the other key
+/// would never be sent, and hold up those behind it.
+#[test]
+fn no_request_is_lost_when_the_switch_changes_while_it_waits() {
+    let mut router = router();
+    router.state().params.features.admission = FeatureMode::Auto;
+    let runs = fill(&mut router, 100);
+    let contended = |version, contended: bool| {
+        let mut routing = ten_accounts(version);
+        let mut pool = (*routing.services["pool"]).clone();
+        let engine = pool.engine.as_mut().expect("an engine");
+        engine.per_request_ns = if contended { 200_000 } else { 0 };
+        routing.services.insert("pool".into(), Arc::new(pool));
+        DirectEvent::Routing(Arc::new(routing))
+    };
+    for (version, id) in [(3, 100), (4, 101), (5, 102)] {
+        let effects = router.ask_for(by(id - 99, id, "/stream/x"));
+        assert!(sent(&effects).is_empty() && refused(&effects).is_empty());
+        router.tell(contended(version, version % 2 == 1));
+    }
+    let mut order = end_runs(&mut router, &runs[..3]);
+    order.sort_unstable();
+    assert_eq!(order, [100, 101, 102]);
+    assert!(router.state().queues.values().all(|q| q.waiting.is_empty()));
+}
+
+/// A lost router or caller would leave the request in the queue.
+#[test]
+fn a_caller_that_leaves_frees_its_place() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    assert!(router.ask_for(by(2, 101, "/stream/x")).is_empty());
+    router.tell(DirectEvent::CallerGone(100));
+    assert_eq!(end_runs(&mut router, &runs[..2]), [101]);
+}
+
+/// Model names come from callers: each would keep a pool.
+#[test]
+fn requests_for_unknown_models_leave_nothing_behind() {
+    let mut router = router();
+    for id in 0..50 {
+        let mut unknown = by(1, id, "/stream/x");
+        unknown.model = Some(format!("model-{id}").into());
+        assert_eq!(refused(&router.ask_for(unknown)), [id]);
+    }
+    router.advance_ms(40);
+    assert!(router.state().admission.pools.is_empty());
+    assert!(router.state().queues.is_empty());
+}
