Admission: routers exchange the use of the largest accounts

A large account got a full share at each router that its callers reach. Reports of demand have the largest accounts of the sender's subtree, at most 12, and come every 400 ms where admission is on; the planner's digests have the largest of all, as far as the datagram has room. They count for 2 s. Both fields are left out of the encoding while they are empty, so nothing changes on the wire with the switch off. Tests that build these messages name the new field.

--- a/src/logic/direct/admission/mod.rs
+++ b/src/logic/direct/admission/mod.rs
@@ -4,6 +4,7 @@
 pub(in crate::logic::direct) mod concurrency_limit;
 pub(in crate::logic::direct) mod pool;
 pub(in crate::logic::direct) mod queue;
+pub(in crate::logic::direct) mod usage_reports;
 
 mod account_usage;
 mod account_use;
--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::admission::usage_reports;
 use super::arrivals::ModelArrivals;
 use super::{tree, DirectEffect, DirectState, ModelDemand, PeerMessage};
 use crate::logic::Effect;
@@ -24,6 +25,9 @@
 /// another one that is formed. Over two steps of the tree a report is at most 2 s old.
 const REPORT_INTERVAL_MS: Millis = 1_000;
 
+/// The same while reports have the use of accounts, which counts for 2 s over all steps of the tree.
+const ACCOUNTS_INTERVAL_MS: Millis = 400;
+
 /// Age from which a router's report no longer counts: three in a row were lost by then.
 const REPORT_VALID_MS: Millis = 4_000;
 
@@ -148,12 +152,22 @@
     if now < state.demand.report_at {
         return;
     }
-    state.demand.report_at = now + REPORT_INTERVAL_MS;
+    let interval = if usage_reports::is_enabled(state) {
+        ACCOUNTS_INTERVAL_MS
+    } else {
+        REPORT_INTERVAL_MS
+    };
+    state.demand.report_at = now + interval;
     let holder = state.plan.lease.holder.as_deref().map(InstanceId::new);
     let to = holder.and_then(|root| tree::parent(state, &root));
     if let Some(to) = to {
         let (routers, models) = subtree_demand(state, now);
-        let message = PeerMessage::Demand { routers, models };
+        let accounts = usage_reports::subtree_accounts(state, now);
+        let message = PeerMessage::Demand {
+            routers,
+            models,
+            accounts,
+        };
         out.push(Effect::Direct(DirectEffect::SendMessage { to, message }));
     }
 }
--- a/src/logic/direct/digest.rs
+++ b/src/logic/direct/digest.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{EndpointUpdate, ModelDemand};
+use super::{AccountUse, EndpointUpdate, ModelDemand};
 use crate::types::{InstanceId, Millis, StorePosition};
 
 /// What the planner broadcasts to all other routers, so that they needn't read the store.
@@ -38,6 +38,9 @@
     pub told: u64,
     /// Their demand a second, by model.
     pub demand: Vec<ModelDemand>,
+    /// What the largest client accounts have used through them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub accounts: Vec<AccountUse>,
     /// Endpoint updates, each with the position up to which it was read.
     pub news: Vec<(StorePosition, EndpointUpdate)>,
 }
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -5,6 +5,7 @@
 //! the store; one that misses an update, or receives nothing for a while, does. In a
 //! calm run of 34 s with 52 routers digests cut the calls to the store from 10,166 to 2,474.
 
+use super::admission::usage_reports;
 use super::digest_part::{next_batches, split_into_parts, MAX_UPDATE_BYTES};
 use super::{
     demand, endpoints, evacuation, tree, DirectEffect, DirectState, EndpointUpdate, ListPace,
@@ -181,6 +182,12 @@
         // The list is known to be current only with all its changes: other parts suspend no reading.
         let is_complete = n == last && !state.digests.has_changes;
         let list_age = if is_complete { list_age } else { VALID_MS };
+        let bytes: usize = part.news.iter().map(|(_, update)| update.bytes()).sum();
+        let accounts = if n == last {
+            usage_reports::totals_to_send(state, now, max_bytes.saturating_sub(bytes))
+        } else {
+            Vec::new()
+        };
         state.digests.number += 1;
         let digests = &state.digests;
         let digest = Digest {
@@ -198,6 +205,7 @@
             halls_at: state.evacuation.known_at,
             told,
             demand: demand.clone(),
+            accounts,
             news: part.news,
         };
         for tree in 0..tree::TREES {
@@ -263,6 +271,7 @@
 fn apply_digest(state: &mut DirectState, now: Millis, digest: Digest, out: &mut Vec<Effect>) {
     state.digests.last_applied = digest.number;
     demand::on_fleet_demand(state, now, digest.told, digest.demand);
+    usage_reports::on_totals(state, now, &digest.accounts);
     if digest.upto.era != state.listed_at.era {
         // The store was restored from a backup. This router finds out by reading it.
         state.digests.list_until = 0;
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -72,7 +72,7 @@
 mod tree;
 mod update_batch;
 
-pub use admission::{AdmissionState, Precedence, QueueKey, WaitQueue};
+pub use admission::{AccountUse, AdmissionState, Precedence, QueueKey, WaitQueue};
 pub use demand::Demand;
 pub use digest::Digest;
 pub use digest_state::DigestState;
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::crashes::CrashReport;
-use super::{Digest, ModelDemand, Observation};
+use super::{AccountUse, Digest, ModelDemand, Observation};
 use crate::types::{InstanceId, RequestRate};
 
 /// Messages between routers with direct links, each in one datagram.
@@ -34,6 +34,9 @@
         routers: u64,
         /// Their demand by model.
         models: Vec<ModelDemand>,
+        /// What the largest client accounts have used through them.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        accounts: Vec<AccountUse>,
     },
     /// The planner's digest, which routers forward along the trees.
     Digest(Box<Digest>),
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 
+use super::admission::usage_reports;
 use super::limits::rate_limit;
 use super::{
     crashes, demand, digests, endpoints, leaving, plan, DirectEffect, DirectState,
@@ -244,8 +245,13 @@
             out.push(Effect::Direct(DirectEffect::Probe { id, addr }));
         }
         PeerMessage::Digest(digest) => digests::on_digest(state, now, *digest, out),
-        PeerMessage::Demand { routers, models } => {
+        PeerMessage::Demand {
+            routers,
+            models,
+            accounts,
+        } => {
             demand::on_report(state, now, from, routers, models);
+            usage_reports::on_report(state, now, from, accounts);
         }
         PeerMessage::StoreBack => out.push(Effect::Direct(DirectEffect::RetryStore)),
         PeerMessage::Traffic => state.plan.has_traffic = true,
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 
 use runrail::logic::direct::admission::{
-    fair_order, largest_accounts, request_cost, AccountUsage, AccountUse, PoolLoad, QueuedRequest,
+    fair_order, largest_accounts, request_cost, AccountUsage, PoolLoad, QueuedRequest,
     StartForecast, Verdict, WaitingCase, MAX_REPORTED,
 };
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, DirectRequest, FeatureMode, Precedence, Problem, RunPart,
+    AccountUse, DirectEffect, DirectEvent, DirectRequest, FeatureMode, PeerMessage, Precedence,
+    Problem, RunPart,
 };
 use runrail::logic::Effect;
 use runrail::types::{EngineModel, EngineSpec, InstanceId, KeyedAccount, Routing};
 
-use crate::fixture::{open_group, piece, problem, request, routing, run, Router};
+use crate::fixture::{addr, open_group, piece, problem, request, routing, run, Router};
 
 fn name(text: &str) -> Arc<str> {
     text.into()
@@ -589,3 +590,114 @@
     assert!(router.state().admission.pools.is_empty());
     assert!(router.state().queues.is_empty());
 }
+
+/// Accounts in the digests that a router sends within a second.
+fn accounts_in_digests(router: &mut Router) -> Vec<Vec<AccountUse>> {
+    router.take_effects();
+    router.advance_ms(1_000);
+    let messages = router.sent_messages().into_iter();
+    let digests = messages.filter_map(|(_, message)| match message {
+        PeerMessage::Digest(digest) => Some(digest.accounts),
+        _ => None,
+    });
+    digests.collect()
+}
+
+/// A router whose large account is served by another router would give it a full share more.
+#[test]
+fn routers_learn_the_largest_accounts_from_the_planner() {
+    let names: Vec<_> = ["r0", "r1"].map(InstanceId::new).to_vec();
+    let mut leaf = Router::named("r1", &names, open_group("g", [1, 2, 3]));
+    leaf.state().params.features.admission = FeatureMode::On;
+    leaf.ask(1, "/stream/x");
+    leaf.advance_ms(1_000);
+    let reported = leaf.sent_messages().into_iter().find_map(|(_, m)| match m {
+        PeerMessage::Demand { accounts, .. } if !accounts.is_empty() => Some(accounts),
+        _ => None,
+    });
+    let reported = reported.expect("a report");
+    assert_eq!(&*reported[0].account, "ann");
+
+    let mut planner = Router::planner(open_group("g", [1, 2, 3]));
+    planner.state().params.features.admission = FeatureMode::On;
+    planner
+        .state()
+        .peers
+        .insert(InstanceId::new("r2"), addr(801));
+    planner.ask(2, "/stream/x");
+    planner.tell(DirectEvent::PeerMessage {
+        from: addr(801),
+        message: PeerMessage::Demand {
+            routers: 1,
+            models: Vec::new(),
+            accounts: vec![of("ann", 40_000_000), of("bob", 7_000_000)],
+        },
+    });
+    let digests = accounts_in_digests(&mut planner);
+    let first = digests.first().expect("a digest");
+    assert_eq!(&*first[0].account, "ann");
+    assert!(first[0].used > 40_000_000, "with its use at the planner");
+    assert_eq!(&*first[1].account, "bob");
+    let now = planner.now;
+    assert!(planner.state().admission.usage.of(now, "bob") > 0);
+    planner.advance_ms(2_000);
+    let now = planner.now;
+    assert_eq!(
+        planner.state().admission.usage.of(now, "bob"),
+        0,
+        "lost reports"
+    );
+
+    let mut digest = crate::fixture::empty_digest(1, crate::fixture::at(7));
+    digest.accounts = vec![of("bob", 7_000_000)];
+    crate::fixture::receive_digest(&mut leaf, digest);
+    let now = leaf.now;
+    assert_eq!(leaf.state().admission.usage.of(now, "bob"), 7_000_000);
+}
+
+/// Reports of accounts must not appear where the switch is off: they cost room in datagrams.
+#[test]
+fn nothing_of_accounts_is_told_while_the_switch_is_off() {
+    let mut planner = Router::planner(open_group("g", [1, 2, 3]));
+    planner
+        .state()
+        .peers
+        .insert(InstanceId::new("r2"), addr(801));
+    planner.ask(2, "/stream/x");
+    let digests = accounts_in_digests(&mut planner);
+    assert!(!digests.is_empty() && digests.iter().all(Vec::is_empty));
+    assert!(planner.state().admission.usage.is_empty());
+    assert!(planner.state().admission.pools.is_empty());
+}
+
+/// Many long names, or more than a report may have, would make a datagram that is cut on its way.
+#[test]
+fn reports_of_accounts_fit_a_datagram() {
+    let mut planner = Router::planner(open_group("g", [1, 2, 3]));
+    planner.state().params.features.admission = FeatureMode::On;
+    planner
+        .state()
+        .peers
+        .insert(InstanceId::new("r2"), addr(801));
+    let long = |n: u64| of(&format!("{n}{}", "x".repeat(200)), 1_000_000 + n);
+    for port in 0..10 {
+        planner.tell(DirectEvent::PeerMessage {
+            from: addr(801 + port),
+            message: PeerMessage::Demand {
+                routers: 1,
+                models: Vec::new(),
+                accounts: (0..50).map(|n| long(n + 100 * u64::from(port))).collect(),
+            },
+        });
+    }
+    let digests = accounts_in_digests(&mut planner);
+    assert!(digests.iter().any(|accounts| !accounts.is_empty()));
+    for accounts in digests {
+        let bytes: usize = accounts.iter().map(|a| a.account.len()).sum();
+        assert!(accounts.len() <= MAX_REPORTED && bytes <= 1_000, "{bytes}");
+    }
+    let reports = &planner.state().admission.reports;
+    assert!(reports
+        .values()
+        .all(|(_, accounts)| accounts.len() <= MAX_REPORTED));
+}
--- a/tests/direct/needs.rs
+++ b/tests/direct/needs.rs
@@ -55,6 +55,7 @@
         message: PeerMessage::Demand {
             routers: 1,
             models: vec![demand],
+            accounts: Vec::new(),
         },
     });
     needs(&mut router)[0]
