Admission: experiment with real processes; wait estimate after a calm time

Two routers, one head with 4 runs in all, nine accounts that ask once a second and one that asks for ten times what fits. The experiment showed that the first requests of a burst were refused: the send rate of the second before was that of the demand, not of the capacity. The wait is now the lower one by sends and by the mean duration of runs.

--- a/src/logic/direct/admission/pool.rs
+++ b/src/logic/direct/admission/pool.rs
@@ -152,9 +152,12 @@
         own.or_else(|| starts.forecast(expected))
     });
     let best = forecasts.min();
+    let views = choose::responsive(state, &key.service, key.model.as_ref());
+    let running = views.map(|v| u64::from(v.running)).sum();
     if let Some(pool) = state.admission.pools.get_mut(key) {
         // While no endpoint answers, the last forecast is the best guess.
         pool.forecast = best.or(pool.forecast);
+        pool.load.set_running(running);
     }
 }
 
@@ -209,6 +212,20 @@
     }
 }
 
+/// Handles the end of a complete answer: learns how long runs take.
+pub(in crate::logic::direct) fn on_completed(state: &mut DirectState, now: Millis, id: u64) {
+    let Some(flight) = state.in_flight.get(&id) else {
+        return;
+    };
+    let Some(took) = flight.run.as_ref().map(|r| now.saturating_sub(r.sent_at)) else {
+        return;
+    };
+    let key = QueueKey::of(state, flight);
+    if let Some(pool) = state.admission.pools.get_mut(&key) {
+        pool.load.on_run_completed(took);
+    }
+}
+
 /// Sends a request, or enqueues it behind those that go before it, or refuses it.
 pub(in crate::logic::direct) fn send_or_wait(
     state: &mut DirectState,
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -1,6 +1,6 @@
 //! Last step of a request: gives the caller exactly one final answer.
 
-use super::admission::queue;
+use super::admission::{pool, queue};
 use super::{
     choose, crashes, demand, endpoints, DirectEffect, DirectState, InFlightRequest, Problem,
 };
@@ -18,6 +18,7 @@
     out: &mut Vec<Effect>,
 ) {
     endpoints::on_served(state, id);
+    pool::on_completed(state, now, id);
     endpoints::release_run(state, id);
     let Some(flight) = state.in_flight.remove(&id) else {
         return;
--- a/testkit/standin/call.rs
+++ b/testkit/standin/call.rs
@@ -1,6 +1,6 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -61,6 +61,23 @@
     })
 }
 
+/// Sends a stream request with an API key on a new connection; returns the status and the time until
+/// the head of the answer, after the whole answer. `None` when no complete answer arrives.
+pub fn send_as(addr: SocketAddr, key: &str, attempt: &str) -> Option<(u16, Duration)> {
+    let mut stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT).ok()?;
+    stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
+    let text = format_request_as(key, "POST", "/stream/x", attempt, "close", "");
+    let begin = Instant::now();
+    stream.write_all(text.as_bytes()).ok()?;
+    let mut first = [0; 64];
+    let length = stream.read(&mut first).ok()?;
+    let took = begin.elapsed();
+    let head = String::from_utf8_lossy(&first[..length]).to_string();
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).ok()?;
+    Some((head.split(' ').nth(1)?.parse().ok()?, took))
+}
+
 /// Formats an HTTP/1.1 request with the headers of a caller of the platform.
 pub(crate) fn format_request(
     method: &str,
@@ -68,9 +85,21 @@
     attempt: &str,
     connection: &str,
     body: &str,
+) -> String {
+    format_request_as("k1", method, path, attempt, connection, body)
+}
+
+/// The same with an API key.
+pub(crate) fn format_request_as(
+    key: &str,
+    method: &str,
+    path: &str,
+    attempt: &str,
+    connection: &str,
+    body: &str,
 ) -> String {
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer k1\r\n\
+        "{method} {path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer {key}\r\n\
          X-Attempt-Id: {attempt}\r\nX-Model: big\r\nX-Token-Counts: 10,10\r\n\
          X-Deadline-Ms: 6000\r\nConnection: {connection}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
--- a/testkit/standin/config.rs
+++ b/testkit/standin/config.rs
@@ -1,4 +1,4 @@
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// The configuration document: `/stream/` goes to service `pool`, whose model `big` runs in groups
 /// of three members; `/once/` (not repeatable) and `/safe/` go to the plain service `gate`.
@@ -17,3 +17,16 @@
         "Tenants": [{"Name": "ann", "ApiKeys": ["k1"]}]})
     .to_string()
 }
+
+/// The same with few slots and a short objective, and with accounts `t0` to `t9` whose names are
+/// their keys.
+pub fn contended_config(version: u64) -> String {
+    let mut document: Value = serde_json::from_str(&config(version)).expect("JSON");
+    document["Services"][1]["Engine"]["Slots"] = json!(2);
+    document["Routes"][0]["SloMs"] = json!(400);
+    let tenants = (0..10).map(|n| format!("t{n}"));
+    let tenants = tenants.map(|name| json!({"Name": name, "ApiKeys": [name]}));
+    let ann = json!({"Name": "ann", "ApiKeys": ["k1"]});
+    document["Tenants"] = std::iter::once(ann).chain(tenants).collect();
+    document.to_string()
+}
--- a/testkit/standin/mod.rs
+++ b/testkit/standin/mod.rs
@@ -16,10 +16,10 @@
 mod world;
 
 pub(crate) use call::format_request;
-pub use call::{call, send, Answer};
+pub use call::{call, send, send_as, Answer};
 pub use caller::Caller;
-pub use config::config;
-pub use fleet::{fleet, logs, served, start_fleet, start_routers, until};
+pub use config::{config, contended_config};
+pub use fleet::{fleet, logs, served, start_fleet, start_routers, start_routers_with, until};
 pub use replica::Arrival;
 pub use replica_calls::{EVENTS, FATAL};
 pub use router::{routing_version_at, Router};
--- a/testkit/standin/replica.rs
+++ b/testkit/standin/replica.rs
@@ -24,6 +24,8 @@
     /// When it last started, in Unix milliseconds.
     pub(super) started_ms: u64,
     pub(super) alive: bool,
+    /// Requests that it takes at a time, by its entry of the endpoint list; it doesn't enforce it.
+    pub(super) slots: u32,
     /// Whether it no longer updates its entry of the endpoint list.
     pub(super) silent: bool,
     /// Model that is staged on its host.
@@ -99,7 +101,7 @@
     /// Its entry of the endpoint list, as JSON.
     pub(super) fn entry(&self) -> String {
         let mut entry = json!({"Service": self.service, "Address": self.addr.to_string(),
-            "Zone": "h1", "Slots": 8, "State": "ready", "Seq": self.heartbeats(), "born": self.started_ms,
+            "Zone": "h1", "Slots": self.slots, "State": "ready", "Seq": self.heartbeats(), "born": self.started_ms,
             "Version": "v1", "ColdLeftMs": 0});
         if self.service == "pool" {
             entry["Domain"] = json!("d1");
--- a/testkit/standin/standin.rs
+++ b/testkit/standin/standin.rs
@@ -74,6 +74,7 @@
             service,
             started_ms: unix_ms(),
             alive: true,
+            slots: 8,
             silent: false,
             staged: None,
             last_model: None,
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -102,6 +102,11 @@
         self.remove(key);
     }
 
+    /// Sets how many requests each replica takes at a time, by its entry of the endpoint list.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.replicas.values_mut().for_each(|r| r.slots = slots);
+    }
+
     /// Sets the rate limit, in requests a second, that a replica names in its answers; `None` for
     /// no limit.
     pub fn limit(&mut self, id: &str, limit: Option<f64>) {
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -1,6 +1,7 @@
 //! Admission: which of the requests that contend for the same endpoints get room.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use runrail::logic::direct::admission::{
     fair_order, largest_accounts, request_cost, AccountUsage, PoolLoad, QueuedRequest,
@@ -13,6 +14,10 @@
 use runrail::logic::Effect;
 use runrail::types::{EngineModel, EngineSpec, InstanceId, KeyedAccount, Routing};
 
+use testkit::direct::{
+    contended_config, logs, send_as, start_routers_with, Router as Process, Standin,
+};
+
 use crate::fixture::{addr, open_group, piece, problem, request, routing, run, Router};
 
 fn name(text: &str) -> Arc<str> {
@@ -237,6 +242,23 @@
     assert_eq!(load.send_delay(3_500, 0), None, "nothing was sent lately");
 }
 
+/// The first requests of a burst after a calm time would all be refused: few were sent in the second
+/// before.
+#[test]
+fn the_wait_after_a_calm_time_follows_from_the_duration_of_runs() {
+    let mut load = PoolLoad::default();
+    load.on_sent(1_000);
+    load.set_running(4);
+    assert_eq!(load.send_delay(1_500, 0), Some(1_000));
+    for _ in 0..50 {
+        load.on_run_completed(200);
+    }
+    assert_eq!(load.send_delay(1_500, 0), Some(50));
+    assert_eq!(load.send_delay(1_500, 3), Some(200));
+    load.set_running(0);
+    assert_eq!(load.send_delay(3_000, 0), None, "no endpoint answers");
+}
+
 /// Refusals that come late cost callers their second attempt, and refusals without contention cost
 /// them an answer.
 #[test]
@@ -701,3 +723,129 @@
         .values()
         .all(|(_, accounts)| accounts.len() <= MAX_REPORTED));
 }
+
+/// Objective of the stream route in the stand-in's configuration for contention.
+const OBJECTIVE: Duration = Duration::from_millis(400);
+
+/// Time for which each load of the experiment is measured.
+const LOAD_TIME: Duration = Duration::from_secs(6);
+
+/// Answers to a caller: within the objective, late, and refusals.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+impl Served {
+    fn add(&mut self, answer: Option<(u16, Duration)>) {
+        match answer {
+            Some((200, first)) if first <= OBJECTIVE => self.in_time += 1,
+            Some((200, _)) => self.late += 1,
+            _ => self.refused += 1,
+        }
+    }
+
+    fn all(&self) -> u32 {
+        self.in_time + self.late + self.refused
+    }
+}
+
+/// Sends requests of an account to the routers in turn from the `first` on, one every `pause` or, if an answer takes
+/// longer, after it. After a refusal the next one follows at once if `retries`.
+fn load(
+    routers: &[Process],
+    first: usize,
+    account: &str,
+    pause: Duration,
+    retries: bool,
+    name: &str,
+) -> Served {
+    let begin = Instant::now();
+    let mut served = Served::default();
+    while begin.elapsed() < LOAD_TIME {
+        let sent = Instant::now();
+        let n = served.all();
+        let router = &routers[(first + n as usize) % routers.len()];
+        let attempt = format!("{name}-{account}-{n}");
+        let answer = send_as(router.callers, account, &attempt);
+        served.add(answer);
+        if !retries || matches!(answer, Some((200, _))) {
+            std::thread::sleep(pause.saturating_sub(sent.elapsed()));
+        }
+    }
+    served
+}
+
+/// Small accounts `t1` to `t9` ask once a second; beside them `large` callers of account `t0`
+/// ask every 75 ms. Returns what the small ones and the large one got.
+fn play(routers: &[Process], large: u32, retries: bool, name: &str) -> (Served, Served) {
+    let sum = |mut sum: Served, one: Served| {
+        sum.in_time += one.in_time;
+        sum.late += one.late;
+        sum.refused += one.refused;
+        sum
+    };
+    std::thread::scope(|scope| {
+        let small: Vec<_> = (1..10)
+            .map(|n| {
+                scope.spawn(move || {
+                    std::thread::sleep(Duration::from_millis(100 * n));
+                    let pause = Duration::from_millis(1_000);
+                    let account = format!("t{n}");
+                    load(routers, n as usize, &account, pause, false, name)
+                })
+            })
+            .collect();
+        let large: Vec<_> = (0..large)
+            .map(|n| {
+                let name = format!("{name}-{n}");
+                let pause = Duration::from_millis(75);
+                scope.spawn(move || load(routers, n as usize, "t0", pause, retries, &name))
+            })
+            .collect();
+        let join = |all: Vec<std::thread::ScopedJoinHandle<Served>>| {
+            let served = all.into_iter().map(|t| t.join().expect("a caller"));
+            served.fold(Served::default(), sum)
+        };
+        (join(small), join(large))
+    })
+}
+
+/// An account that asks for ten times what fits would take what the others need, and the more so
+/// the faster it retries.
+#[test]
+fn processes_give_small_accounts_what_they_get_alone_beside_a_large_one() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let standin = Standin::start(3, 2);
+    standin.world().configure(&contended_config(2));
+    standin.world().set_slots(2);
+    let stores = vec![standin.store; 2];
+    let on = "[features]\nadmission = on\n";
+    let routers = start_routers_with(&standin, &stores, dir.path(), on);
+    let (alone, _) = play(&routers, 0, false, "alone");
+    let (beside, large) = play(&routers, 18, false, "beside");
+    let (retried, retrying) = play(&routers, 12, true, "retries");
+    let all = format!(
+        "alone {alone:?}\nbeside {beside:?}, large {large:?}\n\
+         beside retries {retried:?}, large {retrying:?}"
+    );
+    println!("{all}");
+    let share = |served: &Served| f64::from(served.in_time) / f64::from(served.all());
+    for served in [&beside, &retried] {
+        assert!(
+            share(served) >= 0.95 * share(&alone),
+            "{all}\n{}",
+            logs(dir.path())
+        );
+    }
+    assert!(
+        large.in_time > 0,
+        "the large account gets what is left: {all}"
+    );
+    assert!(
+        large.all() > 10 * large.in_time.max(1) / 2,
+        "the load is too small: {all}"
+    );
+}
