--- a/testkit/src/soak/driver.rs
+++ b/testkit/src/soak/driver.rs
@@ -25,6 +25,12 @@
 /// Time by which the store carries out writes late.
 const WRITE_DELAY: Duration = Duration::from_secs(1);
 
+/// Callers of a flood: twice as many as the heads of three groups take at a time.
+const FLOOD_CALLERS: usize = 48;
+
+/// Pause of such a caller after an answer.
+const FLOOD_PAUSE: Duration = Duration::from_millis(20);
+
 /// Engines that are added after the sends of a fatal request, as it crashes engines.
 const ADDED_ENGINES: usize = 3;
 
@@ -121,6 +127,7 @@
             Fault::LimitEndpoint(rate, ms) => self.limit_endpoint(n, f64::from(*rate), *ms),
             Fault::HoldOff(hold_ms, ms) => self.hold_off_endpoint(n, *hold_ms, *ms),
             Fault::Leave(ms) => self.leave_endpoint(n, *ms),
+            Fault::Flood(ms) => self.flood(n, *ms),
         }
     }
 
@@ -315,6 +322,37 @@
         self.record_endpoint_fault(from);
     }
 
+    /// Sends requests of one account by many callers at once. Each has a body of its own, so that it
+    /// isn't taken for one that was at a crash before.
+    fn flood(&self, n: usize, ms: u64) {
+        let from_ms = self.now_ms();
+        let is_over = || self.now_ms() >= from_ms + ms;
+        let call = |caller: usize| {
+            let at = caller % self.slots.len();
+            let mut connection = None;
+            let mut sent = 0;
+            while !is_over() {
+                let addr = lock(&self.slots[at]).router.callers;
+                connection = connection.take().or_else(|| Connection::open(addr));
+                if let Some(mut open) = connection.take() {
+                    let attempt = format!("flood{n}-{caller}-{sent}");
+                    let body = attempt.clone();
+                    let outcome = self.send_request(&mut open, at, "flood", attempt, &body);
+                    connection = Some(open).filter(|o| outcome != Outcome::Closed && !o.closes);
+                    sent += 1;
+                }
+                std::thread::sleep(FLOOD_PAUSE);
+            }
+        };
+        std::thread::scope(|scope| {
+            for caller in 0..FLOOD_CALLERS {
+                scope.spawn(move || call(caller));
+            }
+        });
+        let to_ms = from_ms + ms;
+        lock(&self.record).floods.push(Span { from_ms, to_ms });
+    }
+
     /// Sends a request on a connection and records its outcome.
     pub fn send_request(
         &self,
--- a/testkit/src/soak/fault.rs
+++ b/testkit/src/soak/fault.rs
@@ -48,6 +48,9 @@
     /// An endpoint says in its answers that it is leaving, while the list shows it as ready, and ends
     /// after some milliseconds. Another one is added.
     Leave(u64),
+    /// One client account sends far more than fits for some milliseconds, and sends again soon after
+    /// each refusal.
+    Flood(u64),
 }
 
 impl Fault {
@@ -75,6 +78,7 @@
             Fault::LimitEndpoint(..) => "limit-endpoint",
             Fault::HoldOff(..) => "hold-off",
             Fault::Leave(_) => "leave",
+            Fault::Flood(_) => "flood",
         }
     }
 }
--- a/testkit/src/soak/judge.rs
+++ b/testkit/src/soak/judge.rs
@@ -23,6 +23,11 @@
 /// Window over which requests at an endpoint with a rate limit are counted.
 const RATE_WINDOW_MS: u64 = 4_000;
 
+/// Requests of other callers from which a flood is judged, and the margin: three standard errors of
+/// the share of 25 requests.
+const MIN_FLOOD_SAMPLES: usize = 20;
+const FLOOD_MARGIN_PERCENT: usize = 30;
+
 /// Time after a fault of an endpoint for which a request may be cut by it.
 const ENDPOINT_FAULT_MS: u64 = 500;
 
@@ -83,6 +88,10 @@
         "memory, descriptors and logs are bounded",
         excessive_usage(record),
     );
+    add(
+        "a flood by one account doesn't shut the others out",
+        crowded_out(record),
+    );
     add("the fleet recovers", missing_recovery(record));
     found
 }
@@ -267,6 +276,32 @@
     over.map(|f| format!("{f:?}")).collect()
 }
 
+/// Floods in which other callers of streams got complete answers less often than the account that
+/// floods, though admission was on and they asked for less. Both are subject to the same faults.
+fn crowded_out(record: &Record) -> Vec<String> {
+    if !record.features.contains(&"admission") {
+        return Vec::new();
+    }
+    let mut seen = Vec::new();
+    for flood in &record.floods {
+        let served = |kind: &str| {
+            let of_kind = |s: &&Sample| s.kind == kind && span_of(s).overlaps(flood);
+            let of_kind: Vec<_> = record.samples.iter().filter(of_kind).collect();
+            let whole = of_kind.iter().filter(|s| s.outcome == Outcome::Whole);
+            (whole.count(), of_kind.len())
+        };
+        let ((whole, all), (crowd_whole, crowd)) = (served("stream"), served("flood"));
+        let percent = |whole: usize, all: usize| whole * 100 / all.max(1);
+        let is_less = percent(whole, all) + FLOOD_MARGIN_PERCENT < percent(crowd_whole, crowd);
+        if all >= MIN_FLOOD_SAMPLES && is_less {
+            seen.push(format!(
+                "{flood:?}: {whole} of {all} whole, of the flood {crowd_whole} of {crowd}"
+            ));
+        }
+    }
+    seen
+}
+
 fn missing_recovery(record: &Record) -> Vec<String> {
     let missing = record.recovered_ms.is_none();
     Vec::from_iter(missing.then(|| "not within the time limit".to_string()))
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -22,7 +22,7 @@
 pub use finding::Finding;
 pub use judge::{judge, limit_window_counts, undisturbed_shutdowns};
 pub use outcome::{Outcome, Sample};
-pub use plan::{Plan, PlannedFault, SoakSettings};
+pub use plan::{Plan, PlannedFault, SoakSettings, FEATURES};
 pub use received::{broken_hold_offs, sent_to_leaving, Received};
 pub use record::{Limited, ProcessFigures, Record, Span};
 pub use report::write_report;
--- a/testkit/src/soak/plan.rs
+++ b/testkit/src/soak/plan.rs
@@ -54,6 +54,8 @@
 pub struct Plan {
     /// The faults.
     pub faults: Vec<PlannedFault>,
+    /// Optional parts of the policy that are switched on.
+    pub features: Vec<&'static str>,
 }
 
 impl Plan {
@@ -70,8 +72,38 @@
             }
         }
         faults.extend(draw_further(settings));
+        faults.extend(draw_floods(settings));
         faults.sort_by_key(|planned| planned.at_ms);
-        Self { faults }
+        Self {
+            faults,
+            features: draw_features(settings),
+        }
+    }
+}
+
+/// Optional parts of the policy that a soak knows checks of.
+pub const FEATURES: [&str; 1] = ["admission"];
+
+/// Draws which optional parts of the policy are switched on: each in half of the seeds.
+fn draw_features(settings: &SoakSettings) -> Vec<&'static str> {
+    let mut rng = fastrand::Rng::with_seed(settings.seed.rotate_left(32));
+    FEATURES.into_iter().filter(|_| rng.bool()).collect()
+}
+
+/// Draws floods by one account, one in about seven seconds.
+fn draw_floods(settings: &SoakSettings) -> Vec<PlannedFault> {
+    let mut rng = fastrand::Rng::with_seed(!settings.seed.rotate_left(32));
+    let mut faults = Vec::new();
+    let mut at_ms = MARGIN_MS;
+    loop {
+        at_ms += rng.u64(2_000..6_000);
+        let ms = rng.u64(2_000..3_500);
+        if at_ms + ms + MARGIN_MS >= settings.seconds * 1_000 {
+            return faults;
+        }
+        let fault = Fault::Flood(ms);
+        faults.push(PlannedFault { at_ms, fault });
+        at_ms += ms;
     }
 }
 
@@ -124,6 +156,7 @@
 
 impl fmt::Display for Plan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "switched on: {:?}", self.features)?;
         for PlannedFault { at_ms, fault } in &self.faults {
             writeln!(f, "{:>7.3} s  {fault}", *at_ms as f64 / 1_000.0)?;
         }
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -61,6 +61,10 @@
     pub interruptions: Vec<(usize, Span)>,
     /// Requests as the endpoints received them.
     pub received: Vec<Received>,
+    /// Times in which one account flooded the fleet.
+    pub floods: Vec<Span>,
+    /// Optional parts of the policy that were switched on.
+    pub features: Vec<&'static str>,
     /// Faults of endpoints.
     pub endpoint_faults: Vec<Span>,
     /// Shutdowns that ended in time, with the index of the router.
--- a/testkit/src/soak/run.rs
+++ b/testkit/src/soak/run.rs
@@ -8,7 +8,7 @@
 use super::client::Connection;
 use super::driver::{lock, Driver, RouterSlot};
 use super::{Outcome, Plan, ProcessFigures, Received, Record, SoakSettings};
-use crate::direct::{served, start_routers, Standin, World};
+use crate::direct::{served, start_routers_with, Standin, World};
 use crate::Relay;
 
 const CALLERS_PER_ROUTER: usize = 4;
@@ -35,7 +35,9 @@
     let relay = |_| Relay::start(standin.store);
     let relays: Vec<Relay> = (0..settings.routers).map(relay).collect();
     let stores: Vec<_> = relays.iter().map(Relay::addr).collect();
-    let routers = start_routers(&standin, &stores, &settings.dir);
+    let on = plan.features.iter().map(|name| format!("{name} = on\n"));
+    let features = format!("[features]\n{}", on.collect::<String>());
+    let routers = start_routers_with(&standin, &stores, &settings.dir, &features);
     let slot = |router| {
         Mutex::new(RouterSlot {
             router,
@@ -49,6 +51,7 @@
         relays,
         record: Mutex::new(Record {
             seconds: settings.seconds,
+            features: plan.features.clone(),
             ..Record::default()
         }),
         version: Mutex::new(1),
--- a/testkit/standin/config.rs
+++ b/testkit/standin/config.rs
@@ -1,5 +1,8 @@
 use serde_json::{json, Value};
 
+/// API key of the account that floods the fleet in a soak.
+pub(crate) const FLOOD_KEY: &str = "k2";
+
 /// The configuration document: `/stream/` goes to service `pool`, whose model `big` runs in groups
 /// of three members; `/once/` (not repeatable) and `/safe/` go to the plain service `gate`.
 pub fn config(version: u64) -> String {
@@ -14,7 +17,7 @@
             "Slots": 8, "Stride": 1, "step_ms": 5.0, "read_per_s": 50000.0, "LoadsPerS": 50.0, "loads_at_once": 9,
             "Retains": 1, "FormMs": 60.0,
             "Models": [{"Name": "big", "size": 3, "Share": 1.0, "pace": 1.0, "LoadS": 0.3, "WarmupS": 0.15}]}}],
-        "Tenants": [{"Name": "ann", "ApiKeys": ["k1"]}]})
+        "Tenants": [{"Name": "ann", "ApiKeys": ["k1"]}, {"Name": "crowd", "ApiKeys": [FLOOD_KEY]}]})
     .to_string()
 }
 
--- a/testkit/standin/mod.rs
+++ b/testkit/standin/mod.rs
@@ -15,9 +15,10 @@
 mod store_calls;
 mod world;
 
-pub(crate) use call::format_request;
+pub(crate) use call::format_request_as;
 pub use call::{call, send, send_as, Answer};
 pub use caller::Caller;
+pub(crate) use config::FLOOD_KEY;
 pub use config::{config, contended_config};
 pub use fleet::{fleet, logs, served, start_fleet, start_routers, start_routers_with, until};
 pub use replica::Arrival;
