Admission: the reason of a refusal names the limit that applied; more tests

A request that others go before was refused with the reason of unread prompts, and one of a plain service with a limit of runs that plain services don't have. Tests: reasons, what a waiting request was admitted with, the ablation setting, the forecast of plain services.

--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -94,17 +94,31 @@
     let engine = spec.and_then(|s| s.engine.as_ref());
     let late = pool::is_late(state, now, flight);
     let routers = state.peers.len() as u64 + 1;
-    let candidates = || candidates(state, flight);
-    let can_take = |v: &&EndpointView| can_take(state, v, now, flight, engine.is_some());
-    let has_room = |v: &&EndpointView| concurrency_limit::has_room(v, routers, flight, late);
-    if candidates().filter(can_take).filter(has_room).count() > 0 {
-        "it can't begin in time: its heads have other prompts to read"
-    } else if candidates().filter(can_take).count() > 0 {
-        "it can't begin in time: its heads are at their limit of runs"
-    } else if candidates().count() > 0 {
-        "it can't begin in time: its endpoints are at their rate, cold, or backed off from"
+    let mut open = candidates(state, flight)
+        .filter(|v| can_take(state, v, now, flight, engine.is_some()))
+        .peekable();
+    if open.peek().is_none() {
+        return match candidates(state, flight).next() {
+            Some(_) => {
+                "it can't begin in time: its endpoints are at their rate, cold, or backed off from"
+            }
+            None => "it can't begin in time: no endpoint serves its model now",
+        };
+    }
+    let with_room = |v: &&EndpointView| {
+        engine.is_none() || concurrency_limit::has_room(v, routers, flight, late)
+    };
+    let mut with_room = open.filter(with_room).peekable();
+    if with_room.peek().is_none() {
+        return "it can't begin in time: its heads are at their limit of runs";
+    }
+    let can_read = |v: &EndpointView| {
+        engine.is_none_or(|e| concurrency_limit::can_read(v, routers, flight, e, late))
+    };
+    if with_room.any(can_read) {
+        "it can't begin in time: other requests go before it"
     } else {
-        "it can't begin in time: no endpoint serves its model now"
+        "it can't begin in time: its heads have other prompts to read"
     }
 }
 
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -8,8 +8,8 @@
     StartForecast, Verdict, WaitingCase, MAX_REPORTED,
 };
 use runrail::logic::direct::{
-    AccountUse, DirectEffect, DirectEvent, DirectRequest, FeatureMode, PeerMessage, Precedence,
-    Problem, RunPart,
+    AccountUse, DirectEffect, DirectEvent, DirectRequest, EndpointView, FeatureMode, PeerMessage,
+    Precedence, Problem, RunPart,
 };
 use runrail::logic::Effect;
 use runrail::types::{EngineModel, EngineSpec, InstanceId, KeyedAccount, Routing};
@@ -18,7 +18,7 @@
     contended_config, logs, send_as, start_routers_with, Router as Process, Standin,
 };
 
-use crate::fixture::{addr, open_group, piece, problem, request, routing, run, Router};
+use crate::fixture::{addr, open_group, piece, plain, problem, request, routing, run, Router};
 
 fn name(text: &str) -> Arc<str> {
     text.into()
@@ -450,6 +450,48 @@
     assert_eq!(router.state().admission.refused, 3);
 }
 
+/// An operator who reads the reason looks for room at a head that has some.
+#[test]
+fn a_refusal_names_the_limit_that_applied() {
+    let reason = |change: &dyn Fn(&mut Router), prompt: u32| {
+        let mut router = router();
+        let runs = fill(&mut router, 100);
+        for id in 100..102 {
+            assert!(router.ask_for(by(1, id, "/stream/x")).is_empty());
+        }
+        go_on(&mut router, runs[0], 1_200);
+        change(&mut router);
+        router.effects.clear();
+        let request = DirectRequest {
+            prompt_tokens: prompt,
+            ..by(2, 200, "/stream/x")
+        };
+        router.tell(DirectEvent::Request(Box::new(request)));
+        refusal_reasons(&router).pop().unwrap_or_default()
+    };
+    fn head(router: &mut Router) -> &mut EndpointView {
+        let id = InstanceId::new("e1");
+        router.state().endpoints.get_mut(&id).expect("a head")
+    }
+    let full = reason(&|_| {}, 100);
+    assert!(
+        full.ends_with("its heads are at their limit of runs"),
+        "{full}"
+    );
+    let reads = |router: &mut Router| {
+        head(router).running = 10;
+        head(router).unread_tokens = 18_000;
+        router.state().queues.clear();
+    };
+    let reading = reason(&reads, 1_000);
+    assert!(reading.ends_with("other prompts to read"), "{reading}");
+    let backs_off = |router: &mut Router| {
+        head(router).backoff_until = router.now + 1_000;
+    };
+    let backed_off = reason(&backs_off, 100);
+    assert!(backed_off.ends_with("or backed off from"), "{backed_off}");
+}
+
 fn refusal_reasons(router: &Router) -> Vec<String> {
     let reasons = router.effects.iter().filter_map(|e| match e {
         Effect::Log(event) if event.code.number() == 643 => {
@@ -588,6 +630,73 @@
     assert!(router.state().queues.values().all(|q| q.waiting.is_empty()));
 }
 
+/// A waiting request would change its place, or count for another account, halfway.
+#[test]
+fn a_waiting_request_keeps_the_priority_and_the_account_that_it_was_admitted_with() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    assert!(router.ask_for(by(2, 101, "/a/x")).is_empty());
+    let mut changed = ten_accounts(3);
+    let demoted = KeyedAccount {
+        name: "a9".into(),
+        priority: Some(5),
+    };
+    changed.accounts.insert("k1".into(), Arc::new(demoted));
+    changed.accounts.remove("k2");
+    router.tell(DirectEvent::Routing(Arc::new(changed)));
+    assert_eq!(end_runs(&mut router, &runs[..2]), [100, 101]);
+    assert!(router
+        .state()
+        .admission
+        .usage
+        .own(0)
+        .any(|(account, _)| &**account == "a1"));
+}
+
+/// An ablation would measure the part that it is meant to leave out.
+#[test]
+fn the_policy_setting_switches_admission_off() {
+    let mut router = router();
+    router
+        .state()
+        .params
+        .disabled
+        .insert(runrail::logic::direct::Mechanism::Admission);
+    let runs = fill(&mut router, 100);
+    for (id, path) in [(100, "/stream/x"), (101, "/a/x")] {
+        assert!(router.ask_for(by(1, id, path)).is_empty());
+    }
+    assert_eq!(end_runs(&mut router, &runs[..2]), [101, 100], "by route");
+    assert!(router.state().admission.usage.is_empty());
+}
+
+/// Plain services have no first event of a stream: what is learnt of them is the whole answer.
+#[test]
+fn the_forecast_of_a_plain_service_is_learnt_from_its_answers() {
+    let mut router = Router::new(vec![plain(1), plain(2)]);
+    router.state().params.features.admission = FeatureMode::On;
+    for id in 0..8 {
+        let sent = run(&router.ask(id, "/safe/x"));
+        router.advance_ms(60);
+        router.part(
+            sent.run,
+            RunPart::Complete {
+                status: 200,
+                not_run: false,
+            },
+        );
+    }
+    router.advance_ms(20);
+    let pools = &router.state().admission.pools;
+    assert_eq!(pools.len(), 1);
+    let forecast = pools.values().next().and_then(|pool| pool.forecast);
+    assert!(
+        forecast.is_some_and(|ms| (60..=100).contains(&ms)),
+        "{forecast:?}"
+    );
+}
+
 /// A lost router or caller would leave the request in the queue.
 #[test]
 fn a_caller_that_leaves_frees_its_place() {
