Admission: an account that was idle is at most four requests ahead

An account that was idle got all room until its use was that of the others, which were refused 58 times within 300 ms. The first tag of an account is now at most four requests below the level of service.

--- a/src/logic/direct/admission/account_usage.rs
+++ b/src/logic/direct/admission/account_usage.rs
@@ -1,18 +1,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::decaying::{Decaying, STEP_MS};
 use super::AccountUse;
 use crate::types::Millis;
 
-/// Length of one step of the decay.
-const STEP_MS: Millis = 100;
-
-/// Steps after which half of a use is left: 2 s, in which a head serves some dozens of requests.
-const HALF_LIFE_STEPS: u64 = 20;
-
-/// What one step leaves of a use, in millionths: the twentieth root of a half.
-const STEP_LEFT_MILLIONTHS: u128 = 965_936;
-
 /// Most accounts that are kept.
 const MAX_ACCOUNTS: usize = 1_024;
 
@@ -22,25 +14,6 @@
 /// Age from which the use at other routers no longer counts.
 pub const REPORT_VALID_MS: Millis = 2_000;
 
-/// A use that decays.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Decaying {
-    value: u64,
-    /// Step up to which the value has decayed.
-    step: u64,
-}
-
-impl Decaying {
-    fn at(self, step: u64) -> u64 {
-        let steps = step.saturating_sub(self.step);
-        let halvings = (steps / HALF_LIFE_STEPS).min(63);
-        let halved = self.value >> halvings;
-        (0..steps % HALF_LIFE_STEPS).fold(halved, |value, _| {
-            (u128::from(value) * STEP_LEFT_MILLIONTHS / 1_000_000) as u64
-        })
-    }
-}
-
 /// What client accounts have used: the cost of their requests that were sent, in microseconds of
 /// engine time, with a half-life of 2 s.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
--- a/src/logic/direct/admission/admission_state.rs
+++ b/src/logic/direct/admission/admission_state.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use super::decaying::Decaying;
 use super::{AccountUsage, AccountUse, PoolLoad, QueueKey, StartForecast};
 use crate::types::Millis;
 
@@ -34,6 +35,8 @@
     /// Forecast time to the first event at its best endpoint, without the time to read the
     /// request's own prompt; none before enough was measured.
     pub forecast: Option<Millis>,
+    /// Level of service: the highest use, before the request, of an account that was served.
+    pub level: Decaying,
     /// When a request was last sent there or found no room.
     pub used_at: Millis,
     /// Whether the start of contention was logged, and not yet its end.
--- /dev/null
+++ b/src/logic/direct/admission/decaying.rs
@@ -0,0 +1,44 @@
+use crate::types::Millis;
+
+/// Length of one step of the decay.
+pub(super) const STEP_MS: Millis = 100;
+
+/// Steps after which half of a use is left: 2 s, in which a head serves some dozens of requests.
+const HALF_LIFE_STEPS: u64 = 20;
+
+/// What one step leaves of a use, in millionths: the twentieth root of a half.
+const STEP_LEFT_MILLIONTHS: u128 = 965_936;
+
+/// A use that decays.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Decaying {
+    pub(super) value: u64,
+    /// Step up to which the value has decayed.
+    pub(super) step: u64,
+}
+
+impl Decaying {
+    /// What is left of it.
+    pub fn get(self, now: Millis) -> u64 {
+        self.at(now / STEP_MS)
+    }
+
+    /// Raises what is left to at least `value`.
+    pub fn raise(&mut self, now: Millis, value: u64) {
+        let step = now / STEP_MS;
+        *self = Self {
+            value: self.at(step).max(value),
+            step,
+        };
+    }
+
+    /// What is left of it at a step.
+    pub(super) fn at(self, step: u64) -> u64 {
+        let steps = step.saturating_sub(self.step);
+        let halvings = (steps / HALF_LIFE_STEPS).min(63);
+        let halved = self.value >> halvings;
+        (0..steps % HALF_LIFE_STEPS).fold(halved, |value, _| {
+            (u128::from(value) * STEP_LEFT_MILLIONTHS / 1_000_000) as u64
+        })
+    }
+}
--- a/src/logic/direct/admission/fair_order.rs
+++ b/src/logic/direct/admission/fair_order.rs
@@ -2,6 +2,10 @@
 
 use super::Precedence;
 
+/// Requests by which an account that has used little may be ahead of the level of service. Without
+/// a bound, one that was idle would get all room until its use is that of the others.
+const MAX_AHEAD: u64 = 4;
+
 /// A waiting request, as far as its place in the order depends on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct QueuedRequest<'a> {
@@ -36,9 +40,11 @@
 /// Orders waiting requests: resumed streams, then requests in time by priority, then late ones.
 /// Within one priority those that kept an appointment go first. Among equals start-time fair
 /// queueing decides: each account's requests are tagged with its use so far and the cost of its
-/// requests before them, and the lowest tag goes first; then arrival decides.
+/// requests before them, and the lowest tag goes first; then arrival decides. `level` is the use of
+/// the account that was served last; the first tag of an account is at most a few requests below.
 pub fn fair_order<'a>(
     mut requests: Vec<QueuedRequest<'a>>,
+    level: u64,
     used: impl Fn(&str) -> u64,
 ) -> Vec<QueuedRequest<'a>> {
     if requests.len() < 2 {
@@ -47,9 +53,10 @@
     requests.sort_unstable_by_key(|r| (r.rank(), r.id));
     let mut tags: BTreeMap<&str, u64> = BTreeMap::new();
     let tagged = requests.into_iter().map(|request| {
-        let next = tags
-            .entry(request.account)
-            .or_insert_with(|| used(request.account));
+        let next = tags.entry(request.account).or_insert_with(|| {
+            let lowest = level.saturating_sub(MAX_AHEAD * request.cost);
+            used(request.account).max(lowest)
+        });
         let start = *next;
         *next = start.saturating_add(request.cost);
         (start, request)
--- a/src/logic/direct/admission/mod.rs
+++ b/src/logic/direct/admission/mod.rs
@@ -9,6 +9,7 @@
 mod account_usage;
 mod account_use;
 mod admission_state;
+mod decaying;
 mod fair_order;
 mod pool_load;
 mod precedence;
--- a/src/logic/direct/admission/pool.rs
+++ b/src/logic/direct/admission/pool.rs
@@ -104,8 +104,10 @@
     let charge = flight.tried.is_empty();
     let engine = engine_of(state, &flight.service);
     let (account, cost) = (account(flight).clone(), cost(engine, flight));
+    let used = state.admission.usage.of(now, &account);
     let pool = pool_mut(state, now, &key);
     pool.load.on_sent(now);
+    pool.level.raise(now, used);
     if late {
         pool.load.on_contention(now, id);
         state.admission.late += 1;
@@ -343,7 +345,8 @@
         })
     });
     let usage = &state.admission.usage;
-    let order = fair_order(requests.collect(), |account| usage.of(now, account));
+    let level = pool.map_or(0, |p| p.level.get(now));
+    let order = fair_order(requests.collect(), level, |account| usage.of(now, account));
     let prompt = |id| state.in_flight.get(&id).map_or(0, |f| f.prompt_tokens);
     let place = |request: QueuedRequest| Place {
         id: request.id,
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -107,7 +107,19 @@
 }
 
 fn order(requests: Vec<QueuedRequest>, used: impl Fn(&str) -> u64) -> Vec<u64> {
-    fair_order(requests, used).iter().map(|r| r.id).collect()
+    fair_order(requests, 0, used).iter().map(|r| r.id).collect()
+}
+
+/// An account that was idle would get all room until it has used as much as the others.
+#[test]
+fn an_account_that_was_idle_is_only_a_few_requests_ahead() {
+    let steady = (0..3).map(|id| queued(id, "steady"));
+    let idle = (10..20).map(|id| queued(id, "idle"));
+    let requests: Vec<_> = steady.chain(idle).collect();
+    let used = |account: &str| if account == "steady" { 500 } else { 0 };
+    let order = fair_order(requests, 500, used);
+    let order: Vec<u64> = order.iter().map(|r| r.id).collect();
+    assert_eq!(order[..8], [10, 11, 12, 13, 0, 14, 1, 15]);
 }
 
 /// Fairness must not delay streams that have begun, or let late work go before requests in time.
