Admission: the bound on idle accounts holds over several events

The bound was computed anew at each event, so that an account that was idle still got each single place that became free until its use was that of the others. What lifts it when it is served is now kept by pool, decays and is bounded like the use. A pool that was not used for 10 s is forgotten, which is tested.

--- a/src/logic/direct/admission/admission_state.rs
+++ b/src/logic/direct/admission/admission_state.rs
@@ -37,6 +37,9 @@
     pub forecast: Option<Millis>,
     /// Level of service: the highest use, before the request, of an account that was served.
     pub level: Decaying,
+    /// By how much accounts that had used little were lifted towards that level when they were
+    /// served; part of their tags in this pool.
+    pub lifts: AccountUsage,
     /// When a request was last sent there or found no room.
     pub used_at: Millis,
     /// Whether the start of contention was logged, and not yet its end.
--- a/src/logic/direct/admission/fair_order.rs
+++ b/src/logic/direct/admission/fair_order.rs
@@ -53,10 +53,9 @@
     requests.sort_unstable_by_key(|r| (r.rank(), r.id));
     let mut tags: BTreeMap<&str, u64> = BTreeMap::new();
     let tagged = requests.into_iter().map(|request| {
-        let next = tags.entry(request.account).or_insert_with(|| {
-            let lowest = level.saturating_sub(MAX_AHEAD * request.cost);
-            used(request.account).max(lowest)
-        });
+        let next = tags
+            .entry(request.account)
+            .or_insert_with(|| used(request.account).max(lowest_tag(level, request.cost)));
         let start = *next;
         *next = start.saturating_add(request.cost);
         (start, request)
@@ -65,3 +64,8 @@
     tagged.sort_unstable_by_key(|(start, r)| (r.rank(), *start, r.id));
     tagged.into_iter().map(|(_, request)| request).collect()
 }
+
+/// Lowest first tag of an account whose next request has this cost.
+pub(super) fn lowest_tag(level: u64, cost: u64) -> u64 {
+    level.saturating_sub(MAX_AHEAD * cost)
+}
--- a/src/logic/direct/admission/pool.rs
+++ b/src/logic/direct/admission/pool.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use super::fair_order::lowest_tag;
 use super::verdict::usable_forecast;
 use super::{
     concurrency_limit, fair_order, queue, request_cost, PoolState, Precedence, QueueKey,
@@ -107,7 +108,12 @@
     let used = state.admission.usage.of(now, &account);
     let pool = pool_mut(state, now, &key);
     pool.load.on_sent(now);
-    pool.level.raise(now, used);
+    let used = used + pool.lifts.of(now, &account);
+    let lift = lowest_tag(pool.level.get(now), cost).saturating_sub(used);
+    if lift > 0 {
+        pool.lifts.charge(now, &account, lift);
+    }
+    pool.level.raise(now, used + lift);
     if late {
         pool.load.on_contention(now, id);
         state.admission.late += 1;
@@ -346,7 +352,11 @@
     });
     let usage = &state.admission.usage;
     let level = pool.map_or(0, |p| p.level.get(now));
-    let order = fair_order(requests.collect(), level, |account| usage.of(now, account));
+    let used = |account: &str| {
+        let lift = pool.map_or(0, |p| p.lifts.of(now, account));
+        usage.of(now, account).saturating_add(lift)
+    };
+    let order = fair_order(requests.collect(), level, used);
     let prompt = |id| state.in_flight.get(&id).map_or(0, |f| f.prompt_tokens);
     let place = |request: QueuedRequest| Place {
         id: request.id,
@@ -409,6 +419,9 @@
             continue;
         }
         refresh_forecast(state, &key);
+        if let Some(pool) = state.admission.pools.get_mut(&key) {
+            pool.lifts.on_tick(now);
+        }
         let order = send_order(state, now, &key);
         for (ahead, place) in order.iter().enumerate() {
             judge(state, now, place.id, ahead as u64, out);
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -416,6 +416,23 @@
     assert_eq!(router.state().admission.usage.len(), 3);
 }
 
+/// The bound has to hold over several events: an account that was idle would start anew at each.
+#[test]
+fn an_account_that_was_idle_gets_no_more_than_a_few_requests_before_the_others() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    for id in 100..109 {
+        assert!(router.ask_for(by(1, id, "/stream/x")).is_empty());
+    }
+    for id in 109..112 {
+        assert!(router.ask_for(by(9, id, "/stream/x")).is_empty());
+    }
+    let order = end_runs(&mut router, &runs[..12]);
+    let first = order.iter().position(|id| *id == 109).expect("sent");
+    let last = order.iter().position(|id| *id == 111).expect("sent");
+    assert!((4..=6).contains(&first) && last <= 10, "{order:?}");
+}
+
 /// A request that arrives when room has just become free would overtake those that wait.
 #[test]
 fn a_request_that_arrives_takes_its_place_in_the_order() {
@@ -707,6 +724,8 @@
         forecast.is_some_and(|ms| (60..=100).contains(&ms)),
         "{forecast:?}"
     );
+    router.advance_ms(11_000);
+    assert!(router.state().admission.pools.is_empty(), "long unused");
 }
 
 /// A lost router or caller would leave the request in the queue.
