--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -179,4 +179,7 @@
     OrderFencesUsed = 659 Info "planner lease handed back: its order fences are used up";
     OrdersStopped = 660 Warn "endpoint gets no more orders: it answers none and is lost or not listed";
     SuspectTried = 661 Info "request at the same crashes as another is tried alone";
+    PoolContended = 662 Info "requests contend for endpoints";
+    PoolCalm = 663 Info "requests no longer contend for endpoints";
+    AccountsEvicted = 664 Warn "more client accounts than are kept: the least used ones are forgotten";
 }
