Schedule all loads from the weight store by one decision

Spares exceeded the number of loads that run at full speed, and an empty endpoint beside seven waiting members of a group of 8 loaded the other model, because members of other groups whose hosts store a model counted as available for a group of it.

With the part capacity on, capacity::plan_loads plans the loads of a service: at most loads_at_once are in progress; a load that completes a needed group comes first, then replacements by the loss that they prevent, then leftover endpoints. Endpoints that are silent, leaving, evacuated, lost or hold off orders load nothing; one that doesn't answer its order is probed before it gets another. The initial phase is as before. Off by default.

--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -7,10 +7,12 @@
 //! set themselves, `leaving` keeps requests from those that announce their end, and `evacuation` from halls
 //! that operators evacuate.
 //! `list_start` gets the endpoint list after a start.
+//! `capacity` decides which capacity is prepared.
 //! `plan` forms and repairs groups while this router holds the planner lease, and `digests`
 //! broadcasts what the planner has read to all routers.
 
 pub mod admission;
+pub mod capacity;
 pub mod crashes;
 pub mod limits;
 pub mod plan;
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -9,7 +9,8 @@
 //! `inspect` finds groups that need a repair, an orderly end or their next step, and
 //! `form` and `retire` form and end groups by the orders that `order` sends.
 //! `place` and `fill` decide which groups to form, `trade` which open group to end in
-//! favour of others, and `stage` which models to load in advance. `value` estimates
+//! favour of others, and `stage` which models to load in advance, with `scheduled` where
+//! the part `capacity` is on. `value` estimates
 //! what groups are worth given the demand, `readiness` what a load in advance adds.
 //! `idle` reports endpoints that serve in no group, with the reason.
 
@@ -34,6 +35,7 @@
 mod probe;
 mod readiness;
 mod retire;
+mod scheduled;
 mod stage;
 mod staging;
 mod survey;
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -7,7 +7,7 @@
 
 use std::sync::Arc;
 
-use super::{form, retire, QueuedOrder};
+use super::{form, retire, scheduled, QueuedOrder};
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -182,6 +182,9 @@
         OrderUse::Leave(group) if has_left(result) => retire::on_head_left(state, group),
         OrderUse::Stage(id) if !is_accepted => {
             state.plan.staging.remove(&id);
+            if result == OrderResult::Unanswered {
+                scheduled::on_order_unanswered(state, now, &id, out);
+            }
         }
         _ => {}
     }
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -31,6 +31,8 @@
     pub incomplete: BTreeMap<Arc<str>, Millis>,
     /// Endpoints that were ordered to load a model in advance.
     pub staging: BTreeMap<InstanceId, StagedLoad>,
+    /// Loads that are worth their cost and wait for the weight store, where they follow a schedule.
+    pub loads_waiting: usize,
     /// Lost endpoints, with the time of the loss.
     pub lost: BTreeMap<InstanceId, Millis>,
     /// Free endpoints, while this router is the planner.
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -88,6 +88,7 @@
     plan.ended.clear();
     plan.incomplete.clear();
     plan.staging.clear();
+    plan.loads_waiting = 0;
     plan.orders.clear();
     plan.order_queue.clear();
     plan.misfits.clear();
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -9,14 +9,14 @@
 
 use super::readiness::{self, ServiceReadiness, MIN_LOAD_VALUE};
 use super::survey::{self, Place};
-use super::{fill, form, order, value, OrderUse, StagedLoad};
+use super::{fill, form, order, scheduled, value, OrderUse, StagedLoad};
 use crate::logic::direct::{demand, DirectState, EndpointView, GroupStep, Mechanism};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// Time beyond twice the load time after which an order to load that shows no effect may
 /// be given again.
-const LOAD_SLACK_MS: Millis = 3_000;
+pub(super) const LOAD_SLACK_MS: Millis = 3_000;
 
 /// Loads that may be under way in the initial phase, as a multiple of those that run at
 /// full speed together.
@@ -39,6 +39,7 @@
         && state.params.is_enabled(Mechanism::SecondModels)
     {
         stage_second_models(state, now, out);
+        scheduled::on_tick(state, now, out);
     }
 }
 
@@ -66,7 +67,8 @@
             if warm.is_some() && !view.is_some_and(|v| v.seen_start) {
                 continue;
             }
-            if warm.is_none() && !can_load(state, &readiness.engine) {
+            let is_scheduled = scheduled::is_active(state, &readiness.engine);
+            if warm.is_none() && (is_scheduled || !can_load(state, &readiness.engine)) {
                 continue;
             }
             let model = warm.or_else(|| choose_model(state, &place, &free, readiness));
@@ -123,6 +125,9 @@
         .map(|v| v.entry.service.clone())
         .collect();
     for service in services {
+        if fill::engine(state, &service).is_some_and(|e| scheduled::is_active(state, &e)) {
+            continue;
+        }
         let Some(mut readiness) = ServiceReadiness::of(state, now, &service) else {
             continue;
         };
@@ -139,10 +144,7 @@
             };
             readiness.add_load(&domain, m, free.contains(&id));
             let model = readiness.engine.models[m].name.clone();
-            let step = GroupStep::Stage {
-                model: model.clone(),
-            };
-            send_load_order(state, now, &id, &model, true, step, out);
+            send_stage_order(state, now, &id, &model, out);
         }
     }
 }
@@ -207,7 +209,7 @@
 }
 
 /// Whether another load from the weight store may begin.
-fn can_load(state: &DirectState, engine: &EngineSpec) -> bool {
+pub(super) fn can_load(state: &DirectState, engine: &EngineSpec) -> bool {
     // In the initial phase the published rate doesn't apply. The loads under way are bounded
     // all the same: those that last beyond the first request cost as much as any other.
     let few = state.plan.staging.len() < INITIAL_LOADS_FACTOR * engine.loads_at_once as usize;
@@ -216,7 +218,7 @@
 
 /// Orders a spare to hold a model, by joining a group of its own. `is_cold` says whether it
 /// has to load the model from the weight store.
-fn send_hold_order(
+pub(super) fn send_hold_order(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
@@ -234,6 +236,20 @@
     send_load_order(state, now, id, model, is_cold, step, out);
 }
 
+/// Orders an endpoint to load a model from the weight store to its host.
+pub(super) fn send_stage_order(
+    state: &mut DirectState,
+    now: Millis,
+    id: &InstanceId,
+    model: &Arc<str>,
+    out: &mut Vec<Effect>,
+) {
+    let step = GroupStep::Stage {
+        model: model.clone(),
+    };
+    send_load_order(state, now, id, model, true, step, out);
+}
+
 fn send_load_order(
     state: &mut DirectState,
     now: Millis,
@@ -252,6 +268,8 @@
         model: model.clone(),
         since: now,
         hold,
+        cold: is_cold,
+        due: scheduled::on_load_begun(state, now, id, model, is_cold),
     };
     state.plan.staging.insert(id.clone(), staging);
     if is_cold {
--- a/src/logic/direct/plan/staging.rs
+++ b/src/logic/direct/plan/staging.rs
@@ -11,4 +11,8 @@
     pub since: Millis,
     /// Whether the endpoint itself is to hold it, and not only its host.
     pub hold: bool,
+    /// Whether it is loaded from the weight store, and not from the host.
+    pub cold: bool,
+    /// When a load from the weight store is over unless it has failed.
+    pub due: Millis,
 }
--- /dev/null
+++ b/tests/direct/capacity.rs
@@ -0,0 +1,293 @@
+//! Which capacity the planner prepares where the part `capacity` is on.
+
+use std::collections::BTreeMap;
+
+use runrail::logic::direct::capacity::{
+    plan_loads, LoadDomain, LoadInput, LoadModel, LoadSource, LoadUse, PlannedLoad, ReadyCounts,
+};
+use runrail::logic::direct::{
+    DirectEffect, DirectEvent, EndpointView, FeatureMode, GroupStep, HoldOffPhase, OrderResult,
+    ProbeResult,
+};
+use runrail::types::{EndpointEntry, InstanceId};
+
+use crate::fixture::{at, engine, open_group, order, Router};
+
+const EMPTY: LoadSource = LoadSource {
+    seated: false,
+    held: None,
+};
+
+/// A model of groups of 8 and one of groups of 4; one more group of either is needed.
+fn models() -> Vec<LoadModel> {
+    let model = |size, gains: &[f64]| LoadModel {
+        size,
+        gains: gains.to_vec(),
+        loss: 0.05,
+        member_losses: 0.05,
+    };
+    vec![model(8, &[0.05]), model(4, &[0.05])]
+}
+
+/// A domain by its members, free and seated endpoints that are ready for either model.
+fn domain(ready: [(usize, usize, usize); 2], sources: &[(LoadSource, &[u16])]) -> LoadDomain {
+    let ready = ready.map(|(members, free, seated)| ReadyCounts {
+        members,
+        free,
+        seated,
+    });
+    let id = |n: &u16| InstanceId::new(&format!("e{n}"));
+    let sources: BTreeMap<_, Vec<_>> = sources
+        .iter()
+        .map(|(source, numbers)| (*source, numbers.iter().map(id).collect()))
+        .collect();
+    let empty = sources.get(&EMPTY).map_or(0, Vec::len);
+    LoadDomain {
+        free: ready[0].free.max(ready[1].free) + empty,
+        ready: ready.to_vec(),
+        sources,
+    }
+}
+
+fn plan(domains: Vec<LoadDomain>, max_loads: usize) -> Vec<PlannedLoad> {
+    plan_loads(&LoadInput {
+        models: models(),
+        domains,
+        max_loads,
+    })
+}
+
+/// Guards against a group of 8 that has lost a member and waits forever: endpoints in groups of the
+/// other model whose hosts store its model counted as available, so that the one empty endpoint
+/// loaded the other model.
+#[test]
+fn an_empty_endpoint_beside_seven_waiting_members_completes_their_group() {
+    let beside = domain([(0, 7, 4), (4, 0, 0)], &[(EMPTY, &[1])]);
+    let elsewhere = domain([(8, 0, 0), (4, 0, 0)], &[(EMPTY, &[2, 3, 4, 5])]);
+    let first = plan(vec![elsewhere, beside], 1);
+    let expected = PlannedLoad {
+        id: InstanceId::new("e1"),
+        model: 0,
+        hold: true,
+        purpose: LoadUse::Completes,
+    };
+    assert_eq!(first, [expected]);
+}
+
+/// Guards against loads for a group that can't be completed: with one loadable endpoint beside two
+/// waiting ones, no group of either model forms.
+#[test]
+fn an_endpoint_that_completes_no_group_replaces_members() {
+    let planned = plan(vec![domain([(8, 2, 0), (4, 0, 0)], &[(EMPTY, &[1])])], 1);
+    assert_eq!(planned[0].purpose, LoadUse::Replaces);
+    assert_eq!(planned[0].model, 1, "no endpoint can replace a member of 4");
+}
+
+/// Guards against waiting members that nothing is loaded for: seven wait for an eighth that doesn't
+/// exist, and four of them can form a group of the other model after loads to their hosts.
+#[test]
+fn members_without_an_eighth_load_the_other_model() {
+    let held = LoadSource {
+        seated: false,
+        held: Some(0),
+    };
+    let waiting = domain([(0, 7, 0), (4, 0, 0)], &[(held, &[1, 2, 3, 4, 5, 6, 7])]);
+    let planned = plan(vec![waiting], 4);
+    assert_eq!(planned.len(), 4);
+    assert!(
+        planned.iter().all(|p| p.model == 1 && !p.hold),
+        "{planned:?}"
+    );
+    assert!(planned.iter().all(|p| p.purpose == LoadUse::Completes));
+}
+
+/// Guards against one needed group for which several domains load at the same time.
+#[test]
+fn loads_for_one_needed_group_stay_in_one_domain() {
+    let spare = |n: u16| domain([(8, 0, 0), (0, 3, 0)], &[(EMPTY, &[n])]);
+    let planned = plan(vec![spare(1), spare(2)], 2);
+    let completes = planned.iter().filter(|p| p.purpose == LoadUse::Completes);
+    assert_eq!(completes.count(), 1, "{planned:?}");
+}
+
+/// Guards against endpoints that stay without a second model because no group can use them: three
+/// of a domain of 19 are left over, and later replace members of either kind at once.
+#[test]
+fn leftover_endpoints_become_ready_for_both_models() {
+    let held = LoadSource {
+        seated: false,
+        held: Some(0),
+    };
+    let ready = [(8, 3, 0), (8, 0, 0)];
+    let safe = |model: &LoadModel| LoadModel {
+        member_losses: 0.0,
+        ..model.clone()
+    };
+    let planned = plan_loads(&LoadInput {
+        models: models().iter().map(safe).collect(),
+        domains: vec![domain(ready, &[(held, &[1, 2, 3])])],
+        max_loads: 8,
+    });
+    assert_eq!(planned.len(), 3, "{planned:?}");
+    assert!(planned.iter().all(|p| p.model == 1));
+    assert!(planned.iter().all(|p| p.purpose == LoadUse::Leftover));
+}
+
+/// Guards against loads without end in a fleet of more endpoints than its callers need.
+#[test]
+fn free_endpoints_that_could_form_an_unneeded_group_load_nothing() {
+    let unneeded = |model: &LoadModel| LoadModel {
+        gains: Vec::new(),
+        loss: 0.0,
+        ..model.clone()
+    };
+    let planned = plan_loads(&LoadInput {
+        models: models().iter().map(unneeded).collect(),
+        domains: vec![domain(
+            [(8, 0, 0), (4, 0, 0)],
+            &[(EMPTY, &[1, 2, 3, 4, 5, 6])],
+        )],
+        max_loads: 8,
+    });
+    assert_eq!(planned, []);
+}
+
+/// A planner with the part on.
+fn planner(entries: Vec<(InstanceId, EndpointEntry)>) -> Router {
+    let mut router = Router::new(entries);
+    let state = router.state();
+    state.plan.has_traffic = true;
+    state.params.features.capacity = FeatureMode::On;
+    router.advance_ms(480);
+    assert!(router.holds_lease(), "the planner lease was not taken");
+    router
+}
+
+/// An endpoint that holds no model and whose host stores none.
+fn empty(n: u16) -> (InstanceId, EndpointEntry) {
+    let (id, mut entry) = engine(n, None);
+    entry.model = None;
+    entry.staged = Vec::new();
+    (id, entry)
+}
+
+/// Endpoints that were ordered to load a model, with the model.
+fn loads(effects: &[DirectEffect]) -> Vec<(String, String)> {
+    let load = |e| match order(e) {
+        Some((_, id, GroupStep::Join { members, model, .. })) if members.len() == 1 => {
+            Some((id, model.to_string()))
+        }
+        Some((_, id, GroupStep::Stage { model })) => Some((id, model.to_string())),
+        _ => None,
+    };
+    effects.iter().filter_map(load).collect()
+}
+
+/// Two members of a group of three that has ended, and an endpoint that holds nothing.
+fn two_of_three() -> Vec<(InstanceId, EndpointEntry)> {
+    vec![engine(1, None), engine(2, None), empty(3)]
+}
+
+/// Guards against more loads at a time than the weight store serves at full speed: each takes
+/// proportionally longer then.
+#[test]
+fn no_more_loads_are_in_progress_than_run_at_full_speed() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend((10..60).map(empty));
+    let mut router = planner(entries);
+    let mut ordered = loads(&router.take_effects()).len();
+    router.advance_ms(10_000);
+    ordered += loads(&router.take_effects()).len();
+    assert_eq!(ordered, 6, "all last 12 s");
+    let waiting = router.state().plan.loads_waiting;
+    assert!(waiting > 0, "the others wait");
+    router.advance_ms(8_000);
+    let later = loads(&router.take_effects()).len();
+    assert_eq!(later, 6, "overdue loads have failed");
+}
+
+/// Guards against a load for an endpoint that can't carry it out, which keeps others from theirs.
+#[test]
+fn an_endpoint_that_cannot_carry_out_a_load_gets_none() {
+    type Prepare = fn(&mut Router);
+    let cases: [(&str, Prepare); 5] = [
+        ("evacuated", |r| {
+            let halls = vec!["h1".into()];
+            r.tell(DirectEvent::HallsRead { at: at(1), halls });
+        }),
+        ("silent", |r| {
+            let now = r.now;
+            view(r, "e3").silent_since = Some(now);
+        }),
+        ("leaving", |r| view(r, "e3").leaving = true),
+        ("holding off", |r| {
+            view(r, "e3").hold_off = Some(HoldOffPhase {
+                until: 100_000,
+                calls_until: 100_000,
+                ..HoldOffPhase::default()
+            });
+        }),
+        ("fit", |_| {}),
+    ];
+    for (case, prepare) in cases {
+        let mut router = Router::new(two_of_three());
+        router.state().plan.has_traffic = true;
+        router.state().params.features.capacity = FeatureMode::On;
+        for _ in 0..100 {
+            prepare(&mut router);
+            router.advance_ms(20);
+        }
+        let loads = loads(&router.take_effects());
+        let expected = usize::from(case == "fit");
+        let of_e3 = loads.iter().filter(|(id, _)| id == "e3");
+        assert_eq!(of_e3.count(), expected, "{case}: {loads:?}");
+    }
+}
+
+fn view<'a>(router: &'a mut Router, id: &str) -> &'a mut EndpointView {
+    let endpoints = &mut router.state().endpoints;
+    endpoints.get_mut(&InstanceId::new(id)).expect("listed")
+}
+
+/// Guards against a change of the schedule where the part is off: second models are loaded as
+/// before, so that spares exceed the number of loads at full speed.
+#[test]
+fn without_the_part_loads_are_ordered_as_before() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend((10..60).map(empty));
+    let mut router = Router::planner(entries);
+    router.advance_ms(10_000);
+    assert!(loads(&router.take_effects()).len() > 12);
+}
+
+/// Guards against orders to load that are repeated without limit to endpoints of a hall that can't be
+/// reached, each of which takes from the budget of loads.
+#[test]
+fn an_endpoint_that_does_not_answer_is_probed_before_it_is_ordered_again() {
+    let mut router = planner(two_of_three());
+    let mut orders = 0;
+    let mut probes = 0;
+    for _ in 0..100 {
+        router.advance_ms(20);
+        for effect in router.take_effects() {
+            match (&effect, order(&effect)) {
+                (_, Some((number, id, _))) if id == "e3" => {
+                    orders += 1;
+                    router.answer_order(number, OrderResult::Unanswered);
+                }
+                (DirectEffect::Probe { id, .. }, _) if id.as_str() == "e3" => {
+                    probes += 1;
+                    router.answer_probe("e3", ProbeResult::Silent);
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(orders, 1);
+    assert!(probes >= 2, "{probes}");
+    assert!(router
+        .state()
+        .plan
+        .lost
+        .contains_key(&InstanceId::new("e3")));
+}
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod answers;
+mod capacity;
 mod cold;
 mod command_line;
 mod crashes;
