Report loads in progress in digests for the next planner

A new planner didn't know which loads its predecessor had ordered, so that both together exceeded the number that runs at full speed and all took nearly twice as long.

With the part capacity on, digests carry the youngest loads in progress (at most 16, as far as the datagram has room), sent at once after an order. A router that becomes the planner counts them among its own until they end or their published time with slack has passed, also its own from an earlier term. With the part off the field is empty and isn't encoded.

--- a/src/logic/direct/capacity/mod.rs
+++ b/src/logic/direct/capacity/mod.rs
@@ -6,6 +6,7 @@
 mod load_domain;
 mod load_input;
 mod load_model;
+mod load_report;
 mod load_schedule;
 mod load_source;
 mod load_use;
@@ -15,6 +16,7 @@
 pub use load_domain::LoadDomain;
 pub use load_input::LoadInput;
 pub use load_model::LoadModel;
+pub use load_report::LoadReport;
 pub use load_schedule::plan_loads;
 pub use load_source::LoadSource;
 pub use load_use::LoadUse;
--- a/src/logic/direct/digest.rs
+++ b/src/logic/direct/digest.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::capacity::LoadReport;
 use super::{EndpointUpdate, ModelDemand};
 use crate::types::{InstanceId, Millis, StorePosition};
 
@@ -38,6 +39,9 @@
     pub told: u64,
     /// Their demand a second, by model.
     pub demand: Vec<ModelDemand>,
+    /// The youngest loads from the weight store in progress, as far as there is room.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<LoadReport>,
     /// Endpoint updates, each with the position up to which it was read.
     pub news: Vec<(StorePosition, EndpointUpdate)>,
 }
--- a/src/logic/direct/digest_part.rs
+++ b/src/logic/direct/digest_part.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Size of its updates, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Adds a batch of updates, as far as there is room.
     fn add(&mut self, batch: &UpdateBatch, max_bytes: usize) {
         self.upto = self.upto.max(batch.after);
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -7,7 +7,7 @@
 
 use super::digest_part::{next_batches, split_into_parts, MAX_UPDATE_BYTES};
 use super::{
-    demand, endpoints, evacuation, tree, DirectEffect, DirectState, EndpointUpdate, ListPace,
+    demand, endpoints, evacuation, plan, tree, DirectEffect, DirectState, EndpointUpdate, ListPace,
 };
 use super::{list_start, Digest, KeysSource, ListChange, Mechanism, PeerMessage, UpdateBatch};
 use crate::logic::Effect;
@@ -198,6 +198,11 @@
             halls_at: state.evacuation.known_at,
             told,
             demand: demand.clone(),
+            loads: if n == last {
+                plan::reported_loads(state, now, max_bytes.saturating_sub(part.bytes()))
+            } else {
+                Vec::new()
+            },
             news: part.news,
         };
         for tree in 0..tree::TREES {
@@ -234,6 +239,7 @@
     let waited = now.saturating_sub(state.previous_tick);
     digest.list_age += waited;
     digest.routing_age += waited;
+    digest.loads.iter_mut().for_each(|l| l.age += waited);
     if Some(digest.upto.era) < state.store_era {
         // Its sender hasn't noticed yet that the store was restored from a backup.
         return;
@@ -263,6 +269,7 @@
 fn apply_digest(state: &mut DirectState, now: Millis, digest: Digest, out: &mut Vec<Effect>) {
     state.digests.last_applied = digest.number;
     demand::on_fleet_demand(state, now, digest.told, digest.demand);
+    plan::on_loads_reported(state, now, digest.loads);
     if digest.upto.era != state.listed_at.era {
         // The store was restored from a backup. This router finds out by reading it.
         state.digests.list_until = 0;
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -10,7 +10,8 @@
 //! `form` and `retire` form and end groups by the orders that `order` sends.
 //! `place` and `fill` decide which groups to form, `trade` which open group to end in
 //! favour of others, and `stage` which models to load in advance, with `scheduled` where
-//! the part `capacity` is on. `value` estimates
+//! the part `capacity` is on and `known_loads`, by which a new planner continues with the loads of
+//! its predecessor. `value` estimates
 //! what groups are worth given the demand, `readiness` what a load in advance adds.
 //! `idle` reports endpoints that serve in no group, with the reason.
 
@@ -23,6 +24,7 @@
 mod idle;
 mod idle_reason;
 mod inspect;
+mod known_loads;
 mod load_budget;
 mod mix;
 mod model_load;
@@ -47,6 +49,7 @@
 pub use group_view::{GroupMember, GroupView};
 pub use idle::IdleEndpoint;
 pub use idle_reason::IdleReason;
+pub use known_loads::KnownLoad;
 pub use load_budget::LoadBudget;
 pub use order::OrderUse;
 pub use order_queue::{OrderQueue, QueuedOrder};
@@ -57,6 +60,7 @@
 pub use staging::StagedLoad;
 
 pub(super) use form::apply_known_seat;
+pub(super) use known_loads::{on_loads_reported, reported_loads};
 pub(super) use order::{
     on_order_result, request_sending as request_order_sending, send_queued as send_queued_orders,
 };
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -3,8 +3,8 @@
 
 use super::survey::Place;
 use super::{
-    EndingGroup, FormingGroup, IdleEndpoint, LoadBudget, OrderQueue, OrderUse, PlannerLease,
-    ProbeState, StagedLoad,
+    EndingGroup, FormingGroup, IdleEndpoint, KnownLoad, LoadBudget, OrderQueue, OrderUse,
+    PlannerLease, ProbeState, StagedLoad,
 };
 use crate::observe::LabelledCount;
 use crate::types::{GroupSeat, InstanceId, Millis};
@@ -31,6 +31,8 @@
     pub incomplete: BTreeMap<Arc<str>, Millis>,
     /// Endpoints that were ordered to load a model in advance.
     pub staging: BTreeMap<InstanceId, StagedLoad>,
+    /// Loads from the weight store that the last planner knew of.
+    pub known_loads: BTreeMap<InstanceId, KnownLoad>,
     /// Loads that are worth their cost and wait for the weight store, where they follow a schedule.
     pub loads_waiting: usize,
     /// Lost endpoints, with the time of the loss.
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use super::{
-    fill, fleet_view, form, idle, inspect, planner_lease, probe, retire, stage, survey, value,
-    LoadBudget,
+    fill, fleet_view, form, idle, inspect, known_loads, planner_lease, probe, retire, stage,
+    survey, value, LoadBudget,
 };
 use crate::logic::direct::{DirectEffect, DirectState};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -27,10 +27,12 @@
     let holds = state.plan.lease.holds(now) && state.stop_since.is_none();
     if holds != state.plan.was_planner {
         state.plan.was_planner = holds;
+        known_loads::keep_own(state, now);
         clear_pass_state(state);
         if holds {
             state.plan.reread_at = now;
             state.plan.budget = LoadBudget::empty(now);
+            known_loads::adopt(state, now, out);
         }
         if !holds {
             let event = LogEvent::new(LogCode::PlannerLeaseLost).with("why", "not renewed in time");
--- a/src/logic/direct/plan/scheduled.rs
+++ b/src/logic/direct/plan/scheduled.rs
@@ -30,6 +30,16 @@
     is_called_for && !fill::is_initial_phase(state)
 }
 
+/// The same for the service of an endpoint.
+pub(super) fn is_active_for(state: &DirectState, id: &InstanceId) -> bool {
+    engine_of(state, id).is_some_and(|e| is_active(state, &e))
+}
+
+/// The engine of an endpoint's service.
+pub(super) fn engine_of(state: &DirectState, id: &InstanceId) -> Option<EngineSpec> {
+    fill::engine(state, &state.endpoints.get(id)?.entry.service)
+}
+
 /// Begins the most valuable loads of each service, as far as the weight store serves them at full
 /// speed.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
@@ -73,7 +83,12 @@
 
 /// Whether a load from the weight store is in progress: its endpoint isn't lost, and the time that
 /// it takes hasn't passed.
-fn is_in_progress(state: &DirectState, now: Millis, id: &InstanceId, load: &StagedLoad) -> bool {
+pub(super) fn is_in_progress(
+    state: &DirectState,
+    now: Millis,
+    id: &InstanceId,
+    load: &StagedLoad,
+) -> bool {
     load.cold && now < load.due && !state.plan.lost.contains_key(id)
 }
 
@@ -86,9 +101,7 @@
     model: &Arc<str>,
     is_cold: bool,
 ) -> Millis {
-    let service = state.endpoints.get(id).map(|v| v.entry.service.clone());
-    let engine = service.and_then(|s| fill::engine(state, &s));
-    let Some(engine) = engine.filter(|_| is_cold) else {
+    let Some(engine) = engine_of(state, id).filter(|_| is_cold) else {
         return now;
     };
     let load_ms = engine.model(model).map_or(0, |m| m.load_ms);
@@ -111,9 +124,7 @@
     id: &InstanceId,
     out: &mut Vec<Effect>,
 ) {
-    let service = state.endpoints.get(id).map(|v| v.entry.service.clone());
-    let engine = service.and_then(|s| fill::engine(state, &s));
-    if engine.is_some_and(|e| is_active(state, &e)) {
+    if is_active_for(state, id) {
         probe::send_if_due(state, now, id, out);
     }
 }
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -9,7 +9,7 @@
 
 use super::readiness::{self, ServiceReadiness, MIN_LOAD_VALUE};
 use super::survey::{self, Place};
-use super::{fill, form, order, scheduled, value, OrderUse, StagedLoad};
+use super::{fill, form, known_loads, order, scheduled, value, OrderUse, StagedLoad};
 use crate::logic::direct::{demand, DirectState, EndpointView, GroupStep, Mechanism};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{EngineSpec, InstanceId, Millis};
@@ -274,6 +274,7 @@
     state.plan.staging.insert(id.clone(), staging);
     if is_cold {
         state.plan.budget.take();
+        known_loads::request_report(state, id);
     }
     order::enqueue(state, id, step, OrderUse::Stage(id.clone()));
 }
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -176,4 +176,5 @@
     ModelMisfit = 656 Error "model fits no fabric domain: no group of it can be formed";
     EndpointHoldsOff = 657 Warn "endpoint asks this router to send it nothing for a time";
     HoldOffEnded = 658 Info "endpoint takes requests of this router again";
+    LoadsAdopted = 666 Info "loads of the last planner are in progress";
 }
--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -3,15 +3,19 @@
 use std::collections::BTreeMap;
 
 use runrail::logic::direct::capacity::{
-    plan_loads, LoadDomain, LoadInput, LoadModel, LoadSource, LoadUse, PlannedLoad, ReadyCounts,
+    plan_loads, LoadDomain, LoadInput, LoadModel, LoadReport, LoadSource, LoadUse, PlannedLoad,
+    ReadyCounts,
 };
+use runrail::logic::direct::plan::StagedLoad;
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, EndpointView, FeatureMode, GroupStep, HoldOffPhase, OrderResult,
-    ProbeResult,
+    Digest, DirectEffect, DirectEvent, EndpointView, FeatureMode, GroupStep, HoldOffPhase,
+    OrderResult, PeerMessage, ProbeResult,
 };
 use runrail::types::{EndpointEntry, InstanceId};
 
-use crate::fixture::{at, engine, open_group, order, Router};
+use crate::fixture::{
+    addr, at, empty_digest, engine, open_group, order, receive_digest, Router, FENCE,
+};
 
 const EMPTY: LoadSource = LoadSource {
     seated: false,
@@ -291,3 +295,117 @@
         .lost
         .contains_key(&InstanceId::new("e3")));
 }
+
+/// A load that a planner reports.
+fn report(n: u16, age: u64) -> LoadReport {
+    LoadReport {
+        id: InstanceId::new(&format!("e{n}")),
+        model: "big".into(),
+        age,
+    }
+}
+
+/// A router with many empty endpoints that becomes the planner after a digest with these loads.
+fn successor(reports: Vec<LoadReport>) -> Router {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend((10..60).map(empty));
+    let mut router = Router::started(20_000, entries.clone());
+    let state = router.state();
+    state.plan.has_traffic = true;
+    state.params.features.capacity = FeatureMode::On;
+    let digest = Digest {
+        loads: reports,
+        ..empty_digest(1, at(1))
+    };
+    receive_digest(&mut router, digest);
+    router.advance_ms(480);
+    assert!(router.holds_lease(), "the planner lease was not taken");
+    router.tell(DirectEvent::ListRead {
+        at: at(FENCE),
+        entries,
+    });
+    router
+}
+
+/// Guards against a new planner that orders loads on top of those of its predecessor, after which all
+/// take nearly twice as long.
+#[test]
+fn a_successor_counts_the_loads_in_progress_of_its_predecessor() {
+    let reports = (10..14).map(|n| report(n, 2_000)).collect();
+    let mut router = successor(reports);
+    router.advance_ms(8_000);
+    let ordered = loads(&router.take_effects());
+    assert_eq!(ordered.len(), 2, "{ordered:?}");
+    let inherited = ["e10", "e11", "e12", "e13"];
+    assert!(!ordered.iter().any(|(id, _)| inherited.contains(&&**id)));
+}
+
+/// Guards against loads that count forever: one that its endpoint has failed to carry out ends with
+/// its published time.
+#[test]
+fn loads_of_a_predecessor_expire() {
+    let reports = (10..16).map(|n| report(n, 12_000)).collect();
+    let mut router = successor(reports);
+    router.advance_ms(2_000);
+    assert_eq!(loads(&router.take_effects()), [], "all six are in progress");
+    router.advance_ms(3_000);
+    assert!(!loads(&router.take_effects()).is_empty());
+}
+
+/// Guards against a successor that learns nothing: a load reaches the other routers within the
+/// shortest time between two digests, and with its age.
+#[test]
+fn digests_report_the_loads_in_progress() {
+    let mut entries = two_of_three();
+    entries.extend(open_group("g", [5, 6, 7]));
+    let mut router = planner(entries);
+    router
+        .state()
+        .peers
+        .insert(InstanceId::new("r2"), addr(802));
+    router.advance_ms(1_000);
+    let digests = router.sent_messages().into_iter();
+    let reports = digests.filter_map(|(_, message)| match message {
+        PeerMessage::Digest(digest) => Some(digest.loads),
+        _ => None,
+    });
+    let last = reports.last().expect("a digest");
+    let third = last.iter().find(|l| l.id.as_str() == "e3");
+    let third = third.expect("the load of the third member");
+    assert!(third.age >= 500, "{}", third.age);
+}
+
+/// Guards against a digest that exceeds a datagram: of more loads than there is room for, the
+/// youngest are reported.
+#[test]
+fn a_digest_has_at_most_sixteen_loads() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend((10..40u16).map(empty));
+    let mut router = planner(entries);
+    let now = router.now;
+    let state = router.state();
+    state.peers.insert(InstanceId::new("r2"), addr(802));
+    for n in 10..40u64 {
+        let load = StagedLoad {
+            model: "big".into(),
+            since: now - n,
+            hold: true,
+            cold: true,
+            due: now + 10_000,
+        };
+        state
+            .plan
+            .staging
+            .insert(InstanceId::new(&format!("e{n}")), load);
+    }
+    router.take_effects();
+    router.advance_ms(500);
+    let mut digests = router.sent_messages().into_iter();
+    let loads = digests.find_map(|(_, message)| match message {
+        PeerMessage::Digest(digest) => Some(digest.loads),
+        _ => None,
+    });
+    let loads = loads.expect("a digest");
+    assert_eq!(loads.len(), 16);
+    assert_eq!(loads[0].id.as_str(), "e10");
+}
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -475,6 +475,7 @@
         halls_at: StorePosition::default(),
         told: 2,
         demand: Vec::new(),
+        loads: Vec::new(),
         news: Vec::new(),
     }
 }
