Predict demand by its trend for the needs of models

Needs were taken from the mean demand of 6 s, which lags by 3 s, while demand varies within 15 s and a group takes 1 to 2.5 s to open.

With the part capacity on, routers report the rate of the last 2 s and of the 2 s before along with the sums in PeerMessage::Demand (field trends, empty and not encoded otherwise), summed up through the tree. The planner extrapolates the change by 2 s, as far as it exceeds the standard deviation of random arrivals, within half and twice the present rate.

--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 
 use super::arrivals::ModelArrivals;
-use super::{tree, DirectEffect, DirectState, ModelDemand, PeerMessage};
+use super::capacity::{ModelTrend, TREND_PERIOD_MS};
+use super::{tree, DirectEffect, DirectState, Mechanism, ModelDemand, PeerMessage};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, RouteSpec};
 
@@ -56,6 +57,8 @@
     /// Demand of all routers by the last digest: arrival, number of routers counted, demand a
     /// second.
     fleet: Option<(Millis, u64, Vec<ModelDemand>)>,
+    /// Changes of demand by sender, with their arrival.
+    trends: BTreeMap<SocketAddr, (Millis, Vec<ModelTrend>)>,
     /// When the next report is due.
     report_at: Millis,
 }
@@ -64,8 +67,19 @@
     /// This router's own demand a second, by model.
     fn own(&self, now: Millis) -> Vec<ModelDemand> {
         let oldest = (now / SLOT_MS).saturating_sub(SLOTS);
+        let sums = self.sums(oldest, now / SLOT_MS);
+        let span = now.saturating_sub(self.since.unwrap_or(now));
+        let span = span.clamp(SLOT_MS, SLOTS * SLOT_MS);
+        let per_second = |arrivals: ModelArrivals| arrivals.first_tries().scaled(1_000, span);
+        let asked = |arrivals: &ModelArrivals| arrivals.received.requests > 0;
+        sums.into_values().filter(asked).map(per_second).collect()
+    }
+
+    /// Requests by model in the slots after `oldest` up to `newest`.
+    fn sums(&self, oldest: u64, newest: u64) -> BTreeMap<Arc<str>, ModelArrivals> {
         let mut sums: BTreeMap<Arc<str>, ModelArrivals> = BTreeMap::new();
-        for (_, models) in self.slots.iter().filter(|(slot, _)| *slot > oldest) {
+        let in_range = |slot: u64| slot > oldest && slot <= newest;
+        for (_, models) in self.slots.iter().filter(|(slot, _)| in_range(*slot)) {
             for (model, arrivals) in models {
                 let sum = sums
                     .entry(model.clone())
@@ -73,11 +87,32 @@
                 sum.add(arrivals);
             }
         }
-        let span = now.saturating_sub(self.since.unwrap_or(now));
-        let span = span.clamp(SLOT_MS, SLOTS * SLOT_MS);
-        let per_second = |arrivals: ModelArrivals| arrivals.first_tries().scaled(1_000, span);
-        let asked = |arrivals: &ModelArrivals| arrivals.received.requests > 0;
-        sums.into_values().filter(asked).map(per_second).collect()
+        sums
+    }
+
+    /// How this router's own demand has changed, by model; nothing before two periods were counted.
+    fn own_trends(&self, now: Millis) -> Vec<ModelTrend> {
+        let slot = now / SLOT_MS;
+        let slots = TREND_PERIOD_MS / SLOT_MS;
+        if self.age(now) < 2 * TREND_PERIOD_MS || slot < 2 * slots {
+            return Vec::new();
+        }
+        let middle = slot - slots;
+        // The current slot has only begun.
+        let last_ms = now - (middle + 1) * SLOT_MS;
+        let last = self.sums(middle, slot);
+        let before = self.sums(middle - slots, middle);
+        let rate = |sums: &BTreeMap<Arc<str>, ModelArrivals>, model: &Arc<str>, ms: Millis| {
+            let arrivals = sums.get(model);
+            arrivals.map_or(0, |a| a.first_tries().requests * 1_000 / ms.max(1))
+        };
+        let trend = |demand: ModelDemand| ModelTrend {
+            mean: demand.requests,
+            last: rate(&last, &demand.model, last_ms),
+            before: rate(&before, &demand.model, TREND_PERIOD_MS),
+            model: demand.model,
+        };
+        self.own(now).into_iter().map(trend).collect()
     }
 
     /// Requests for a model in the current slot.
@@ -153,7 +188,16 @@
     let to = holder.and_then(|root| tree::parent(state, &root));
     if let Some(to) = to {
         let (routers, models) = subtree_demand(state, now);
-        let message = PeerMessage::Demand { routers, models };
+        let trends = if uses_trends(state) {
+            subtree_trends(state, now).into_values().collect()
+        } else {
+            Vec::new()
+        };
+        let message = PeerMessage::Demand {
+            routers,
+            models,
+            trends,
+        };
         out.push(Effect::Direct(DirectEffect::SendMessage { to, message }));
     }
 }
@@ -172,6 +216,63 @@
     reports.insert(from, (now, routers, models));
 }
 
+/// Handles the changes of demand in another router's report.
+pub(super) fn on_trends(
+    state: &mut DirectState,
+    now: Millis,
+    from: SocketAddr,
+    trends: Vec<ModelTrend>,
+) {
+    let known = &mut state.demand.trends;
+    known.retain(|_, (at, _)| now < *at + REPORT_VALID_MS);
+    known.remove(&from);
+    if !trends.is_empty() {
+        known.insert(from, (now, trends));
+    }
+}
+
+/// Whether the change of demand is used for any service.
+fn uses_trends(state: &DirectState) -> bool {
+    let services = state.routing.iter().flat_map(|r| r.services.values());
+    let mut engines = services.filter_map(|s| s.engine.as_ref());
+    engines.any(|e| state.params.is_active(Mechanism::Capacity, Some(e)))
+}
+
+/// How the demand of the routers in this router's subtree has changed, by model.
+fn subtree_trends(state: &DirectState, now: Millis) -> BTreeMap<Arc<str>, ModelTrend> {
+    let reported = state.demand.trends.values();
+    let fresh = reported.filter(|(at, _)| now < at + REPORT_VALID_MS);
+    let own = state.demand.own_trends(now);
+    let mut sums: BTreeMap<Arc<str>, ModelTrend> = BTreeMap::new();
+    for trend in own.iter().chain(fresh.flat_map(|(_, trends)| trends)) {
+        let sum = sums.entry(trend.model.clone());
+        let sum = sum.or_insert_with(|| ModelTrend::none(&trend.model));
+        sum.add(trend);
+    }
+    sums
+}
+
+/// Greatest ratio of the expected demand to the mean of the window: twice that of the last 2 s, if
+/// all requests of the window came in these.
+const MAX_CHANGE_PERMILLE: u64 = 2_000 * SLOTS * SLOT_MS / TREND_PERIOD_MS;
+
+/// Expected demand a second of all routers, by model, at the time at which a group that is ordered
+/// now serves. Where the change of less than half of a model's demand is known, its present
+/// demand is taken.
+pub(super) fn expected_demand(state: &DirectState, now: Millis) -> BTreeMap<Arc<str>, ModelDemand> {
+    let trends = subtree_trends(state, now);
+    let mut demand = estimated_demand(state, now);
+    for (model, demand) in &mut demand {
+        let trend = trends.get(model);
+        let is_known = |t: &&ModelTrend| t.mean > 0 && t.mean >= demand.requests / 2;
+        if let Some(trend) = trend.filter(is_known) {
+            let permille = trend.forecast().saturating_mul(1_000) / trend.mean;
+            *demand = demand.scaled(permille.min(MAX_CHANGE_PERMILLE), 1_000);
+        }
+    }
+    demand
+}
+
 /// Handles the demand of all routers that came with a digest.
 pub(super) fn on_fleet_demand(
     state: &mut DirectState,
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::capacity::ModelTrend;
 use super::crashes::CrashReport;
 use super::{Digest, ModelDemand, Observation};
 use crate::types::{InstanceId, RequestRate};
@@ -34,6 +35,9 @@
         routers: u64,
         /// Their demand by model.
         models: Vec<ModelDemand>,
+        /// How it has changed by model, for the part `capacity`.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        trends: Vec<ModelTrend>,
     },
     /// The planner's digest, which routers forward along the trees.
     Digest(Box<Digest>),
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -244,8 +244,13 @@
             out.push(Effect::Direct(DirectEffect::Probe { id, addr }));
         }
         PeerMessage::Digest(digest) => digests::on_digest(state, now, *digest, out),
-        PeerMessage::Demand { routers, models } => {
+        PeerMessage::Demand {
+            routers,
+            models,
+            trends,
+        } => {
             demand::on_report(state, now, from, routers, models);
+            demand::on_trends(state, now, from, trends);
         }
         PeerMessage::StoreBack => out.push(Effect::Direct(DirectEffect::RetryStore)),
         PeerMessage::Traffic => state.plan.has_traffic = true,
--- a/src/logic/direct/plan/value.rs
+++ b/src/logic/direct/plan/value.rs
@@ -99,7 +99,12 @@
 /// What each model of a service needs: by demand, or by the published shares of all
 /// instances until demand is known.
 pub(super) fn needs(state: &DirectState, now: Millis, engine: &EngineSpec) -> Vec<ModelNeed> {
-    let demand = demand::estimated_demand(state, now);
+    let is_predicted = state.params.is_active(Mechanism::Capacity, Some(engine));
+    let demand = if is_predicted {
+        demand::expected_demand(state, now)
+    } else {
+        demand::estimated_demand(state, now)
+    };
     let value: u64 = engine
         .models
         .iter()
--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use runrail::logic::direct::capacity::{
-    plan_loads, LoadDomain, LoadInput, LoadModel, LoadReport, LoadSource, LoadUse, PlannedLoad,
-    ReadyCounts,
+    plan_loads, LoadDomain, LoadInput, LoadModel, LoadReport, LoadSource, LoadUse, ModelTrend,
+    PlannedLoad, ReadyCounts,
 };
 use runrail::logic::direct::plan::StagedLoad;
 use runrail::logic::direct::{
@@ -14,8 +14,10 @@
 use runrail::types::{EndpointEntry, InstanceId};
 
 use crate::fixture::{
-    addr, at, empty_digest, engine, open_group, order, receive_digest, Router, FENCE,
+    addr, at, empty_digest, engine, keep_busy, open_group, order, receive_digest, request, Router,
+    FENCE,
 };
+use crate::needs::{demand, needs};
 
 const EMPTY: LoadSource = LoadSource {
     seated: false,
@@ -409,3 +411,121 @@
     assert_eq!(loads.len(), 16);
     assert_eq!(loads[0].id.as_str(), "e10");
 }
+
+/// Requests per second expected of a rate in the last 2 s and in the 2 s before.
+fn forecast(last: u64, before: u64) -> u64 {
+    let trend = ModelTrend {
+        mean: (last + before) * 500,
+        last: last * 1_000,
+        before: before * 1_000,
+        ..ModelTrend::none(&"big".into())
+    };
+    trend.forecast() / 1_000
+}
+
+/// Guards against needs that lag behind demand by half of the window, and against an extrapolation
+/// without bounds.
+#[test]
+fn demand_is_extrapolated_within_half_and_twice_the_present_rate() {
+    assert_eq!(forecast(100, 100), 100);
+    let rising = forecast(150, 100);
+    assert!((200..=220).contains(&rising), "{rising}");
+    let falling = forecast(100, 150);
+    assert!((45..=65).contains(&falling), "{falling}");
+    assert!(forecast(400, 50) <= 800);
+    assert!(forecast(50, 400) >= 25);
+}
+
+/// Guards against groups that are traded to and fro because requests come at random times.
+#[test]
+fn a_change_within_random_variation_is_not_extrapolated() {
+    assert_eq!(forecast(105, 95), 100);
+    assert!(forecast(1, 0) <= 1);
+    assert_eq!(forecast(4, 6), 5);
+}
+
+/// Sends so many requests a second for the large model for some seconds.
+fn ask_for_seconds(router: &mut Router, first: u64, per_second: u64, seconds: u64) {
+    for n in 0..per_second * seconds {
+        let asked = request(first + n, "/stream/x");
+        router.tell(DirectEvent::Request(Box::new(asked)));
+        router.advance_ms(1_000 / per_second);
+    }
+}
+
+/// The changes of demand in the last report that a router has sent towards the planner.
+fn reported_trends(mode: FeatureMode) -> Vec<ModelTrend> {
+    let routers = [InstanceId::new("r2"), InstanceId::new("r1")];
+    let mut router = Router::named("r1", &routers, open_group("g", [1, 2, 3]));
+    router.state().params.features.capacity = mode;
+    ask_for_seconds(&mut router, 1, 10, 4);
+    let behind = ModelTrend {
+        mean: 7_000,
+        last: 7_000,
+        before: 7_000,
+        ..ModelTrend::none(&"big".into())
+    };
+    router.tell(DirectEvent::PeerMessage {
+        from: addr(803),
+        message: PeerMessage::Demand {
+            routers: 3,
+            models: Vec::new(),
+            trends: vec![behind],
+        },
+    });
+    router.take_effects();
+    ask_for_seconds(&mut router, 1_000, 50, 2);
+    let reports = router.sent_messages().into_iter();
+    let trends = reports.filter_map(|(_, message)| match message {
+        PeerMessage::Demand { trends, .. } => Some(trends),
+        _ => None,
+    });
+    trends.last().expect("a report")
+}
+
+/// Guards against a planner that extrapolates the demand of its own callers only.
+#[test]
+fn a_router_reports_the_change_of_demand_of_its_subtree() {
+    let trends = reported_trends(FeatureMode::On);
+    assert_eq!(trends.len(), 1, "{trends:?}");
+    let trend = &trends[0];
+    assert!(trend.last > trend.before + 10_000, "{trend:?}");
+    // All are refused: half of them count as first tries.
+    assert!(trend.before >= 7_000 + 5_000, "{trend:?}");
+    assert_eq!(reported_trends(FeatureMode::Off), []);
+}
+
+/// Groups of the large model that are needed while another router reports 100 requests a second on
+/// the mean of 6 s, with this change.
+fn needed(mode: FeatureMode, last: u64, before: u64) -> f64 {
+    let mut router = Router::planner((1..=30).map(|n| engine(n, None)).collect());
+    let state = router.state();
+    state.params.features.capacity = mode;
+    state.peers.insert(InstanceId::new("r2"), addr(802));
+    keep_busy(&mut router, 0.0, 0.1, 3);
+    let trend = ModelTrend {
+        mean: 100_000,
+        last: last * 1_000,
+        before: before * 1_000,
+        ..ModelTrend::none(&"big".into())
+    };
+    router.tell(DirectEvent::PeerMessage {
+        from: addr(802),
+        message: PeerMessage::Demand {
+            routers: 1,
+            models: vec![demand(100, 1_000, 150)],
+            trends: vec![trend],
+        },
+    });
+    needs(&mut router)[0]
+}
+
+/// Guards against groups that are formed only when a rise of demand is over, and ended only when a
+/// fall is: the mean of 6 s has hardly changed by then.
+#[test]
+fn needs_follow_the_expected_demand() {
+    let steady = needed(FeatureMode::On, 100, 100);
+    assert_eq!(steady, needed(FeatureMode::Off, 150, 50));
+    assert!(needed(FeatureMode::On, 150, 50) > steady);
+    assert!(needed(FeatureMode::On, 50, 150) < steady);
+}
--- a/tests/direct/demand.rs
+++ b/tests/direct/demand.rs
@@ -88,6 +88,7 @@
         message: PeerMessage::Demand {
             routers: 1,
             models: vec![part(MODEL, 25), part("small", 5)],
+            trends: Vec::new(),
         },
     });
     router.advance_ms(300);
@@ -163,6 +164,7 @@
         message: PeerMessage::Demand {
             routers: 3,
             models: vec![behind],
+            trends: Vec::new(),
         },
     });
     router.advance_ms(1_100);
@@ -170,7 +172,9 @@
         .sent_messages()
         .into_iter()
         .filter_map(|(_, message)| match message {
-            PeerMessage::Demand { routers, models } => Some((routers, models[0].requests)),
+            PeerMessage::Demand {
+                routers, models, ..
+            } => Some((routers, models[0].requests)),
             _ => None,
         });
     assert_eq!(reports.last(), Some((4, 700)));
--- a/tests/direct/needs.rs
+++ b/tests/direct/needs.rs
@@ -7,7 +7,7 @@
 use crate::fixture::{addr, engine, keep_busy, Router, MODEL};
 
 /// Groups that the large and the small model need, as the planner logs them.
-fn needs(router: &mut Router) -> Vec<f64> {
+pub fn needs(router: &mut Router) -> Vec<f64> {
     router.state().plan.needs_due = 0;
     router.effects.clear();
     router.advance_ms(100);
@@ -29,7 +29,7 @@
 
 /// Demand at another router: `requests` per second with prompts of `prompt` tokens, whose
 /// answers may pause for `pause` ms.
-fn demand(requests: u64, prompt: u64, pause: u64) -> ModelDemand {
+pub fn demand(requests: u64, prompt: u64, pause: u64) -> ModelDemand {
     ModelDemand {
         requests: requests * 1_000,
         prompt: requests * prompt,
@@ -55,6 +55,7 @@
         message: PeerMessage::Demand {
             routers: 1,
             models: vec![demand],
+            trends: Vec::new(),
         },
     });
     needs(&mut router)[0]
