Plan halls that don't answer or are evacuated, and measure repairs

Loads and groups were ordered in a hall that the planner couldn't reach, where no order is answered. A group that was forming in a hall when it was evacuated counted as present until it was open, so that none was formed elsewhere. The time from a loss to its repair was known from no figure.

With the part capacity on: a hall counts as unreachable while at least half of its listed endpoints, and at least four, don't answer probes and none has answered within a second; nothing is planned there (E668, E669). A group that is forming in an evacuated hall is given up. A group isn't traded within 3 s of its opening, so that no endpoint moves a second time while the first move lasts. E667 and repair_ms tell how long a lost group took to be replaced; members_waiting counts free endpoints that hold a model.

--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -161,6 +161,8 @@
             ("groups_ending", self.plan.ending.len() as u64),
             ("loads_under_way", self.plan.staging.len() as u64),
             ("loads_waiting", self.plan.loads_waiting as u64),
+            ("members_waiting", self.plan.repairs.members_waiting as u64),
+            ("repair_ms", self.plan.repairs.last_ms),
             ("requests_in_flight", self.in_flight.len() as u64),
             ("requests_waiting", self.waiting() as u64),
             ("routers_known", self.peers.len() as u64 + 1),
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::{order, probe, retire, EndingGroup, EndingStep, FormingGroup, OrderUse};
+use super::{order, probe, retire, scheduled, EndingGroup, EndingStep, FormingGroup, OrderUse};
 use crate::logic::direct::{digests, DirectState, GroupStep};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{EndpointEntry, GroupSeat, InstanceId, Millis, SeatState};
@@ -272,10 +272,16 @@
     }
 }
 
-/// Whether a member is known, not about to leave and not lost.
+/// Whether a member is known, not about to leave and not lost. With the part `capacity` it must also
+/// be in no evacuated hall: a group that is formed there counts as present and keeps others from
+/// being formed elsewhere.
 fn is_available(state: &DirectState, id: &InstanceId) -> bool {
     let view = state.endpoints.get(id);
     let is_staying = view.is_some_and(|v| !v.is_leaving());
+    let is_evacuated = view.is_some_and(|v| state.evacuation.contains(&v.entry.hall));
+    if is_evacuated && scheduled::is_active_for(state, id) {
+        return false;
+    }
     is_staying && !state.plan.lost.contains_key(id)
 }
 
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -11,7 +11,8 @@
 //! `place` and `fill` decide which groups to form, `trade` which open group to end in
 //! favour of others, and `stage` which models to load in advance, with `scheduled` where
 //! the part `capacity` is on and `known_loads`, by which a new planner continues with the loads of
-//! its predecessor. `value` estimates
+//! its predecessor. `halls` finds data halls that don't answer, and `repairs` measures how long lost
+//! groups take to be replaced. `value` estimates
 //! what groups are worth given the demand, `readiness` what a load in advance adds.
 //! `idle` reports endpoints that serve in no group, with the reason.
 
@@ -21,6 +22,7 @@
 mod form;
 mod forming;
 mod group_view;
+mod halls;
 mod idle;
 mod idle_reason;
 mod inspect;
@@ -36,6 +38,7 @@
 mod planning_pass;
 mod probe;
 mod readiness;
+mod repairs;
 mod retire;
 mod scheduled;
 mod stage;
@@ -57,6 +60,7 @@
 pub use plan_state::PlanState;
 pub use planner_lease::{LeaseCall, PlannerLease};
 pub use probe::ProbeState;
+pub use repairs::Repairs;
 pub use staging::StagedLoad;
 
 pub(super) use form::apply_known_seat;
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -4,7 +4,7 @@
 use super::survey::Place;
 use super::{
     EndingGroup, FormingGroup, IdleEndpoint, KnownLoad, LoadBudget, OrderQueue, OrderUse,
-    PlannerLease, ProbeState, StagedLoad,
+    PlannerLease, ProbeState, Repairs, StagedLoad,
 };
 use crate::observe::LabelledCount;
 use crate::types::{GroupSeat, InstanceId, Millis};
@@ -33,6 +33,10 @@
     pub staging: BTreeMap<InstanceId, StagedLoad>,
     /// Loads from the weight store that the last planner knew of.
     pub known_loads: BTreeMap<InstanceId, KnownLoad>,
+    /// Data halls that don't answer this router; nothing is planned there.
+    pub unreachable_halls: BTreeSet<Arc<str>>,
+    /// Groups that are open, and those that are lost.
+    pub repairs: Repairs,
     /// Loads that are worth their cost and wait for the weight store, where they follow a schedule.
     pub loads_waiting: usize,
     /// Lost endpoints, with the time of the loss.
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use super::{
-    fill, fleet_view, form, idle, inspect, known_loads, planner_lease, probe, retire, stage,
-    survey, value, LoadBudget,
+    fill, fleet_view, form, halls, idle, inspect, known_loads, planner_lease, probe, repairs,
+    retire, stage, survey, value, LoadBudget,
 };
 use crate::logic::direct::{DirectEffect, DirectState};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -50,9 +50,11 @@
     state.plan.next_pass = now + state.params.planning_ms.max(interval);
     update_engine_count(state, now);
     probe::on_tick(state, now, out);
+    halls::on_tick(state, now, out);
     form::on_tick(state, now, out);
     retire::on_tick(state, now, out);
     inspect::on_tick(state, now, out);
+    repairs::on_tick(state, now, out);
     fill::on_tick(state, now, out);
     stage::on_tick(state, now, out);
     idle::on_tick(state, now, out);
@@ -91,6 +93,8 @@
     plan.incomplete.clear();
     plan.staging.clear();
     plan.loads_waiting = 0;
+    plan.unreachable_halls.clear();
+    plan.repairs.clear();
     plan.orders.clear();
     plan.order_queue.clear();
     plan.misfits.clear();
--- a/src/logic/direct/plan/scheduled.rs
+++ b/src/logic/direct/plan/scheduled.rs
@@ -32,12 +32,14 @@
 
 /// The same for the service of an endpoint.
 pub(super) fn is_active_for(state: &DirectState, id: &InstanceId) -> bool {
-    engine_of(state, id).is_some_and(|e| is_active(state, &e))
+    engine_of(state, id).is_some_and(|e| is_active(state, e))
 }
 
 /// The engine of an endpoint's service.
-pub(super) fn engine_of(state: &DirectState, id: &InstanceId) -> Option<EngineSpec> {
-    fill::engine(state, &state.endpoints.get(id)?.entry.service)
+pub(super) fn engine_of<'a>(state: &'a DirectState, id: &InstanceId) -> Option<&'a EngineSpec> {
+    let service = &state.endpoints.get(id)?.entry.service;
+    let routing = state.routing.as_ref()?;
+    routing.services.get(service)?.engine.as_ref()
 }
 
 /// Begins the most valuable loads of each service, as far as the weight store serves them at full
@@ -101,7 +103,7 @@
     model: &Arc<str>,
     is_cold: bool,
 ) -> Millis {
-    let Some(engine) = engine_of(state, id).filter(|_| is_cold) else {
+    let Some(engine) = engine_of(state, id).filter(|_| is_cold).cloned() else {
         return now;
     };
     let load_ms = engine.model(model).map_or(0, |m| m.load_ms);
--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -93,12 +93,13 @@
 }
 
 /// Whether an endpoint can serve in a new group: it is planned, listed, not about to leave,
-/// not lost and in no evacuated hall.
+/// not lost and in no evacuated or unreachable hall.
 pub(super) fn is_usable(state: &DirectState, id: &InstanceId, view: &EndpointView) -> bool {
     is_planned(state, view)
         && view.listed
         && !view.is_leaving()
         && !state.evacuation.contains(&view.entry.hall)
+        && !state.plan.unreachable_halls.contains(&view.entry.hall)
         && !state.plan.lost.contains_key(id)
 }
 
--- a/src/logic/direct/plan/trade.rs
+++ b/src/logic/direct/plan/trade.rs
@@ -32,6 +32,10 @@
 /// fleet of 26 groups would hardly ever trade.
 const MAX_CHANGING_DIVISOR: usize = 10;
 
+/// Time from the opening of a group for which its members aren't moved again: moving them took about
+/// as long.
+const MOVE_MS: Millis = 3_000;
+
 /// Places for which trades are weighed in one planning pass, in turn. With all 375 places
 /// of 3,000 endpoints in each pass, a planner on a fifth of a core left the fleet unserved.
 const MAX_PLACES_PER_PASS: usize = 8;
@@ -124,7 +128,8 @@
     let needs = view.needs(&place.0);
     let mut best: Option<(f64, &Arc<str>, &GroupView)> = None;
     for (name, group) in view.groups.get(place).into_iter().flatten() {
-        if group.head().is_some_and(|h| h.state == SeatState::Open) {
+        let is_open = group.head().is_some_and(|h| h.state == SeatState::Open);
+        if is_open && !has_just_moved(state, now, name) {
             let gain = worth_without(state, group, free, engine, needs, &counts) - before;
             if gain > MIN_TRADE_GAIN && best.as_ref().is_none_or(|(g, ..)| gain > *g) {
                 best = Some((gain, name, group));
@@ -144,6 +149,13 @@
     true
 }
 
+/// Whether the members of a group have just been moved into it, with the part `capacity`: a second
+/// move would make the first one useless.
+fn has_just_moved(state: &DirectState, now: Millis, group: &Arc<str>) -> bool {
+    let since = state.plan.repairs.open_since(group);
+    since.is_some_and(|at| now < at + MOVE_MS)
+}
+
 /// Worth of a service if a group ended and its members formed the best mix of groups with
 /// the free endpoints.
 fn worth_without(
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -177,4 +177,7 @@
     EndpointHoldsOff = 657 Warn "endpoint asks this router to send it nothing for a time";
     HoldOffEnded = 658 Info "endpoint takes requests of this router again";
     LoadsAdopted = 666 Info "loads of the last planner are in progress";
+    GroupReplaced = 667 Info "group opened in place of a lost one";
+    HallUnreachable = 668 Warn "data hall doesn't answer: nothing is planned there";
+    HallReachable = 669 Info "data hall answers again";
 }
--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -11,7 +11,8 @@
     Digest, DirectEffect, DirectEvent, EndpointView, FeatureMode, GroupStep, HoldOffPhase,
     OrderResult, PeerMessage, ProbeResult,
 };
-use runrail::types::{EndpointEntry, InstanceId};
+use runrail::logic::{Effect, LogCode};
+use runrail::types::{EndpointEntry, GroupSeat, InstanceId, SeatState};
 
 use crate::fixture::{
     addr, at, empty_digest, engine, keep_busy, open_group, order, receive_digest, request, Router,
@@ -529,3 +530,105 @@
     assert!(needed(FeatureMode::On, 150, 50) > steady);
     assert!(needed(FeatureMode::On, 50, 150) < steady);
 }
+
+/// Endpoints of a second hall and domain.
+fn second_hall((id, mut entry): (InstanceId, EndpointEntry)) -> (InstanceId, EndpointEntry) {
+    entry.hall = "h2".into();
+    entry.domain = "d2".into();
+    (id, entry)
+}
+
+/// Makes the planner find endpoints lost.
+fn lose(router: &mut Router, numbers: std::ops::Range<u16>) {
+    for n in numbers {
+        let id = format!("e{n}");
+        router.answer_probe(&id, ProbeResult::Silent);
+        router.answer_probe(&id, ProbeResult::Silent);
+    }
+}
+
+/// Advances the clock, while these endpoints answer probes and others don't.
+fn advance_answering(router: &mut Router, ms: u64, answering: &[&str]) -> Vec<DirectEffect> {
+    let mut all = Vec::new();
+    for _ in 0..ms / 20 {
+        router.advance_ms(20);
+        for effect in router.take_effects() {
+            if let DirectEffect::Probe { id, .. } = &effect {
+                let alive = ProbeResult::Alive {
+                    started_ms: None,
+                    seat: None,
+                    slowness: 1_000,
+                };
+                let answers = answering.contains(&id.as_str());
+                let result = if answers { alive } else { ProbeResult::Silent };
+                router.answer_probe(id.as_str(), result);
+            }
+            all.push(effect);
+        }
+    }
+    all
+}
+
+/// Guards against loads and groups in a hall that can't be reached: each of its endpoints takes an
+/// order of its own until it is known to be lost.
+#[test]
+fn nothing_is_planned_in_a_hall_that_does_not_answer() {
+    let rest = vec!["e16", "e17", "e18", "e19"];
+    for (answering, unreachable) in [(vec![], 1), (rest, 0)] {
+        let mut entries = open_group("g", [1, 2, 3]);
+        entries.extend((10..20).map(empty).map(second_hall));
+        let mut router = planner(entries);
+        router.take_effects();
+        lose(&mut router, 10..16);
+        advance_answering(&mut router, 1_000, &answering);
+        let halls = &router.state().plan.unreachable_halls;
+        assert_eq!(halls.len(), unreachable, "{answering:?} {halls:?}");
+        router.take_effects();
+        router.state().plan.staging.clear();
+        let effects = advance_answering(&mut router, 1_000, &answering);
+        let ordered = loads(&effects).into_iter().filter(|(id, _)| id.len() == 3);
+        assert_eq!(ordered.count() > 0, unreachable == 0, "{answering:?}");
+    }
+}
+
+/// Guards against a group that is formed in a hall that is evacuated meanwhile: it counted as present
+/// until it was open, so that none was formed elsewhere.
+#[test]
+fn a_group_that_is_forming_in_an_evacuated_hall_is_given_up() {
+    let mut router = planner((1..=3).map(|n| engine(n, None)).collect());
+    router.advance_ms(600);
+    assert_eq!(router.state().plan.forming.len(), 1);
+    let halls = vec!["h1".into()];
+    router.tell(DirectEvent::HallsRead { at: at(1), halls });
+    router.advance_ms(100);
+    assert!(router.state().plan.forming.is_empty());
+}
+
+/// Guards against repairs whose duration nobody knows.
+#[test]
+fn the_time_until_a_lost_group_is_replaced_is_logged() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.push(engine(4, None));
+    let mut router = planner(entries.clone());
+    router.advance_ms(100);
+    lose(&mut router, 3..4);
+    router.advance_ms(500);
+    for (rank, n) in [1, 2, 4].into_iter().enumerate() {
+        let (id, mut entry) = engine(n, None);
+        entry.seat = Some(GroupSeat {
+            group: "g9".into(),
+            epoch: 1 << 40,
+            rank,
+            state: SeatState::Open,
+        });
+        router.change(id.as_str(), Some(entry));
+    }
+    router.effects.clear();
+    router.advance_ms(200);
+    let metrics = router.state().metrics(0);
+    let took = metrics.iter().find(|(name, _)| *name == "repair_ms");
+    let took = took.expect("the metric").1;
+    assert!((400..=800).contains(&took), "{took}");
+    let is_logged = |e: &Effect| matches!(e, Effect::Log(l) if l.code == LogCode::GroupReplaced);
+    assert!(router.effects.iter().any(is_logged));
+}
