Reassign members that have waited longer than a load takes

With the part capacity on, that weight is dropped for free endpoints of a place where one has waited longer than the longest load and no load in progress there may bring another, if the group is worth at least half a percent.

--- a/src/logic/direct/plan/fill.rs
+++ b/src/logic/direct/plan/fill.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use super::fleet_view::{counts_by_place, FleetView};
-use super::mix::best_mix;
+use super::mix::{best_mix, best_mix_now};
 use super::survey::{self, Place};
 use super::trade::{find_trade, has_pending_trade, try_trade};
-use super::value::{readiness, readiness_by_model, worth, COLD};
-use super::{form, place, PlacementInput, PlacementModel};
+use super::value::{readiness, readiness_by_model, worth, ModelNeed, COLD};
+use super::{form, place, scheduled, PlacementInput, PlacementModel};
 use crate::logic::direct::DirectState;
 use crate::logic::Effect;
 use crate::types::{EngineModel, EngineSpec, InstanceId, Millis};
@@ -151,8 +151,7 @@
     }
     let counts = view.counts(&place.0);
     let readiness = readiness_by_model(state, free, engine);
-    let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
-    let mix = best_mix(&readiness, &sizes, worth(view.needs(&place.0), &counts));
+    let mix = choose_mix(state, now, pool, view.needs(&place.0), &counts, &readiness);
     let Some((value, mix)) = mix else {
         return;
     };
@@ -174,6 +173,27 @@
     }
 }
 
+/// The mix of groups that adds most. Endpoints that have waited in vain for others form what is
+/// short, whatever else they could become.
+fn choose_mix(
+    state: &DirectState,
+    now: Millis,
+    pool: &FreePool,
+    needs: &[ModelNeed],
+    counts: &[usize],
+    readiness: &[Vec<u8>],
+) -> Option<(f64, Vec<Vec<Vec<usize>>>)> {
+    let sizes: Vec<usize> = pool.engine.models.iter().map(|m| m.size).collect();
+    let worth = worth(needs, counts);
+    let best = best_mix(readiness, &sizes, &worth);
+    if best.is_some() || !scheduled::has_waited_in_vain(state, now, pool) {
+        return best;
+    }
+    let min_worth = worth(&vec![0; sizes.len()]) + scheduled::MIN_REASSIGNED_GAIN;
+    let mix = best_mix_now(readiness, &sizes, &worth);
+    mix.filter(|(value, _)| *value >= min_worth)
+}
+
 fn sort_by_readiness(state: &DirectState, free: &mut [InstanceId], model: &Arc<str>) {
     free.sort_by_key(|id| readiness(state, id, model));
 }
--- a/src/logic/direct/plan/mix.rs
+++ b/src/logic/direct/plan/mix.rs
@@ -17,8 +17,28 @@
     sizes: &[usize],
     worth: impl Fn(&[usize]) -> f64,
 ) -> Option<(f64, Vec<Vec<Vec<usize>>>)> {
-    let none = vec![0; sizes.len()];
     let options = option_values(readiness, sizes, &worth);
+    best_with_options(readiness, sizes, worth, &options)
+}
+
+/// The same for endpoints that have waited in vain for others: what they could add to one more
+/// group doesn't count.
+pub(super) fn best_mix_now(
+    readiness: &[Vec<u8>],
+    sizes: &[usize],
+    worth: impl Fn(&[usize]) -> f64,
+) -> Option<(f64, Vec<Vec<Vec<usize>>>)> {
+    let options = vec![0.0; sizes.len()];
+    best_with_options(readiness, sizes, worth, &options)
+}
+
+fn best_with_options(
+    readiness: &[Vec<u8>],
+    sizes: &[usize],
+    worth: impl Fn(&[usize]) -> f64,
+    options: &[f64],
+) -> Option<(f64, Vec<Vec<Vec<usize>>>)> {
+    let none = vec![0; sizes.len()];
     let mut best = None;
     let mut best_value = worth(&none) + 1e-9;
     for mix in mixes(readiness.len(), sizes) {
@@ -29,7 +49,7 @@
         let Some(members) = assign(readiness, sizes, &mix) else {
             continue;
         };
-        let value = value - lost_options(readiness, &members, &options);
+        let value = value - lost_options(readiness, &members, options);
         if value > best_value {
             best_value = value;
             best = Some((value, members));
--- a/src/logic/direct/plan/scheduled.rs
+++ b/src/logic/direct/plan/scheduled.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::fill::FreePool;
 use super::value::{needs, readiness, ModelNeed, COLD};
-use super::{fill, fleet_view, probe, readiness::loss_rate, stage, survey, StagedLoad};
+use super::{fill, fleet_view, probe, readiness::loss_rate, stage, survey, IdleReason, StagedLoad};
 use crate::logic::direct::capacity::{
     plan_loads, LoadDomain, LoadInput, LoadModel, LoadSource, ReadyCounts,
 };
@@ -23,6 +24,10 @@
 /// is of use after the load, for about as long again.
 const HORIZON_FACTOR: f64 = 2.0;
 
+/// Least worth of groups that endpoints form which have waited in vain for a better one: the others
+/// aren't short.
+pub(super) const MIN_REASSIGNED_GAIN: f64 = 0.005;
+
 /// Whether the loads of a service with this engine follow the schedule. In the initial phase loads
 /// are cheap and take nothing from callers, so that the initial placement decides.
 pub(super) fn is_active(state: &DirectState, engine: &EngineSpec) -> bool {
@@ -131,6 +136,25 @@
     }
 }
 
+/// Whether the free endpoints of a place have waited for others for longer than a load takes, and no
+/// load in progress there may bring one.
+pub(super) fn has_waited_in_vain(state: &DirectState, now: Millis, pool: &FreePool) -> bool {
+    if !is_active(state, pool.engine) {
+        return false;
+    }
+    let load_ms = pool.engine.models.iter().map(|m| m.load_ms).max();
+    let waits_long = |id: &InstanceId| {
+        let idle = state.plan.idle.get(id);
+        let since = idle.filter(|i| i.reason == IdleReason::Waits);
+        since.is_some_and(|i| now >= i.since + load_ms.unwrap_or(0))
+    };
+    let is_loading = |id: &InstanceId| {
+        let load = state.plan.staging.get(id);
+        load.is_some_and(|l| is_in_progress(state, now, id, l))
+    };
+    pool.free.iter().any(waits_long) && !pool.free.iter().any(is_loading)
+}
+
 /// What the loads of a service are planned by.
 fn load_input(
     state: &DirectState,
--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -9,14 +9,14 @@
 use runrail::logic::direct::plan::StagedLoad;
 use runrail::logic::direct::{
     Digest, DirectEffect, DirectEvent, EndpointView, FeatureMode, GroupStep, HoldOffPhase,
-    OrderResult, PeerMessage, ProbeResult,
+    Mechanism, OrderResult, PeerMessage, ProbeResult,
 };
 use runrail::logic::{Effect, LogCode};
 use runrail::types::{EndpointEntry, GroupSeat, InstanceId, SeatState};
 
 use crate::fixture::{
-    addr, at, empty_digest, engine, keep_busy, open_group, order, receive_digest, request, Router,
-    FENCE,
+    addr, at, empty_digest, engine, keep_busy, open_group, order, receive_digest, request, seat,
+    Router, FENCE,
 };
 use crate::needs::{demand, needs};
 
@@ -632,3 +632,35 @@
     let is_logged = |e: &Effect| matches!(e, Effect::Log(l) if l.code == LogCode::GroupReplaced);
     assert!(router.effects.iter().any(is_logged));
 }
+
+/// Guards against members that wait until the end of the day: two of three wait for a third that no
+/// endpoint of their domain can become. The other model is short, but less than theirs.
+#[test]
+fn members_that_wait_longer_than_a_load_form_a_group_of_the_other_model() {
+    let waiting = [1, 2].map(|n| {
+        let (id, mut entry) = engine(n, None);
+        entry.staged = vec!["small".into()];
+        (id, entry)
+    });
+    let mut entries: Vec<_> = waiting.into();
+    for n in 0..2u16 {
+        let seat = seat("s", n.into(), SeatState::Open);
+        let (id, mut entry) = second_hall(engine(11 + n, seat));
+        entry.model = Some("small".into());
+        entry.staged = vec!["big".into()];
+        entries.push((id, entry));
+    }
+    for (mode, expected) in [(FeatureMode::On, Some("small")), (FeatureMode::Off, None)] {
+        let mut router = planner(entries.clone());
+        let params = &mut router.state().params;
+        params.disabled.insert(Mechanism::Trades);
+        params.features.capacity = mode;
+        keep_busy(&mut router, 1.0, 0.6, 11);
+        let forming = &router.state().plan.forming;
+        assert!(forming.is_empty(), "they wait for a third first");
+        keep_busy(&mut router, 1.0, 0.6, 2);
+        let forming = router.state().plan.forming.values().next();
+        let model = forming.map(|f| f.model.to_string());
+        assert_eq!(model.as_deref(), expected, "{mode:?}");
+    }
+}
