Say why a group in an evacuated hall is given up; test the first load

The log said that a member of such a group was lost. The age of a reported load is added up without overflow. A test goes from the endpoint list to the first order to load.

--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -239,7 +239,9 @@
     let waited = now.saturating_sub(state.previous_tick);
     digest.list_age += waited;
     digest.routing_age += waited;
-    digest.loads.iter_mut().for_each(|l| l.age += waited);
+    for load in &mut digest.loads {
+        load.age = load.age.saturating_add(waited);
+    }
     if Some(digest.upto.era) < state.store_era {
         // Its sender hasn't noticed yet that the store was restored from a backup.
         return;
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -142,7 +142,11 @@
         .cloned();
     if lost.is_some() || now >= forming.deadline {
         let why = lost.map_or("not open within its time limit".to_string(), |id| {
-            format!("{id} is lost")
+            if is_evacuated(state, &id) {
+                format!("the hall of {id} is evacuated")
+            } else {
+                format!("{id} is lost")
+            }
         });
         give_up(state, now, group, forming, &why, out);
         return false;
@@ -278,11 +282,14 @@
 fn is_available(state: &DirectState, id: &InstanceId) -> bool {
     let view = state.endpoints.get(id);
     let is_staying = view.is_some_and(|v| !v.is_leaving());
+    is_staying && !state.plan.lost.contains_key(id) && !is_evacuated(state, id)
+}
+
+/// Whether a member is in an evacuated hall, with the part `capacity`.
+fn is_evacuated(state: &DirectState, id: &InstanceId) -> bool {
+    let view = state.endpoints.get(id);
     let is_evacuated = view.is_some_and(|v| state.evacuation.contains(&v.entry.hall));
-    if is_evacuated && scheduled::is_active_for(state, id) {
-        return false;
-    }
-    is_staying && !state.plan.lost.contains_key(id)
+    is_evacuated && scheduled::is_active_for(state, id)
 }
 
 /// The state of a member's seat: as listed, unless the member's own report is ahead of it.
--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -664,3 +664,16 @@
         assert_eq!(model.as_deref(), expected, "{mode:?}");
     }
 }
+
+/// The same as in the schedule, from the list to the order: the empty endpoint beside two waiting
+/// members of a group of three loads their model first, with the other model short as well.
+#[test]
+fn the_first_load_completes_the_group_that_lacks_least() {
+    let mut entries = two_of_three();
+    entries.extend((11..=14).map(empty).map(second_hall));
+    let mut router = planner(entries);
+    router.advance_ms(1_000);
+    let loads = loads(&router.take_effects());
+    let first = loads.first().map(|(id, model)| (&**id, &**model));
+    assert_eq!(first, Some(("e3", "big")), "{loads:?}");
+}
