--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -235,7 +235,7 @@
 fn uses_trends(state: &DirectState) -> bool {
     let services = state.routing.iter().flat_map(|r| r.services.values());
     let mut engines = services.filter_map(|s| s.engine.as_ref());
-    engines.any(|e| state.params.is_active(Mechanism::Capacity, Some(e)))
+    engines.any(|e| state.params.is_active(Mechanism::Trend, Some(e)))
 }
 
 /// How the demand of the routers in this router's subtree has changed, by model.
--- a/src/logic/direct/direct_params.rs
+++ b/src/logic/direct/direct_params.rs
@@ -54,7 +54,8 @@
             FeatureMode::Auto => engine.is_some_and(EngineSpec::is_contended),
             FeatureMode::On => true,
         };
-        is_called_for && self.is_enabled(part)
+        let has_whole = part != Mechanism::Trend || self.is_enabled(Mechanism::Capacity);
+        is_called_for && has_whole && self.is_enabled(part)
     }
 }
 
--- a/src/logic/direct/features.rs
+++ b/src/logic/direct/features.rs
@@ -20,7 +20,7 @@
     pub fn mode(&self, mechanism: Mechanism) -> FeatureMode {
         match mechanism {
             Mechanism::Admission => self.admission,
-            Mechanism::Capacity => self.capacity,
+            Mechanism::Capacity | Mechanism::Trend => self.capacity,
             Mechanism::Returns => self.returns,
             Mechanism::Speeds => self.speeds,
             Mechanism::Shares => self.shares,
--- a/src/logic/direct/mechanism.rs
+++ b/src/logic/direct/mechanism.rs
@@ -31,6 +31,8 @@
     Admission,
     /// Plans capacity ahead of demand, of halls that are emptied and of lost members.
     Capacity,
+    /// Extrapolates the change of demand, as a part of `Capacity`.
+    Trend,
     /// Tells refused callers when there will be room for them.
     Returns,
     /// Learns how fast each endpoint and group is.
@@ -40,7 +42,7 @@
 }
 
 /// Every mechanism by its name in the settings.
-const NAMES: [(&str, Mechanism); 16] = [
+const NAMES: [(&str, Mechanism); 17] = [
     ("reading-bound", Mechanism::ReadingBound),
     ("limits", Mechanism::Limits),
     ("trades", Mechanism::Trades),
@@ -54,6 +56,7 @@
     ("freeing", Mechanism::Freeing),
     ("admission", Mechanism::Admission),
     ("capacity", Mechanism::Capacity),
+    ("trend", Mechanism::Trend),
     ("returns", Mechanism::Returns),
     ("speeds", Mechanism::Speeds),
     ("shares", Mechanism::Shares),
--- a/src/logic/direct/plan/value.rs
+++ b/src/logic/direct/plan/value.rs
@@ -99,7 +99,7 @@
 /// What each model of a service needs: by demand, or by the published shares of all
 /// instances until demand is known.
 pub(super) fn needs(state: &DirectState, now: Millis, engine: &EngineSpec) -> Vec<ModelNeed> {
-    let is_predicted = state.params.is_active(Mechanism::Capacity, Some(engine));
+    let is_predicted = state.params.is_active(Mechanism::Trend, Some(engine));
     let demand = if is_predicted {
         demand::expected_demand(state, now)
     } else {
--- a/testkit/src/bin/ablate.rs
+++ b/testkit/src/bin/ablate.rs
@@ -34,7 +34,7 @@
 const PARALLEL_RUNS: usize = 6;
 
 /// Mechanisms that can be switched off, as the settings name them.
-const MECHANISMS: [&str; 16] = [
+const MECHANISMS: [&str; 17] = [
     "reading-bound",
     "limits",
     "trades",
@@ -48,6 +48,7 @@
     "freeing",
     "admission",
     "capacity",
+    "trend",
     "returns",
     "speeds",
     "shares",
--- a/tests/direct/settings.rs
+++ b/tests/direct/settings.rs
@@ -170,6 +170,31 @@
     assert!(!auto.is_active(Mechanism::Returns, Some(&contended)));
 }
 
+/// The extrapolation of demand could act in a deployment that doesn't ask for the part `capacity`,
+/// or couldn't be measured without the rest of it.
+#[test]
+fn the_trend_is_active_only_with_capacity_and_can_be_switched_off_alone() {
+    let active = |mode, disabled: &[Mechanism]| {
+        let features = Features {
+            capacity: mode,
+            ..Features::default()
+        };
+        let params = DirectParams {
+            features,
+            disabled: disabled.iter().copied().collect(),
+            ..DirectParams::default()
+        };
+        [Mechanism::Capacity, Mechanism::Trend].map(|m| params.is_active(m, None))
+    };
+    assert_eq!(active(FeatureMode::Off, &[]), [false, false]);
+    assert_eq!(active(FeatureMode::On, &[]), [true, true]);
+    assert_eq!(active(FeatureMode::On, &[Mechanism::Trend]), [true, false]);
+    assert_eq!(
+        active(FeatureMode::On, &[Mechanism::Capacity]),
+        [false, false]
+    );
+}
+
 #[test]
 fn an_unknown_mode_of_an_optional_part_is_named() {
     let text = fill_template("Bounds.GraceS", "8");
