--- a/src/logic/direct/digest.rs
+++ b/src/logic/direct/digest.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::capacity::LoadReport;
 use super::{AccountUse, EndpointUpdate, ModelDemand};
 use crate::types::{InstanceId, Millis, StorePosition};
 
@@ -41,6 +42,9 @@
     /// What the largest client accounts have used through them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub accounts: Vec<AccountUse>,
+    /// The youngest loads from the weight store in progress, as far as there is room.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<LoadReport>,
     /// Endpoint updates, each with the position up to which it was read.
     pub news: Vec<(StorePosition, EndpointUpdate)>,
 }
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -8,7 +8,7 @@
 use super::admission::usage_reports;
 use super::digest_part::{next_batches, split_into_parts, MAX_UPDATE_BYTES};
 use super::{
-    demand, endpoints, evacuation, tree, DirectEffect, DirectState, EndpointUpdate, ListPace,
+    demand, endpoints, evacuation, plan, tree, DirectEffect, DirectState, EndpointUpdate, ListPace,
 };
 use super::{list_start, Digest, KeysSource, ListChange, Mechanism, PeerMessage, UpdateBatch};
 use crate::logic::Effect;
@@ -206,6 +206,11 @@
             told,
             demand: demand.clone(),
             accounts,
+            loads: if n == last {
+                plan::reported_loads(state, now, max_bytes.saturating_sub(part.bytes()))
+            } else {
+                Vec::new()
+            },
             news: part.news,
         };
         for tree in 0..tree::TREES {
@@ -242,6 +247,9 @@
     let waited = now.saturating_sub(state.previous_tick);
     digest.list_age += waited;
     digest.routing_age += waited;
+    for load in &mut digest.loads {
+        load.age = load.age.saturating_add(waited);
+    }
     if Some(digest.upto.era) < state.store_era {
         // Its sender hasn't noticed yet that the store was restored from a backup.
         return;
@@ -272,6 +280,7 @@
     state.digests.last_applied = digest.number;
     demand::on_fleet_demand(state, now, digest.told, digest.demand);
     usage_reports::on_totals(state, now, &digest.accounts);
+    plan::on_loads_reported(state, now, digest.loads);
     if digest.upto.era != state.listed_at.era {
         // The store was restored from a backup. This router finds out by reading it.
         state.digests.list_until = 0;
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::capacity::ModelTrend;
 use super::crashes::CrashReport;
 use super::{AccountUse, Digest, ModelDemand, Observation};
 use crate::types::{InstanceId, RequestRate};
@@ -37,6 +38,9 @@
         /// What the largest client accounts have used through them.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         accounts: Vec<AccountUse>,
+        /// How it has changed by model, for the part `capacity`.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        trends: Vec<ModelTrend>,
     },
     /// The planner's digest, which routers forward along the trees.
     Digest(Box<Digest>),
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -249,9 +249,11 @@
             routers,
             models,
             accounts,
+            trends,
         } => {
             demand::on_report(state, now, from, routers, models);
             usage_reports::on_report(state, now, from, accounts);
+            demand::on_trends(state, now, from, trends);
         }
         PeerMessage::StoreBack => out.push(Effect::Direct(DirectEffect::RetryStore)),
         PeerMessage::Traffic => state.plan.has_traffic = true,
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -9,7 +9,10 @@
 //! `inspect` finds groups that need a repair, an orderly end or their next step, and
 //! `form` and `retire` form and end groups by the orders that `order` sends.
 //! `place` and `fill` decide which groups to form, `trade` which open group to end in
-//! favour of others, and `stage` which models to load in advance. `value` estimates
+//! favour of others, and `stage` which models to load in advance, with `scheduled` where
+//! the part `capacity` is on and `known_loads`, by which a new planner continues with the loads of
+//! its predecessor. `halls` finds data halls that don't answer, and `repairs` measures how long lost
+//! groups take to be replaced. `value` estimates
 //! what groups are worth given the demand, `readiness` what a load in advance adds.
 //! `idle` reports endpoints that serve in no group, with the reason.
 
@@ -19,9 +22,11 @@
 mod form;
 mod forming;
 mod group_view;
+mod halls;
 mod idle;
 mod idle_reason;
 mod inspect;
+mod known_loads;
 mod load_budget;
 mod mix;
 mod model_load;
@@ -33,7 +38,9 @@
 mod planning_pass;
 mod probe;
 mod readiness;
+mod repairs;
 mod retire;
+mod scheduled;
 mod sent_order;
 mod stage;
 mod staging;
@@ -46,6 +53,7 @@
 pub use group_view::{GroupMember, GroupView};
 pub use idle::IdleEndpoint;
 pub use idle_reason::IdleReason;
+pub use known_loads::KnownLoad;
 pub use load_budget::LoadBudget;
 pub use order::OrderUse;
 pub use order_queue::{OrderQueue, QueuedOrder};
@@ -53,10 +61,12 @@
 pub use plan_state::PlanState;
 pub use planner_lease::{LeaseCall, PlannerLease};
 pub use probe::ProbeState;
+pub use repairs::Repairs;
 pub use sent_order::SentOrder;
 pub use staging::StagedLoad;
 
 pub(super) use form::apply_known_seat;
+pub(super) use known_loads::{on_loads_reported, reported_loads};
 pub(super) use order::{
     on_order_result, request_sending as request_order_sending, send_queued as send_queued_orders,
 };
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::{form, retire, PlanState, QueuedOrder, SentOrder};
+use super::{form, retire, scheduled, PlanState, QueuedOrder, SentOrder};
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -276,6 +276,9 @@
         OrderUse::Leave(group) if has_left(result) => retire::on_head_left(state, group),
         OrderUse::Stage(id) if !is_accepted => {
             state.plan.staging.remove(&id);
+            if result == OrderResult::Unanswered {
+                scheduled::on_order_unanswered(state, now, &id, out);
+            }
         }
         _ => {}
     }
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -3,8 +3,8 @@
 
 use super::survey::Place;
 use super::{
-    EndingGroup, FormingGroup, IdleEndpoint, LoadBudget, OrderQueue, PlannerLease, ProbeState,
-    SentOrder, StagedLoad,
+    EndingGroup, FormingGroup, IdleEndpoint, KnownLoad, LoadBudget, OrderQueue, PlannerLease,
+    ProbeState, Repairs, SentOrder, StagedLoad,
 };
 use crate::observe::LabelledCount;
 use crate::types::{GroupSeat, InstanceId, Millis};
@@ -33,6 +33,14 @@
     pub incomplete: BTreeMap<Arc<str>, Millis>,
     /// Endpoints that were ordered to load a model in advance.
     pub staging: BTreeMap<InstanceId, StagedLoad>,
+    /// Loads from the weight store that the last planner knew of.
+    pub known_loads: BTreeMap<InstanceId, KnownLoad>,
+    /// Data halls that don't answer this router; nothing is planned there.
+    pub unreachable_halls: BTreeSet<Arc<str>>,
+    /// Groups that are open, and those that are lost.
+    pub repairs: Repairs,
+    /// Loads that are worth their cost and wait for the weight store, where they follow a schedule.
+    pub loads_waiting: usize,
     /// Lost endpoints, with the time of the loss.
     pub lost: BTreeMap<InstanceId, Millis>,
     /// Free endpoints, while this router is the planner.
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use super::{
-    fill, fleet_view, form, idle, inspect, planner_lease, probe, retire, stage, survey, value,
-    LoadBudget,
+    fill, fleet_view, form, halls, idle, inspect, known_loads, planner_lease, probe, repairs,
+    retire, stage, survey, value, LoadBudget,
 };
 use crate::logic::direct::{DirectEffect, DirectState};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -27,11 +27,13 @@
     let holds = state.plan.lease.holds(now) && state.stop_since.is_none();
     if holds != state.plan.was_planner {
         state.plan.was_planner = holds;
+        known_loads::keep_own(state, now);
         clear_pass_state(state);
         if holds {
             state.plan.planner_since = now;
             state.plan.reread_at = now;
             state.plan.budget = LoadBudget::empty(now);
+            known_loads::adopt(state, now, out);
         }
         if !holds {
             let event = LogEvent::new(LogCode::PlannerLeaseLost).with("why", "not renewed in time");
@@ -49,9 +51,11 @@
     state.plan.next_pass = now + state.params.planning_ms.max(interval);
     update_engine_count(state, now);
     probe::on_tick(state, now, out);
+    halls::on_tick(state, now, out);
     form::on_tick(state, now, out);
     retire::on_tick(state, now, out);
     inspect::on_tick(state, now, out);
+    repairs::on_tick(state, now, out);
     fill::on_tick(state, now, out);
     stage::on_tick(state, now, out);
     idle::on_tick(state, now, out);
@@ -89,6 +93,9 @@
     plan.ended.clear();
     plan.incomplete.clear();
     plan.staging.clear();
+    plan.loads_waiting = 0;
+    plan.unreachable_halls.clear();
+    plan.repairs.clear();
     plan.orders.clear();
     plan.unanswered.clear();
     plan.order_queue.clear();
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -182,4 +182,8 @@
     PoolContended = 662 Info "requests contend for endpoints";
     PoolCalm = 663 Info "requests no longer contend for endpoints";
     AccountsEvicted = 664 Warn "more client accounts than are kept: the least used ones are forgotten";
+    LoadsAdopted = 666 Info "loads of the last planner are in progress";
+    GroupReplaced = 667 Info "group opened in place of a lost one";
+    HallUnreachable = 668 Warn "data hall doesn't answer: nothing is planned there";
+    HallReachable = 669 Info "data hall answers again";
 }
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -793,6 +793,7 @@
             routers: 1,
             models: Vec::new(),
             accounts: vec![of("ann", 40_000_000), of("bob", 7_000_000)],
+            trends: Vec::new(),
         },
     });
     let digests = accounts_in_digests(&mut planner);
@@ -849,6 +850,7 @@
                 routers: 1,
                 models: Vec::new(),
                 accounts: (0..50).map(|n| long(n + 100 * u64::from(port))).collect(),
+                trends: Vec::new(),
             },
         });
     }
--- a/tests/direct/demand.rs
+++ b/tests/direct/demand.rs
@@ -89,6 +89,7 @@
             routers: 1,
             models: vec![part(MODEL, 25), part("small", 5)],
             accounts: Vec::new(),
+            trends: Vec::new(),
         },
     });
     router.advance_ms(300);
@@ -165,6 +166,7 @@
             routers: 3,
             models: vec![behind],
             accounts: Vec::new(),
+            trends: Vec::new(),
         },
     });
     router.advance_ms(1_100);
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -476,6 +476,7 @@
         told: 2,
         demand: Vec::new(),
         accounts: Vec::new(),
+        loads: Vec::new(),
         news: Vec::new(),
     }
 }
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -3,6 +3,7 @@
 mod adapter;
 mod admission;
 mod answers;
+mod capacity;
 mod cold;
 mod command_line;
 mod crashes;
