Give refused callers appointments by a forecast of capacity

Retry-After was a random part of the time left to the deadline, and nothing recorded what had been promised, so callers returned while there was no room and were refused again.

With [features] returns on, a refused request gets the earliest free slot of the capacity that its pool is expected to have: the rate at which this router has sent requests in time to one endpoint over the last 2 s, for the endpoints that take requests, those whose hold-off or cold phase ends, and the groups that are being formed. Who returns within 0.5 s of its appointment goes before fresh requests of its priority, once. Off by default; behaviour is then unchanged.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -4,8 +4,8 @@
 
 use super::admission::queue;
 use super::{
-    crashes, demand, finish, peers, send, DirectRequest, DirectState, InFlightRequest, Precedence,
-    Problem, ShutdownStage,
+    crashes, demand, finish, peers, returns, send, DirectRequest, DirectState, InFlightRequest,
+    Precedence, Problem, ShutdownStage,
 };
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
@@ -110,6 +110,8 @@
         let tokens = (request.prompt_tokens, request.answer_tokens);
         demand::count_request(state, now, &route, &service, model, tokens);
     }
+    let known = (&fingerprint, request.label.as_str());
+    let kept_appointment = returns::on_arrival(state, arrived_at, known, &service, out);
     let flight = InFlightRequest {
         fingerprint,
         label: request.label,
@@ -120,7 +122,7 @@
         account,
         priority,
         precedence: Precedence::Fresh,
-        kept_appointment: false,
+        kept_appointment,
         wait_until: arrived_at + queue::max_wait(Some(wait)),
         arrived: arrived_at,
         deadline: arrived_at + wait.max(MIN_WAIT_MS),
--- a/src/logic/direct/admission/queue.rs
+++ b/src/logic/direct/admission/queue.rs
@@ -79,7 +79,7 @@
         return finish::give_up(state, now, id, "no endpoint can serve it", out);
     }
     let place = (flight.precedence, flight.priority, id);
-    if fits || flight.precedence == Precedence::Resumed {
+    if fits || flight.precedence == Precedence::Resumed || flight.kept_appointment {
         insert(state, &key, place);
         return;
     }
@@ -196,16 +196,17 @@
 }
 
 /// Requests of one queue in the order in which they are sent: by turn, the late ones last,
-/// then by priority and arrival.
+/// then by priority, kept appointments and arrival.
 fn send_order(state: &DirectState, now: Millis, key: &QueueKey) -> Vec<u64> {
     let Some(queue) = state.queues.get(key) else {
         return Vec::new();
     };
     let late = |id: &u64| state.in_flight.get(id).is_some_and(|f| f.is_late(now));
+    let is_fresh = |id: &u64| state.in_flight.get(id).is_some_and(|f| !f.kept_appointment);
     let sorted = queue
         .waiting
         .iter()
-        .map(|(precedence, priority, id)| (*precedence, late(id), *priority, *id));
+        .map(|(precedence, priority, id)| (*precedence, late(id), *priority, is_fresh(id), *id));
     let mut sorted: Vec<_> = sorted.collect();
     sorted.sort_unstable();
     sorted.into_iter().map(|(.., id)| id).collect()
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -4,6 +4,7 @@
 
 use super::crashes::CrashState;
 use super::plan::{IdleReason, PlanState};
+use super::returns::ReturnsState;
 use super::{
     Demand, DigestState, DirectParams, DirectRequest, EndpointView, EvacuatedHalls,
     InFlightRequest, ListLog, ListStart, Mechanism, ObservationRequest, QueueKey, RecentPeak,
@@ -61,6 +62,8 @@
     /// Requests held until the routing and the list are known, or until the routing was read again
     /// after a pause, with their arrival.
     pub held_requests: Vec<(Millis, DirectRequest)>,
+    /// Appointments of refused requests, and what they are computed from.
+    pub returns: ReturnsState,
     /// Demand of callers.
     pub demand: Demand,
     /// Requests by the number of their run.
@@ -123,6 +126,7 @@
             in_flight: BTreeMap::new(),
             queues: BTreeMap::new(),
             held_requests: Vec::new(),
+            returns: ReturnsState::default(),
             demand: Demand::default(),
             runs: BTreeMap::new(),
             last_number: 1,
@@ -192,6 +196,9 @@
             ),
             ("blocked_refused", self.crashes.refusals),
             ("crashes_counted", self.crashes.table.all_counted() as u64),
+            ("appointments", self.returns.given),
+            ("appointments_kept", self.returns.kept),
+            ("refused_again", self.returns.refused_again),
             ("age_ms", self.age(now)),
         ]
     }
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -2,7 +2,8 @@
 
 use super::admission::queue;
 use super::{
-    choose, crashes, demand, endpoints, DirectEffect, DirectState, InFlightRequest, Problem,
+    choose, crashes, demand, endpoints, returns, DirectEffect, DirectState, InFlightRequest,
+    Problem,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -106,6 +107,10 @@
     } else {
         Problem::Unknown
     };
+    let problem = match returns::on_refused(state, now, id, out) {
+        Some(ms) => Problem::NotRun(ms),
+        None => problem,
+    };
     if let Some(model) = model {
         demand::count_refusal(state, now, &model);
     }
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -6,6 +6,7 @@
 //! `admission` decides which requests get room where not all have it. `limits` keeps to what endpoints
 //! set themselves, `leaving` keeps requests from those that announce their end, and `evacuation` from halls
 //! that operators evacuate.
+//! `returns` tells refused callers when there will be room for them.
 //! `list_start` gets the endpoint list after a start.
 //! `plan` forms and repairs groups while this router holds the planner lease, and `digests`
 //! broadcasts what the planner has read to all routers.
@@ -14,6 +15,7 @@
 pub mod crashes;
 pub mod limits;
 pub mod plan;
+pub mod returns;
 
 mod accept;
 mod answer;
--- /dev/null
+++ b/src/logic/direct/returns/appointment.rs
@@ -0,0 +1,146 @@
+//! Appointments: given to refused requests, and kept by those that return in time.
+
+use super::{forecast, PoolKey, ReturnBounds, RETURN_WINDOW_MS};
+use crate::logic::direct::{DirectState, Fingerprint, InFlightRequest, Mechanism, Precedence};
+use crate::logic::{Effect, LogCode, LogEvent};
+use crate::types::Millis;
+
+/// Handles a request that was sent to an endpoint.
+pub(in crate::logic::direct) fn on_sent(state: &mut DirectState, now: Millis, id: u64) {
+    let Some(flight) = state.in_flight.get(&id) else {
+        return;
+    };
+    if !state.is_active(Mechanism::Returns, &flight.service) {
+        return;
+    }
+    let in_time = flight.precedence == Precedence::Fresh && !flight.is_late(now);
+    let (fingerprint, pool) = (flight.fingerprint, PoolKey::of(flight));
+    state.returns.table.remove(&fingerprint);
+    if in_time {
+        forecast::count_sent(state, now, pool);
+    }
+}
+
+/// Handles a request that comes for a service; returns whether it keeps an appointment.
+pub(in crate::logic::direct) fn on_arrival(
+    state: &mut DirectState,
+    now: Millis,
+    (request, label): (&Fingerprint, &str),
+    service: &str,
+    out: &mut Vec<Effect>,
+) -> bool {
+    if !state.is_active(Mechanism::Returns, service) {
+        return false;
+    }
+    let Some(at) = state.returns.table.keep(now, request) else {
+        return false;
+    };
+    state.returns.kept += 1;
+    let event = LogEvent::new(LogCode::AppointmentKept)
+        .with("request", label)
+        .with("fingerprint", request)
+        .with("after", now - at);
+    out.push(Effect::Log(event));
+    true
+}
+
+/// Gives a request that is refused an appointment, if returns are switched on for its service and no
+/// endpoint can have run it; returns the time until then.
+pub(in crate::logic::direct) fn on_refused(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    out: &mut Vec<Effect>,
+) -> Option<Millis> {
+    let flight = state.in_flight.get(&id)?;
+    let may_return = flight.has_not_run() && !flight.head_sent;
+    if !may_return || !state.is_active(Mechanism::Returns, &flight.service) {
+        return None;
+    }
+    let (fingerprint, label) = (flight.fingerprint, flight.label.clone());
+    let pool = PoolKey::of(flight);
+    if flight.kept_appointment {
+        state.returns.refused_again += 1;
+        let event = LogEvent::new(LogCode::RefusedAgain)
+            .with("request", &label)
+            .with("fingerprint", fingerprint)
+            .with("waited", now.saturating_sub(flight.arrived));
+        out.push(Effect::Log(event));
+    }
+    let (at, why) = choose_time(state, now, id, &pool)?;
+    state.returns.given += 1;
+    let event = LogEvent::new(LogCode::AppointmentGiven)
+        .with("request", &label)
+        .with("fingerprint", fingerprint)
+        .with("in", at - now)
+        .with("why", why);
+    out.push(Effect::Log(event));
+    if state.returns.table.upcoming(now, &fingerprint).is_none() {
+        remember(state, now, fingerprint, at, &pool, out);
+    }
+    Some(at - now)
+}
+
+/// The time at which a refused request should come back, with the rule that it follows.
+fn choose_time(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    pool: &PoolKey,
+) -> Option<(Millis, &'static str)> {
+    let random = state.random_below(u64::MAX);
+    let flight = state.in_flight.get(&id)?;
+    let left = flight.deadline.saturating_sub(now);
+    let bounds = ReturnBounds::new(left, flight.route.target_ms, state.params.again_ms);
+    let latest = now + bounds.max;
+    // A caller that has come early keeps its slot. Identical requests of other callers can't be told
+    // from it: these are spread over the time in which the appointment can be kept.
+    if let Some(at) = state.returns.table.upcoming(now, &flight.fingerprint) {
+        let at = at + random % RETURN_WINDOW_MS;
+        return Some((at.min(latest), "has an appointment"));
+    }
+    let Some(forecast) = forecast::forecast(state, now, pool) else {
+        return Some((now + bounds.late_time(0, random), "capacity is unknown"));
+    };
+    let taken = state.returns.table.times(now, pool);
+    let waiting = count_waiting(state, flight, pool);
+    let free = forecast.earliest_free(now, latest, waiting, &taken);
+    if let Some(at) = free {
+        return Some((at, "free slot"));
+    }
+    let begin = forecast.first_capacity(now).map_or(0, |at| at - now);
+    Some((now + bounds.late_time(begin, random), "no free slot"))
+}
+
+/// Number of other requests that wait for a pool.
+fn count_waiting(state: &DirectState, refused: &InFlightRequest, pool: &PoolKey) -> u64 {
+    let is_of_pool = |f: &&InFlightRequest| f.service == pool.service && f.model == pool.model;
+    let waits = |f: &&InFlightRequest| f.run.is_none() && !std::ptr::eq(*f, refused);
+    let waiting = state.in_flight.values().filter(is_of_pool).filter(waits);
+    waiting.count() as u64
+}
+
+fn remember(
+    state: &mut DirectState,
+    now: Millis,
+    request: Fingerprint,
+    at: Millis,
+    pool: &PoolKey,
+    out: &mut Vec<Effect>,
+) {
+    let returns = &mut state.returns;
+    let has_room = returns.table.insert(now, request, at, pool);
+    if !has_room && !returns.full {
+        let event = LogEvent::new(LogCode::AppointmentsFull).with("count", returns.table.len());
+        out.push(Effect::Log(event));
+    }
+    returns.full = !has_room;
+}
+
+/// Surveys the pools, and forgets appointments whose time is over.
+pub(in crate::logic::direct) fn on_tick(state: &mut DirectState, now: Millis) {
+    if forecast::is_active_anywhere(state) {
+        forecast::survey(state, now);
+        state.returns.table.remove_over(now);
+    }
+}
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -3,7 +3,7 @@
 use super::admission::queue;
 use super::limits::hold_off;
 use super::{
-    choose, crashes, finish, peers, DirectEffect, DirectState, InFlightRequest, Mechanism,
+    choose, crashes, finish, peers, returns, DirectEffect, DirectState, InFlightRequest, Mechanism,
     Precedence, RetryBounds, RetryWindow, Run, RunRequest,
 };
 use crate::logic::router::Metric;
@@ -53,6 +53,7 @@
         return false;
     };
     queue::on_sent(state, now, id);
+    returns::on_sent(state, now, id);
     let run = state.next_number();
     let version = state.routing.as_ref().map_or(0, |r| r.version);
     let Some(view) = state.endpoints.get_mut(&to) else {
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -2,8 +2,8 @@
 use super::limits::{cold, hold_off, rate_limit};
 use super::{
     accept, answer, crashes, demand, digests, endpoints, evacuation, finish, leaving, list_log,
-    list_start, peers, plan, process_pause, silence, store_restore, DirectEffect, DirectEvent,
-    DirectState, ShutdownStage,
+    list_start, peers, plan, process_pause, returns, silence, store_restore, DirectEffect,
+    DirectEvent, DirectState, ShutdownStage,
 };
 use crate::logic::{Effect, Event, LogCode, LogEvent};
 use crate::types::{Millis, Routing};
@@ -169,6 +169,7 @@
     list_start::on_tick(state, now, out);
     crashes::on_tick(state, now, out);
     demand::on_tick(state, now, out);
+    returns::on_tick(state, now);
     plan::on_tick(state, now, out);
     advance_shutdown(state, now, out);
 }
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -176,4 +176,8 @@
     ModelMisfit = 656 Error "model fits no fabric domain: no group of it can be formed";
     EndpointHoldsOff = 657 Warn "endpoint asks this router to send it nothing for a time";
     HoldOffEnded = 658 Info "endpoint takes requests of this router again";
+    AppointmentGiven = 670 Info "refused caller told when to return";
+    AppointmentKept = 671 Info "refused caller has returned in time";
+    RefusedAgain = 672 Warn "request refused again though it returned in time";
+    AppointmentsFull = 673 Warn "too many appointments: a further one isn't remembered";
 }
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -33,6 +33,7 @@
 mod restarts;
 mod restored;
 mod retries;
+mod returns;
 mod routes;
 mod settings;
 mod soak;
--- /dev/null
+++ b/tests/direct/returns.rs
@@ -0,0 +1,430 @@
+//! Appointments of refused callers: when they are told to come back, and what they gain by it.
+
+use std::collections::BTreeSet;
+
+use runrail::logic::direct::returns::{
+    AppointmentTable, CapacityForecast, PoolKey, ReturnBounds, SendRate,
+};
+use runrail::logic::direct::{
+    DirectEffect, DirectEvent, FeatureMode, Fingerprint, Problem, RunPart,
+};
+use runrail::logic::{Effect, LogCode};
+use runrail::types::{InstanceId, SeatState};
+
+use crate::fixture::{engine, open_group, problem, request, run, seat, Router, MODEL};
+
+/// A rate of 100 requests a second, in thousandths.
+const RATE: u64 = 100_000;
+
+/// Time that the burst's callers have left, and their objective.
+const LEFT_MS: u64 = 5_000;
+const TARGET_MS: u64 = 400;
+
+/// A third of the time left.
+const BOUND_MS: u64 = LEFT_MS / 3;
+
+fn fingerprint(n: u64) -> Fingerprint {
+    Fingerprint::of(&[&n.to_be_bytes()])
+}
+
+fn pool() -> PoolKey {
+    PoolKey {
+        service: "pool".into(),
+        model: Some(MODEL.into()),
+    }
+}
+
+/// Gives the earliest free slots to `count` requests that are refused at time 0.
+fn burst(forecast: &CapacityForecast, waiting: u64, count: usize) -> Vec<Option<u64>> {
+    let mut taken = Vec::new();
+    let mut give = |_| {
+        let at = forecast.earliest_free(0, BOUND_MS, waiting, &taken);
+        taken.extend(at);
+        taken.sort_unstable();
+        at
+    };
+    (0..count).map(&mut give).collect()
+}
+
+/// The most times within any 100 ms.
+fn most_in_100_ms(times: &[u64]) -> usize {
+    let within = |from: u64| {
+        times
+            .iter()
+            .filter(|t| (from..from + 100).contains(t))
+            .count()
+    };
+    times.iter().map(|from| within(*from)).max().unwrap_or(0)
+}
+
+fn steady(rate: u64) -> CapacityForecast {
+    let mut forecast = CapacityForecast::default();
+    forecast.add(0, rate);
+    forecast
+}
+
+/// Guards against callers that return in one wave because they were refused in one.
+#[test]
+fn a_burst_of_200_refusals_is_spread_at_the_rate_of_the_pool() {
+    let slots = burst(&steady(RATE), 20, 200);
+    let given: Vec<u64> = slots.iter().copied().flatten().collect();
+    assert_eq!(given[0], 210, "after the 20 that wait");
+    assert_eq!(given.len(), 146, "as many as the pool takes by then");
+    assert!(given.is_sorted());
+    assert!(most_in_100_ms(&given) <= 11, "{given:?}");
+    assert!(given.iter().all(|at| *at <= BOUND_MS));
+}
+
+/// Guards against a slot that is promised twice while an earlier one is left empty.
+#[test]
+fn a_slot_that_becomes_free_is_given_again() {
+    let forecast = steady(RATE);
+    let taken = [10, 20, 40, 50];
+    assert_eq!(forecast.earliest_free(0, BOUND_MS, 0, &taken), Some(30));
+    let taken = [10, 20, 30, 40, 50];
+    assert_eq!(forecast.earliest_free(0, BOUND_MS, 0, &taken), Some(60));
+}
+
+/// Guards against a slot that would make a request late whose slot is already given.
+#[test]
+fn a_slot_before_a_full_time_is_not_free() {
+    let mut forecast = steady(RATE);
+    forecast.add_until(200, 1_000, 0);
+    let mut closed = CapacityForecast::default();
+    closed.add_until(0, 100, RATE);
+    let taken: Vec<u64> = (1..=10).map(|n| n * 10).collect();
+    assert_eq!(closed.earliest_free(0, BOUND_MS, 0, &taken), None);
+    assert_eq!(forecast.earliest_free(0, BOUND_MS, 0, &taken), Some(110));
+}
+
+#[test]
+fn a_pool_without_capacity_for_3_s_has_no_slot_within_the_bound() {
+    let mut forecast = CapacityForecast::default();
+    forecast.add(3_000, RATE);
+    assert!(burst(&forecast, 0, 50).iter().all(Option::is_none));
+    assert_eq!(forecast.earliest_free(0, 4_000, 0, &[]), Some(3_010));
+}
+
+#[test]
+fn a_group_that_opens_in_2_s_gets_no_request_before() {
+    let mut forecast = CapacityForecast::default();
+    forecast.add(2_000, RATE);
+    let given: Vec<u64> = (0..10)
+        .scan(Vec::new(), |taken, _| {
+            let at = forecast.earliest_free(0, 2_600, 0, taken)?;
+            taken.push(at);
+            Some(at)
+        })
+        .collect();
+    assert_eq!(given, (1..=10).map(|n| 2_000 + n * 10).collect::<Vec<_>>());
+}
+
+/// Guards against an appointment after which the caller has no time for an answer.
+#[test]
+fn a_caller_comes_back_with_time_for_an_answer() {
+    assert_eq!(ReturnBounds::new(LEFT_MS, TARGET_MS, 400).max, BOUND_MS);
+    assert_eq!(ReturnBounds::new(450, TARGET_MS, 400).max, 50);
+    assert_eq!(ReturnBounds::new(300, TARGET_MS, 400).max, 0);
+    for random in [0, 1, 499, 999, u64::MAX] {
+        let bounds = ReturnBounds::new(450, TARGET_MS, 400);
+        assert!(bounds.late_time(0, random) <= 50);
+        let bounds = ReturnBounds::new(LEFT_MS, TARGET_MS, 400);
+        assert!((1_033..=BOUND_MS).contains(&bounds.late_time(0, random)));
+        assert!((1_100..=BOUND_MS).contains(&bounds.late_time(1_100, random)));
+        assert!((1_250..=BOUND_MS).contains(&bounds.late_time(3_000, random)));
+    }
+}
+
+/// Guards against a rate that falls because endpoints were lost, or that counts the time without any.
+#[test]
+fn the_rate_is_that_of_an_endpoint_that_takes_requests() {
+    let mut rate = SendRate::default();
+    assert_eq!(rate.per_endpoint(0), None);
+    for now in (0..2_000).step_by(100) {
+        rate.on_sent(now);
+        rate.on_sent(now);
+        rate.record_endpoints(now, 2, 100);
+    }
+    assert_eq!(rate.per_endpoint(2_000), Some(10_000), "10 a second");
+    for now in (2_000..6_000).step_by(100) {
+        rate.record_endpoints(now, 0, 100);
+    }
+    assert_eq!(rate.per_endpoint(6_000), Some(10_000), "as last known");
+}
+
+#[test]
+fn an_appointment_is_kept_once_and_only_in_time() {
+    let mut table = AppointmentTable::default();
+    for (n, came, kept) in [
+        (0, 999, None),
+        (1, 1_000, Some(1_000)),
+        (2, 1_500, Some(1_000)),
+        (3, 1_501, None),
+    ] {
+        table.insert(0, fingerprint(n), 1_000, &pool());
+        assert_eq!(table.keep(came, &fingerprint(n)), kept, "at {came}");
+    }
+    assert_eq!(table.keep(1_000, &fingerprint(1)), None, "used up");
+    assert_eq!(
+        table.keep(1_200, &fingerprint(0)),
+        Some(1_000),
+        "coming early has cost nothing"
+    );
+    assert!(table.is_empty());
+}
+
+/// Guards against a flood of requests that takes memory without bound, or drives out appointments
+/// that are still to come.
+#[test]
+fn a_flood_of_fingerprints_evicts_only_what_is_over() {
+    let mut table = AppointmentTable::default();
+    for n in 0..4_096 {
+        assert!(table.insert(0, fingerprint(n), 1_000 + n, &pool()));
+    }
+    assert!(!table.insert(0, fingerprint(5_000), 500, &pool()));
+    assert_eq!(table.len(), 4_096);
+    assert!(table.insert(1_502, fingerprint(5_001), 3_000, &pool()));
+    assert!(table.insert(1_502, fingerprint(5_002), 3_000, &pool()));
+    assert!(!table.insert(1_502, fingerprint(5_003), 3_000, &pool()));
+    assert_eq!(table.len(), 4_096);
+    assert_eq!(table.upcoming(0, &fingerprint(0)), None, "over longest");
+    assert_eq!(table.upcoming(0, &fingerprint(1)), None, "over next");
+    assert_eq!(table.upcoming(0, &fingerprint(2)), Some(1_002));
+}
+
+const SERVED: RunPart = RunPart::Complete {
+    status: 200,
+    not_run: false,
+};
+
+/// A router with returns switched on that has sent about 50 requests a second to its only head, which
+/// has no room left now, and the runs at that head.
+fn full_head() -> (Router, Vec<u64>) {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    router.state().params.features.returns = FeatureMode::On;
+    for id in 0..50 {
+        let sent = run(&router.ask(id, "/stream/x"));
+        router.part(sent.run, SERVED);
+        router.advance_ms(40);
+    }
+    let runs = (50..98).map(|id| run(&router.ask(id, "/stream/x")).run);
+    let runs = runs.collect();
+    (router, runs)
+}
+
+/// Requests `ids` come at once; returns after how many milliseconds each that is refused is told to
+/// come back, without the time that it waited.
+fn refusals(router: &mut Router, ids: std::ops::Range<u64>, path: &str) -> Vec<u64> {
+    let mut told = Vec::new();
+    for id in ids {
+        if let Some(Problem::NotRun(ms)) = problem(&router.ask(id, path)) {
+            told.push(ms);
+        }
+    }
+    told
+}
+
+/// Number of log events with a code since the effects were last taken.
+fn logged(router: &Router, code: LogCode) -> usize {
+    let is_code = |e: &&Effect| matches!(e, Effect::Log(event) if event.code == code);
+    router.effects.iter().filter(is_code).count()
+}
+
+/// Guards against a wave of returns at a router, from the rate that it has measured itself.
+#[test]
+fn refused_callers_of_a_router_come_back_spread_and_in_time() {
+    let (mut router, _) = full_head();
+    let told = refusals(&mut router, 1_000..1_200, "/stream/x");
+    assert!(told.len() > 150, "{}", told.len());
+    assert!(told.iter().all(|ms| *ms <= BOUND_MS), "{told:?}");
+    assert!(most_in_100_ms(&told) <= 50, "{told:?}");
+    let distinct: BTreeSet<_> = told.iter().collect();
+    assert!(distinct.len() > 100, "{told:?}");
+    assert_eq!(router.state().returns.given, told.len() as u64);
+    let first = &told[..40];
+    assert!(most_in_100_ms(first) <= 6, "at 50 a second: {told:?}");
+}
+
+/// Guards against a change of the time to come back while the switch is off.
+#[test]
+fn nothing_is_remembered_while_returns_are_off() {
+    let (mut router, _) = full_head();
+    router.state().params.features.returns = FeatureMode::Off;
+    refusals(&mut router, 1_000..1_200, "/stream/x");
+    assert!(router.state().returns.table.is_empty());
+    assert_eq!(router.state().returns.given, 0);
+}
+
+/// Guards against a wave of returns where this router has never sent anything.
+#[test]
+fn callers_are_spread_where_nothing_is_known() {
+    let mut router = Router::new(vec![engine(1, None)]);
+    router.state().params.features.returns = FeatureMode::On;
+    let told = refusals(&mut router, 0..100, "/stream/x");
+    assert_eq!(told.len(), 100);
+    assert!(told.iter().all(|ms| (1_033..=BOUND_MS).contains(ms)));
+    assert!(most_in_100_ms(&told) <= 30, "{told:?}");
+}
+
+/// Guards against callers that return before the first endpoint takes requests again.
+#[test]
+fn callers_come_back_when_a_hold_off_ends() {
+    let (mut router, _) = full_head();
+    let ms = 800;
+    router.tell(DirectEvent::HoldOff {
+        id: InstanceId::new("e1"),
+        run: Some(1),
+        ms,
+    });
+    let until = router.state().endpoints[&InstanceId::new("e1")]
+        .hold_off
+        .as_ref()
+        .map(|h| h.until);
+    let held = until.expect("a hold-off") - router.now;
+    let told = refusals(&mut router, 1_000..1_200, "/stream/x");
+    assert!(told.len() > 100);
+    assert!(
+        told.iter().all(|ms| (held..=BOUND_MS).contains(ms)),
+        "{held} {told:?}"
+    );
+}
+
+/// Guards against callers that return before a group opens, and against ones that are told the last
+/// possible time though a group opens before.
+#[test]
+fn callers_come_back_when_a_group_opens() {
+    let (mut router, _) = full_head();
+    for (n, id) in [1, 2, 3].into_iter().enumerate() {
+        let (id, entry) = engine(id, seat("g2", n, SeatState::Joining));
+        router.change(id.as_str(), Some(entry));
+    }
+    router.advance_ms(300);
+    router.take_effects();
+    // Loading from the host takes 1,000 ms and opening 300 ms.
+    let told = refusals(&mut router, 1_000..1_045, "/stream/x");
+    assert!(told.len() >= 5);
+    assert!(
+        told.iter().all(|ms| (1_000..=BOUND_MS).contains(ms)),
+        "{told:?}"
+    );
+    assert!(most_in_100_ms(&told) <= 15, "{told:?}");
+}
+
+/// Refuses a request of a router whose head is full, and returns after how long it is told to come
+/// back.
+fn refuse(router: &mut Router, id: u64) -> u64 {
+    let state = router.state();
+    for queue in state.queues.values_mut() {
+        queue.on_refused(0);
+    }
+    let told = problem(&router.ask(id, "/stream/x"));
+    let Some(Problem::NotRun(ms)) = told else {
+        panic!("{id} was not refused: {told:?}");
+    };
+    ms
+}
+
+/// A router as of `full_head` where so many wait that the next one is refused.
+fn full_queue() -> (Router, Vec<u64>) {
+    let (mut router, runs) = full_head();
+    let waiting = refusals(&mut router, 100..200, "/stream/x");
+    assert!(!waiting.is_empty());
+    (router, runs)
+}
+
+/// A request that comes again under a new number.
+fn again(router: &mut Router, first: u64, id: u64) -> Vec<DirectEffect> {
+    let mut asked = request(id, "/stream/x");
+    asked.fingerprint = request(first, "/stream/x").fingerprint;
+    router.ask_for(asked)
+}
+
+/// Guards against a caller that came at its time and has to wait behind callers that came later.
+#[test]
+fn a_kept_appointment_goes_before_fresh_requests_once() {
+    let (mut router, runs) = full_queue();
+    let ms = refuse(&mut router, 1_000);
+    // Those that wait by now are late, or refused.
+    router.advance_ms(ms);
+    router.take_effects();
+    assert!(
+        router.ask(2_000, "/stream/x").is_empty(),
+        "a fresh one waits"
+    );
+    assert!(again(&mut router, 1_000, 2_001).is_empty(), "it waits");
+    let kept = |id: u64, router: &mut Router| router.state().in_flight[&id].kept_appointment;
+    assert!(!kept(2_000, &mut router));
+    assert!(kept(2_001, &mut router));
+    assert_eq!(router.state().returns.kept, 1);
+    let sent = runs.into_iter().find_map(|run| {
+        let effects = router.part(run, RunPart::End);
+        effects.iter().find_map(|e| match e {
+            DirectEffect::Run(run) => Some(run.request),
+            _ => None,
+        })
+    });
+    assert_eq!(sent, Some(2_001));
+    again(&mut router, 1_000, 2_002);
+    assert_eq!(router.state().returns.kept, 1, "once");
+}
+
+/// Guards against callers that gain by coming back at once, and against ones that take a further slot
+/// each time.
+#[test]
+fn a_caller_that_comes_early_gains_nothing() {
+    let (mut router, _) = full_queue();
+    refuse(&mut router, 1_000);
+    let known = request(1_000, "/").fingerprint.for_account(Some("ann"));
+    let at = |router: &mut Router| {
+        let now = router.now;
+        router.state().returns.table.upcoming(now, &known)
+    };
+    let promised = at(&mut router).expect("an appointment");
+    let table = router.state().returns.table.len();
+    for id in 2_000..2_050 {
+        let Some(Problem::NotRun(ms)) = problem(&again(&mut router, 1_000, id)) else {
+            panic!("{id} was not refused");
+        };
+        assert!(router.now + ms >= promised, "not before its appointment");
+        assert_eq!(at(&mut router), Some(promised));
+    }
+    assert_eq!(router.state().returns.kept, 0);
+    assert_eq!(router.state().returns.table.len(), table);
+}
+
+/// Guards against an operator who can't see that appointments are worth nothing.
+#[test]
+fn a_request_that_is_refused_again_is_counted_and_logged() {
+    let (mut router, _) = full_queue();
+    let ms = refuse(&mut router, 1_000);
+    router.advance_ms(ms);
+    router.effects.clear();
+    router.tell(DirectEvent::Request(Box::new({
+        let mut asked = request(2_000, "/stream/x");
+        asked.fingerprint = request(1_000, "/stream/x").fingerprint;
+        asked
+    })));
+    assert_eq!(logged(&router, LogCode::AppointmentKept), 1);
+    router.advance_ms(1_300);
+    assert_eq!(logged(&router, LogCode::RefusedAgain), 1);
+    let now = router.now;
+    let metrics = router.state().metrics(now);
+    let value = |name| metrics.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
+    assert_eq!(value("appointments_kept"), Some(1));
+    assert_eq!(value("refused_again"), Some(1));
+    assert!(value("appointments") > Some(1));
+}
+
+/// Guards against the loss of a caller's answer with the table of a router: it is a fresh request.
+#[test]
+fn a_router_that_has_lost_its_table_serves_who_returns() {
+    let (mut router, runs) = full_queue();
+    let ms = refuse(&mut router, 1_000);
+    router.advance_ms(ms);
+    router.state().returns = Default::default();
+    for run in runs {
+        router.part(run, RunPart::End);
+    }
+    let sent = run(&again(&mut router, 1_000, 2_001));
+    assert_eq!(sent.request, 2_001);
+}
