Leave half of the forecast capacity to fresh requests

Callers that are refused return into the shortage that they were refused in, as fresh requests keep coming. An appointment therefore takes two places of the forecast: its own, and one of a fresh request.

--- a/src/logic/direct/returns/capacity_forecast.rs
+++ b/src/logic/direct/returns/capacity_forecast.rs
@@ -8,6 +8,10 @@
 /// Parts of one request: thousandths of a request a second, times milliseconds.
 const REQUEST: i64 = 1_000_000;
 
+/// What an appointment takes of the forecast: its own request, and a fresh one that comes in the
+/// meantime. Without the latter, callers return into the shortage that they were refused in.
+const APPOINTMENT: i64 = 2 * REQUEST;
+
 /// Rate at which a pool is expected to take requests, over time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CapacityForecast {
@@ -43,8 +47,8 @@
     }
 
     /// The earliest free slot from `now` to `latest`, where `waiting` requests go first and `taken`
-    /// are the sorted times of the slots that others have. It is at a time from which on the
-    /// requests that are due never exceed what the pool has taken by then.
+    /// are the sorted times of the slots that others have. It is at a time from which on what is due
+    /// never exceeds what the pool can have taken by then.
     pub fn earliest_free(
         &self,
         now: Millis,
@@ -54,7 +58,7 @@
     ) -> Option<Millis> {
         let last = taken.last().copied().unwrap_or(0).max(latest);
         let free = self.free_by_step(now, last, waiting, taken);
-        let full = free.iter().rposition(|free| *free < REQUEST);
+        let full = free.iter().rposition(|free| *free < APPOINTMENT);
         let first = full.map_or(0, |n| n + 1) as Millis;
         let time = now + first * STEP_MS;
         (time <= latest && time <= last).then_some(time)
@@ -70,7 +74,7 @@
         let mut time = now;
         loop {
             while taken.next_if(|at| *at <= time).is_some() {
-                free -= REQUEST;
+                free -= APPOINTMENT;
             }
             steps.push(free);
             if time >= last {
