--- a/testkit/src/soak/client.rs
+++ b/testkit/src/soak/client.rs
@@ -24,6 +24,8 @@
     reader: BufReader<TcpStream>,
     /// Whether an answer had `Connection: close`.
     pub closes: bool,
+    /// Time after which the last answer asks the caller to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
 }
 
 /// An answer as received.
@@ -39,8 +41,11 @@
         stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
         stream.set_nodelay(true).ok()?;
         let reader = BufReader::new(stream);
-        let closes = false;
-        Some(Self { reader, closes })
+        Some(Self {
+            reader,
+            closes: false,
+            retry_after_ms: None,
+        })
     }
 
     /// Sends a request of a kind and reads its answer.
@@ -59,6 +64,7 @@
     fn read_answer(&mut self) -> Option<Answer> {
         let status = self.read_line()?.split(' ').nth(1)?.parse().ok()?;
         let (mut length, mut chunked) = (0, false);
+        self.retry_after_ms = None;
         loop {
             let line = self.read_line()?.to_ascii_lowercase();
             if line.is_empty() {
@@ -68,6 +74,7 @@
             match (name, value.trim()) {
                 ("content-length", value) => length = value.parse().ok()?,
                 ("transfer-encoding", value) => chunked = value == "chunked",
+                ("retry-after", value) => self.retry_after_ms = parse_ms(value),
                 ("connection", value) => self.closes |= value == "close",
                 _ => {}
             }
@@ -106,6 +113,12 @@
     }
 }
 
+/// Parses a time in seconds, which may have decimals.
+fn parse_ms(seconds: &str) -> Option<u64> {
+    let seconds: f64 = seconds.parse().ok()?;
+    Some((seconds * 1_000.0).round() as u64)
+}
+
 fn outcome(route: &str, answer: &Answer) -> Outcome {
     match answer.status {
         200 if is_complete(route, &answer.body) => Outcome::Whole,
--- a/testkit/src/soak/driver.rs
+++ b/testkit/src/soak/driver.rs
@@ -305,7 +305,7 @@
             let addr = lock(&self.slots[at]).router.callers;
             let attempt = format!("fatal{n}-{time}");
             if let Some(mut connection) = Connection::open(addr) {
-                self.send_request(&mut connection, at, "fatal", attempt, FATAL);
+                self.send_request(&mut connection, at, "fatal", attempt, FATAL, false);
             }
             std::thread::sleep(FATAL_PAUSE);
         }
@@ -315,7 +315,8 @@
         self.record_endpoint_fault(from);
     }
 
-    /// Sends a request on a connection and records its outcome.
+    /// Sends a request on a connection and records its outcome; `returned` says whether it was
+    /// refused before and comes back when it was asked to.
     pub fn send_request(
         &self,
         connection: &mut Connection,
@@ -323,6 +324,7 @@
         kind: &'static str,
         attempt: String,
         body: &str,
+        returned: bool,
     ) -> Outcome {
         let at_ms = self.now_ms();
         let outcome = connection.send_request(kind, &attempt, body);
@@ -333,6 +335,8 @@
             at_ms,
             took_ms: self.now_ms() - at_ms,
             outcome,
+            retry_after_ms: connection.retry_after_ms,
+            returned,
         };
         lock(&self.record).samples.push(sample);
         outcome
--- a/testkit/src/soak/judge.rs
+++ b/testkit/src/soak/judge.rs
@@ -34,6 +34,15 @@
 
 const MAX_LOG_BYTES_PER_S: u64 = 1_000_000;
 
+/// A third of the time that the routes give a request.
+const MAX_RETURN_MS: u64 = 2_000;
+
+/// Fresh requests sent within this time of a returned one are compared with it.
+const BESIDE_MS: u64 = 500;
+
+/// Requests that may be refused again beyond what is expected and three deviations of that.
+const MAX_CHANCE_REFUSALS: f64 = 3.0;
+
 /// Runs all checks on a record; returns the violations found.
 pub fn judge(record: &Record) -> Vec<Finding> {
     let mut found = Vec::new();
@@ -83,6 +92,14 @@
         "memory, descriptors and logs are bounded",
         excessive_usage(record),
     );
+    add(
+        "a refused caller is told a time that it has",
+        late_returns(record),
+    );
+    add(
+        "a caller that returns in time is not worse off than a fresh one",
+        returns_refused_again(record),
+    );
     add("the fleet recovers", missing_recovery(record));
     found
 }
@@ -272,6 +289,41 @@
     Vec::from_iter(missing.then(|| "not within the time limit".to_string()))
 }
 
+/// Refusals that ask the caller to come back after more than a third of its time.
+fn late_returns(record: &Record) -> Vec<String> {
+    let refused = record.samples.iter().filter(|_| has_returns(record));
+    let late = refused.filter(|s| s.retry_after_ms.is_some_and(|ms| ms > MAX_RETURN_MS));
+    late.map(describe).collect()
+}
+
+/// Whether more of the requests that returned in time were refused again than of the fresh ones that
+/// came to the same router at about the same time.
+fn returns_refused_again(record: &Record) -> Vec<String> {
+    let is_refused = |s: &&Sample| s.outcome == Outcome::NotRun;
+    let (mut expected, mut refused) = (0.0, 0);
+    let returned = record.samples.iter().filter(|_| has_returns(record));
+    for sample in returned.filter(|s| s.returned) {
+        let is_beside = |s: &&Sample| {
+            let is_like = s.router == sample.router && s.kind == sample.kind && !s.returned;
+            is_like && s.at_ms.abs_diff(sample.at_ms) <= BESIDE_MS
+        };
+        let beside: Vec<_> = record.samples.iter().filter(is_beside).collect();
+        if beside.is_empty() {
+            continue;
+        }
+        let count = beside.iter().copied().filter(is_refused).count();
+        expected += count as f64 / beside.len() as f64;
+        refused += u64::from(is_refused(&sample));
+    }
+    let allowed = expected + 3.0 * expected.sqrt() + MAX_CHANCE_REFUSALS;
+    let seen = format!("{refused} refused again, {expected:.1} expected of fresh ones");
+    Vec::from_iter((refused as f64 > allowed).then_some(seen))
+}
+
+fn has_returns(record: &Record) -> bool {
+    record.features.contains(&"returns")
+}
+
 fn describe(sample: &Sample) -> String {
     format!("{sample:?}")
 }
--- a/testkit/src/soak/outcome.rs
+++ b/testkit/src/soak/outcome.rs
@@ -42,4 +42,8 @@
     pub took_ms: u64,
     /// How it ended.
     pub outcome: Outcome,
+    /// Time after which its answer asks the caller to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+    /// Whether it was refused before and has come back when it was asked to.
+    pub returned: bool,
 }
--- a/testkit/src/soak/plan.rs
+++ b/testkit/src/soak/plan.rs
@@ -49,9 +49,17 @@
     pub fault: Fault,
 }
 
+/// Optional parts of the policy, each of which is switched on in half of all soaks.
+const FEATURES: [&str; 1] = ["returns"];
+
+/// Changes the seed from which these are drawn, so that the faults of a seed stay what they were.
+const FEATURE_SEED: u64 = 0x5eed_fea7;
+
 /// All faults of a soak, in order. The same settings give the same plan.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
+    /// Optional parts of the policy that are switched on.
+    pub features: Vec<&'static str>,
     /// The faults.
     pub faults: Vec<PlannedFault>,
 }
@@ -71,7 +79,9 @@
         }
         faults.extend(draw_further(settings));
         faults.sort_by_key(|planned| planned.at_ms);
-        Self { faults }
+        let mut rng = fastrand::Rng::with_seed(settings.seed ^ FEATURE_SEED);
+        let features = FEATURES.into_iter().filter(|_| rng.bool()).collect();
+        Self { features, faults }
     }
 }
 
@@ -124,6 +134,7 @@
 
 impl fmt::Display for Plan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "switched on: {:?}", self.features)?;
         for PlannedFault { at_ms, fault } in &self.faults {
             writeln!(f, "{:>7.3} s  {fault}", *at_ms as f64 / 1_000.0)?;
         }
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -43,6 +43,8 @@
 /// Record of a soak, for the checks and the report.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Record {
+    /// Optional parts of the policy that the routers had switched on.
+    pub features: Vec<&'static str>,
     /// Requests of callers.
     pub samples: Vec<Sample>,
     /// Number of runs at endpoints, by attempt id.
--- a/testkit/src/soak/report.rs
+++ b/testkit/src/soak/report.rs
@@ -68,6 +68,15 @@
         held.count(),
         told.count()
     );
+    let returned: Vec<_> = record.samples.iter().filter(|s| s.returned).collect();
+    let again = returned.iter().filter(|s| s.outcome == Outcome::NotRun);
+    let _ = writeln!(
+        out,
+        "switched on: {:?}; {} requests returned when asked, {} of them were refused again",
+        record.features,
+        returned.len(),
+        again.count()
+    );
     let _ = writeln!(out, "findings: {}", found.len());
     for finding in found {
         let _ = writeln!(out, "- {finding}");
--- a/testkit/src/soak/run.rs
+++ b/testkit/src/soak/run.rs
@@ -8,11 +8,14 @@
 use super::client::Connection;
 use super::driver::{lock, Driver, RouterSlot};
 use super::{Outcome, Plan, ProcessFigures, Received, Record, SoakSettings};
-use crate::direct::{served, start_routers, Standin, World};
+use crate::direct::{served, start_routers_with, Standin, World};
 use crate::Relay;
 
 const CALLERS_PER_ROUTER: usize = 4;
 
+/// Further callers, which come back when they are asked to.
+const RETURNING_PER_ROUTER: usize = 3;
+
 /// Kinds of requests, one for each caller in turn.
 const KINDS: [&str; 4] = ["stream", "once", "safe", "stream"];
 
@@ -35,7 +38,7 @@
     let relay = |_| Relay::start(standin.store);
     let relays: Vec<Relay> = (0..settings.routers).map(relay).collect();
     let stores: Vec<_> = relays.iter().map(Relay::addr).collect();
-    let routers = start_routers(&standin, &stores, &settings.dir);
+    let routers = start_routers_with(&standin, &stores, &settings.dir, &plan.features);
     let slot = |router| {
         Mutex::new(RouterSlot {
             router,
@@ -49,6 +52,7 @@
         relays,
         record: Mutex::new(Record {
             seconds: settings.seconds,
+            features: plan.features.clone(),
             ..Record::default()
         }),
         version: Mutex::new(1),
@@ -63,6 +67,13 @@
             run_caller(&driver, n, &stop, &number);
         }));
     }
+    for n in 0..RETURNING_PER_ROUTER * settings.routers {
+        let router = n % settings.routers;
+        let (driver, stop, number) = (driver.clone(), stop.clone(), number.clone());
+        threads.push(std::thread::spawn(move || {
+            run_returning_caller(&driver, router, &stop, &number);
+        }));
+    }
     let (sampled, sampling) = (driver.clone(), stop.clone());
     threads.push(std::thread::spawn(move || {
         sample_processes(&sampled, &sampling)
@@ -117,7 +128,7 @@
         };
         let kind = KINDS[n % KINDS.len()];
         let attempt = format!("{kind}{}", number.fetch_add(1, Ordering::Relaxed));
-        let outcome = driver.send_request(open, router, kind, attempt, "");
+        let outcome = driver.send_request(open, router, kind, attempt, "", false);
         let must_leave = open.closes && n & 1 == 0;
         if outcome == Outcome::Closed || must_leave {
             connection = None;
@@ -126,6 +137,31 @@
     }
 }
 
+/// Runs a caller of one router whose requests differ from all others. One that is refused comes back
+/// when it was asked to, once.
+fn run_returning_caller(driver: &Driver, router: usize, stop: &AtomicBool, number: &AtomicU64) {
+    let mut connection = None;
+    while !stop.load(Ordering::Relaxed) {
+        std::thread::sleep(CALLER_PAUSE);
+        let Some(open) = connection.as_mut() else {
+            let addr = lock(&driver.slots[router]).router.callers;
+            connection = Connection::open(addr);
+            continue;
+        };
+        let body = format!("stream{}", number.fetch_add(1, Ordering::Relaxed));
+        let mut outcome = driver.send_request(open, router, "stream", body.clone(), &body, false);
+        let again = open.retry_after_ms.filter(|_| outcome == Outcome::NotRun);
+        if let Some(ms) = again.filter(|_| !open.closes) {
+            std::thread::sleep(Duration::from_millis(ms));
+            let attempt = format!("{body}-returned");
+            outcome = driver.send_request(open, router, "stream", attempt, &body, true);
+        }
+        if outcome == Outcome::Closed || open.closes {
+            connection = None;
+        }
+    }
+}
+
 /// Samples the resource usage and the routing versions of the routers until `stop` is set.
 fn sample_processes(driver: &Driver, stop: &AtomicBool) {
     let mut usages = vec![ProcessFigures::default(); driver.slots.len()];
--- a/testkit/standin/fleet.rs
+++ b/testkit/standin/fleet.rs
@@ -39,9 +39,22 @@
 /// # Panics
 /// When one of these doesn't happen within `STARTUP_TIMEOUT`.
 pub fn start_routers(standin: &Standin, stores: &[SocketAddr], dir: &Path) -> Vec<Router> {
+    start_routers_with(standin, stores, dir, &[])
+}
+
+/// The same, with optional parts of the policy switched on.
+///
+/// # Panics
+/// As [`start_routers`].
+pub fn start_routers_with(
+    standin: &Standin,
+    stores: &[SocketAddr],
+    dir: &Path,
+    features: &[&str],
+) -> Vec<Router> {
     let start = |(n, store): (usize, &SocketAddr)| {
         let id = format!("r{}", n + 1);
-        Router::start(&id, *store, dir)
+        Router::start_with(&id, *store, dir, features)
     };
     let routers: Vec<_> = stores.iter().enumerate().map(start).collect();
     until("a group opens", STARTUP_TIMEOUT, || {
--- a/testkit/standin/mod.rs
+++ b/testkit/standin/mod.rs
@@ -19,7 +19,7 @@
 pub use call::{call, send, Answer};
 pub use caller::Caller;
 pub use config::config;
-pub use fleet::{fleet, logs, served, start_fleet, start_routers, until};
+pub use fleet::{fleet, logs, served, start_fleet, start_routers, start_routers_with, until};
 pub use replica::Arrival;
 pub use replica_calls::{EVENTS, FATAL};
 pub use router::{routing_version_at, Router};
--- a/testkit/standin/router.rs
+++ b/testkit/standin/router.rs
@@ -27,11 +27,21 @@
     /// # Panics
     /// When the settings can't be written or the process can't be started.
     pub fn start(id: &str, store: SocketAddr, dir: &Path) -> Self {
+        Self::start_with(id, store, dir, &[])
+    }
+
+    /// The same, with optional parts of the policy switched on.
+    ///
+    /// # Panics
+    /// When the settings can't be written or the process can't be started.
+    pub fn start_with(id: &str, store: SocketAddr, dir: &Path, features: &[&str]) -> Self {
         let (callers, ready, peers) = (free_addr(), free_addr(), free_addr());
         let settings = dir.join(format!("{id}.ini"));
+        let features: String = features.iter().map(|f| format!("{f} = on\n")).collect();
         let text = format!(
             "[instance]\nid = {id}\nhall = h1\n[listen]\ncallers = {callers}\nready = {ready}\npeers = {peers}\n\
-             [direct]\nstore = {store}\nfirst_start = true\n[stop]\ngrace_s = 4\n"
+             [direct]\nstore = {store}\nfirst_start = true\n[stop]\ngrace_s = 4\n\
+             [features]\n{features}"
         );
         std::fs::write(&settings, text).expect("settings");
         let child = spawn(&settings);
--- a/tests/direct/returns.rs
+++ b/tests/direct/returns.rs
@@ -1,6 +1,7 @@
 //! Appointments of refused callers: when they are told to come back, and what they gain by it.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use runrail::logic::direct::returns::{
     AppointmentTable, CapacityForecast, PoolKey, ReturnBounds, SendRate,
@@ -9,9 +10,9 @@
     DirectEffect, DirectEvent, FeatureMode, Fingerprint, Problem, RunPart,
 };
 use runrail::logic::{Effect, LogCode};
-use runrail::types::{InstanceId, SeatState};
+use runrail::types::{InstanceId, KeyedAccount, SeatState};
 
-use crate::fixture::{engine, open_group, problem, request, run, seat, Router, MODEL};
+use crate::fixture::{engine, open_group, problem, request, routing, run, seat, Router, MODEL};
 
 /// A rate of 100 requests a second, in thousandths.
 const RATE: u64 = 100_000;
@@ -99,6 +100,34 @@
     assert_eq!(forecast.earliest_free(0, 1_600, 0, &taken), Some(1_020));
 }
 
+/// Guards against appointments beyond what a pool takes, whatever its endpoints do.
+#[test]
+fn what_is_due_never_exceeds_what_the_pool_has_taken() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    for _ in 0..50 {
+        let mut forecast = CapacityForecast::default();
+        let mut parts = Vec::new();
+        for _ in 0..rng.usize(1..5) {
+            let (from, until) = (rng.u64(0..1_500), rng.u64(0..2_000));
+            let rate = rng.u64(1_000..80_000);
+            forecast.add_until(from, until, rate);
+            parts.push((from, until.max(from), rate));
+        }
+        let waiting = rng.u64(0..10);
+        let mut given: Vec<u64> = burst(&forecast, waiting, 200)
+            .into_iter()
+            .flatten()
+            .collect();
+        given.sort_unstable();
+        for (n, at) in given.iter().enumerate() {
+            let time = |(from, until, _): &(u64, u64, u64)| (*at).clamp(*from, *until) - from;
+            let taken: u64 = parts.iter().map(|part| time(part) * part.2).sum();
+            let due = waiting + 2 * (n as u64 + 1);
+            assert!(due * 1_000_000 <= taken, "{parts:?} {waiting} {given:?}");
+        }
+    }
+}
+
 #[test]
 fn a_pool_without_capacity_for_3_s_has_no_slot_within_the_bound() {
     let mut forecast = CapacityForecast::default();
@@ -337,6 +366,17 @@
     (router, runs)
 }
 
+/// Ends runs until a waiting request is sent; returns its number.
+fn first_sent(router: &mut Router, runs: Vec<u64>) -> Option<u64> {
+    runs.into_iter().find_map(|run| {
+        let effects = router.part(run, RunPart::End);
+        effects.iter().find_map(|e| match e {
+            DirectEffect::Run(run) => Some(run.request),
+            _ => None,
+        })
+    })
+}
+
 /// A request that comes again under a new number.
 fn again(router: &mut Router, first: u64, id: u64) -> Vec<DirectEffect> {
     let mut asked = request(id, "/stream/x");
@@ -361,18 +401,87 @@
     assert!(!kept(2_000, &mut router));
     assert!(kept(2_001, &mut router));
     assert_eq!(router.state().returns.kept, 1);
-    let sent = runs.into_iter().find_map(|run| {
-        let effects = router.part(run, RunPart::End);
-        effects.iter().find_map(|e| match e {
-            DirectEffect::Run(run) => Some(run.request),
-            _ => None,
-        })
-    });
-    assert_eq!(sent, Some(2_001));
+    assert_eq!(first_sent(&mut router, runs), Some(2_001));
     again(&mut router, 1_000, 2_002);
     assert_eq!(router.state().returns.kept, 1, "once");
 }
 
+/// Guards against a request that returns in time only to find the queue full, which is its last try.
+#[test]
+fn a_kept_appointment_has_a_place_in_a_full_queue() {
+    let (mut router, _) = full_queue();
+    let ms = refuse(&mut router, 1_000);
+    router.advance_ms(ms);
+    let full = refusals(&mut router, 2_000..2_100, "/stream/x");
+    assert!(!full.is_empty(), "the queue is full of fresh ones");
+    assert!(again(&mut router, 1_000, 3_000).is_empty(), "it waits");
+    let other = problem(&router.ask(3_001, "/stream/x"));
+    assert!(matches!(other, Some(Problem::NotRun(_))), "{other:?}");
+}
+
+/// Guards against a returned request that goes before more important ones.
+#[test]
+fn a_kept_appointment_does_not_go_before_a_higher_priority() {
+    let (mut router, runs) = full_queue();
+    let mut changed = routing(2);
+    let urgent = KeyedAccount {
+        name: "urgent".into(),
+        priority: Some(0),
+    };
+    changed.accounts.insert("key-0".into(), Arc::new(urgent));
+    router.tell(DirectEvent::Routing(Arc::new(changed)));
+    let ms = refuse(&mut router, 1_000);
+    router.advance_ms(ms);
+    assert!(again(&mut router, 1_000, 2_000).is_empty(), "it waits");
+    let mut asked = request(2_001, "/stream/x");
+    asked.key = Some("key-0".into());
+    assert!(router.ask_for(asked).is_empty(), "the urgent one waits");
+    assert_eq!(first_sent(&mut router, runs), Some(2_001));
+}
+
+/// Guards against a message for each refusal: at 12,000 requests a second and 380 routers these would
+/// be more than all others.
+#[test]
+fn appointments_cost_no_messages() {
+    let routers = ["r0", "r1", "r2"].map(InstanceId::new);
+    let messages = |mode| {
+        let mut router = Router::named("r1", &routers, open_group("g", [1, 2, 3]));
+        router.state().params.features.returns = mode;
+        let mut count = 0;
+        for id in 0..200 {
+            router.tell(DirectEvent::Request(Box::new(request(id, "/stream/x"))));
+            router.advance_ms(20);
+            count += router.sent_messages().len();
+        }
+        assert_eq!(router.state().returns.given > 0, mode == FeatureMode::On);
+        count
+    };
+    assert_eq!(messages(FeatureMode::On), messages(FeatureMode::Off));
+}
+
+/// Guards against a group that opens in a pool of which nothing was measured yet: callers would be
+/// spread over the time before.
+#[test]
+fn a_pool_that_was_never_used_is_expected_to_take_what_is_published() {
+    let joining = [1, 2, 3].into_iter().enumerate();
+    let joining = joining.map(|(rank, n)| engine(n, seat("g", rank, SeatState::Joining)));
+    let mut router = Router::new(joining.collect());
+    let mut changed = routing(2);
+    let mut pool = (*changed.services["pool"]).clone();
+    if let Some(engine) = &mut pool.engine {
+        (engine.usual_prompt, engine.usual_answer) = (1_000, 50);
+    }
+    changed.services.insert("pool".into(), Arc::new(pool));
+    router.tell(DirectEvent::Routing(Arc::new(changed)));
+    router.state().params.features.returns = FeatureMode::On;
+    router.advance_ms(500);
+    // 24 runs of 320 ms each are 75 a second. The group opens 1,300 ms after it was first seen.
+    let told = refusals(&mut router, 1_000..1_020, "/stream/x");
+    assert_eq!(told.len(), 20);
+    assert!(told[0] >= 700 && told[0] < 960, "{told:?}");
+    assert!(told.is_sorted() && most_in_100_ms(&told) <= 5, "{told:?}");
+}
+
 /// Guards against callers that gain by coming back at once, and against ones that take a further slot
 /// each time.
 #[test]
--- a/tests/direct/soak_checks.rs
+++ b/tests/direct/soak_checks.rs
@@ -16,8 +16,11 @@
         at_ms: n * 100,
         took_ms: 50,
         outcome,
+        retry_after_ms: None,
+        returned: false,
     };
     Record {
+        features: vec!["returns"],
         samples: vec![sample(1, Outcome::Whole), sample(2, Outcome::NotRun)],
         ran: BTreeMap::from([("stream1".to_string(), 2)]),
         once: BTreeMap::from([("once1".to_string(), 1)]),
@@ -124,6 +127,14 @@
             "memory, descriptors and logs are bounded",
             Box::new(|r| r.usages[0].log_bytes = 11_000_000),
         ),
+        (
+            "a refused caller is told a time that it has",
+            Box::new(|r| r.samples[1].retry_after_ms = Some(2_001)),
+        ),
+        (
+            "a caller that returns in time is not worse off than a fresh one",
+            Box::new(|r| r.samples.extend(returned(4))),
+        ),
         ("the fleet recovers", Box::new(|r| r.recovered_ms = None)),
     ];
     for (check, change) in cases {
@@ -131,6 +142,48 @@
     }
 }
 
+/// Requests that return in time beside a fresh one that is served, and are refused again.
+fn returned(count: u64) -> Vec<Sample> {
+    let sample = |n: u64| Sample {
+        attempt: format!("stream{n}-returned"),
+        kind: "stream",
+        router: 1,
+        at_ms: 5_000 + n,
+        took_ms: 50,
+        outcome: Outcome::NotRun,
+        retry_after_ms: Some(300),
+        returned: true,
+    };
+    let fresh = Sample {
+        outcome: Outcome::Whole,
+        returned: false,
+        ..sample(0)
+    };
+    std::iter::once(fresh)
+        .chain((0..count).map(sample))
+        .collect()
+}
+
+/// A few may be refused by chance, and all where fresh ones are refused as well; without appointments
+/// nothing is promised.
+#[test]
+fn returned_requests_are_compared_with_fresh_ones() {
+    let found = |change: &dyn Fn(&mut Record)| failed_checks(|r| change(r)).len();
+    assert_eq!(found(&|r| r.samples.extend(returned(3))), 0);
+    assert_eq!(found(&|r| r.samples.extend(returned(20))), 1);
+    let refused = |r: &mut Record| {
+        r.samples.extend(returned(20));
+        r.samples[2].outcome = Outcome::NotRun;
+    };
+    assert_eq!(found(&refused), 0);
+    let off = |r: &mut Record| {
+        r.samples.extend(returned(20));
+        r.samples[1].retry_after_ms = Some(5_000);
+        r.features.clear();
+    };
+    assert_eq!(found(&off), 0);
+}
+
 /// A closed connection isn't reported where a fault of an endpoint explains it or the router was
 /// killed meanwhile, and too many requests aren't where a router was restarted. Faults of the store
 /// explain neither.
@@ -284,6 +337,20 @@
     assert!(count(|f| matches!(f, Fault::Leave(_))) > 10);
 }
 
+/// Guards against a soak that never plays one of the two states of a switch.
+#[test]
+fn some_plans_switch_returns_on_and_some_do_not() {
+    let has_returns = |seed| {
+        let settings = SoakSettings {
+            seed,
+            ..SoakSettings::default()
+        };
+        Plan::draw(&settings).features.contains(&"returns")
+    };
+    let on: Vec<u64> = (1..=10).filter(|seed| has_returns(*seed)).collect();
+    assert!((2..=8).contains(&on.len()), "{on:?}");
+}
+
 #[test]
 fn the_same_seed_draws_the_same_plan() {
     let settings = SoakSettings::default();
