--- a/src/logic/direct/returns/appointment_table.rs
+++ b/src/logic/direct/returns/appointment_table.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::{PoolKey, RETURN_WINDOW_MS};
 use crate::logic::direct::Fingerprint;
@@ -11,19 +11,19 @@
 /// Appointments of refused requests by fingerprint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct AppointmentTable {
-    appointments: BTreeMap<Fingerprint, (Millis, PoolKey)>,
-    by_time: BTreeSet<(Millis, Fingerprint)>,
+    times: BTreeMap<Fingerprint, Millis>,
+    pools: BTreeMap<(Millis, Fingerprint), PoolKey>,
 }
 
 impl AppointmentTable {
     /// Number of appointments.
     pub fn len(&self) -> usize {
-        self.appointments.len()
+        self.times.len()
     }
 
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
-        self.appointments.is_empty()
+        self.times.is_empty()
     }
 
     /// Adds the appointment of a request, in place of an earlier one; false if there is no room.
@@ -36,58 +36,55 @@
     ) -> bool {
         self.remove(&request);
         if self.len() >= MAX_APPOINTMENTS {
-            let first = self.by_time.first().copied();
-            let Some((_, over)) = first.filter(|(at, _)| is_over(*at, now)) else {
+            let Some(over) = self.longest_over(now) else {
                 return false;
             };
             self.remove(&over);
         }
-        self.by_time.insert((at, request));
-        self.appointments.insert(request, (at, pool.clone()));
+        self.pools.insert((at, request), pool.clone());
+        self.times.insert(request, at);
         true
     }
 
     /// Removes the appointment of a request.
     pub fn remove(&mut self, request: &Fingerprint) {
-        if let Some((at, _)) = self.appointments.remove(request) {
-            self.by_time.remove(&(at, *request));
+        if let Some(at) = self.times.remove(request) {
+            self.pools.remove(&(at, *request));
         }
     }
 
     /// The time of a request's appointment that is still to come.
     pub fn upcoming(&self, now: Millis, request: &Fingerprint) -> Option<Millis> {
-        let (at, _) = self.appointments.get(request)?;
-        Some(*at).filter(|at| now < *at)
+        self.times.get(request).copied().filter(|at| now < *at)
     }
 
     /// Handles a request that has come; returns the time of its appointment if it is in time for it.
     /// The appointment is then used up; one that is still to come remains.
     pub fn keep(&mut self, now: Millis, request: &Fingerprint) -> Option<Millis> {
-        let (at, _) = self.appointments.get(request)?;
-        let at = Some(*at).filter(|at| *at <= now)?;
+        let at = self.times.get(request).copied().filter(|at| *at <= now)?;
         self.remove(request);
         (!is_over(at, now)).then_some(at)
     }
 
     /// Times of a pool's appointments that are still to come, in order.
     pub fn times(&self, now: Millis, pool: &PoolKey) -> Vec<Millis> {
-        let upcoming = self.by_time.iter().rev().take_while(|(at, _)| now < *at);
-        let is_of_pool = |(_, request): &&(Millis, Fingerprint)| {
-            let appointment = self.appointments.get(request);
-            appointment.is_some_and(|(_, p)| p == pool)
-        };
-        let mut times: Vec<_> = upcoming.filter(is_of_pool).map(|(at, _)| *at).collect();
-        times.reverse();
-        times
+        let upcoming = self.pools.range((now + 1, Fingerprint::default())..);
+        let of_pool = upcoming.filter(|(_, p)| *p == pool);
+        of_pool.map(|((at, _), _)| *at).collect()
     }
 
     /// Removes the appointments whose time is over.
     pub fn remove_over(&mut self, now: Millis) {
-        while let Some((_, request)) = self.by_time.first().filter(|(at, _)| is_over(*at, now)) {
-            let request = *request;
+        while let Some(request) = self.longest_over(now) {
             self.remove(&request);
         }
     }
+
+    /// The request whose appointment is over longest.
+    fn longest_over(&self, now: Millis) -> Option<Fingerprint> {
+        let ((at, request), _) = self.pools.first_key_value()?;
+        is_over(*at, now).then_some(*request)
+    }
 }
 
 /// Whether a request that comes now is too late for an appointment.
--- a/tests/direct/returns.rs
+++ b/tests/direct/returns.rs
@@ -7,12 +7,15 @@
     AppointmentTable, CapacityForecast, PoolKey, ReturnBounds, SendRate,
 };
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, FeatureMode, Fingerprint, Problem, RunPart,
+    ColdPhase, DirectEffect, DirectEvent, EndpointView, FeatureMode, Fingerprint, PacedShare,
+    Problem, RunPart,
 };
 use runrail::logic::{Effect, LogCode};
 use runrail::types::{InstanceId, KeyedAccount, SeatState};
 
-use crate::fixture::{engine, open_group, problem, request, routing, run, seat, Router, MODEL};
+use crate::fixture::{
+    at, engine, open_group, problem, request, routing, run, seat, Router, FENCE, MODEL,
+};
 
 /// A rate of 100 requests a second, in thousandths.
 const RATE: u64 = 100_000;
@@ -128,6 +131,7 @@
     }
 }
 
+/// Guards against a slot in a time in which nothing can be sent.
 #[test]
 fn a_pool_without_capacity_for_3_s_has_no_slot_within_the_bound() {
     let mut forecast = CapacityForecast::default();
@@ -136,6 +140,7 @@
     assert_eq!(forecast.earliest_free(0, 4_000, 0, &[]), Some(3_020));
 }
 
+/// Guards against callers that all return when a group opens, or before.
 #[test]
 fn a_group_that_opens_in_2_s_gets_no_request_before() {
     let mut forecast = CapacityForecast::default();
@@ -183,6 +188,7 @@
     assert_eq!(rate.per_endpoint(6_000), Some(10_000), "as last known");
 }
 
+/// Guards against precedence for callers that come early, late or more than once.
 #[test]
 fn an_appointment_is_kept_once_and_only_in_time() {
     let mut table = AppointmentTable::default();
@@ -261,6 +267,18 @@
     router.effects.iter().filter(is_code).count()
 }
 
+/// Number of callers that got a free slot since the effects were last taken.
+fn free_slots(router: &Router) -> usize {
+    let is_free = |e: &&Effect| match e {
+        Effect::Log(event) => {
+            let text = event.to_string();
+            event.code == LogCode::AppointmentGiven && text.contains("\"free slot\"")
+        }
+        _ => false,
+    };
+    router.effects.iter().filter(is_free).count()
+}
+
 /// Guards against a wave of returns at a router, from the rate that it has measured itself.
 #[test]
 fn refused_callers_of_a_router_come_back_spread_and_in_time() {
@@ -268,6 +286,7 @@
     let told = refusals(&mut router, 1_000..1_200, "/stream/x");
     assert!(told.len() > 150, "{}", told.len());
     assert!(told.iter().all(|ms| *ms <= BOUND_MS), "{told:?}");
+    assert!(told[0] > 500, "after some 28 that wait: {told:?}");
     assert!(most_in_100_ms(&told) <= 50, "{told:?}");
     let distinct: BTreeSet<_> = told.iter().collect();
     assert!(distinct.len() > 100, "{told:?}");
@@ -323,6 +342,87 @@
     );
 }
 
+/// Guards against callers without a slot that return long before there is any capacity.
+#[test]
+fn callers_without_a_slot_come_back_late_where_capacity_comes_late() {
+    let (mut router, _) = full_head();
+    let id = InstanceId::new("e1");
+    let (run, ms) = (Some(1), 1_600);
+    router.tell(DirectEvent::HoldOff { id, run, ms });
+    let told = refusals(&mut router, 1_000..1_200, "/stream/x");
+    assert!(told.len() > 100);
+    let last_quarter = BOUND_MS - BOUND_MS / 4..=BOUND_MS;
+    assert!(told.iter().all(|ms| last_quarter.contains(ms)), "{told:?}");
+    assert!(most_in_100_ms(&told) < told.len() / 2, "{told:?}");
+}
+
+/// When the first of some callers is told to come back after a change of the only head; none if it
+/// gets no slot.
+fn first_slot(change: impl FnOnce(&mut EndpointView, u64)) -> Option<u64> {
+    let (mut router, _) = full_head();
+    let now = router.now;
+    let head = router.state().endpoints.get_mut(&InstanceId::new("e1"));
+    change(head.expect("a head"), now);
+    router.effects.clear();
+    for id in 1_000..1_050 {
+        router.tell(DirectEvent::Request(Box::new(request(id, "/stream/x"))));
+    }
+    let has_slot = free_slots(&router) > 0;
+    match problem(&router.take_effects()) {
+        Some(Problem::NotRun(ms)) if has_slot => Some(ms),
+        _ => None,
+    }
+}
+
+/// Guards against appointments by the capacity of endpoints that take nothing yet.
+#[test]
+fn endpoints_count_from_when_they_take_requests() {
+    let usual = first_slot(|_, _| ()).expect("a slot");
+    assert_eq!(first_slot(|v, now| v.silent_since = Some(now)), None);
+    assert_eq!(first_slot(|v, _| v.leaving = true), None);
+    let after_backoff = first_slot(|v, now| v.backoff_until = now + 700);
+    assert_eq!(after_backoff, Some(usual + 700));
+    let after_cold = first_slot(|v, now| {
+        let share = PacedShare {
+            gap: Some(500),
+            ..PacedShare::default()
+        };
+        let until = now + 700;
+        v.cold = Some(ColdPhase { until, share });
+    });
+    // 1.4 requests until it is warm, then 50 a second.
+    let expected = usual + 670;
+    assert!(
+        after_cold.is_some_and(|ms| ms.abs_diff(expected) <= 10),
+        "{after_cold:?} {usual}"
+    );
+}
+
+/// Guards against appointments by endpoints that operators have taken out of use.
+#[test]
+fn an_evacuated_hall_is_no_capacity() {
+    let (mut router, _) = full_head();
+    router.effects.clear();
+    let halls = vec!["h1".into()];
+    let at = at(FENCE + 1);
+    router.tell(DirectEvent::HallsRead { at, halls });
+    router.tell(DirectEvent::Request(Box::new(request(1_000, "/stream/x"))));
+    assert!(logged(&router, LogCode::AppointmentGiven) > 0);
+    assert_eq!(free_slots(&router), 0, "{:?}", router.effects);
+}
+
+/// Guards against a forecast by requests that were sent too late, which callers gain nothing from.
+#[test]
+fn requests_that_are_sent_late_do_not_count_in_the_rate() {
+    let (mut router, runs) = full_queue();
+    router.now += 100;
+    let now = router.now;
+    let rate = |router: &mut Router| router.state().returns.rates[&pool()].per_endpoint(now);
+    let before = rate(&mut router);
+    assert!(first_sent(&mut router, runs).is_some());
+    assert_eq!(rate(&mut router), before);
+}
+
 /// Guards against callers that return before a group opens, and against ones that are told the last
 /// possible time though a group opens before.
 #[test]
