--- a/src/logic/direct/returns/forecast.rs
+++ b/src/logic/direct/returns/forecast.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{CapacityForecast, Opening, PoolKey, SendRate};
+use super::{CapacityForecast, Opening, PoolKey};
 use crate::logic::direct::{DirectState, EndpointView, Mechanism};
 use crate::types::{EngineSpec, Millis, SeatState};
 
@@ -67,7 +67,7 @@
     for (pool, rate) in &mut rates {
         let available = endpoints(state, pool).filter(|v| available_from(v, now) == Some(now));
         let available = available.filter(|v| v.cold.is_none()).count() as u64;
-        SendRate::record_endpoints(rate, now, available, ms);
+        rate.record_endpoints(now, available, ms);
     }
     state.returns.rates = rates;
     state.returns.openings = openings(state, now);
