Returns: no time to come back within a hold-off that fits the bound

The end of a hold-off was a bound only of free slots. A caller without a slot, one of a pool of which nothing is known and one that came early could be told a time at which every endpoint still held off, although the end was within a third of its time. choose_time now takes the end of the first hold-off as a hard lower bound for all of them, up to the caller's maximum.

The test callers_without_a_slot_come_back_late_where_capacity_comes_late pinned the fault: for a hold-off of 1,600 ms it took any time from 1,250 ms on. It is replaced by one that takes none before the end of the hold-off, and its bound on callers in 100 ms by one on distinct times, as less than 100 ms are left to spread over. Two tests are new: an unknown pool, and an appointment that is told again.

--- a/src/logic/direct/returns/appointment.rs
+++ b/src/logic/direct/returns/appointment.rs
@@ -1,7 +1,9 @@
 //! Appointments: given to refused requests, and kept by those that return in time.
 
 use super::{forecast, PoolKey, ReturnBounds, RETURN_WINDOW_MS};
-use crate::logic::direct::{DirectState, Fingerprint, InFlightRequest, Mechanism, Precedence};
+use crate::logic::direct::{
+    choose, DirectState, Fingerprint, InFlightRequest, Mechanism, Precedence,
+};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::Millis;
 
@@ -93,23 +95,27 @@
     let left = flight.deadline.saturating_sub(now);
     let bounds = ReturnBounds::new(left, flight.route.target_ms, state.params.again_ms);
     let latest = now + bounds.max;
+    // Before the first endpoint takes requests again it would be refused once more.
+    let held = choose::hold_off_end(state, now, flight).map_or(0, |end| end.saturating_sub(now));
+    let not_before = latest.min(now.saturating_add(held));
     // A caller that has come early keeps its slot. Identical requests of other callers can't be told
     // from it: these are spread over the time in which the appointment can be kept.
     if let Some(at) = state.returns.table.upcoming(now, &flight.fingerprint) {
         let at = at + random % RETURN_WINDOW_MS;
-        return Some((at.min(latest), "has an appointment"));
+        return Some((at.clamp(not_before, latest), "has an appointment"));
     }
     let Some(forecast) = forecast::forecast(state, now, pool) else {
-        return Some((now + bounds.late_time(0, random), "capacity is unknown"));
+        let ahead = bounds.late_time(0, held, random);
+        return Some((now + ahead, "capacity is unknown"));
     };
     let taken = state.returns.table.times(now, pool);
     let waiting = count_waiting(state, flight, pool);
     let free = forecast.earliest_free(now, latest, waiting, &taken);
     if let Some(at) = free {
-        return Some((at, "free slot"));
+        return Some((at.max(not_before), "free slot"));
     }
     let begin = forecast.first_capacity(now).map_or(0, |at| at - now);
-    Some((now + bounds.late_time(begin, random), "no free slot"))
+    Some((now + bounds.late_time(begin, held, random), "no free slot"))
 }
 
 /// Number of other requests that wait for a pool.
--- a/src/logic/direct/returns/return_bounds.rs
+++ b/src/logic/direct/returns/return_bounds.rs
@@ -33,13 +33,13 @@
         }
     }
 
-    /// A time in the later half between the bounds, by a random number. It is not before
-    /// `not_before`, but leaves a quarter of the longest time to spread callers over.
-    pub fn late_time(&self, not_before: Millis, random: u64) -> Millis {
+    /// A time in the later half between the bounds, by a random number. It is not before `expected`,
+    /// but leaves a quarter of the longest time to spread callers over; and never before `held`, at which
+    /// the first endpoint ends its hold-off, unless that is later than the longest time.
+    pub fn late_time(&self, expected: Millis, held: Millis, random: u64) -> Millis {
         let half = self.min + (self.max - self.min) / 2;
-        let from = not_before
-            .min(self.max - self.max / SPREAD_DIVISOR)
-            .max(half);
+        let from = expected.min(self.max - self.max / SPREAD_DIVISOR).max(half);
+        let from = from.max(held.min(self.max));
         from + (self.max - from) * (random % JITTER_STEPS) / JITTER_STEPS
     }
 }
--- a/tests/direct/returns.rs
+++ b/tests/direct/returns.rs
@@ -163,11 +163,13 @@
     assert_eq!(ReturnBounds::new(300, TARGET_MS, 400).max, 0);
     for random in [0, 1, 499, 999, u64::MAX] {
         let bounds = ReturnBounds::new(450, TARGET_MS, 400);
-        assert!(bounds.late_time(0, random) <= 50);
+        assert!(bounds.late_time(0, 0, random) <= 50);
         let bounds = ReturnBounds::new(LEFT_MS, TARGET_MS, 400);
-        assert!((1_033..=BOUND_MS).contains(&bounds.late_time(0, random)));
-        assert!((1_100..=BOUND_MS).contains(&bounds.late_time(1_100, random)));
-        assert!((1_250..=BOUND_MS).contains(&bounds.late_time(3_000, random)));
+        assert!((1_033..=BOUND_MS).contains(&bounds.late_time(0, 0, random)));
+        assert!((1_100..=BOUND_MS).contains(&bounds.late_time(1_100, 0, random)));
+        assert!((1_250..=BOUND_MS).contains(&bounds.late_time(3_000, 0, random)));
+        assert!((1_600..=BOUND_MS).contains(&bounds.late_time(0, 1_600, random)));
+        assert_eq!(bounds.late_time(0, 3_000, random), BOUND_MS);
     }
 }
 
@@ -319,21 +321,24 @@
     assert!(most_in_100_ms(&told) <= 30, "{told:?}");
 }
 
-/// Guards against callers that return before the first endpoint takes requests again.
-#[test]
-fn callers_come_back_when_a_hold_off_ends() {
-    let (mut router, _) = full_head();
-    let ms = 800;
+/// Makes the only head hold off for some 1.0 to 1.1 times `ms`; returns for how long it does.
+fn hold_off(router: &mut Router, ms: u64) -> u64 {
+    let id = InstanceId::new("e1");
     router.tell(DirectEvent::HoldOff {
-        id: InstanceId::new("e1"),
+        id: id.clone(),
         run: Some(1),
         ms,
     });
-    let until = router.state().endpoints[&InstanceId::new("e1")]
-        .hold_off
-        .as_ref()
-        .map(|h| h.until);
-    let held = until.expect("a hold-off") - router.now;
+    let until = router.state().endpoints[&id].hold_off.as_ref();
+    let until = until.map(|h| h.until).expect("a hold-off");
+    until - router.now
+}
+
+/// Guards against callers that return before the first endpoint takes requests again.
+#[test]
+fn callers_come_back_when_a_hold_off_ends() {
+    let (mut router, _) = full_head();
+    let held = hold_off(&mut router, 800);
     let told = refusals(&mut router, 1_000..1_200, "/stream/x");
     assert!(told.len() > 100);
     assert!(
@@ -342,18 +347,44 @@
     );
 }
 
-/// Guards against callers without a slot that return long before there is any capacity.
+/// Guards against callers that return, without a slot, within a hold-off whose end they could wait for.
 #[test]
-fn callers_without_a_slot_come_back_late_where_capacity_comes_late() {
+fn callers_without_a_slot_come_back_after_a_hold_off_that_ends_late() {
     let (mut router, _) = full_head();
-    let id = InstanceId::new("e1");
-    let (run, ms) = (Some(1), 1_600);
-    router.tell(DirectEvent::HoldOff { id, run, ms });
+    let held = hold_off(&mut router, 1_600);
+    assert!(held < BOUND_MS, "{held}");
     let told = refusals(&mut router, 1_000..1_200, "/stream/x");
     assert!(told.len() > 100);
-    let last_quarter = BOUND_MS - BOUND_MS / 4..=BOUND_MS;
-    assert!(told.iter().all(|ms| last_quarter.contains(ms)), "{told:?}");
-    assert!(most_in_100_ms(&told) < told.len() / 2, "{told:?}");
+    let late = held..=BOUND_MS;
+    assert!(told.iter().all(|ms| late.contains(ms)), "{held} {told:?}");
+    let distinct: BTreeSet<_> = told.iter().collect();
+    assert!(distinct.len() > 10, "spread over what is left: {told:?}");
+}
+
+/// Guards against callers that return within a hold-off because nothing was ever sent to the pool.
+#[test]
+fn callers_come_back_after_a_hold_off_where_nothing_is_known() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    router.state().params.features.returns = FeatureMode::On;
+    let held = hold_off(&mut router, 1_600);
+    let told = refusals(&mut router, 1_000..1_050, "/stream/x");
+    assert_eq!(told.len(), 50);
+    let late = held..=BOUND_MS;
+    assert!(told.iter().all(|ms| late.contains(ms)), "{held} {told:?}");
+}
+
+/// Guards against an appointment that is repeated to a caller though a hold-off has begun since.
+#[test]
+fn an_appointment_is_moved_to_the_end_of_a_hold_off() {
+    let (mut router, _) = full_queue();
+    let ms = refuse(&mut router, 1_000);
+    let held = hold_off(&mut router, 1_600);
+    assert!(ms + 500 < held, "{ms}");
+    let told = problem(&again(&mut router, 1_000, 2_000));
+    let Some(Problem::NotRun(ms)) = told else {
+        panic!("it was not refused: {told:?}");
+    };
+    assert!((held..=BOUND_MS).contains(&ms), "{held} {ms}");
 }
 
 /// When the first of some callers is told to come back after a change of the only head; none if it
