Returns: precedence only for free slots, once, in bounded places

Callers without a free slot, or of a pool of which nothing is known, were remembered as well. They went before fresh requests and past a full queue, so that under a lasting overload fresh ones starved; their times counted as taken, so that later callers found no slot; and a caller without time left was told 0 ms, so that an immediate retry kept an appointment. A request that was refused again got another appointment.

Only free slots are remembered now. A request that has kept its appointment and is refused again gets no other one before its deadline, unless it is sent in between. Beyond a full queue there are half as many places as in it for kept appointments, where there was no bound.

--- a/src/logic/direct/admission/queue.rs
+++ b/src/logic/direct/admission/queue.rs
@@ -28,6 +28,10 @@
 /// How long a request may wait if its caller names no time.
 const DEFAULT_WAIT_MS: Millis = 500;
 
+/// Requests that keep an appointment have places beyond a full queue, as many as it has divided by this:
+/// appointments are given for half of what a pool takes.
+const KEPT_DIVISOR: u64 = 2;
+
 /// Most requests held until the routing and the endpoint list are known, or until the routing was
 /// read again after a pause. At the target fleet size a router gets 32 a second.
 const MAX_HELD: usize = 256;
@@ -71,7 +75,9 @@
     }
     let queue = state.queues.entry(key.clone()).or_default();
     let wait = flight.wait_until.saturating_sub(flight.arrived);
-    let fits = (queue.waiting.len() as u64) < queue.max_waiting(now, wait);
+    let most = queue.max_waiting(now, wait);
+    let beyond = u64::from(flight.kept_appointment) * most / KEPT_DIVISOR;
+    let fits = (queue.waiting.len() as u64) < most + beyond;
     let is_open = flight.head_sent || choose::has_open_hall(state, &flight.service);
     let queue = state.queues.entry(key.clone()).or_default();
     let active = (queue.has_sent(now) || flight.head_sent) && is_open;
@@ -79,7 +85,7 @@
         return finish::give_up(state, now, id, "no endpoint can serve it", out);
     }
     let place = (flight.precedence, flight.priority, id);
-    if fits || flight.precedence == Precedence::Resumed || flight.kept_appointment {
+    if fits || flight.precedence == Precedence::Resumed {
         insert(state, &key, place);
         return;
     }
--- a/src/logic/direct/returns/appointment.rs
+++ b/src/logic/direct/returns/appointment.rs
@@ -7,6 +7,28 @@
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::Millis;
 
+/// Rule by which the time of a refused request is chosen.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Rule {
+    FreeSlot,
+    NoFreeSlot,
+    CapacityUnknown,
+    HasAppointment,
+    RefusedAgain,
+}
+
+impl Rule {
+    fn name(self) -> &'static str {
+        match self {
+            Rule::FreeSlot => "free slot",
+            Rule::NoFreeSlot => "no free slot",
+            Rule::CapacityUnknown => "capacity is unknown",
+            Rule::HasAppointment => "has an appointment",
+            Rule::RefusedAgain => "refused again",
+        }
+    }
+}
+
 /// Handles a request that was sent to an endpoint.
 pub(in crate::logic::direct) fn on_sent(state: &mut DirectState, now: Millis, id: u64) {
     let Some(flight) = state.in_flight.get(&id) else {
@@ -17,7 +39,7 @@
     }
     let in_time = flight.precedence == Precedence::Fresh && !flight.is_late(now);
     let (fingerprint, pool) = (flight.fingerprint, PoolKey::of(flight));
-    state.returns.table.remove(&fingerprint);
+    state.returns.table.forget(&fingerprint);
     if in_time {
         forecast::count_sent(state, now, pool);
     }
@@ -60,7 +82,7 @@
         return None;
     }
     let (fingerprint, label) = (flight.fingerprint, flight.label.clone());
-    let pool = PoolKey::of(flight);
+    let (pool, deadline) = (PoolKey::of(flight), flight.deadline);
     if flight.kept_appointment {
         state.returns.refused_again += 1;
         let event = LogEvent::new(LogCode::RefusedAgain)
@@ -68,16 +90,18 @@
             .with("fingerprint", fingerprint)
             .with("waited", now.saturating_sub(flight.arrived));
         out.push(Effect::Log(event));
+        state.returns.table.record_spent(fingerprint, deadline);
     }
-    let (at, why) = choose_time(state, now, id, &pool)?;
+    let (at, rule) = choose_time(state, now, id, &pool)?;
     state.returns.given += 1;
     let event = LogEvent::new(LogCode::AppointmentGiven)
         .with("request", &label)
         .with("fingerprint", fingerprint)
         .with("in", at - now)
-        .with("why", why);
+        .with("why", rule.name());
     out.push(Effect::Log(event));
-    if state.returns.table.upcoming(now, &fingerprint).is_none() {
+    // Precedence without a free slot would be taken from fresh requests.
+    if rule == Rule::FreeSlot {
         remember(state, now, fingerprint, at, &pool, out);
     }
     Some(at - now)
@@ -89,7 +113,7 @@
     now: Millis,
     id: u64,
     pool: &PoolKey,
-) -> Option<(Millis, &'static str)> {
+) -> Option<(Millis, Rule)> {
     let random = state.random_below(u64::MAX);
     let flight = state.in_flight.get(&id)?;
     let left = flight.deadline.saturating_sub(now);
@@ -98,24 +122,30 @@
     // Before the first endpoint takes requests again it would be refused once more.
     let held = choose::hold_off_end(state, now, flight).map_or(0, |end| end.saturating_sub(now));
     let not_before = latest.min(now.saturating_add(held));
+    let is_spent = state.returns.table.is_spent(now, &flight.fingerprint);
+    let upcoming = state.returns.table.upcoming(now, &flight.fingerprint);
     // A caller that has come early keeps its slot. Identical requests of other callers can't be told
     // from it: these are spread over the time in which the appointment can be kept.
-    if let Some(at) = state.returns.table.upcoming(now, &flight.fingerprint) {
+    if let Some(at) = upcoming.filter(|_| !is_spent) {
         let at = at + random % RETURN_WINDOW_MS;
-        return Some((at.clamp(not_before, latest), "has an appointment"));
+        return Some((at.clamp(not_before, latest), Rule::HasAppointment));
     }
     let Some(forecast) = forecast::forecast(state, now, pool) else {
         let ahead = bounds.late_time(0, held, random);
-        return Some((now + ahead, "capacity is unknown"));
+        return Some((now + ahead, Rule::CapacityUnknown));
     };
+    let begin = forecast.first_capacity(now).map_or(0, |at| at - now);
+    let late = now + bounds.late_time(begin, held, random);
+    if is_spent {
+        return Some((late, Rule::RefusedAgain));
+    }
     let taken = state.returns.table.times(now, pool);
     let waiting = count_waiting(state, flight, pool);
     let free = forecast.earliest_free(now, latest, waiting, &taken);
-    if let Some(at) = free {
-        return Some((at.max(not_before), "free slot"));
-    }
-    let begin = forecast.first_capacity(now).map_or(0, |at| at - now);
-    Some((now + bounds.late_time(begin, held, random), "no free slot"))
+    Some(match free {
+        Some(at) => (at.max(not_before), Rule::FreeSlot),
+        None => (late, Rule::NoFreeSlot),
+    })
 }
 
 /// Number of other requests that wait for a pool.
--- a/src/logic/direct/returns/appointment_table.rs
+++ b/src/logic/direct/returns/appointment_table.rs
@@ -13,6 +13,8 @@
 pub struct AppointmentTable {
     times: BTreeMap<Fingerprint, Millis>,
     pools: BTreeMap<(Millis, Fingerprint), PoolKey>,
+    /// Requests that kept an appointment and were refused again, with their deadlines.
+    spent: BTreeMap<Fingerprint, Millis>,
 }
 
 impl AppointmentTable {
@@ -66,6 +68,26 @@
         (!is_over(at, now)).then_some(at)
     }
 
+    /// Records a request that has kept its appointment and was refused again, so that it gets no other
+    /// one before its deadline.
+    pub fn record_spent(&mut self, request: Fingerprint, deadline: Millis) {
+        if self.spent.len() < MAX_APPOINTMENTS {
+            self.spent.insert(request, deadline);
+        }
+    }
+
+    /// Whether a request has kept an appointment and was refused again.
+    pub fn is_spent(&self, now: Millis, request: &Fingerprint) -> bool {
+        let deadline = self.spent.get(request);
+        deadline.is_some_and(|deadline| now < *deadline)
+    }
+
+    /// Forgets what is known of a request, which was sent to an endpoint.
+    pub fn forget(&mut self, request: &Fingerprint) {
+        self.remove(request);
+        self.spent.remove(request);
+    }
+
     /// Times of a pool's appointments that are still to come, in order.
     pub fn times(&self, now: Millis, pool: &PoolKey) -> Vec<Millis> {
         let upcoming = self.pools.range((now + 1, Fingerprint::default())..);
@@ -73,11 +95,12 @@
         of_pool.map(|((at, _), _)| *at).collect()
     }
 
-    /// Removes the appointments whose time is over.
+    /// Removes the appointments whose time is over, and the records of requests past their deadlines.
     pub fn remove_over(&mut self, now: Millis) {
         while let Some(request) = self.longest_over(now) {
             self.remove(&request);
         }
+        self.spent.retain(|_, deadline| now < *deadline);
     }
 
     /// The request whose appointment is over longest.
