--- a/tests/direct/returns.rs
+++ b/tests/direct/returns.rs
@@ -625,15 +625,25 @@
     router.advance_ms(1_300);
     assert_eq!(router.state().returns.refused_again, 1);
     let known = request(1_000, "/").fingerprint.for_account(Some("ann"));
-    for id in 3_000..3_003 {
-        let now = router.now;
-        assert_eq!(router.state().returns.table.upcoming(now, &known), None);
-        again(&mut router, 1_000, id);
-        router.advance_ms(700);
-    }
-    assert_eq!(router.state().returns.kept, 1);
+    let other = request(4_000, "/").fingerprint.for_account(Some("ann"));
+    // The head answers again, so that the pool has slots; the queue fills once more.
+    let now = router.now;
+    let head = router.state().endpoints.get_mut(&InstanceId::new("e1"));
+    head.expect("a head").silent_since = None;
+    let rates = &mut router.state().returns.rates;
+    let rate = rates.get_mut(&pool()).expect("a known rate");
+    (0..200).for_each(|_| rate.on_sent(now));
+    assert!((3_000..3_500).any(|id| problem(&router.ask(id, "/stream/x")).is_some()));
+    let told = problem(&again(&mut router, 1_000, 3_500));
+    assert!(matches!(told, Some(Problem::NotRun(_))), "{told:?}");
+    let told = problem(&router.ask(4_000, "/stream/x"));
+    assert!(matches!(told, Some(Problem::NotRun(_))), "{told:?}");
+    let table = &router.state().returns.table;
+    assert!(table.upcoming(now, &other).is_some(), "there are slots");
+    assert_eq!(table.upcoming(now, &known), None);
     let now = router.now;
     let table = &mut router.state().returns.table;
+    assert!(table.is_spent(now, &known));
     table.forget(&known);
     assert!(!table.is_spent(now, &known));
 }
