--- a/src/logic/direct/admission/queue.rs
+++ b/src/logic/direct/admission/queue.rs
@@ -28,6 +28,10 @@
 /// How long a request may wait if its caller names no time.
 const DEFAULT_WAIT_MS: Millis = 500;
 
+/// Requests that keep an appointment have places beyond a full queue, as many as it has divided by this:
+/// appointments are given for half of what a pool takes.
+const KEPT_DIVISOR: u64 = 2;
+
 /// Most requests held until the routing and the endpoint list are known, or until the routing was
 /// read again after a pause. At the target fleet size a router gets 32 a second.
 const MAX_HELD: usize = 256;
@@ -86,7 +90,9 @@
     }
     let queue = state.queues.entry(key.clone()).or_default();
     let wait = flight.wait_until.saturating_sub(flight.arrived);
-    let fits = (queue.waiting.len() as u64) < queue.max_waiting(now, wait);
+    let most = queue.max_waiting(now, wait);
+    let beyond = u64::from(flight.kept_appointment) * most / KEPT_DIVISOR;
+    let fits = (queue.waiting.len() as u64) < most + beyond;
     let is_open = flight.head_sent || choose::has_open_hall(state, &flight.service);
     let queue = state.queues.entry(key.clone()).or_default();
     let active = (queue.has_sent(now) || flight.head_sent) && is_open;
@@ -273,16 +279,17 @@
 }
 
 /// Requests of one queue in the order in which they are sent: by turn, the late ones last,
-/// then by priority and arrival.
+/// then by priority, kept appointments and arrival.
 fn send_order(state: &DirectState, now: Millis, key: &QueueKey) -> Vec<u64> {
     let Some(queue) = state.queues.get(key) else {
         return Vec::new();
     };
     let late = |id: &u64| state.in_flight.get(id).is_some_and(|f| f.is_late(now));
+    let is_fresh = |id: &u64| state.in_flight.get(id).is_some_and(|f| !f.kept_appointment);
     let sorted = queue
         .waiting
         .iter()
-        .map(|(precedence, priority, id)| (*precedence, late(id), *priority, *id));
+        .map(|(precedence, priority, id)| (*precedence, late(id), *priority, is_fresh(id), *id));
     let mut sorted: Vec<_> = sorted.collect();
     sorted.sort_unstable();
     sorted.into_iter().map(|(.., id)| id).collect()
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -5,6 +5,7 @@
 use super::admission::AdmissionState;
 use super::crashes::CrashState;
 use super::plan::{IdleReason, PlanState};
+use super::returns::ReturnsState;
 use super::{
     Demand, DigestState, DirectParams, DirectRequest, EndpointView, EvacuatedHalls,
     InFlightRequest, ListLog, ListStart, Mechanism, ObservationRequest, QueueKey, RecentPeak,
@@ -64,6 +65,8 @@
     /// Requests held until the routing and the list are known, or until the routing was read again
     /// after a pause, with their arrival.
     pub held_requests: Vec<(Millis, DirectRequest)>,
+    /// Appointments of refused requests, and what they are computed from.
+    pub returns: ReturnsState,
     /// Demand of callers.
     pub demand: Demand,
     /// Requests by the number of their run.
@@ -127,6 +130,7 @@
             queues: BTreeMap::new(),
             admission: AdmissionState::default(),
             held_requests: Vec::new(),
+            returns: ReturnsState::default(),
             demand: Demand::default(),
             runs: BTreeMap::new(),
             last_number: 1,
@@ -202,6 +206,9 @@
             ("admission_late", self.admission.late),
             ("accounts_tracked", self.admission.usage.len() as u64),
             ("crashes_counted", self.crashes.table.all_counted() as u64),
+            ("appointments", self.returns.given),
+            ("appointments_kept", self.returns.kept),
+            ("refused_again", self.returns.refused_again),
             ("age_ms", self.age(now)),
         ]
     }
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -6,6 +6,7 @@
 //! `admission` decides which requests get room where not all have it. `limits` keeps to what endpoints
 //! set themselves, `leaving` keeps requests from those that announce their end, and `evacuation` from halls
 //! that operators evacuate.
+//! `returns` tells refused callers when there will be room for them.
 //! `list_start` gets the endpoint list after a start.
 //! `capacity` decides which capacity is prepared.
 //! `plan` forms and repairs groups while this router holds the planner lease, and `digests`
@@ -16,6 +17,7 @@
 pub mod crashes;
 pub mod limits;
 pub mod plan;
+pub mod returns;
 
 mod accept;
 mod answer;
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -3,7 +3,7 @@
 use super::admission::{pool, queue};
 use super::limits::hold_off;
 use super::{
-    choose, crashes, finish, peers, DirectEffect, DirectState, InFlightRequest, Mechanism,
+    choose, crashes, finish, peers, returns, DirectEffect, DirectState, InFlightRequest, Mechanism,
     Precedence, RetryBounds, RetryWindow, Run, RunRequest,
 };
 use crate::logic::router::Metric;
@@ -56,6 +56,7 @@
         return false;
     };
     let late = queue::on_sent(state, now, id, out);
+    returns::on_sent(state, now, id);
     let spec = state.routing.as_ref();
     let spec = spec.and_then(|r| r.services.get(&flight.service));
     let engine = spec.and_then(|s| s.engine.as_ref());
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -186,4 +186,8 @@
     GroupReplaced = 667 Info "group opened in place of a lost one";
     HallUnreachable = 668 Warn "data hall doesn't answer: nothing is planned there";
     HallReachable = 669 Info "data hall answers again";
+    AppointmentGiven = 670 Info "refused caller told when to return";
+    AppointmentKept = 671 Info "refused caller has returned in time";
+    RefusedAgain = 672 Warn "request refused again though it returned in time";
+    AppointmentsFull = 673 Warn "too many appointments: a further one isn't remembered";
 }
--- a/testkit/src/soak/plan.rs
+++ b/testkit/src/soak/plan.rs
@@ -52,10 +52,10 @@
 /// All faults of a soak, in order. The same settings give the same plan.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
-    /// The faults.
-    pub faults: Vec<PlannedFault>,
     /// Optional parts of the policy that are switched on.
     pub features: Vec<&'static str>,
+    /// The faults.
+    pub faults: Vec<PlannedFault>,
 }
 
 impl Plan {
@@ -82,7 +82,7 @@
 }
 
 /// Optional parts of the policy that a soak knows checks of.
-pub const FEATURES: [&str; 1] = ["admission"];
+pub const FEATURES: [&str; 2] = ["admission", "returns"];
 
 /// Draws which optional parts of the policy are switched on: each in half of the seeds.
 fn draw_features(settings: &SoakSettings) -> Vec<&'static str> {
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -43,6 +43,8 @@
 /// Record of a soak, for the checks and the report.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Record {
+    /// Optional parts of the policy that the routers had switched on.
+    pub features: Vec<&'static str>,
     /// Requests of callers.
     pub samples: Vec<Sample>,
     /// Number of runs at endpoints, by attempt id.
@@ -63,8 +65,6 @@
     pub received: Vec<Received>,
     /// Times in which one account flooded the fleet.
     pub floods: Vec<Span>,
-    /// Optional parts of the policy that were switched on.
-    pub features: Vec<&'static str>,
     /// Faults of endpoints.
     pub endpoint_faults: Vec<Span>,
     /// Shutdowns that ended in time, with the index of the router.
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -36,6 +36,7 @@
 mod restarts;
 mod restored;
 mod retries;
+mod returns;
 mod routes;
 mod settings;
 mod soak;
