Orders: queued ones are examined only while there is room for them

With any order queued, each event walked the whole queue twice and built the set of busy endpoints, also while 128 orders were unanswered. Without room nothing is examined now; with it, only as many orders as are taken or dropped, and obsolete ones are found when they are about to be sent. OrderQueue::take replaces take_where; its test checks the same order of the same entries.

--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -103,17 +103,27 @@
         state.plan.order_queue.clear();
         return;
     }
-    drop_obsolete(state);
-    let mut busy = busy_endpoints(&state.plan, now);
-    let mut room = MAX_UNANSWERED.saturating_sub(state.plan.orders.len());
-    room = room.min(state.plan.lease.orders_left() as usize);
+    let room = room(&state.plan);
+    if room == 0 {
+        return;
+    }
     let mut queue = std::mem::take(&mut state.plan.order_queue);
-    let due = queue.take_where(|queued| {
-        let is_due =
-            room > 0 && takes_orders(state, now, queued) && busy.insert(queued.endpoint.clone());
-        room -= usize::from(is_due);
-        is_due
-    });
+    let busy = busy_endpoints(&state.plan, now);
+    let mut chosen = BTreeSet::new();
+    let due = queue.take(
+        room,
+        |queued| {
+            let is_busy = busy.contains(&queued.endpoint) || chosen.contains(&queued.endpoint);
+            if is_busy || !takes_orders(state, now, queued) {
+                return false;
+            }
+            if !is_obsolete(state, queued) {
+                chosen.insert(queued.endpoint.clone());
+            }
+            true
+        },
+        |queued| is_obsolete(state, queued),
+    );
     state.plan.order_queue = queue;
     for queued in due {
         let Some(addr) = state.endpoints.get(&queued.endpoint).map(|v| v.entry.addr) else {
@@ -140,26 +150,28 @@
     }
 }
 
-/// Drops queued orders that no longer have a purpose: those of an earlier planner lease, of groups that
-/// have opened, were given up or have ended since, and of loads that were called off.
-fn drop_obsolete(state: &mut DirectState) {
-    let mut queue = std::mem::take(&mut state.plan.order_queue);
+/// Number of orders that may be sent now.
+fn room(plan: &PlanState) -> usize {
+    let room = MAX_UNANSWERED.saturating_sub(plan.orders.len());
+    room.min(plan.lease.orders_left() as usize)
+}
+
+/// Whether a queued order no longer has a purpose: it is of an earlier planner lease, of a group that
+/// has opened, was given up or has ended since, or of a load that was called off.
+fn is_obsolete(state: &DirectState, queued: &QueuedOrder) -> bool {
     let plan = &state.plan;
-    queue.take_where(|queued| {
-        let has_purpose = match &queued.purpose {
-            OrderUse::Join(group) | OrderUse::Open(group) => plan.forming.contains_key(group),
-            OrderUse::Close(group) | OrderUse::Leave(group) | OrderUse::Break(group, _) => {
-                plan.ending.contains_key(group)
-            }
-            OrderUse::Stage(id) => plan.staging.contains_key(id),
-            OrderUse::Free(_) => true,
-        };
-        !has_purpose
-            || queued.lease != plan.lease.fence
-            || !state.endpoints.contains_key(&queued.endpoint)
-            || is_out_of_reach(state, &queued.endpoint)
-    });
-    state.plan.order_queue = queue;
+    let has_purpose = match &queued.purpose {
+        OrderUse::Join(group) | OrderUse::Open(group) => plan.forming.contains_key(group),
+        OrderUse::Close(group) | OrderUse::Leave(group) | OrderUse::Break(group, _) => {
+            plan.ending.contains_key(group)
+        }
+        OrderUse::Stage(id) => plan.staging.contains_key(id),
+        OrderUse::Free(_) => true,
+    };
+    !has_purpose
+        || queued.lease != plan.lease.fence
+        || !state.endpoints.contains_key(&queued.endpoint)
+        || is_out_of_reach(state, &queued.endpoint)
 }
 
 /// Whether an endpoint gets no orders, as it is lost or not listed and hasn't answered the last ones.
@@ -192,10 +204,10 @@
 }
 
 /// Endpoints with an order in progress.
-fn busy_endpoints(plan: &PlanState, now: Millis) -> BTreeSet<InstanceId> {
+fn busy_endpoints(plan: &PlanState, now: Millis) -> BTreeSet<&InstanceId> {
     let sent = plan.orders.values();
     let in_progress = sent.filter(|o| now < o.sent_at + PROGRESS_LIMIT_MS);
-    in_progress.map(|o| o.endpoint.clone()).collect()
+    in_progress.map(|o| &o.endpoint).collect()
 }
 
 /// Requests an event for the queued orders that can be sent, if there is room for them.
@@ -205,10 +217,7 @@
     out: &mut Vec<Effect>,
 ) {
     let plan = &state.plan;
-    if plan.order_queue.is_empty()
-        || plan.orders.len() >= MAX_UNANSWERED
-        || plan.lease.orders_left() == 0
-    {
+    if plan.order_queue.is_empty() || room(plan) == 0 {
         return;
     }
     let busy = busy_endpoints(plan, now);
--- a/src/logic/direct/plan/order_queue.rs
+++ b/src/logic/direct/plan/order_queue.rs
@@ -36,14 +36,29 @@
         }
     }
 
-    /// Takes those of the orders that `take` selects, in their order; the others keep theirs.
-    pub fn take_where(&mut self, mut take: impl FnMut(&QueuedOrder) -> bool) -> Vec<QueuedOrder> {
+    /// Takes up to `limit` of the orders that `is_due` selects, in their order, and drops those of the
+    /// selected that are obsolete; the others keep their places. Looks at no more orders than it has to,
+    /// as thousands may wait.
+    pub fn take(
+        &mut self,
+        limit: usize,
+        mut is_due: impl FnMut(&QueuedOrder) -> bool,
+        mut is_obsolete: impl FnMut(&QueuedOrder) -> bool,
+    ) -> Vec<QueuedOrder> {
         let mut taken = Vec::new();
         for queue in [&mut self.groups, &mut self.loads] {
-            let (selected, rest): (VecDeque<_>, _) =
-                std::mem::take(queue).into_iter().partition(|o| take(o));
-            *queue = rest;
-            taken.extend(selected);
+            let mut kept = Vec::new();
+            while taken.len() < limit {
+                match queue.pop_front() {
+                    Some(order) if !is_due(&order) => kept.push(order),
+                    Some(order) if !is_obsolete(&order) => taken.push(order),
+                    Some(_) => {}
+                    None => break,
+                }
+            }
+            for order in kept.into_iter().rev() {
+                queue.push_front(order);
+            }
         }
         taken
     }
--- a/tests/direct/order_queue.rs
+++ b/tests/direct/order_queue.rs
@@ -129,13 +129,14 @@
     let mut busy = vec![InstanceId::new("e1")];
     let mut next = |queue: &mut OrderQueue, freed: &str| {
         busy.retain(|id| id.as_str() != freed);
-        queue.take_where(|o| {
+        let is_due = |o: &QueuedOrder| {
             let is_idle = !busy.contains(&o.endpoint);
             if is_idle {
                 busy.push(o.endpoint.clone());
             }
             is_idle
-        })
+        };
+        queue.take(usize::MAX, is_due, |_| false)
     };
     assert_eq!(next(&mut queue, ""), [leave(5, "e2")]);
     assert_eq!(queue.len(), 4);
@@ -179,3 +180,40 @@
     let sent = sent.filter(|(_, id, _)| id == endpoint);
     sent.map(|(number, ..)| number).collect()
 }
+
+/// Guards against each event walking through thousands of queued orders.
+#[test]
+fn no_more_queued_orders_are_examined_than_are_taken_or_dropped() {
+    let mut queue = OrderQueue::default();
+    for n in 0..3_000 {
+        let id = format!("e{n}");
+        queue.push(queued(n, &id, OrderUse::Leave("g".into())));
+    }
+    let mut examined = 0;
+    let is_due = |_: &QueuedOrder| {
+        examined += 1;
+        true
+    };
+    let is_obsolete = |o: &QueuedOrder| o.endpoint.as_str() == "e1";
+    let taken = queue.take(3, is_due, is_obsolete);
+    let ids: Vec<_> = taken.iter().map(|o| o.endpoint.as_str()).collect();
+    assert_eq!(ids, ["e0", "e2", "e3"]);
+    assert_eq!((examined, queue.len()), (4, 2_996));
+}
+
+/// Guards against queued orders being examined with each event while there is no room for any.
+#[test]
+fn queued_orders_stay_as_they_are_without_room_and_obsolete_ones_are_dropped_with_it() {
+    let mut router = planner(100);
+    router.advance_ms(400);
+    let first = orders(&router.take_effects());
+    assert_eq!(first.len(), 128);
+    router.state().plan.forming.clear();
+    let waiting = router.state().plan.order_queue.len();
+    router.feed(runrail::logic::Event::Watch(Vec::new()));
+    assert_eq!(router.state().plan.order_queue.len(), waiting);
+    router.answer_order(first[0], OrderResult::Begun);
+    router.feed(runrail::logic::Event::Watch(Vec::new()));
+    assert_eq!(orders(&router.take_effects()), Vec::<u64>::new());
+    assert!(router.state().plan.order_queue.len() < waiting);
+}
