Crashes: equal evidence holds one of two requests; crashes of trials are kept, reported and stored

Two requests with equal sums of ages were both refused, so that a harmless one stayed refused: the later one by fingerprint is held now. A full record took no further crash, so that the crash of a trial was lost and the request tried again: it replaces another one now and counts as a change. The store was written only when a request became blocked or was cleared, so that a router that started later could try a proven request again: it is written when a crash of a trial is added as well. Two routers with different full records could write the key by turns: what the stored record has no room for isn't written again, and rewrites are spread over 500 ms.

--- a/src/logic/direct/crashes/broadcast.rs
+++ b/src/logic/direct/crashes/broadcast.rs
@@ -88,7 +88,17 @@
     reports: &[CrashReport],
     out: &mut Vec<Effect>,
 ) {
-    for report in newly_blocked(state, now, reports) {
+    let alone_before = |r: &CrashReport| state.crashes.table.alone_crashes(&r.request);
+    let alone_before: Vec<_> = reports.iter().map(alone_before).collect();
+    let blocked = newly_blocked(state, now, reports);
+    for (report, before) in reports.iter().zip(alone_before) {
+        if state.crashes.table.alone_crashes(&report.request) > before {
+            let delay = WRITE_DELAY_MS + state.random_below(WRITE_DELAY_MS);
+            let queue = &mut state.crashes.store.queue;
+            queue.entry(report.request).or_insert(now + delay);
+        }
+    }
+    for report in blocked {
         trial::on_blocked(state, now, report.request, out);
         let combined = !report.record.is_blocked();
         let delay = if combined {
--- a/src/logic/direct/crashes/crash_record.rs
+++ b/src/logic/direct/crashes/crash_record.rs
@@ -11,7 +11,8 @@
 /// The crashes of endpoints that one request may have caused.
 ///
 /// Sets and ages only grow, so that the records of two routers can be merged by union in any order, as
-/// long as they have at most `MAX_CRASHES` crashes together.
+/// long as they have at most `MAX_CRASHES` crashes together. Beyond that, a crash at which the request was
+/// tried alone replaces another one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CrashRecord {
     /// Crashes of endpoints that ran the request and had sent no event of its answer.
@@ -74,13 +75,24 @@
         if self.has_crashed_alone() || other.has_crashed_alone() {
             return !self.has_crashed_alone();
         }
-        let age = |record: &Self| -> Option<u64> {
-            let ages = shared.iter().map(|c| record.ages.get(&c.endpoint));
-            ages.map(|age| age.copied().map(u64::from)).sum()
-        };
-        age(self)
-            .zip(age(other))
-            .is_some_and(|(own, of_other)| of_other < own)
+        let ages = self.age_at(shared).zip(other.age_at(shared));
+        ages.is_some_and(|(own, of_other)| of_other < own)
+    }
+
+    /// Whether the evidence against this request and another one that was at the same crashes is equally
+    /// strong: their runs had been there for the same time, as those of requests that are sent with one
+    /// event.
+    pub fn is_tied_with(&self, other: &Self, shared: &[&Crash]) -> bool {
+        let ages = self.age_at(shared).zip(other.age_at(shared));
+        !self.has_crashed_alone()
+            && !other.has_crashed_alone()
+            && ages.is_some_and(|(own, of_other)| of_other == own)
+    }
+
+    /// Sum of the times for which runs of the request had been at some crashes, if all are known.
+    fn age_at(&self, crashes: &[&Crash]) -> Option<u64> {
+        let ages = crashes.iter().map(|c| self.ages.get(&c.endpoint));
+        ages.map(|age| age.copied().map(u64::from)).sum()
     }
 
     /// Whether an endpoint has crashed when the request was tried alone.
@@ -97,6 +109,15 @@
     /// changed.
     pub fn merge(&mut self, other: &Self) -> bool {
         let before = self.crashes.len() + self.cleared.len();
+        let alone_before = self.alone.len();
+        for crash in other.alone.intersection(&other.crashes) {
+            if self.crashes.len() >= MAX_CRASHES && !self.crashes.contains(crash) {
+                self.drop_weakest();
+            }
+            if self.crashes.len() < MAX_CRASHES {
+                self.crashes.insert(crash.clone());
+            }
+        }
         for crash in &other.crashes {
             if self.crashes.len() < MAX_CRASHES {
                 self.crashes.insert(crash.clone());
@@ -114,7 +135,21 @@
                 *known = (*known).max(*age);
             }
         }
-        self.crashes.len() + self.cleared.len() > before
+        self.crashes.len() + self.cleared.len() > before || self.alone.len() > alone_before
+    }
+
+    /// Drops a crash at which the request was not tried alone, if there is one; a cleared one first.
+    fn drop_weakest(&mut self) {
+        let others = || self.crashes.difference(&self.alone);
+        let found = others().find(|c| self.cleared.contains(*c));
+        let Some(crash) = found.or_else(|| others().next()).cloned() else {
+            return;
+        };
+        self.crashes.remove(&crash);
+        self.cleared.remove(&crash);
+        if self.crashes.iter().all(|c| c.endpoint != crash.endpoint) {
+            self.ages.remove(&crash.endpoint);
+        }
     }
 
     /// Marks all crashes so far as cleared; returns whether one of them still counted.
--- a/src/logic/direct/crashes/crash_store.rs
+++ b/src/logic/direct/crashes/crash_store.rs
@@ -25,6 +25,9 @@
 /// Time over which routers spread their writes after the service was restored from a backup.
 const WRITE_SPREAD_MS: Millis = 5_000;
 
+/// Time over which routers spread their writes of a record that the service has in an older form.
+const REWRITE_SPREAD_MS: Millis = 500;
+
 fn key(request: &Fingerprint) -> String {
     format!("{PREFIX}{request}")
 }
@@ -144,13 +147,22 @@
         Ok(report) => {
             broadcast::merge_stored(state, now, &report, out);
             let record = state.crashes.table.get(&report.request);
-            let is_cleared = |r: &CrashRecord| r.cleared.is_subset(&report.record.cleared);
-            if record.is_none_or(is_cleared) {
+            // What the stored record has no room for can't be added by writing it again.
+            let is_stored = |own: &CrashRecord| {
+                let stored = &report.record;
+                let mut merged = stored.clone();
+                merged.merge(own);
+                merged.cleared.is_subset(&stored.cleared) && merged.alone.is_subset(&stored.alone)
+            };
+            if record.is_none_or(is_stored) {
                 // The record is stored already: this router needn't write it as well.
                 state.crashes.store.queue.remove(&report.request);
             } else {
-                // Another router has written it without knowing that the request was cleared.
-                state.crashes.store.queue.insert(report.request, now);
+                // Another router has written it without knowing that the request was cleared or has
+                // crashed an endpoint alone. Of those that know, the first to write spares the others.
+                let due = now + state.random_below(REWRITE_SPREAD_MS);
+                let queue = &mut state.crashes.store.queue;
+                queue.entry(report.request).or_insert(due);
             }
         }
         Err(e) => out.push(invalid_record(key, &e.to_string())),
--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -46,6 +46,11 @@
         self.get(request).map_or(0, CrashRecord::counted_crashes)
     }
 
+    /// Number of crashes at which a request was tried alone.
+    pub fn alone_crashes(&self, request: &Fingerprint) -> usize {
+        self.get(request).map_or(0, |r| r.alone.len())
+    }
+
     /// Whether routers don't send a request unless it is tried.
     pub fn is_blocked(&self, request: &Fingerprint) -> bool {
         self.get(request).is_some_and(CrashRecord::is_blocked)
@@ -61,12 +66,13 @@
         }
         let record = &entry.record;
         let is_settling = now < entry.updated_at + SETTLING_MS;
-        let is_suspected_more = |other: &CrashRecord| {
+        let is_suspected_more = |name: &Fingerprint, other: &CrashRecord| {
             let shared = record.shared_crashes(other);
             let unshared = record.counted_crashes() - shared.len();
             let is_weaker = shared.len() >= MIN_RISKY_CRASHES
                 && unshared <= MAX_UNSHARED
-                && record.is_weaker_than(other, &shared);
+                && (record.is_weaker_than(other, &shared)
+                    || (name < request && record.is_tied_with(other, &shared)));
             // Reports may still show that the other one was at the rest of these crashes.
             let may_be_weaker = !shared.is_empty()
                 && unshared > 0
@@ -78,7 +84,7 @@
             }
         };
         let mut others = self.records.iter().filter(|(other, _)| *other != request);
-        match others.any(|(_, e)| is_suspected_more(&e.record)) {
+        match others.any(|(name, e)| is_suspected_more(name, &e.record)) {
             false => Verdict::Refused,
             true if is_settling => Verdict::Unsettled,
             true => Verdict::Held,
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -144,12 +144,14 @@
     record: &CrashRecord,
 ) -> bool {
     let before = state.crashes.table.is_blocked(&request);
+    let alone_before = state.crashes.table.alone_crashes(&request);
     if !state.crashes.table.merge(now, request, record) {
         return false;
     }
     broadcast::schedule_broadcast(state, now, request);
     let newly_blocked = !before && state.crashes.table.is_blocked(&request);
-    if newly_blocked {
+    // Routers that start later would try a request again that has crashed an endpoint alone.
+    if newly_blocked || state.crashes.table.alone_crashes(&request) > alone_before {
         state.crashes.store.queue.insert(request, now);
     }
     newly_blocked
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use runrail::logic::direct::crashes::{
-    Crash, CrashRecord, CrashReport, CrashTable, RecentlyServed,
+    Crash, CrashRecord, CrashReport, CrashTable, RecentlyServed, Verdict,
 };
 use runrail::logic::direct::{
     DirectEffect, DirectEvent, DirectRequest, Fingerprint, PeerMessage, ProbeResult, Problem,
@@ -833,3 +833,100 @@
     router.advance_ms(2_000);
     run(&router.ask_for(common(3)));
 }
+
+/// Guards against a harmless request that is refused for good: its runs and those of the fatal one were
+/// sent with one event each, so that the ages of both are equal.
+#[test]
+fn of_two_requests_with_equal_evidence_one_is_held_and_the_other_refused() {
+    let (deadly, harmless) = names();
+    let mut router = Router::planner(open_groups());
+    let reports = [deadly, harmless].map(|r| report_of(r, &[1, 2, 3], 20));
+    receive(&mut router, reports.to_vec());
+    router.advance_ms(2_000);
+    let now = router.now;
+    let table = &router.state().crashes.table;
+    let first = deadly.min(harmless);
+    let second = deadly.max(harmless);
+    assert_eq!(table.verdict(now, &first), Verdict::Refused);
+    assert_eq!(table.verdict(now, &second), Verdict::Held);
+}
+
+/// A report whose last crash is one at which the request was tried alone.
+fn report_of_trial(request: Fingerprint, crashes: &[u64], alone: u64) -> CrashReport {
+    let mut report = report_of(request, crashes, 90);
+    let trial = CrashRecord::of_run(crash_at(alone), 90, true);
+    assert!(report.record.merge(&trial));
+    report
+}
+
+/// Guards against a fatal request that is tried again and again: its record was full, so that the crash
+/// of its trial wasn't recorded.
+#[test]
+fn a_crash_of_a_trial_is_recorded_in_a_full_record() {
+    let (deadly, harmless) = names();
+    let all = [1, 2, 3, 4, 5, 6, 7, 8];
+    let mut router = Router::planner(open_groups());
+    receive(&mut router, vec![report_of(harmless, &all, 20)]);
+    receive(&mut router, vec![report_of_trial(deadly, &all, 9)]);
+    router.advance_ms(2_000);
+    let now = router.now;
+    let table = &router.state().crashes.table;
+    assert_eq!(table.counted_crashes(&deadly), 8);
+    assert_eq!(table.verdict(now, &deadly), Verdict::Refused);
+    // A crash that is known already is marked as well.
+    let mut known = report_of(deadly, &all, 90).record;
+    assert!(known.merge(&CrashRecord::of_run(crash_at(8), 90, true)));
+    assert!(known.has_crashed_alone());
+    assert!(!known.merge(&CrashRecord::of_run(crash_at(8), 90, true)));
+}
+
+/// Guards against a router that starts later, becomes the planner and tries a request again that has
+/// crashed an endpoint alone.
+#[test]
+fn a_crash_of_a_trial_is_written_to_the_service() {
+    let (deadly, harmless) = names();
+    let mut router = Router::planner(group_of_three(0));
+    let of_deadly = report_of(deadly, &[1, 2, 3], 90);
+    receive(
+        &mut router,
+        vec![of_deadly, report_of(harmless, &[1, 2, 3], 20)],
+    );
+    router.advance_ms(4_000);
+    let (tried, head) = run_of(&mut router, fatal(1));
+    router.part(tried, RunPart::Broken);
+    router.effects.clear();
+    router.answer_probe(head.as_str(), ProbeResult::Refused);
+    router.advance_ms(1_000);
+    assert_eq!(crash_writes(&router), 1);
+}
+
+/// Guards against the crash of a trial being lost with the router that has seen it, and against routers
+/// that write a record by turns, as each has crashes that the other's has no room for.
+#[test]
+fn a_reported_crash_of_a_trial_is_written_unless_the_service_has_it() {
+    let (deadly, _) = names();
+    let show = |router: &mut Router, report: &CrashReport| {
+        router.effects.clear();
+        router.feed(Event::Watch(vec![StoreChange {
+            key: format!("runrail/crashes/{deadly}"),
+            value: Some(serde_json::to_string(report).expect("text")),
+            revision: 9,
+        }]));
+        router.advance_ms(3_000);
+        crash_writes(router)
+    };
+    let mut router = Router::new(open_groups());
+    receive(&mut router, vec![report_of(deadly, &[1, 2, 3], 90)]);
+    router.advance_ms(4_000);
+    let report = report_of_trial(deadly, &[1, 2, 3], 4);
+    receive(&mut router, vec![report.clone()]);
+    assert_eq!(show(&mut router, &report), 0);
+    // An older form of the record takes its place.
+    let older = report_of(deadly, &[1, 2, 3], 90);
+    assert_eq!(show(&mut router, &older), 1);
+    // Its record is full, without some of the crashes that this router has cleared.
+    router.state().crashes.table.clear(&deadly);
+    let mut full = report_of_trial(deadly, &[11, 12, 13, 14, 15, 16, 17], 4);
+    full.record.cleared.insert(crash_at(4));
+    assert_eq!(show(&mut router, &full), 0);
+}
