Planner lease: epochs start anew with each lease, which is handed back when half are used

Epochs were counted since the start of the process, so that after 4,096 of them they could lie above those of the next planner. The arithmetic of epochs and order fences saturates.

--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::{order, probe, retire, EndingGroup, EndingStep, FormingGroup, OrderUse};
+use super::{order, probe, retire, EndingGroup, EndingStep, FormingGroup, OrderUse, PlanState};
 use crate::logic::direct::{digests, DirectState, GroupStep};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{EndpointEntry, GroupSeat, InstanceId, Millis, SeatState};
@@ -12,13 +12,20 @@
 /// Epochs that belong to one fence.
 const EPOCHS_PER_FENCE: u64 = 4_096;
 
+/// Whether the epochs of the planner lease run out: half of them are left for the pass in which that
+/// becomes known.
+pub(super) fn are_epochs_scarce(plan: &PlanState) -> bool {
+    plan.epochs_used >= EPOCHS_PER_FENCE / 2
+}
+
 /// Time beyond the published times after which a group that isn't open is given up.
 const FORM_SLACK_MS: Millis = 3_000;
 
 /// An epoch above every earlier one of any planner.
 pub(super) fn next_epoch(state: &mut DirectState) -> u64 {
     state.plan.epochs_used += 1;
-    state.plan.lease.fence * EPOCHS_PER_FENCE + state.plan.epochs_used
+    let base = state.plan.lease.fence.saturating_mul(EPOCHS_PER_FENCE);
+    base.saturating_add(state.plan.epochs_used)
 }
 
 /// Time beyond the published times after which members that aren't ready are probed.
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -66,7 +66,7 @@
     pub traded_groups: BTreeMap<Place, Arc<str>>,
     /// The last place for which trades were weighed; none if the next pass starts with the first.
     pub trade_cursor: Option<Place>,
-    /// Epochs given out so far by this router.
+    /// Epochs given out so far under the planner lease.
     pub epochs_used: u64,
     /// Number of endpoints of engines at the last planning pass, and when it last changed.
     pub engine_count: (usize, Millis),
--- a/src/logic/direct/plan/planner_lease.rs
+++ b/src/logic/direct/plan/planner_lease.rs
@@ -1,5 +1,6 @@
 //! The planner lease: the key in the key-value service whose holder is the planner.
 
+use super::form;
 use crate::logic::direct::store_restore::REWRITE_MS;
 use crate::logic::direct::{crashes, list_start, peers, DirectState};
 use crate::logic::router::{
@@ -97,7 +98,8 @@
     /// included.
     pub(super) fn next_order_fence(&mut self) -> u64 {
         self.orders_sent += 1;
-        self.fence * ORDERS_PER_FENCE + self.orders_sent
+        let base = self.fence.saturating_mul(ORDERS_PER_FENCE);
+        base.saturating_add(self.orders_sent)
     }
 
     /// Number of orders that may still be sent under this lease.
@@ -132,10 +134,13 @@
             (LeaseCall::Revoke, StoreCall::Revoke { lease })
         }
         _ if state.stop_since.is_some() => return,
-        (Some(lease), _) if planner_lease.orders_left() == 0 => {
+        (Some(lease), _)
+            if planner_lease.orders_left() == 0 || form::are_epochs_scarce(&state.plan) =>
+        {
             let event = LogEvent::new(LogCode::OrderFencesUsed)
                 .with("fence", planner_lease.fence)
-                .with("orders", planner_lease.orders_sent);
+                .with("orders", planner_lease.orders_sent)
+                .with("epochs", state.plan.epochs_used);
             out.push(Effect::Log(event));
             (LeaseCall::Revoke, StoreCall::Revoke { lease })
         }
@@ -273,6 +278,7 @@
             planner_lease.taken_at = StorePosition { era, revision };
             planner_lease.fence = planner_lease.taken_at.fence();
             planner_lease.orders_sent = 0;
+            state.plan.epochs_used = 0;
             planner_lease.valid_until = planner_lease.grant_sent + planner_lease.ttl_ms;
             planner_lease.holder = Some(state.own_id.to_string());
             let event =
--- a/tests/direct/order_queue.rs
+++ b/tests/direct/order_queue.rs
@@ -217,3 +217,21 @@
     assert_eq!(orders(&router.take_effects()), Vec::<u64>::new());
     assert!(router.state().plan.order_queue.len() < waiting);
 }
+
+/// Guards against epochs of one planner lease that lie above those of the next.
+#[test]
+fn a_planner_that_has_used_half_of_its_epochs_hands_its_lease_back() {
+    let mut router = planner(1);
+    router.state().plan.epochs_used = 2_047;
+    let is_revoked = |e: &Effect| {
+        let op = match e {
+            Effect::Store { op, .. } => op,
+            _ => return false,
+        };
+        matches!(op, StoreCall::Revoke { .. })
+    };
+    router.effects.clear();
+    router.state().plan.lease.next_call = 0;
+    router.advance_ms(2_000);
+    assert!(router.effects.iter().any(is_revoked));
+}
