Ending groups: a head that can't be reached is ordered to leave as well

A group that ended by Breaking never raised the fence at its head, so that a late order to open could still open it there while the members served elsewhere.

--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -123,7 +123,7 @@
             let purpose = OrderUse::Leave(group.clone());
             order::enqueue(state, head, leave(group), purpose);
         }
-        (EndingStep::Breaking, _) => {
+        (EndingStep::Breaking, head) => {
             // One that has left is enough; lost ones are unlikely to answer.
             let is_lost = |id: &&InstanceId| state.plan.lost.contains_key(*id);
             let (lost, found): (Vec<_>, Vec<_>) = ending.others.iter().partition(is_lost);
@@ -131,6 +131,12 @@
                 let purpose = OrderUse::Break(group.clone(), id.clone());
                 order::enqueue(state, id, leave(group), purpose);
             }
+            // Raises the fence at the head, should it get there: an order to open that is carried out
+            // after the group has ended would open it while its members serve elsewhere.
+            if let Some(head) = head {
+                let purpose = OrderUse::Leave(group.clone());
+                order::enqueue(state, head, leave(group), purpose);
+            }
         }
         _ => {}
     }
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -702,3 +702,30 @@
     let told = told_to_leave(&mut router);
     assert_eq!(count(&told, "e2"), 1, "{told:?}");
 }
+
+/// Guards against a late order to open that is carried out at an unreachable head after its group has
+/// ended: the head gets an order with a higher fence before that, and few of them.
+#[test]
+fn a_head_that_cannot_be_reached_is_ordered_to_leave_before_its_group_ends() {
+    let mut router = Router::planner(fleet());
+    router.take_effects();
+    lose(&mut router, "e1");
+    let mut to_head = 0;
+    let mut ended = false;
+    for _ in 0..500 {
+        router.advance_ms(20);
+        for (number, id) in leaves(&router.take_effects()) {
+            let is_head = id == "e1";
+            assert!(!(is_head && ended), "only before the end");
+            to_head += usize::from(is_head);
+            let result = match is_head {
+                true => OrderResult::Unanswered,
+                false => OrderResult::Done,
+            };
+            router.answer_order(number, result);
+        }
+        ended = router.state().plan.ending.is_empty();
+    }
+    assert!(ended);
+    assert!((1..=3).contains(&to_head), "{to_head}");
+}
