Returns: forecasts are used for 50 ms; one pool for each plain service

Each refusal went through all endpoints for a forecast and all requests in flight to count those that wait, so that the end of many waits at once was quadratic. Forecasts are kept for 50 ms, and what waits is the sum of the lengths of the queues.

The pool of a plain service was split by the model names of its callers, whose rates and waiting requests were then each a part of it. A pool has a model only where the service has an engine.

--- a/src/logic/direct/returns/appointment.rs
+++ b/src/logic/direct/returns/appointment.rs
@@ -2,7 +2,7 @@
 
 use super::{forecast, PoolKey, ReturnBounds, RETURN_WINDOW_MS};
 use crate::logic::direct::{
-    choose, DirectState, Fingerprint, InFlightRequest, Mechanism, Precedence,
+    choose, DirectState, Fingerprint, InFlightRequest, Mechanism, Precedence, QueueKey,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::Millis;
@@ -38,7 +38,7 @@
         return;
     }
     let in_time = flight.precedence == Precedence::Fresh && !flight.is_late(now);
-    let (fingerprint, pool) = (flight.fingerprint, PoolKey::of(flight));
+    let (fingerprint, pool) = (flight.fingerprint, PoolKey::of(state, flight));
     state.returns.table.forget(&fingerprint);
     if in_time {
         forecast::count_sent(state, now, pool);
@@ -82,7 +82,7 @@
         return None;
     }
     let (fingerprint, label) = (flight.fingerprint, flight.label.clone());
-    let (pool, deadline) = (PoolKey::of(flight), flight.deadline);
+    let (pool, deadline) = (PoolKey::of(state, flight), flight.deadline);
     if flight.kept_appointment {
         state.returns.refused_again += 1;
         let event = LogEvent::new(LogCode::RefusedAgain)
@@ -115,6 +115,7 @@
     pool: &PoolKey,
 ) -> Option<(Millis, Rule)> {
     let random = state.random_below(u64::MAX);
+    let forecast = forecast::recent_forecast(state, now, pool);
     let flight = state.in_flight.get(&id)?;
     let left = flight.deadline.saturating_sub(now);
     let bounds = ReturnBounds::new(left, flight.route.target_ms, state.params.again_ms);
@@ -130,7 +131,7 @@
         let at = at + random % RETURN_WINDOW_MS;
         return Some((at.clamp(not_before, latest), Rule::HasAppointment));
     }
-    let Some(forecast) = forecast::forecast(state, now, pool) else {
+    let Some(forecast) = forecast else {
         let ahead = bounds.late_time(0, held, random);
         return Some((now + ahead, Rule::CapacityUnknown));
     };
@@ -140,7 +141,7 @@
         return Some((late, Rule::RefusedAgain));
     }
     let taken = state.returns.table.times(now, pool);
-    let waiting = count_waiting(state, flight, pool);
+    let waiting = count_waiting(state, id, flight, pool);
     let free = forecast.earliest_free(now, latest, waiting, &taken);
     Some(match free {
         Some(at) => (at.max(not_before), Rule::FreeSlot),
@@ -148,12 +149,18 @@
     })
 }
 
-/// Number of other requests that wait for a pool.
-fn count_waiting(state: &DirectState, refused: &InFlightRequest, pool: &PoolKey) -> u64 {
-    let is_of_pool = |f: &&InFlightRequest| f.service == pool.service && f.model == pool.model;
-    let waits = |f: &&InFlightRequest| f.run.is_none() && !std::ptr::eq(*f, refused);
-    let waiting = state.in_flight.values().filter(is_of_pool).filter(waits);
-    waiting.count() as u64
+/// Number of requests other than the one that is refused that wait for a pool.
+fn count_waiting(state: &DirectState, id: u64, refused: &InFlightRequest, pool: &PoolKey) -> u64 {
+    let has_groups = forecast::engine(state, &pool.service).is_some();
+    let queues = state
+        .queues
+        .iter()
+        .filter(|(key, _)| key.service == pool.service && (!has_groups || key.model == pool.model));
+    let waiting: usize = queues.map(|(_, queue)| queue.waiting.len()).sum();
+    let place = (refused.precedence, refused.priority, id);
+    let own = state.queues.get(&QueueKey::of(refused));
+    let waits = own.is_some_and(|queue| queue.waiting.contains(&place));
+    waiting as u64 - u64::from(waits)
 }
 
 fn remember(
--- a/src/logic/direct/returns/capacity_forecast.rs
+++ b/src/logic/direct/returns/capacity_forecast.rs
@@ -13,7 +13,7 @@
 const APPOINTMENT: i64 = 2 * REQUEST;
 
 /// Rate at which a pool is expected to take requests, over time.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct CapacityForecast {
     /// Changes of the rate by time, in thousandths of a request a second.
     changes: BTreeMap<Millis, i64>,
--- a/src/logic/direct/returns/forecast.rs
+++ b/src/logic/direct/returns/forecast.rs
@@ -10,18 +10,38 @@
 /// Time between two surveys of the pools.
 const SURVEY_INTERVAL_MS: Millis = 100;
 
+/// Time for which a forecast is used again: many requests are refused at once, and each forecast goes
+/// through all endpoints.
+const FORECAST_MAX_AGE_MS: Millis = 50;
+
 /// Largest number of pools. Beyond it, the one that was sent nothing for longest is evicted.
 const MAX_POOLS: usize = 64;
 
 /// Time after which a group that should be open by now is expected.
 const OVERDUE_MS: Millis = 500;
 
-/// The forecast for a pool; none if nothing is known of what one of its endpoints takes.
-pub(super) fn forecast(
-    state: &DirectState,
+/// The forecast for a pool, as of at most `FORECAST_MAX_AGE_MS` ago; none if nothing is known of what one
+/// of its endpoints takes.
+pub(super) fn recent_forecast(
+    state: &mut DirectState,
     now: Millis,
     pool: &PoolKey,
 ) -> Option<CapacityForecast> {
+    if let Some((at, forecast)) = state.returns.forecasts.get(pool) {
+        if now < at + FORECAST_MAX_AGE_MS {
+            return forecast.clone();
+        }
+    }
+    let forecast = forecast(state, now, pool);
+    let forecasts = &mut state.returns.forecasts;
+    if forecasts.len() >= MAX_POOLS {
+        forecasts.clear();
+    }
+    forecasts.insert(pool.clone(), (now, forecast.clone()));
+    forecast
+}
+
+fn forecast(state: &DirectState, now: Millis, pool: &PoolKey) -> Option<CapacityForecast> {
     let known = state.returns.rates.get(pool);
     let rate = known
         .and_then(|r| r.per_endpoint(now))
@@ -187,7 +207,7 @@
     endpoints.service == requests.service && has_model
 }
 
-fn engine<'a>(state: &'a DirectState, service: &str) -> Option<&'a EngineSpec> {
+pub(super) fn engine<'a>(state: &'a DirectState, service: &str) -> Option<&'a EngineSpec> {
     let routing = state.routing.as_ref()?;
     routing.services.get(service)?.engine.as_ref()
 }
--- a/src/logic/direct/returns/returns_state.rs
+++ b/src/logic/direct/returns/returns_state.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{AppointmentTable, Opening, PoolKey, SendRate};
+use super::{AppointmentTable, CapacityForecast, Opening, PoolKey, SendRate};
 use crate::types::Millis;
 
 /// State of returns.
@@ -11,6 +11,8 @@
     pub rates: BTreeMap<PoolKey, SendRate>,
     /// Groups that are being formed, by name.
     pub openings: BTreeMap<Arc<str>, Opening>,
+    /// Forecasts by pool, with the time of each; none where nothing is known.
+    pub forecasts: BTreeMap<PoolKey, (Millis, Option<CapacityForecast>)>,
     /// When pools were last surveyed.
     pub surveyed_at: Millis,
     /// Appointments that were given.
--- a/tests/direct/returns.rs
+++ b/tests/direct/returns.rs
@@ -14,7 +14,7 @@
 use runrail::types::{InstanceId, KeyedAccount, SeatState};
 
 use crate::fixture::{
-    at, engine, open_group, problem, request, routing, run, seat, Router, FENCE, MODEL,
+    at, engine, open_group, plain, problem, request, routing, run, seat, Router, FENCE, MODEL,
 };
 
 /// A rate of 100 requests a second, in thousandths.
@@ -300,6 +300,49 @@
     );
 }
 
+/// Guards against the scan of all endpoints for each of many refusals, and against a forecast that is
+/// used for long.
+#[test]
+fn a_forecast_is_used_for_50_ms() {
+    let (mut router, _) = full_queue();
+    let made_at = |router: &mut Router| router.state().returns.forecasts[&pool()].0;
+    let first = made_at(&mut router);
+    router.now = first + 49;
+    refuse(&mut router, 1_001);
+    assert_eq!(made_at(&mut router), first);
+    router.now = first + 50;
+    refuse(&mut router, 1_002);
+    assert_eq!(made_at(&mut router), first + 50);
+}
+
+/// Guards against a plain service whose rate and waiting requests are split by the models that its
+/// callers happen to name.
+#[test]
+fn requests_of_a_plain_service_are_of_one_pool() {
+    let (id, entry) = plain(1);
+    let mut router = Router::new(vec![(id.clone(), entry)]);
+    router.state().params.features.returns = FeatureMode::On;
+    for id in 0..100 {
+        let mut asked = request(id, "/once/x");
+        asked.model = Some(format!("model-{}", id % 5).into());
+        router.ask_for(asked);
+    }
+    assert_eq!(router.state().returns.rates.len(), 1);
+    let until = router.now + 1_450;
+    let view = router.state().endpoints.get_mut(&id).expect("an endpoint");
+    view.backoff_until = until;
+    for id in 1_000..1_100 {
+        let mut asked = request(id, "/once/x");
+        asked.model = Some(format!("model-{}", id % 5).into());
+        router.ask_for(asked);
+    }
+    let returns = &router.state().returns;
+    assert_eq!(returns.rates.len(), 1, "{:?}", returns.rates);
+    assert!(returns.rates.keys().all(|pool| pool.model.is_none()));
+    assert!(returns.forecasts.keys().all(|pool| pool.model.is_none()));
+    assert!(returns.given > 0);
+}
+
 /// Guards against a change of the time to come back while the switch is off.
 #[test]
 fn nothing_is_remembered_while_returns_are_off() {
@@ -633,6 +676,7 @@
     let rates = &mut router.state().returns.rates;
     let rate = rates.get_mut(&pool()).expect("a known rate");
     (0..200).for_each(|_| rate.on_sent(now));
+    router.state().returns.forecasts.clear();
     assert!((3_000..3_500).any(|id| problem(&router.ask(id, "/stream/x")).is_some()));
     let told = problem(&again(&mut router, 1_000, 3_500));
     assert!(matches!(told, Some(Problem::NotRun(_))), "{told:?}");
