Returns: rate without cold endpoints; stuck and silent groups aren't expected

Requests sent to cold endpoints counted in the rate of a pool while the time of these endpoints didn't, so that the forecast was too high. They count no longer.

A group that is being formed was expected half a second from now for ever, although it was stuck or its head silent. It is expected for at most 2 s beyond its time, and not while its head is silent.

The test of returns that are switched off now compares the time that callers are told: with the bounds of the former rule, with a router without any state of returns, and with the end of a hold-off.

--- a/src/logic/direct/returns/appointment.rs
+++ b/src/logic/direct/returns/appointment.rs
@@ -5,7 +5,7 @@
     choose, DirectState, Fingerprint, InFlightRequest, Mechanism, Precedence, QueueKey,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
-use crate::types::Millis;
+use crate::types::{InstanceId, Millis};
 
 /// Rule by which the time of a refused request is chosen.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -30,7 +30,12 @@
 }
 
 /// Handles a request that was sent to an endpoint.
-pub(in crate::logic::direct) fn on_sent(state: &mut DirectState, now: Millis, id: u64) {
+pub(in crate::logic::direct) fn on_sent(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    to: &InstanceId,
+) {
     let Some(flight) = state.in_flight.get(&id) else {
         return;
     };
@@ -38,9 +43,11 @@
         return;
     }
     let in_time = flight.precedence == Precedence::Fresh && !flight.is_late(now);
+    // The time of cold endpoints doesn't count in the rate, so neither does what they are sent.
+    let is_cold = state.endpoints.get(to).is_some_and(|v| v.cold.is_some());
     let (fingerprint, pool) = (flight.fingerprint, PoolKey::of(state, flight));
     state.returns.table.forget(&fingerprint);
-    if in_time {
+    if in_time && !is_cold {
         forecast::count_sent(state, now, pool);
     }
 }
--- a/src/logic/direct/returns/forecast.rs
+++ b/src/logic/direct/returns/forecast.rs
@@ -20,6 +20,10 @@
 /// Time after which a group that should be open by now is expected.
 const OVERDUE_MS: Millis = 500;
 
+/// How long a group may be overdue before it is no longer expected: loads beyond those that run at full
+/// speed take about twice their time.
+const MAX_OVERDUE_MS: Millis = 2_000;
+
 /// The forecast for a pool, as of at most `FORECAST_MAX_AGE_MS` ago; none if nothing is known of what one
 /// of its endpoints takes.
 pub(super) fn recent_forecast(
@@ -51,7 +55,7 @@
         add_endpoint(&mut forecast, now, view, rate);
     }
     let openings = state.returns.openings.values();
-    for opening in openings.filter(|o| serves(&o.pool, pool)) {
+    for opening in openings.filter(|o| serves(&o.pool, pool) && now <= o.at + MAX_OVERDUE_MS) {
         let at = if opening.at <= now {
             now + OVERDUE_MS
         } else {
@@ -158,7 +162,7 @@
         };
         let is_evacuated = state.evacuation.contains(&entry.hall);
         let left = time_to_open(state, &pool, seat.state).filter(|_| !is_evacuated);
-        let Some(left) = left.filter(|_| !view.is_leaving()) else {
+        let Some(left) = left.filter(|_| !view.is_leaving() && view.silent_since.is_none()) else {
             continue;
         };
         let known = state.returns.openings.get(&seat.group);
@@ -171,7 +175,20 @@
         found.insert(seat.group.clone(), opening);
     }
     let own = &state.plan.forming;
-    for (name, group) in own.iter().filter(|_| state.plan.lease.holds(now)) {
+    let is_silent = |name: &Arc<str>| {
+        let mut silent = state
+            .endpoints
+            .values()
+            .filter(|v| v.silent_since.is_some());
+        silent.any(|v| {
+            v.entry
+                .seat
+                .as_ref()
+                .is_some_and(|s| s.rank == 0 && s.group == *name)
+        })
+    };
+    let own = own.iter().filter(|(name, _)| !is_silent(name));
+    for (name, group) in own.filter(|_| state.plan.lease.holds(now)) {
         let pool = PoolKey {
             service: group.service.clone(),
             model: Some(group.model.clone()),
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -53,7 +53,7 @@
         return false;
     };
     queue::on_sent(state, now, id);
-    returns::on_sent(state, now, id);
+    returns::on_sent(state, now, id, &to);
     let run = state.next_number();
     let version = state.routing.as_ref().map_or(0, |r| r.version);
     let Some(view) = state.endpoints.get_mut(&to) else {
--- a/tests/direct/returns.rs
+++ b/tests/direct/returns.rs
@@ -348,7 +348,18 @@
 fn nothing_is_remembered_while_returns_are_off() {
     let (mut router, _) = full_head();
     router.state().params.features.returns = FeatureMode::Off;
-    refusals(&mut router, 1_000..1_200, "/stream/x");
+    let told = refusals(&mut router, 1_000..1_200, "/stream/x");
+    assert!(told.len() > 100);
+    // As without this part: a random time in the later half between 400 ms and a third of the time left.
+    let half = 400 + (BOUND_MS - 400) / 2;
+    assert!(told.iter().all(|ms| (half..=BOUND_MS).contains(ms)));
+    let (mut other, _) = full_head();
+    other.state().params.features.returns = FeatureMode::Off;
+    other.state().returns = Default::default();
+    assert_eq!(told, refusals(&mut other, 1_000..1_200, "/stream/x"));
+    let held = hold_off(&mut other, 3_000);
+    let told = refusals(&mut other, 2_000..2_010, "/stream/x");
+    assert!(told.len() == 10 && told.iter().all(|ms| *ms >= held));
     assert!(router.state().returns.table.is_empty());
     assert_eq!(router.state().returns.given, 0);
 }
@@ -518,6 +529,65 @@
     assert!(most_in_100_ms(&told) <= 15, "{told:?}");
 }
 
+/// Number of free slots of a router that has an open head, which takes nothing, and a group that was first
+/// seen as joining `ms` ago.
+fn slots_of_joining(ms: u64, change: impl FnOnce(&mut EndpointView, u64)) -> usize {
+    let (mut router, runs) = full_head();
+    for run in runs {
+        router.part(run, RunPart::End);
+    }
+    for (n, id) in [1, 2, 3].into_iter().enumerate() {
+        let (id, entry) = engine(id, seat("g2", n, SeatState::Joining));
+        router.change(id.as_str(), Some(entry));
+    }
+    router.advance_ms(200);
+    let now = router.now;
+    let head = router.state().endpoints.get_mut(&InstanceId::new("e1"));
+    change(head.expect("a head"), now);
+    for opening in router.state().returns.openings.values_mut() {
+        opening.at -= ms;
+    }
+    router.state().returns.surveyed_at = 0;
+    router.advance_ms(100);
+    router.effects.clear();
+    for id in 1_000..1_050 {
+        router.tell(DirectEvent::Request(Box::new(request(id, "/stream/x"))));
+    }
+    free_slots(&router)
+}
+
+/// Guards against callers that are told to come back for a group that is stuck, or whose head is silent.
+#[test]
+fn a_group_that_does_not_open_is_not_expected_for_ever() {
+    assert!(slots_of_joining(0, |_, _| ()) > 0);
+    assert!(slots_of_joining(2_000, |_, _| ()) > 0, "it is overdue");
+    assert_eq!(slots_of_joining(4_000, |_, _| ()), 0, "it is stuck");
+    let silent = |v: &mut EndpointView, now| v.silent_since = Some(now);
+    assert_eq!(slots_of_joining(0, silent), 0);
+}
+
+/// Guards against a rate that counts what cold endpoints are sent but not their time.
+#[test]
+fn what_cold_endpoints_are_sent_does_not_count_in_the_rate() {
+    let (mut router, runs) = full_head();
+    let now = router.now;
+    let rate = |router: &mut Router| router.state().returns.rates[&pool()].per_endpoint(now);
+    let before = rate(&mut router);
+    for run in runs {
+        router.part(run, RunPart::End);
+    }
+    let head = router.state().endpoints.get_mut(&InstanceId::new("e1"));
+    head.expect("a head").cold = Some(ColdPhase {
+        until: now + 1_000,
+        share: PacedShare {
+            gap: Some(1),
+            ..PacedShare::default()
+        },
+    });
+    assert_eq!(run(&router.ask(1_000, "/stream/x")).request, 1_000);
+    assert_eq!(rate(&mut router), before);
+}
+
 /// Refuses a request of a router whose head is full, and returns after how long it is told to come
 /// back.
 fn refuse(router: &mut Router, id: u64) -> u64 {
