--- a/src/logic/direct/returns/appointment.rs
+++ b/src/logic/direct/returns/appointment.rs
@@ -2,10 +2,10 @@
 
 use super::{forecast, PoolKey, ReturnBounds, RETURN_WINDOW_MS};
 use crate::logic::direct::{
-    choose, DirectState, Fingerprint, InFlightRequest, Mechanism, Precedence,
+    choose, DirectState, Fingerprint, InFlightRequest, Mechanism, Precedence, QueueKey,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
-use crate::types::Millis;
+use crate::types::{InstanceId, Millis};
 
 /// Rule by which the time of a refused request is chosen.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -30,7 +30,12 @@
 }
 
 /// Handles a request that was sent to an endpoint.
-pub(in crate::logic::direct) fn on_sent(state: &mut DirectState, now: Millis, id: u64) {
+pub(in crate::logic::direct) fn on_sent(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    to: &InstanceId,
+) {
     let Some(flight) = state.in_flight.get(&id) else {
         return;
     };
@@ -38,9 +43,11 @@
         return;
     }
     let in_time = flight.precedence == Precedence::Fresh && !flight.is_late(now);
-    let (fingerprint, pool) = (flight.fingerprint, PoolKey::of(flight));
+    // The time of cold endpoints doesn't count in the rate, so neither does what they are sent.
+    let is_cold = state.endpoints.get(to).is_some_and(|v| v.cold.is_some());
+    let (fingerprint, pool) = (flight.fingerprint, PoolKey::of(state, flight));
     state.returns.table.forget(&fingerprint);
-    if in_time {
+    if in_time && !is_cold {
         forecast::count_sent(state, now, pool);
     }
 }
@@ -82,7 +89,7 @@
         return None;
     }
     let (fingerprint, label) = (flight.fingerprint, flight.label.clone());
-    let (pool, deadline) = (PoolKey::of(flight), flight.deadline);
+    let (pool, deadline) = (PoolKey::of(state, flight), flight.deadline);
     if flight.kept_appointment {
         state.returns.refused_again += 1;
         let event = LogEvent::new(LogCode::RefusedAgain)
@@ -115,6 +122,7 @@
     pool: &PoolKey,
 ) -> Option<(Millis, Rule)> {
     let random = state.random_below(u64::MAX);
+    let forecast = forecast::recent_forecast(state, now, pool);
     let flight = state.in_flight.get(&id)?;
     let left = flight.deadline.saturating_sub(now);
     let bounds = ReturnBounds::new(left, flight.route.target_ms, state.params.again_ms);
@@ -130,7 +138,7 @@
         let at = at + random % RETURN_WINDOW_MS;
         return Some((at.clamp(not_before, latest), Rule::HasAppointment));
     }
-    let Some(forecast) = forecast::forecast(state, now, pool) else {
+    let Some(forecast) = forecast else {
         let ahead = bounds.late_time(0, held, random);
         return Some((now + ahead, Rule::CapacityUnknown));
     };
@@ -140,7 +148,7 @@
         return Some((late, Rule::RefusedAgain));
     }
     let taken = state.returns.table.times(now, pool);
-    let waiting = count_waiting(state, flight, pool);
+    let waiting = count_waiting(state, id, flight, pool);
     let free = forecast.earliest_free(now, latest, waiting, &taken);
     Some(match free {
         Some(at) => (at.max(not_before), Rule::FreeSlot),
@@ -148,12 +156,18 @@
     })
 }
 
-/// Number of other requests that wait for a pool.
-fn count_waiting(state: &DirectState, refused: &InFlightRequest, pool: &PoolKey) -> u64 {
-    let is_of_pool = |f: &&InFlightRequest| f.service == pool.service && f.model == pool.model;
-    let waits = |f: &&InFlightRequest| f.run.is_none() && !std::ptr::eq(*f, refused);
-    let waiting = state.in_flight.values().filter(is_of_pool).filter(waits);
-    waiting.count() as u64
+/// Number of requests other than the one that is refused that wait for a pool.
+fn count_waiting(state: &DirectState, id: u64, refused: &InFlightRequest, pool: &PoolKey) -> u64 {
+    let has_groups = forecast::engine(state, &pool.service).is_some();
+    let queues = state
+        .queues
+        .iter()
+        .filter(|(key, _)| key.service == pool.service && (!has_groups || key.model == pool.model));
+    let waiting: usize = queues.map(|(_, queue)| queue.waiting.len()).sum();
+    let place = (refused.precedence, refused.priority, id);
+    let own = state.queues.get(&QueueKey::of(refused));
+    let waits = own.is_some_and(|queue| queue.waiting.contains(&place));
+    waiting as u64 - u64::from(waits)
 }
 
 fn remember(
--- a/src/logic/direct/returns/forecast.rs
+++ b/src/logic/direct/returns/forecast.rs
@@ -10,18 +10,42 @@
 /// Time between two surveys of the pools.
 const SURVEY_INTERVAL_MS: Millis = 100;
 
+/// Time for which a forecast is used again: many requests are refused at once, and each forecast goes
+/// through all endpoints.
+const FORECAST_MAX_AGE_MS: Millis = 50;
+
 /// Largest number of pools. Beyond it, the one that was sent nothing for longest is evicted.
 const MAX_POOLS: usize = 64;
 
 /// Time after which a group that should be open by now is expected.
 const OVERDUE_MS: Millis = 500;
 
-/// The forecast for a pool; none if nothing is known of what one of its endpoints takes.
-pub(super) fn forecast(
-    state: &DirectState,
+/// How long a group may be overdue before it is no longer expected: loads beyond those that run at full
+/// speed take about twice their time.
+const MAX_OVERDUE_MS: Millis = 2_000;
+
+/// The forecast for a pool, as of at most `FORECAST_MAX_AGE_MS` ago; none if nothing is known of what one
+/// of its endpoints takes.
+pub(super) fn recent_forecast(
+    state: &mut DirectState,
     now: Millis,
     pool: &PoolKey,
 ) -> Option<CapacityForecast> {
+    if let Some((at, forecast)) = state.returns.forecasts.get(pool) {
+        if now < at + FORECAST_MAX_AGE_MS {
+            return forecast.clone();
+        }
+    }
+    let forecast = forecast(state, now, pool);
+    let forecasts = &mut state.returns.forecasts;
+    if forecasts.len() >= MAX_POOLS {
+        forecasts.clear();
+    }
+    forecasts.insert(pool.clone(), (now, forecast.clone()));
+    forecast
+}
+
+fn forecast(state: &DirectState, now: Millis, pool: &PoolKey) -> Option<CapacityForecast> {
     let known = state.returns.rates.get(pool);
     let rate = known
         .and_then(|r| r.per_endpoint(now))
@@ -31,7 +55,7 @@
         add_endpoint(&mut forecast, now, view, rate);
     }
     let openings = state.returns.openings.values();
-    for opening in openings.filter(|o| serves(&o.pool, pool)) {
+    for opening in openings.filter(|o| serves(&o.pool, pool) && now <= o.at + MAX_OVERDUE_MS) {
         let at = if opening.at <= now {
             now + OVERDUE_MS
         } else {
@@ -138,7 +162,7 @@
         };
         let is_evacuated = state.evacuation.contains(&entry.hall);
         let left = time_to_open(state, &pool, seat.state).filter(|_| !is_evacuated);
-        let Some(left) = left.filter(|_| !view.is_leaving()) else {
+        let Some(left) = left.filter(|_| !view.is_leaving() && view.silent_since.is_none()) else {
             continue;
         };
         let known = state.returns.openings.get(&seat.group);
@@ -151,7 +175,20 @@
         found.insert(seat.group.clone(), opening);
     }
     let own = &state.plan.forming;
-    for (name, group) in own.iter().filter(|_| state.plan.lease.holds(now)) {
+    let is_silent = |name: &Arc<str>| {
+        let mut silent = state
+            .endpoints
+            .values()
+            .filter(|v| v.silent_since.is_some());
+        silent.any(|v| {
+            v.entry
+                .seat
+                .as_ref()
+                .is_some_and(|s| s.rank == 0 && s.group == *name)
+        })
+    };
+    let own = own.iter().filter(|(name, _)| !is_silent(name));
+    for (name, group) in own.filter(|_| state.plan.lease.holds(now)) {
         let pool = PoolKey {
             service: group.service.clone(),
             model: Some(group.model.clone()),
@@ -187,7 +224,7 @@
     endpoints.service == requests.service && has_model
 }
 
-fn engine<'a>(state: &'a DirectState, service: &str) -> Option<&'a EngineSpec> {
+pub(super) fn engine<'a>(state: &'a DirectState, service: &str) -> Option<&'a EngineSpec> {
     let routing = state.routing.as_ref()?;
     routing.services.get(service)?.engine.as_ref()
 }
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -56,7 +56,7 @@
         return false;
     };
     let late = queue::on_sent(state, now, id, out);
-    returns::on_sent(state, now, id);
+    returns::on_sent(state, now, id, &to);
     let spec = state.routing.as_ref();
     let spec = spec.and_then(|r| r.services.get(&flight.service));
     let engine = spec.and_then(|s| s.engine.as_ref());
--- a/tests/direct/returns.rs
+++ b/tests/direct/returns.rs
@@ -14,7 +14,7 @@
 use runrail::types::{InstanceId, KeyedAccount, SeatState};
 
 use crate::fixture::{
-    at, engine, open_group, problem, request, routing, run, seat, Router, FENCE, MODEL,
+    at, engine, open_group, plain, problem, request, routing, run, seat, Router, FENCE, MODEL,
 };
 
 /// A rate of 100 requests a second, in thousandths.
@@ -300,12 +300,66 @@
     );
 }
 
+/// Guards against the scan of all endpoints for each of many refusals, and against a forecast that is
+/// used for long.
+#[test]
+fn a_forecast_is_used_for_50_ms() {
+    let (mut router, _) = full_queue();
+    let made_at = |router: &mut Router| router.state().returns.forecasts[&pool()].0;
+    let first = made_at(&mut router);
+    router.now = first + 49;
+    refuse(&mut router, 1_001);
+    assert_eq!(made_at(&mut router), first);
+    router.now = first + 50;
+    refuse(&mut router, 1_002);
+    assert_eq!(made_at(&mut router), first + 50);
+}
+
+/// Guards against a plain service whose rate and waiting requests are split by the models that its
+/// callers happen to name.
+#[test]
+fn requests_of_a_plain_service_are_of_one_pool() {
+    let (id, entry) = plain(1);
+    let mut router = Router::new(vec![(id.clone(), entry)]);
+    router.state().params.features.returns = FeatureMode::On;
+    for id in 0..100 {
+        let mut asked = request(id, "/once/x");
+        asked.model = Some(format!("model-{}", id % 5).into());
+        router.ask_for(asked);
+    }
+    assert_eq!(router.state().returns.rates.len(), 1);
+    let until = router.now + 1_450;
+    let view = router.state().endpoints.get_mut(&id).expect("an endpoint");
+    view.backoff_until = until;
+    for id in 1_000..1_100 {
+        let mut asked = request(id, "/once/x");
+        asked.model = Some(format!("model-{}", id % 5).into());
+        router.ask_for(asked);
+    }
+    let returns = &router.state().returns;
+    assert_eq!(returns.rates.len(), 1, "{:?}", returns.rates);
+    assert!(returns.rates.keys().all(|pool| pool.model.is_none()));
+    assert!(returns.forecasts.keys().all(|pool| pool.model.is_none()));
+    assert!(returns.given > 0);
+}
+
 /// Guards against a change of the time to come back while the switch is off.
 #[test]
 fn nothing_is_remembered_while_returns_are_off() {
     let (mut router, _) = full_head();
     router.state().params.features.returns = FeatureMode::Off;
-    refusals(&mut router, 1_000..1_200, "/stream/x");
+    let told = refusals(&mut router, 1_000..1_200, "/stream/x");
+    assert!(told.len() > 100);
+    // As without this part: a random time in the later half between 400 ms and a third of the time left.
+    let half = 400 + (BOUND_MS - 400) / 2;
+    assert!(told.iter().all(|ms| (half..=BOUND_MS).contains(ms)));
+    let (mut other, _) = full_head();
+    other.state().params.features.returns = FeatureMode::Off;
+    other.state().returns = Default::default();
+    assert_eq!(told, refusals(&mut other, 1_000..1_200, "/stream/x"));
+    let held = hold_off(&mut other, 3_000);
+    let told = refusals(&mut other, 2_000..2_010, "/stream/x");
+    assert!(told.len() == 10 && told.iter().all(|ms| *ms >= held));
     assert!(router.state().returns.table.is_empty());
     assert_eq!(router.state().returns.given, 0);
 }
@@ -475,6 +529,65 @@
     assert!(most_in_100_ms(&told) <= 15, "{told:?}");
 }
 
+/// Number of free slots of a router that has an open head, which takes nothing, and a group that was first
+/// seen as joining `ms` ago.
+fn slots_of_joining(ms: u64, change: impl FnOnce(&mut EndpointView, u64)) -> usize {
+    let (mut router, runs) = full_head();
+    for run in runs {
+        router.part(run, RunPart::End);
+    }
+    for (n, id) in [1, 2, 3].into_iter().enumerate() {
+        let (id, entry) = engine(id, seat("g2", n, SeatState::Joining));
+        router.change(id.as_str(), Some(entry));
+    }
+    router.advance_ms(200);
+    let now = router.now;
+    let head = router.state().endpoints.get_mut(&InstanceId::new("e1"));
+    change(head.expect("a head"), now);
+    for opening in router.state().returns.openings.values_mut() {
+        opening.at -= ms;
+    }
+    router.state().returns.surveyed_at = 0;
+    router.advance_ms(100);
+    router.effects.clear();
+    for id in 1_000..1_050 {
+        router.tell(DirectEvent::Request(Box::new(request(id, "/stream/x"))));
+    }
+    free_slots(&router)
+}
+
+/// Guards against callers that are told to come back for a group that is stuck, or whose head is silent.
+#[test]
+fn a_group_that_does_not_open_is_not_expected_for_ever() {
+    assert!(slots_of_joining(0, |_, _| ()) > 0);
+    assert!(slots_of_joining(2_000, |_, _| ()) > 0, "it is overdue");
+    assert_eq!(slots_of_joining(4_000, |_, _| ()), 0, "it is stuck");
+    let silent = |v: &mut EndpointView, now| v.silent_since = Some(now);
+    assert_eq!(slots_of_joining(0, silent), 0);
+}
+
+/// Guards against a rate that counts what cold endpoints are sent but not their time.
+#[test]
+fn what_cold_endpoints_are_sent_does_not_count_in_the_rate() {
+    let (mut router, runs) = full_head();
+    let now = router.now;
+    let rate = |router: &mut Router| router.state().returns.rates[&pool()].per_endpoint(now);
+    let before = rate(&mut router);
+    for run in runs {
+        router.part(run, RunPart::End);
+    }
+    let head = router.state().endpoints.get_mut(&InstanceId::new("e1"));
+    head.expect("a head").cold = Some(ColdPhase {
+        until: now + 1_000,
+        share: PacedShare {
+            gap: Some(1),
+            ..PacedShare::default()
+        },
+    });
+    assert_eq!(run(&router.ask(1_000, "/stream/x")).request, 1_000);
+    assert_eq!(rate(&mut router), before);
+}
+
 /// Refuses a request of a router whose head is full, and returns after how long it is told to come
 /// back.
 fn refuse(router: &mut Router, id: u64) -> u64 {
@@ -633,6 +746,7 @@
     let rates = &mut router.state().returns.rates;
     let rate = rates.get_mut(&pool()).expect("a known rate");
     (0..200).for_each(|_| rate.on_sent(now));
+    router.state().returns.forecasts.clear();
     assert!((3_000..3_500).any(|id| problem(&router.ask(id, "/stream/x")).is_some()));
     let told = problem(&again(&mut router, 1_000, 3_500));
     assert!(matches!(told, Some(Problem::NotRun(_))), "{told:?}");
