Schedule loads of large fleets, pause failed ones, count those that still run

A fixed gain of 0.005 for a group left models of a large fleet without loads, above all while demand is unknown: the floor scales with the groups needed, and is dropped while demand is unknown or the model has no group. The schedule ran only with second models enabled and under 64 pending orders, while spares left all loads to it: it is called separately.

Loads that weren't answered or whose endpoint joins a group no longer counted, so that more than loads_at_once ran: they count until they are due.

With the fixed floor put back, a_large_fleet_loads_groups_that_are_each_worth_little fails. Removing the other rules was not tried.

--- a/src/logic/direct/capacity/load_model.rs
+++ b/src/logic/direct/capacity/load_model.rs
@@ -3,7 +3,8 @@
 pub struct LoadModel {
     /// Number of instances in a group.
     pub size: usize,
-    /// Worth that further groups add, the next one first; none beyond the last.
+    /// Worth that further groups add, the next one first; none beyond the last, and 0
+    /// where it doesn't justify loads.
     pub gains: Vec<f64>,
     /// Worth that is lost with one group.
     pub loss: f64,
--- a/src/logic/direct/capacity/load_schedule.rs
+++ b/src/logic/direct/capacity/load_schedule.rs
@@ -1,8 +1,5 @@
 use super::{LoadDomain, LoadInput, LoadModel, LoadSource, LoadUse, PlannedLoad, ReadyCounts};
 
-/// Least worth of a group for which a model is loaded, as a part of the service's worth.
-const MIN_GROUP_GAIN: f64 = 0.005;
-
 /// Least value of loading a model to replace members that may be lost: below it a load isn't worth
 /// its cost.
 const MIN_REPLACEMENT_VALUE: f64 = 0.001;
@@ -112,7 +109,7 @@
     let can_load = |(source, _): &(&LoadSource, _)| !source.seated && source.held != Some(m);
     let loadable = domain.sources.iter().filter(can_load);
     let loadable: usize = loadable.map(|(_, ids)| ids.len()).sum();
-    let is_possible = gain >= MIN_GROUP_GAIN && waiting + loadable >= size;
+    let is_possible = gain > 0.0 && waiting + loadable >= size;
     is_possible.then(|| gain / (size - waiting) as f64)
 }
 
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -59,7 +59,7 @@
         adopted: false,
     };
     for member in &forming.members {
-        state.plan.staging.remove(member);
+        scheduled::detach(state, now, member);
     }
     send_join_orders(state, &group, &forming);
     state.plan.forming.insert(group, forming);
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -181,10 +181,10 @@
         OrderUse::Break(group, _) if has_left(result) => retire::on_member_left(state, now, &group),
         OrderUse::Leave(group) if has_left(result) => retire::on_head_left(state, group),
         OrderUse::Stage(id) if !is_accepted => {
-            state.plan.staging.remove(&id);
-            if result == OrderResult::Unanswered {
-                scheduled::on_order_unanswered(state, now, &id, out);
-            }
+            scheduled::on_order_failed(state, now, &id, result, out);
+        }
+        OrderUse::Stage(id) => {
+            state.plan.load_pauses.remove(&id);
         }
         _ => {}
     }
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -3,8 +3,8 @@
 
 use super::survey::Place;
 use super::{
-    EndingGroup, FormingGroup, IdleEndpoint, KnownLoad, LoadBudget, OrderQueue, OrderUse,
-    PlannerLease, ProbeState, Repairs, StagedLoad,
+    EndingGroup, FormingGroup, IdleEndpoint, KnownLoad, LoadBudget, LoadPause, OrderQueue,
+    OrderUse, PlannerLease, ProbeState, Repairs, StagedLoad,
 };
 use crate::observe::LabelledCount;
 use crate::types::{GroupSeat, InstanceId, Millis};
@@ -31,6 +31,11 @@
     pub incomplete: BTreeMap<Arc<str>, Millis>,
     /// Endpoints that were ordered to load a model in advance.
     pub staging: BTreeMap<InstanceId, StagedLoad>,
+    /// Loads from the weight store that may still run although their endpoint was ordered to do
+    /// something else or hasn't answered, with the part `capacity`.
+    pub detached_loads: BTreeMap<InstanceId, StagedLoad>,
+    /// Pauses of endpoints that failed to carry out orders to load, with the part `capacity`.
+    pub load_pauses: BTreeMap<InstanceId, LoadPause>,
     /// Loads from the weight store that the last planner knew of.
     pub known_loads: BTreeMap<InstanceId, KnownLoad>,
     /// Data halls that don't answer this router; nothing is planned there.
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -92,6 +92,8 @@
     plan.ended.clear();
     plan.incomplete.clear();
     plan.staging.clear();
+    plan.detached_loads.clear();
+    plan.load_pauses.clear();
     plan.loads_waiting = 0;
     plan.unreachable_halls.clear();
     plan.repairs.clear();
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -141,6 +141,8 @@
     let plan = &mut state.plan;
     plan.opened_seats.remove(id);
     plan.staging.remove(id);
+    plan.detached_loads.remove(id);
+    plan.load_pauses.remove(id);
     plan.known_loads.remove(id);
     if plan.probes.remove(id).is_some_and(|p| p.pending) {
         plan.probes_pending = plan.probes_pending.saturating_sub(1);
--- a/src/logic/direct/plan/scheduled.rs
+++ b/src/logic/direct/plan/scheduled.rs
@@ -10,13 +10,20 @@
     plan_loads, LoadDomain, LoadInput, LoadModel, LoadSource, ReadyCounts,
 };
 use crate::logic::direct::limits::hold_off;
-use crate::logic::direct::{DirectState, EndpointView, Mechanism};
+use crate::logic::direct::{demand, DirectState, EndpointView, Mechanism, OrderResult};
 use crate::logic::Effect;
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// Groups of a model beyond the present ones whose worth is weighed.
 const MAX_GAINS: usize = 8;
 
+/// Most worth that a group must add to justify loads, as a part of the service's worth.
+const MIN_GROUP_GAIN: f64 = 0.005;
+
+/// The same as a part of the mean worth of the needed groups, of which a large fleet has many: above
+/// what a group beyond the need adds.
+const MIN_GAIN_PART: f64 = 0.1;
+
 /// Loads planned beyond those that may begin now, to count those that wait.
 const MAX_WAITING: usize = 8;
 
@@ -83,9 +90,12 @@
 /// Loads from the weight store that are in progress, whoever ordered them. All services load from
 /// the same store.
 fn loads_in_progress(state: &DirectState, now: Millis) -> usize {
-    let staging = state.plan.staging.iter();
-    let in_progress = staging.filter(|(id, load)| is_in_progress(state, now, id, load));
-    in_progress.count()
+    let plan = &state.plan;
+    let reordered = |id: &InstanceId| plan.staging.contains_key(id);
+    let detached = plan.detached_loads.iter().filter(|(id, _)| !reordered(id));
+    let all = plan.staging.iter().chain(detached);
+    all.filter(|(id, load)| is_in_progress(state, now, id, load))
+        .count()
 }
 
 /// Whether a load from the weight store is in progress: its endpoint isn't lost, and the time that
@@ -115,7 +125,9 @@
     let all = loads_in_progress(state, now) as Millis + 1;
     let at_once = Millis::from(engine.loads_at_once.max(1));
     if all > at_once {
-        let loads = state.plan.staging.values_mut();
+        let plan = &mut state.plan;
+        let detached = plan.detached_loads.values_mut();
+        let loads = plan.staging.values_mut().chain(detached);
         for load in loads.filter(|l| l.cold && now < l.due) {
             load.due += load_ms / at_once;
         }
@@ -123,19 +135,44 @@
     now + load_ms * all.max(at_once) / at_once + stage::LOAD_SLACK_MS
 }
 
-/// Probes an endpoint that hasn't answered its order to load. It gets no other order until it
-/// answers, and is lost if it doesn't.
-pub(super) fn on_order_unanswered(
+/// Handles an order to load that wasn't accepted. Its endpoint gets another one only after a pause. One
+/// that hasn't answered may still carry the order out; it is probed, and lost if it doesn't answer.
+pub(super) fn on_order_failed(
     state: &mut DirectState,
     now: Millis,
     id: &InstanceId,
+    result: OrderResult,
     out: &mut Vec<Effect>,
 ) {
-    if is_active_for(state, id) {
+    let is_unanswered = result == OrderResult::Unanswered;
+    if is_unanswered {
+        detach(state, now, id);
+    } else {
+        state.plan.staging.remove(id);
+    }
+    if !is_active_for(state, id) {
+        return;
+    }
+    let endpoints = &state.endpoints;
+    let pauses = &mut state.plan.load_pauses;
+    pauses.retain(|id, _| endpoints.contains_key(id));
+    pauses.entry(id.clone()).or_default().on_failure(now);
+    if is_unanswered {
         probe::send_if_due(state, now, id, out);
     }
 }
 
+/// Removes the load of an endpoint that is to do something else or hasn't answered. Where loads
+/// follow the schedule, it counts until it is due, as it may still run.
+pub(super) fn detach(state: &mut DirectState, now: Millis, id: &InstanceId) {
+    let Some(load) = state.plan.staging.remove(id) else {
+        return;
+    };
+    if is_in_progress(state, now, id, &load) && is_active_for(state, id) {
+        state.plan.detached_loads.insert(id.clone(), load);
+    }
+}
+
 /// Whether the free endpoints of a place have waited for others for longer than a load takes, and no
 /// load in progress there may bring one.
 pub(super) fn has_waited_in_vain(state: &DirectState, now: Millis, pool: &FreePool) -> bool {
@@ -190,7 +227,8 @@
     let models = engine.models.iter().zip(needs.iter().zip(counts));
     let models = models.map(|(model, (need, count))| {
         let horizon_s = model.load_ms as f64 / 1_000.0 * HORIZON_FACTOR;
-        load_model(need, count, model.size, member_rate * horizon_s)
+        let is_known = demand::is_known(state, now);
+        load_model(need, count, model.size, member_rate * horizon_s, is_known)
     });
     LoadInput {
         models: models.collect(),
@@ -199,12 +237,27 @@
     }
 }
 
-/// What the groups of a model are worth beyond the `count` present ones.
-fn load_model(need: &ModelNeed, count: usize, size: usize, member_losses: f64) -> LoadModel {
+/// What the groups of a model are worth beyond the `count` present ones. While demand is unknown, and
+/// for the first group, any gain justifies loads: the published shares only suggest what a group is
+/// worth, and without one a model has no callers served.
+fn load_model(
+    need: &ModelNeed,
+    count: usize,
+    size: usize,
+    member_losses: f64,
+    is_known: bool,
+) -> LoadModel {
     let gain = |n: usize| need.served(n + 1) - need.served(n);
+    let min_gain = MIN_GROUP_GAIN.min(MIN_GAIN_PART * need.weight / need.groups.max(1.0));
+    let justified = |n: usize| {
+        let is_exempt = !is_known || n == 0;
+        Some(gain(n)).filter(|g| is_exempt || *g >= min_gain)
+    };
     LoadModel {
         size,
-        gains: (count..count + MAX_GAINS).map(gain).collect(),
+        gains: (count..count + MAX_GAINS)
+            .map(|n| justified(n).unwrap_or(0.0))
+            .collect(),
         loss: gain(count.saturating_sub(1)),
         member_losses,
     }
@@ -253,7 +306,9 @@
     let answers = view.silent_since.is_none()
         && hold_off::takes_calls(view, now)
         && probe.is_none_or(|p| !p.pending && p.misses == 0);
-    if !answers || state.plan.staging.contains_key(id) {
+    let pause = state.plan.load_pauses.get(id);
+    let is_paused = pause.is_some_and(|p| now < p.until);
+    if !answers || is_paused || state.plan.staging.contains_key(id) {
         return None;
     }
     let Some(held) = &view.last_model else {
--- a/src/logic/direct/plan/stage.rs
+++ b/src/logic/direct/plan/stage.rs
@@ -39,6 +39,8 @@
         && state.params.is_enabled(Mechanism::SecondModels)
     {
         stage_second_models(state, now, out);
+    }
+    if order::count_pending(state) < MAX_PENDING_ORDERS {
         scheduled::on_tick(state, now, out);
     }
 }
@@ -189,14 +191,18 @@
         let engine = service.and_then(|s| routing.as_ref()?.services.get(&s)?.engine.as_ref());
         engine.and_then(|e| e.model(model)).map_or(0, |m| m.load_ms)
     };
-    state.plan.staging.retain(|id, staging| {
+    let is_running = |id: &InstanceId, staging: &StagedLoad| {
         let view = endpoints.get(id);
         let is_held = |v: &EndpointView| v.entry.model.as_ref() == Some(&staging.model);
         let is_on_host = |v: &EndpointView| v.entry.staged.contains(&staging.model);
         let is_loading = |v: &EndpointView| !(is_held(v) || (!staging.hold && is_on_host(v)));
         let deadline = staging.since + 2 * load_ms(id, &staging.model) + LOAD_SLACK_MS;
         view.is_some_and(is_loading) && now < deadline
-    });
+    };
+    let plan = &mut state.plan;
+    plan.staging.retain(|id, load| is_running(id, load));
+    let detached = &mut plan.detached_loads;
+    detached.retain(|id, load| now < load.due && is_running(id, load));
 }
 
 /// Refills the load budget at the highest load rate of any service: all services load
--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -1,6 +1,6 @@
 //! Which capacity the planner prepares where the part `capacity` is on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use runrail::logic::direct::capacity::{
     plan_loads, LoadDomain, LoadInput, LoadModel, LoadReport, LoadSource, LoadUse, ModelTrend,
@@ -213,6 +213,57 @@
     assert_eq!(later, 6, "overdue loads have failed");
 }
 
+/// Guards against a large fleet that never loads some models after a restart: each of its groups is
+/// worth little of the whole, and demand is unknown or the model has no group.
+#[test]
+fn a_large_fleet_loads_groups_that_are_each_worth_little() {
+    for is_known in [false, true] {
+        let mut entries = open_group("g", [1, 2, 3]);
+        entries.extend((1_000..1_030).map(empty).map(second_hall));
+        let mut router = Router::new(entries);
+        let state = router.state();
+        state.plan.has_traffic = true;
+        state.plan.engine_peak = 6_000;
+        state.params.features.capacity = FeatureMode::On;
+        router.advance_ms(480);
+        if is_known {
+            router
+                .state()
+                .peers
+                .insert(InstanceId::new("r2"), addr(802));
+            keep_busy(&mut router, 0.0, 0.1, 2);
+            router.tell(DirectEvent::PeerMessage {
+                from: addr(802),
+                message: PeerMessage::Demand {
+                    routers: 1,
+                    models: vec![demand(6_000, 1_000, 150)],
+                    trends: Vec::new(),
+                },
+            });
+        }
+        router.take_effects();
+        router.state().plan.staging.clear();
+        router.advance_ms(600);
+        let loads = loads(&router.take_effects());
+        let elsewhere = loads.iter().filter(|(id, _)| id.len() == 5);
+        assert!(elsewhere.count() > 0, "{is_known}: {loads:?}");
+    }
+}
+
+/// Guards against cold loads that nobody plans: the schedule ran only where second models were
+/// enabled and few orders were pending, while spares left all loads to it.
+#[test]
+fn spares_load_without_second_models() {
+    let mut router = Router::new(two_of_three());
+    let state = router.state();
+    state.plan.has_traffic = true;
+    state.params.features.capacity = FeatureMode::On;
+    state.params.disabled.insert(Mechanism::SecondModels);
+    router.advance_ms(1_500);
+    let loads = loads(&router.take_effects());
+    assert!(loads.iter().any(|(id, _)| id == "e3"), "{loads:?}");
+}
+
 /// Guards against a load for an endpoint that can't carry it out, which keeps others from theirs.
 #[test]
 fn an_endpoint_that_cannot_carry_out_a_load_gets_none() {
@@ -299,6 +350,50 @@
         .contains_key(&InstanceId::new("e3")));
 }
 
+/// Guards against an endpoint that is chosen again at once after it has refused or not answered an
+/// order to load, although it answers probes: it takes from the budget each time.
+#[test]
+fn pauses_between_failed_orders_to_load_grow() {
+    for result in [OrderResult::Unfit, OrderResult::Unanswered] {
+        let mut router = planner(two_of_three());
+        let mut ordered = Vec::new();
+        for _ in 0..1_000 {
+            for effect in advance_answering(&mut router, 20, &["e1", "e2", "e3"]) {
+                if let Some((number, id, _)) = order(&effect).filter(|(_, id, _)| id == "e3") {
+                    ordered.push(router.now);
+                    router.answer_order(number, result);
+                    assert_eq!(id, "e3");
+                }
+            }
+        }
+        let pauses: Vec<u64> = ordered.windows(2).map(|w| w[1] - w[0]).collect();
+        assert!((3..=5).contains(&pauses.len()), "{result:?}: {pauses:?}");
+        let grows = |w: &[u64]| w[1] * 2 >= w[0] * 3;
+        assert!(pauses.windows(2).all(grows), "{result:?}: {pauses:?}");
+    }
+}
+
+/// Guards against more loads than run at full speed: those of endpoints that haven't answered or have
+/// been ordered to join a group meanwhile may still run, but weren't counted.
+#[test]
+fn unanswered_loads_count_until_they_are_due() {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend((10..60).map(empty));
+    let mut router = planner(entries);
+    let mut ordered = BTreeSet::new();
+    let answering: Vec<String> = (1..60).map(|n| format!("e{n}")).collect();
+    let answering: Vec<&str> = answering.iter().map(String::as_str).collect();
+    for _ in 0..500 {
+        for effect in advance_answering(&mut router, 20, &answering) {
+            if let Some((number, id, _)) = order(&effect) {
+                ordered.insert(id);
+                router.answer_order(number, OrderResult::Unanswered);
+            }
+        }
+    }
+    assert_eq!(ordered.len(), 6, "{ordered:?}");
+}
+
 /// A load that a planner reports.
 fn report(n: u16, age: u64) -> LoadReport {
     LoadReport {
