Count the wait of an endpoint from when it has a model

An endpoint that had just loaded counted as having waited in vain at once, as the time for which it was free and loaded counted as well. waits_since begins when the reason becomes Waits.

--- a/src/logic/direct/plan/idle.rs
+++ b/src/logic/direct/plan/idle.rs
@@ -21,6 +21,8 @@
 pub struct IdleEndpoint {
     /// Since when.
     pub since: Millis,
+    /// Since when it has waited for others, having a model; none while it doesn't.
+    pub waits_since: Option<Millis>,
     /// Why.
     pub reason: IdleReason,
     /// Whether it was logged with this reason.
@@ -49,8 +51,11 @@
         if now >= since + MIN_IDLE_MS && state.params.is_enabled(Mechanism::Freeing) {
             leave_sent = send_leave_once(state, &id, leave_sent);
         }
+        let waited = state.plan.idle.get(&id).and_then(|i| i.waits_since);
+        let waits_since = (reason == IdleReason::Waits).then(|| waited.unwrap_or(now));
         let entry = IdleEndpoint {
             since,
+            waits_since,
             reason,
             logged,
             leave_sent,
--- a/src/logic/direct/plan/scheduled.rs
+++ b/src/logic/direct/plan/scheduled.rs
@@ -5,7 +5,7 @@
 
 use super::fill::FreePool;
 use super::value::{needs, readiness, ModelNeed, COLD};
-use super::{fill, fleet_view, probe, readiness::loss_rate, stage, survey, IdleReason, StagedLoad};
+use super::{fill, fleet_view, probe, readiness::loss_rate, stage, survey, StagedLoad};
 use crate::logic::direct::capacity::{
     plan_loads, LoadDomain, LoadInput, LoadModel, LoadSource, ReadyCounts,
 };
@@ -182,8 +182,8 @@
     let load_ms = pool.engine.models.iter().map(|m| m.load_ms).max();
     let waits_long = |id: &InstanceId| {
         let idle = state.plan.idle.get(id);
-        let since = idle.filter(|i| i.reason == IdleReason::Waits);
-        since.is_some_and(|i| now >= i.since + load_ms.unwrap_or(0))
+        let since = idle.and_then(|i| i.waits_since);
+        since.is_some_and(|at| now >= at + load_ms.unwrap_or(0))
     };
     let is_loading = |id: &InstanceId| {
         let load = state.plan.staging.get(id);
--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -760,6 +760,23 @@
     }
 }
 
+/// Guards against an endpoint that counts as having waited in vain as soon as it has loaded a model:
+/// the time for which it was free and loaded counted as well.
+#[test]
+fn waiting_begins_when_an_endpoint_has_a_model() {
+    let mut entries = open_group("g", [1, 2, 4]);
+    entries.push(empty(3));
+    let mut router = planner(entries);
+    router.advance_ms(2_000);
+    router.change("e3", Some(engine(3, None).1));
+    router.advance_ms(200);
+    let now = router.now;
+    let idle = &router.state().plan.idle[&InstanceId::new("e3")];
+    assert!(now - idle.since >= 2_000, "{idle:?}");
+    let waits = idle.waits_since.expect("it has a model");
+    assert!(now - waits <= 200, "{idle:?}");
+}
+
 /// The same as in the schedule, from the list to the order: the empty endpoint beside two waiting
 /// members of a group of three loads their model first, with the other model short as well.
 #[test]
