--- a/src/logic/direct/returns/appointment.rs
+++ b/src/logic/direct/returns/appointment.rs
@@ -165,7 +165,7 @@
         .filter(|(key, _)| key.service == pool.service && (!has_groups || key.model == pool.model));
     let waiting: usize = queues.map(|(_, queue)| queue.waiting.len()).sum();
     let place = (refused.precedence, refused.priority, id);
-    let own = state.queues.get(&QueueKey::of(refused));
+    let own = state.queues.get(&QueueKey::of(state, refused));
     let waits = own.is_some_and(|queue| queue.waiting.contains(&place));
     waiting as u64 - u64::from(waits)
 }
