Admission: retried requests block nobody; reports of demand have a size limit

A retried request skips the endpoint that it was last sent to. When it found no room, requests with as long a prompt were skipped although that endpoint was free. Retried requests now block nobody, as resumed ones.

A blocked prompt now holds up only requests whose pauses between events are as short: the bound of unread tokens depends on them.

Where others wait, a request was refused as unservable before anything was sent. It is enqueued and sent first, and judged if it is left. The test for this also passes without the change.

A report of demand named up to 12 accounts of any length; models and accounts now have 1,140 bytes together.

The tests for blocking, pauses and reports failed without the change.

--- a/src/logic/direct/admission/pool.rs
+++ b/src/logic/direct/admission/pool.rs
@@ -249,9 +249,6 @@
     if is_alone && send::try_send(state, now, id, out) {
         return;
     }
-    if let Some(why) = queue::unservable(state, now, id) {
-        return finish::give_up(state, now, id, why, out);
-    }
     queue::enqueue(state, &key, id);
     let left = if is_alone {
         vec![id]
@@ -259,6 +256,9 @@
         send_waiting(state, now, &key, out)
     };
     if let Some(ahead) = left.iter().position(|waiting| *waiting == id) {
+        if let Some(why) = queue::unservable(state, now, id) {
+            return finish::give_up(state, now, id, why, out);
+        }
         pool_mut(state, now, &key);
         judge(state, now, id, ahead as u64, out);
         limit_queue(state, now, &key, &left, out);
@@ -330,9 +330,20 @@
     id: u64,
     late: bool,
     resumed: bool,
+    /// Whether it was sent before: it skips the endpoint that it was last sent to.
+    retried: bool,
+    gap: Millis,
     prompt: u32,
 }
 
+impl Place {
+    /// Whether it needs at least as much room as a request that found none. A longer pause between
+    /// events allows more prompt tokens at a head.
+    fn needs_room_of(&self, (gap, prompt): (Millis, u32)) -> bool {
+        self.gap <= gap && self.prompt >= prompt
+    }
+}
+
 /// The waiting requests of a pool in the order in which they are sent.
 fn send_order(state: &DirectState, now: Millis, key: &QueueKey) -> Vec<Place> {
     let waiting = state.queues.get(key).into_iter().flat_map(|q| &q.waiting);
@@ -357,18 +368,22 @@
         usage.of(now, account).saturating_add(lift)
     };
     let order = fair_order(requests.collect(), level, used);
-    let prompt = |id| state.in_flight.get(&id).map_or(0, |f| f.prompt_tokens);
-    let place = |request: QueuedRequest| Place {
-        id: request.id,
-        late: request.late,
-        resumed: request.precedence == Precedence::Resumed,
-        prompt: prompt(request.id),
+    let place = |request: QueuedRequest| {
+        let flight = state.in_flight.get(&request.id)?;
+        Some(Place {
+            id: request.id,
+            late: request.late,
+            resumed: request.precedence == Precedence::Resumed,
+            retried: !flight.tried.is_empty(),
+            gap: flight.route.gap_ms,
+            prompt: flight.prompt_tokens,
+        })
     };
-    order.into_iter().map(place).collect()
+    order.into_iter().filter_map(place).collect()
 }
 
 /// Sends the waiting requests of a pool in order as far as there is room; returns those that are
-/// left. Where one found no room, only requests with shorter prompts are tried after it, and late
+/// left. Where one found no room, those that need as much or more are not tried after it, and late
 /// ones not at all: they get what those in time leave.
 pub(in crate::logic::direct) fn send_waiting(
     state: &mut DirectState,
@@ -377,22 +392,21 @@
     out: &mut Vec<Effect>,
 ) -> Vec<u64> {
     let mut left = Vec::new();
-    let mut blocked = 0;
-    let mut shortest = u32::MAX;
+    let mut blocked: Vec<(Millis, u32)> = Vec::new();
     let mut in_time_waits = false;
     for place in send_order(state, now, key) {
-        let is_blocked = blocked >= MAX_BLOCKED || place.prompt >= shortest;
+        let needs_room = blocked.iter().any(|found| place.needs_room_of(*found));
+        let is_blocked = blocked.len() >= MAX_BLOCKED || needs_room;
         let skip = !place.resumed && (is_blocked || (place.late && in_time_waits));
         if !skip && send::try_send(state, now, place.id, out) {
             continue;
         }
         left.push(place.id);
-        // A resumed request skips endpoints that it was sent to, which others may use.
-        if !place.resumed {
+        // A resumed or retried request skips endpoints that it was sent to, which others may use.
+        if !place.resumed && !place.retried {
             in_time_waits |= !place.late;
             if !skip {
-                blocked += 1;
-                shortest = place.prompt;
+                blocked.push((place.gap, place.prompt));
             }
         }
     }
--- a/src/logic/direct/admission/usage_reports.rs
+++ b/src/logic/direct/admission/usage_reports.rs
@@ -20,10 +20,7 @@
 }
 
 /// The largest accounts of the routers in this router's subtree, itself included.
-pub(in crate::logic::direct) fn subtree_accounts(
-    state: &DirectState,
-    now: Millis,
-) -> Vec<AccountUse> {
+fn subtree_accounts(state: &DirectState, now: Millis) -> Vec<AccountUse> {
     if !is_enabled(state) {
         return Vec::new();
     }
@@ -58,12 +55,29 @@
 ) -> Vec<AccountUse> {
     let mut accounts = subtree_accounts(state, now);
     on_totals(state, now, &accounts);
-    let mut bytes = 0;
+    keep_within(&mut accounts, max_bytes);
+    accounts
+}
+
+/// The report to the parent in the tree, of at most so many bytes.
+pub(in crate::logic::direct) fn report_to_send(
+    state: &DirectState,
+    now: Millis,
+    max_bytes: usize,
+) -> Vec<AccountUse> {
+    let mut accounts = subtree_accounts(state, now);
+    keep_within(&mut accounts, max_bytes);
+    accounts
+}
+
+/// Drops accounts that don't fit so many bytes, the ones with the least use first.
+fn keep_within(accounts: &mut Vec<AccountUse>, max_bytes: usize) {
+    let mut left = max_bytes;
     accounts.retain(|account| {
-        bytes += encoded_size(account).unwrap_or(usize::MAX / 2);
-        bytes <= max_bytes
+        let rest = encoded_size(account).and_then(|bytes| left.checked_sub(bytes));
+        left = rest.unwrap_or(left);
+        rest.is_some()
     });
-    accounts
 }
 
 /// Handles the largest accounts of all routers.
--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -10,6 +10,7 @@
 
 use super::admission::usage_reports;
 use super::arrivals::ModelArrivals;
+use super::encoded_size::encoded_size;
 use super::{tree, DirectEffect, DirectState, ModelDemand, PeerMessage};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, RouteSpec};
@@ -28,6 +29,10 @@
 /// The same while reports have the use of accounts, which counts for 2 s over all steps of the tree.
 const ACCOUNTS_INTERVAL_MS: Millis = 400;
 
+/// Room for models and accounts in a report. With its other fields, of at most 60 bytes, it stays
+/// within a datagram of 1,200 bytes.
+const MAX_REPORT_BYTES: usize = 1_140;
+
 /// Age from which a router's report no longer counts: three in a row were lost by then.
 const REPORT_VALID_MS: Millis = 4_000;
 
@@ -162,7 +167,9 @@
     let to = holder.and_then(|root| tree::parent(state, &root));
     if let Some(to) = to {
         let (routers, models) = subtree_demand(state, now);
-        let accounts = usage_reports::subtree_accounts(state, now);
+        let used: usize = models.iter().filter_map(encoded_size).sum();
+        let max_bytes = MAX_REPORT_BYTES.saturating_sub(used);
+        let accounts = usage_reports::report_to_send(state, now, max_bytes);
         let message = PeerMessage::Demand {
             routers,
             models,
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -451,6 +451,77 @@
     assert_eq!(end_runs(&mut router, &runs[..1]), [101]);
 }
 
+/// A request that may not go back to a head would keep all others from the room there.
+#[test]
+fn a_retried_request_blocks_nobody() {
+    let mut router = router();
+    fill(&mut router, 100);
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    let head = InstanceId::new("e1");
+    let view = router.state().endpoints.get_mut(&head).expect("a head");
+    view.running -= 1;
+    let epoch = view.epoch();
+    let flight = router.state().in_flight.get_mut(&100).expect("waiting");
+    flight.tried.push((head, epoch));
+    let effects = router.ask_for(by(2, 101, "/stream/x"));
+    let first: Vec<u64> = sent(&effects).into_iter().map(|(id, _)| id).collect();
+    assert_eq!(first, [101]);
+}
+
+/// A retry after a long run would be refused beside a free head.
+#[test]
+fn a_retry_past_its_wait_is_sent_if_there_is_room() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    for (id, entry) in open_group("h", [4, 5, 6]) {
+        router.change(id.as_str(), Some(entry));
+    }
+    let other = InstanceId::new("e4");
+    let running = |router: &mut Router, runs| {
+        router
+            .state()
+            .endpoints
+            .get_mut(&other)
+            .expect("a head")
+            .running = runs;
+    };
+    running(&mut router, 48);
+    assert!(router.ask_for(by(1, 100, "/stream/x")).is_empty());
+    running(&mut router, 46);
+    let now = router.now;
+    let flight = router.state().in_flight.get_mut(&0).expect("running");
+    flight.wait_until = now;
+    let effects = router.part(
+        runs[0],
+        RunPart::Complete {
+            status: 503,
+            not_run: true,
+        },
+    );
+    assert!(refused(&effects).is_empty(), "{effects:?}");
+    assert!(sent(&effects).iter().any(|(id, _)| *id == 0), "{effects:?}");
+}
+
+/// A prompt that is too long for a route with short pauses would hold up one whose route allows more.
+#[test]
+fn a_blocked_prompt_holds_up_only_those_with_as_short_pauses() {
+    let mut router = router();
+    let runs = fill(&mut router, 100);
+    let long = |account, id| DirectRequest {
+        prompt_tokens: 1_000,
+        ..by(account, id, "/stream/x")
+    };
+    for id in [100, 101] {
+        assert!(router.ask_for(long(id - 99, id)).is_empty());
+    }
+    let wide = router.state().in_flight.get_mut(&101).expect("waiting");
+    Arc::make_mut(&mut wide.route).gap_ms *= 100;
+    let head = InstanceId::new("e1");
+    let view = router.state().endpoints.get_mut(&head).expect("a head");
+    view.unread_tokens = 18_000;
+    assert_eq!(end_runs(&mut router, &runs[..2]), [101]);
+}
+
 /// Callers that are refused late have no time for a second attempt.
 #[test]
 fn under_contention_what_can_t_begin_in_time_is_refused_within_a_quarter_of_its_objective() {
@@ -864,6 +935,33 @@
         .all(|(_, accounts)| accounts.len() <= MAX_REPORTED));
 }
 
+/// A report of long names would make a datagram that is cut on its way to the parent.
+#[test]
+fn reports_of_demand_fit_a_datagram() {
+    let names: Vec<_> = ["r0", "r1"].map(InstanceId::new).to_vec();
+    let mut leaf = Router::named("r1", &names, open_group("g", [1, 2, 3]));
+    leaf.state().params.features.admission = FeatureMode::On;
+    leaf.ask(1, "/stream/x");
+    let now = leaf.now;
+    for n in 0..20 {
+        let account = name(&format!("{n}{}", "x".repeat(120)));
+        leaf.state().admission.usage.charge(now, &account, 1 << 40);
+    }
+    let huge = name(&"y".repeat(2_000));
+    leaf.state().admission.usage.charge(now, &huge, 1 << 50);
+    leaf.advance_ms(1_000);
+    let mut named = 0;
+    for (_, message) in leaf.sent_messages() {
+        if let PeerMessage::Demand { accounts, .. } = &message {
+            named = named.max(accounts.len());
+            let mut bytes = Vec::new();
+            ciborium::into_writer(&message, &mut bytes).expect("a message");
+            assert!(bytes.len() <= 1_200, "{} bytes", bytes.len());
+        }
+    }
+    assert!(named >= 5, "{named} accounts");
+}
+
 /// Objective of the stream route in the stand-in's configuration for contention.
 const OBJECTIVE: Duration = Duration::from_millis(400);
 
