Admission: a tick sends what has room before it judges what waits

Capacity that time had freed (a rate, a back-off, a hold-off) was used only after waiting requests had been refused for lack of it. Refused requests also counted as ahead of those after them, so that one refusal led to others; the second change has no test of its own.

The new test failed without the change.

--- a/src/logic/direct/admission/pool.rs
+++ b/src/logic/direct/admission/pool.rs
@@ -436,9 +436,12 @@
         if let Some(pool) = state.admission.pools.get_mut(&key) {
             pool.lifts.on_tick(now);
         }
-        let order = send_order(state, now, &key);
-        for (ahead, place) in order.iter().enumerate() {
-            judge(state, now, place.id, ahead as u64, out);
+        // Time may have freed room: a rate, a back-off or a hold-off.
+        let left = send_waiting(state, now, &key, out);
+        let mut ahead = 0;
+        for id in left {
+            judge(state, now, id, ahead, out);
+            ahead += u64::from(state.in_flight.contains_key(&id));
         }
         log_contention(state, now, &key, out);
     }
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -168,8 +168,8 @@
     state.ticked_at = now;
     process_pause::on_tick(state, now, out);
     finish::on_tick(state, now, out);
-    queue::on_tick(state, now, out);
     pool::on_tick(state, now, out);
+    queue::on_tick(state, now, out);
     silence::on_tick(state, now, out);
     endpoints::on_tick(state, now);
     rate_limit::on_tick(state, now, out);
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -502,6 +502,27 @@
     assert!(sent(&effects).iter().any(|(id, _)| *id == 0), "{effects:?}");
 }
 
+/// Requests would be refused in the same tick in which a head can be sent to again.
+#[test]
+fn what_time_frees_is_used_before_waiting_requests_are_judged() {
+    let mut router = router();
+    let until = router.now + 20;
+    let head = InstanceId::new("e1");
+    let view = router.state().endpoints.get_mut(&head).expect("a head");
+    view.backoff_until = until;
+    for id in 100..102 {
+        assert!(router.ask_for(by(1, id, "/stream/x")).is_empty());
+    }
+    let now = router.now;
+    for pool in router.state().admission.pools.values_mut() {
+        pool.load.on_contention(now, 999);
+    }
+    router.advance_ms(20);
+    let effects = router.take_effects();
+    assert!(refused(&effects).is_empty(), "{effects:?}");
+    assert_eq!(sent(&effects).len(), 2);
+}
+
 /// A prompt that is too long for a route with short pauses would hold up one whose route allows more.
 #[test]
 fn a_blocked_prompt_holds_up_only_those_with_as_short_pauses() {
