Admission: late requests that may have run go before other late ones

Under lasting contention late retries went last, and ended without their callers knowing whether they had run. The comment on the level of service said that it is the use of the account served last; it is the highest use of one that was served.

--- a/src/logic/direct/admission/fair_order.rs
+++ b/src/logic/direct/admission/fair_order.rs
@@ -15,6 +15,8 @@
     pub precedence: Precedence,
     /// Whether it can't begin within its objective any more.
     pub late: bool,
+    /// Whether an endpoint may have begun to run it.
+    pub has_run: bool,
     /// Its priority; 0 goes first.
     pub priority: u8,
     /// Whether it has come back at the time that it was told.
@@ -27,21 +29,24 @@
 
 impl QueuedRequest<'_> {
     /// What orders it before fairness does.
-    fn rank(&self) -> (Precedence, bool, u8, bool) {
+    fn rank(&self) -> (Precedence, bool, bool, u8, bool) {
         (
             self.precedence,
             self.late,
+            // Its caller can't be told that it has not run, so it would end as unknown.
+            self.late && !self.has_run,
             self.priority,
             !self.kept_appointment,
         )
     }
 }
 
-/// Orders waiting requests: resumed streams, then requests in time by priority, then late ones.
+/// Orders waiting requests: resumed streams, then requests in time by priority, then late ones,
+/// of these first the ones that may have run.
 /// Within one priority those that kept an appointment go first. Among equals start-time fair
 /// queueing decides: each account's requests are tagged with its use so far and the cost of its
-/// requests before them, and the lowest tag goes first; then arrival decides. `level` is the use of
-/// the account that was served last; the first tag of an account is at most a few requests below.
+/// requests before them, and the lowest tag goes first; then arrival decides. `level` is the
+/// highest use of an account that was served; the first tag of an account is at most a few requests below.
 pub fn fair_order<'a>(
     mut requests: Vec<QueuedRequest<'a>>,
     level: u64,
--- a/src/logic/direct/admission/pool.rs
+++ b/src/logic/direct/admission/pool.rs
@@ -355,6 +355,7 @@
             id: *id,
             precedence: *precedence,
             late: is_late_in(pool, engine, now, flight),
+            has_run: !flight.has_not_run(),
             priority: *priority,
             kept_appointment: flight.kept_appointment,
             account: account(flight),
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -99,6 +99,7 @@
         id,
         precedence: Precedence::Fresh,
         late: false,
+        has_run: false,
         priority: 1,
         kept_appointment: false,
         account,
@@ -151,6 +152,22 @@
     assert_eq!(order(requests, used), [6, 5, 4, 3, 2, 1]);
 }
 
+/// A late retry that goes last ends without its caller knowing whether it ran.
+#[test]
+fn late_requests_that_may_have_run_go_before_other_late_ones() {
+    let late = |id, has_run| QueuedRequest {
+        late: true,
+        has_run,
+        ..queued(id, "a")
+    };
+    let urgent = QueuedRequest {
+        priority: 0,
+        ..late(1, false)
+    };
+    let requests = vec![urgent, late(2, false), late(3, true), queued(4, "a")];
+    assert_eq!(order(requests, |_| 0), [4, 3, 1, 2]);
+}
+
 /// A burst of one account would hold up all requests that arrive after it.
 #[test]
 fn a_burst_of_one_account_takes_turns_with_requests_that_arrive_later() {
