Admission: decay of a use by a table

Each look-up of a use took up to 19 multiplications; a table of what is left after each number of steps takes one.

--- a/src/logic/direct/admission/decaying.rs
+++ b/src/logic/direct/admission/decaying.rs
@@ -9,6 +9,19 @@
 /// What one step leaves of a use, in millionths: the twentieth root of a half.
 const STEP_LEFT_MILLIONTHS: u128 = 965_936;
 
+/// What is left of a use after each number of steps below the half-life, in millionths.
+const LEFT_MILLIONTHS: [u128; HALF_LIFE_STEPS as usize] = left_after_steps();
+
+const fn left_after_steps() -> [u128; HALF_LIFE_STEPS as usize] {
+    let mut left = [1_000_000; HALF_LIFE_STEPS as usize];
+    let mut step = 1;
+    while step < left.len() {
+        left[step] = left[step - 1] * STEP_LEFT_MILLIONTHS / 1_000_000;
+        step += 1;
+    }
+    left
+}
+
 /// A use that decays.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Decaying {
@@ -37,8 +50,7 @@
         let steps = step.saturating_sub(self.step);
         let halvings = (steps / HALF_LIFE_STEPS).min(63);
         let halved = self.value >> halvings;
-        (0..steps % HALF_LIFE_STEPS).fold(halved, |value, _| {
-            (u128::from(value) * STEP_LEFT_MILLIONTHS / 1_000_000) as u64
-        })
+        let left = LEFT_MILLIONTHS[(steps % HALF_LIFE_STEPS) as usize];
+        (u128::from(halved) * left / 1_000_000) as u64
     }
 }
