Admission: an arrival makes one pass over the waiting requests, not two

An arrival sends what waits before it, and the end of the same step did so again. Room that time has freed at other pools is used at the next tick.

--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -18,7 +18,9 @@
     }
     process_pause::detect(state, now, out);
     plan::send_queued_orders(state, now, out);
-    let may_free_room = !is_stream_event(&event);
+    // An arrival frees no room either, and has sent what waits before it.
+    let is_arrival = matches!(event, Event::Direct(DirectEvent::Request(_)));
+    let may_free_room = !is_arrival && !is_stream_event(&event);
     match event {
         Event::Stop => on_stop(state, now),
         Event::Store { call, result } if state.registration.call == Some(call) => {
