--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -237,6 +237,7 @@
                 message: PeerMessage::Demand {
                     routers: 1,
                     models: vec![demand(6_000, 1_000, 150)],
+                    accounts: Vec::new(),
                     trends: Vec::new(),
                 },
             });
