Admission: limits stay near the even share; capacity: replaced endpoints count as lost; trend has its own key

Runs beyond the slots queued at the endpoint: with 66 runs at heads of 48 slots the first event came after 280 to 390 ms of an objective of 250 ms. An order that a replaced endpoint answers showed that it is gone, yet the next group was formed of it again, every 60 ms while the list showed it.

--- a/src/logic/direct/admission/concurrency_limit.rs
+++ b/src/logic/direct/admission/concurrency_limit.rs
@@ -8,7 +8,7 @@
 //! queue it takes 120 to 170 ms of objectives of 200 to 500 ms, which no limit changes.
 
 use super::Precedence;
-use crate::logic::direct::{DirectState, EndpointView, InFlightRequest};
+use crate::logic::direct::{DirectState, EndpointView, InFlightRequest, Mechanism};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
 /// One run in the unit of limits, thousandths of a run.
@@ -22,6 +22,11 @@
 /// requests then began in time, with this floor 35 %.
 const MIN_LIMIT_PERCENT: u64 = 80;
 
+/// Highest limit relative to the even share of the slots, where requests of a pool are admitted
+/// together. Runs beyond the slots queue at the endpoint, which knows neither objectives nor client
+/// accounts; a router whose callers ask for more may still use a part of what others leave.
+const MAX_LIMIT_PERCENT: u64 = 120;
+
 /// Shortest time between two reductions of a limit.
 const LOWER_INTERVAL_MS: Millis = 200;
 
@@ -111,6 +116,15 @@
     (even_share(view, routers) * MIN_LIMIT_PERCENT / 100).max(MIN_LIMIT_MILLI)
 }
 
+/// Highest limit of a head, in thousandths of a run; `pooled` says whether requests of its pool are
+/// admitted together.
+fn max_limit(view: &EndpointView, routers: u64, pooled: bool) -> u64 {
+    let slots = u64::from(view.entry.slots.max(1)) * RUN_MILLI;
+    let share = even_share(view, routers) * MAX_LIMIT_PERCENT / 100;
+    let max = if pooled { slots.min(share) } else { slots };
+    max.max(MIN_LIMIT_MILLI)
+}
+
 /// Handles a run that began after `took` milliseconds, of which `target` were within the objective;
 /// none if the objective says nothing about the run.
 pub(in crate::logic::direct) fn on_run_begun(
@@ -121,11 +135,13 @@
     target: Option<Millis>,
 ) {
     let routers = state.peers.len() as u64 + 1;
+    let service = state.endpoints.get(id).map(|v| v.entry.service.clone());
+    let pooled = service.is_some_and(|s| state.is_active(Mechanism::Admission, &s));
     let Some(view) = state.endpoints.get_mut(id) else {
         return;
     };
     let limit = current_limit(view, routers);
-    let max = u64::from(view.entry.slots.max(1)) * RUN_MILLI;
+    let max = max_limit(view, routers, pooled);
     let grown = view.quickest_start + view.quickest_start / QUICKEST_GROWTH_DIVISOR + 1;
     view.quickest_start = if view.quickest_start == 0 {
         took
@@ -140,7 +156,7 @@
     if took > target {
         lower(view, now, limit, LATE_PERCENT, min_limit(view, routers));
     } else if took <= well_in_time {
-        view.limit = (limit + RUN_MILLI * RUN_MILLI / limit).min(max.max(MIN_LIMIT_MILLI));
+        view.limit = (limit + RUN_MILLI * RUN_MILLI / limit).min(max);
     }
 }
 
--- a/src/logic/direct/direct_params.rs
+++ b/src/logic/direct/direct_params.rs
@@ -54,7 +54,7 @@
             FeatureMode::Auto => engine.is_some_and(EngineSpec::is_contended),
             FeatureMode::On => true,
         };
-        let has_whole = part != Mechanism::Trend || self.is_enabled(Mechanism::Capacity);
+        let has_whole = part != Mechanism::Trend || self.is_active(Mechanism::Capacity, engine);
         is_called_for && has_whole && self.is_enabled(part)
     }
 }
--- a/src/logic/direct/features.rs
+++ b/src/logic/direct/features.rs
@@ -7,6 +7,8 @@
     pub admission: FeatureMode,
     /// Plans capacity ahead of demand, of halls that are emptied and of lost members.
     pub capacity: FeatureMode,
+    /// Where `capacity` takes effect, plans for demand extrapolated by its trend.
+    pub trend: FeatureMode,
     /// Tells refused callers when there will be room for them.
     pub returns: FeatureMode,
     /// Learns how fast each endpoint and group is.
@@ -20,7 +22,8 @@
     pub fn mode(&self, mechanism: Mechanism) -> FeatureMode {
         match mechanism {
             Mechanism::Admission => self.admission,
-            Mechanism::Capacity | Mechanism::Trend => self.capacity,
+            Mechanism::Capacity => self.capacity,
+            Mechanism::Trend => self.trend,
             Mechanism::Returns => self.returns,
             Mechanism::Speeds => self.speeds,
             Mechanism::Shares => self.shares,
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::{form, retire, scheduled, PlanState, QueuedOrder, SentOrder};
+use super::{form, probe, retire, scheduled, PlanState, QueuedOrder, SentOrder};
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -268,6 +268,9 @@
             .with("result", format!("{result:?}"));
         out.push(Effect::Log(event));
     }
+    if result == OrderResult::Gone {
+        probe::on_replaced(state, now, &endpoint, out);
+    }
     match purpose {
         OrderUse::Join(group) if result == OrderResult::Outdated || result == OrderResult::Gone => {
             if let Some(forming) = state.plan.forming.remove(&group) {
--- a/src/logic/direct/plan/probe.rs
+++ b/src/logic/direct/plan/probe.rs
@@ -4,7 +4,9 @@
 
 use super::{form, readiness};
 use crate::logic::direct::limits::hold_off;
-use crate::logic::direct::{endpoints, peers, DirectEffect, DirectState, Observation, ProbeResult};
+use crate::logic::direct::{
+    endpoints, peers, DirectEffect, DirectState, Mechanism, Observation, ProbeResult,
+};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
@@ -232,6 +234,20 @@
     state.plan.probes.get(id).is_some_and(ProbeState::is_alive)
 }
 
+/// Handles the reply to an order that another endpoint has the address by now. The list shows the
+/// former one for some seconds, in which it would be chosen for one group after the other.
+pub(super) fn on_replaced(
+    state: &mut DirectState,
+    now: Millis,
+    id: &InstanceId,
+    out: &mut Vec<Effect>,
+) {
+    let service = state.endpoints.get(id).map(|v| v.entry.service.clone());
+    if service.is_some_and(|s| state.is_active(Mechanism::Capacity, &s)) {
+        mark_lost(state, now, id, "replaced", out);
+    }
+}
+
 fn mark_lost(
     state: &mut DirectState,
     now: Millis,
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -200,6 +200,7 @@
     Features {
         admission: mode("admission", d.admission),
         capacity: mode("capacity", d.capacity),
+        trend: mode("trend", d.trend),
         returns: mode("returns", d.returns),
         speeds: mode("speeds", d.speeds),
         shares: mode("shares", d.shares),
--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -165,6 +165,7 @@
     let state = router.state();
     state.plan.has_traffic = true;
     state.params.features.capacity = FeatureMode::On;
+    state.params.features.trend = FeatureMode::On;
     router.advance_ms(480);
     assert!(router.holds_lease(), "the planner lease was not taken");
     router
@@ -225,6 +226,7 @@
         state.plan.has_traffic = true;
         state.plan.engine_peak = 6_000;
         state.params.features.capacity = FeatureMode::On;
+        state.params.features.trend = FeatureMode::On;
         router.advance_ms(480);
         if is_known {
             router
@@ -259,6 +261,7 @@
     let state = router.state();
     state.plan.has_traffic = true;
     state.params.features.capacity = FeatureMode::On;
+    state.params.features.trend = FeatureMode::On;
     state.params.disabled.insert(Mechanism::SecondModels);
     router.advance_ms(1_500);
     let loads = loads(&router.take_effects());
@@ -292,6 +295,7 @@
         let mut router = Router::new(two_of_three());
         router.state().plan.has_traffic = true;
         router.state().params.features.capacity = FeatureMode::On;
+        router.state().params.features.trend = FeatureMode::On;
         for _ in 0..100 {
             prepare(&mut router);
             router.advance_ms(20);
@@ -412,6 +416,7 @@
     let state = router.state();
     state.plan.has_traffic = true;
     state.params.features.capacity = FeatureMode::On;
+    state.params.features.trend = FeatureMode::On;
     let digest = Digest {
         loads: reports,
         ..empty_digest(1, at(1))
@@ -555,6 +560,7 @@
     let routers = [InstanceId::new("r2"), InstanceId::new("r1")];
     let mut router = Router::named("r1", &routers, open_group("g", [1, 2, 3]));
     router.state().params.features.capacity = mode;
+    router.state().params.features.trend = mode;
     ask_for_seconds(&mut router, 1, 10, 4);
     let behind = ModelTrend {
         mean: 7_000,
@@ -599,6 +605,7 @@
     let mut router = Router::planner((1..=30).map(|n| engine(n, None)).collect());
     let state = router.state();
     state.params.features.capacity = mode;
+    state.params.features.trend = mode;
     state.peers.insert(InstanceId::new("r2"), addr(802));
     keep_busy(&mut router, 0.0, 0.1, 3);
     let trend = ModelTrend {
@@ -753,6 +760,7 @@
         let params = &mut router.state().params;
         params.disabled.insert(Mechanism::Trades);
         params.features.capacity = mode;
+        params.features.trend = mode;
         keep_busy(&mut router, 1.0, 0.6, 11);
         let forming = &router.state().plan.forming;
         assert!(forming.is_empty(), "they wait for a third first");
@@ -792,3 +800,32 @@
     let first = loads.first().map(|(id, model)| (&**id, &**model));
     assert_eq!(first, Some(("e3", "big")), "{loads:?}");
 }
+
+/// Guards against a group that is formed again and again of an endpoint whose address another has by
+/// now, as the list shows the former one for some seconds.
+#[test]
+fn an_endpoint_that_was_replaced_is_chosen_for_no_further_group() {
+    let entries = (1..=4).map(|n| engine(n, None)).collect();
+    let mut router = planner(entries);
+    let effects = router.take_effects();
+    let joins = |effects: &[DirectEffect]| -> Vec<(u64, String)> {
+        let join = |e: &DirectEffect| match order(e) {
+            Some((number, id, GroupStep::Join { members, .. })) if members.len() == 3 => {
+                Some((number, id))
+            }
+            _ => None,
+        };
+        effects.iter().filter_map(join).collect()
+    };
+    let first = joins(&effects);
+    assert_eq!(first.len(), 3, "{effects:?}");
+    let (number, replaced) = first[0].clone();
+    router.answer_order(number, OrderResult::Gone);
+    for (number, _) in &first[1..] {
+        router.answer_order(*number, OrderResult::Begun);
+    }
+    router.advance_ms(300);
+    let next = joins(&router.take_effects());
+    assert_eq!(next.len(), 3);
+    assert!(next.iter().all(|(_, id)| *id != replaced), "{next:?}");
+}
--- a/tests/direct/limits.rs
+++ b/tests/direct/limits.rs
@@ -1,6 +1,6 @@
 //! Concurrency limits: how many runs a router has at one head.
 
-use runrail::logic::direct::{DirectEffect, DirectEvent, Problem, RunPart};
+use runrail::logic::direct::{DirectEffect, DirectEvent, FeatureMode, Problem, RunPart};
 use runrail::types::InstanceId;
 
 use crate::fixture::{open_group, problem, request, run, Router};
@@ -161,3 +161,15 @@
         assert_eq!(limit(&mut router) > before, rises, "{took} ms");
     }
 }
+
+/// Guards against a queue at the endpoint, which knows neither objectives nor client accounts: where
+/// requests of a pool are admitted together, limits rise to little more than the even share.
+#[test]
+fn limits_stay_near_the_even_share_where_requests_are_admitted_together() {
+    for (mode, most) in [(FeatureMode::Off, 48_000), (FeatureMode::On, 4_113)] {
+        let mut router = one_of(14);
+        router.state().params.features.admission = mode;
+        send_requests(&mut router, 1_200, 200);
+        assert_eq!(limit(&mut router), most, "{mode:?}");
+    }
+}
--- a/tests/direct/settings.rs
+++ b/tests/direct/settings.rs
@@ -177,6 +177,7 @@
     let active = |mode, disabled: &[Mechanism]| {
         let features = Features {
             capacity: mode,
+            trend: FeatureMode::On,
             ..Features::default()
         };
         let params = DirectParams {
@@ -193,6 +194,17 @@
         active(FeatureMode::On, &[Mechanism::Capacity]),
         [false, false]
     );
+    let capacity_only = DirectParams {
+        features: Features {
+            capacity: FeatureMode::On,
+            ..Features::default()
+        },
+        ..DirectParams::default()
+    };
+    assert!(
+        !capacity_only.is_active(Mechanism::Trend, None),
+        "off by itself"
+    );
 }
 
 #[test]
