Planner: an entry that lags keeps an endpoint from new groups for 3 s at most after a takeover

Heartbeats alone don't change entries, so a planner saw none for 11 s and more: after a trade the members of two groups were free at 25.3 s and were used at 29.4 and 30.2 s only.

--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -5,12 +5,17 @@
 
 use super::{GroupMember, GroupView};
 use crate::logic::direct::{DirectState, EndpointView};
-use crate::types::InstanceId;
+use crate::types::{InstanceId, Millis};
 
 /// Name prefix of groups with a single endpoint, which never open: they only keep a model
 /// loaded on a spare.
 pub(super) const ALONE_PREFIX: &str = "alone-";
 
+/// Time from a planner's takeover for which an entry may lag behind a join that an earlier planner has
+/// ordered. Entries change at once with a seat, and reach the list within a second or two; heartbeats
+/// alone don't change them, so that a longer wait would leave free endpoints unused.
+const LAG_LIMIT_MS: Millis = 3_000;
+
 /// A service and one of its fabric domains.
 pub(super) type Place = (Arc<str>, Arc<str>);
 
@@ -56,7 +61,8 @@
     for (id, view) in &state.endpoints {
         if is_usable(state, id, view) && !forming.contains(id) && !is_seated(state, view) {
             let place = (view.entry.service.clone(), view.entry.domain.clone());
-            if view.heartbeat_at <= state.plan.planner_since {
+            let since = state.plan.planner_since;
+            if view.heartbeat_at <= since && state.ticked_at < since + LAG_LIMIT_MS {
                 stale.push((place, id));
             } else {
                 free.entry(place).or_default().push(id.clone());
