--- a/src/logic/direct/features.rs
+++ b/src/logic/direct/features.rs
@@ -11,10 +11,6 @@
     pub trend: FeatureMode,
     /// Tells refused callers when there will be room for them.
     pub returns: FeatureMode,
-    /// Learns how fast each endpoint and group is.
-    pub speeds: FeatureMode,
-    /// Divides the slots of heads among the routers by demand.
-    pub shares: FeatureMode,
 }
 
 impl Features {
@@ -25,8 +21,6 @@
             Mechanism::Capacity => self.capacity,
             Mechanism::Trend => self.trend,
             Mechanism::Returns => self.returns,
-            Mechanism::Speeds => self.speeds,
-            Mechanism::Shares => self.shares,
             _ => FeatureMode::On,
         }
     }
--- a/src/logic/direct/mechanism.rs
+++ b/src/logic/direct/mechanism.rs
@@ -35,14 +35,10 @@
     Trend,
     /// Tells refused callers when there will be room for them.
     Returns,
-    /// Learns how fast each endpoint and group is.
-    Speeds,
-    /// Divides the slots of heads among the routers by demand.
-    Shares,
 }
 
 /// Every mechanism by its name in the settings.
-const NAMES: [(&str, Mechanism); 17] = [
+const NAMES: [(&str, Mechanism); 15] = [
     ("reading-bound", Mechanism::ReadingBound),
     ("limits", Mechanism::Limits),
     ("trades", Mechanism::Trades),
@@ -58,8 +54,6 @@
     ("capacity", Mechanism::Capacity),
     ("trend", Mechanism::Trend),
     ("returns", Mechanism::Returns),
-    ("speeds", Mechanism::Speeds),
-    ("shares", Mechanism::Shares),
 ];
 
 impl Mechanism {
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -202,8 +202,6 @@
         capacity: mode("capacity", d.capacity),
         trend: mode("trend", d.trend),
         returns: mode("returns", d.returns),
-        speeds: mode("speeds", d.speeds),
-        shares: mode("shares", d.shares),
     }
 }
 
--- a/testkit/src/bin/ablate.rs
+++ b/testkit/src/bin/ablate.rs
@@ -34,7 +34,7 @@
 const PARALLEL_RUNS: usize = 6;
 
 /// Mechanisms that can be switched off, as the settings name them.
-const MECHANISMS: [&str; 17] = [
+const MECHANISMS: [&str; 15] = [
     "reading-bound",
     "limits",
     "trades",
@@ -50,8 +50,6 @@
     "capacity",
     "trend",
     "returns",
-    "speeds",
-    "shares",
 ];
 
 /// The `worth` that the benchmark prints, by day and seed.
