--- a/src/logic/direct/admission/pool.rs
+++ b/src/logic/direct/admission/pool.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use super::fair_order::lowest_tag;
-use super::verdict::usable_forecast;
+use super::waiting_case::usable_forecast;
 use super::{
     concurrency_limit, fair_order, queue, request_cost, PoolState, Precedence, QueueKey,
     QueuedRequest, Verdict, WaitingCase,
--- a/src/logic/direct/admission/usage_reports.rs
+++ b/src/logic/direct/admission/usage_reports.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use super::account_usage::{largest_accounts, MAX_REPORTED, REPORT_VALID_MS};
+use super::usage_table::{largest_accounts, MAX_REPORTED, REPORT_VALID_MS};
 use super::AccountUse;
 use crate::logic::direct::encoded_size::encoded_size;
 use crate::logic::direct::{DirectState, FeatureMode, Mechanism};
--- a/src/logic/direct/admission/account_usage.rs
+++ b/src/logic/direct/admission/usage_table.rs
@@ -17,7 +17,7 @@
 /// What client accounts have used: the cost of their requests that were sent, in microseconds of
 /// engine time, with a half-life of 2 s.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct AccountUsage {
+pub struct UsageTable {
     /// Use through this router.
     own: BTreeMap<Arc<str>, Decaying>,
     /// Use of the largest accounts through other routers.
@@ -26,7 +26,7 @@
     others_at: Option<Millis>,
 }
 
-impl AccountUsage {
+impl UsageTable {
     /// Charges an account. If the table is full, the account with the least use is evicted for a
     /// new one; returns whether that happened.
     pub fn charge(&mut self, now: Millis, account: &Arc<str>, cost: u64) -> bool {
--- a/tests/direct/admission.rs
+++ b/tests/direct/admission.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use runrail::logic::direct::admission::{
-    fair_order, largest_accounts, request_cost, AccountUsage, PoolLoad, QueuedRequest,
-    StartForecast, Verdict, WaitingCase, MAX_REPORTED,
+    fair_order, largest_accounts, request_cost, PoolLoad, QueuedRequest, StartForecast, UsageTable,
+    Verdict, WaitingCase, MAX_REPORTED,
 };
 use runrail::logic::direct::{
     AccountUse, DirectEffect, DirectEvent, DirectRequest, EndpointView, FeatureMode, PeerMessage,
@@ -36,11 +36,11 @@
 #[test]
 fn the_use_of_an_account_halves_in_two_seconds_however_often_it_is_charged() {
     let ann = name("ann");
-    let mut usage = AccountUsage::default();
+    let mut usage = UsageTable::default();
     usage.charge(1_000, &ann, 1_000_000);
     let left = usage.of(3_000, "ann");
     assert!((490_000..=510_000).contains(&left), "{left}");
-    let mut in_steps = AccountUsage::default();
+    let mut in_steps = UsageTable::default();
     in_steps.charge(1_000, &ann, 1_000_000);
     for now in (1_000..=3_000).step_by(10) {
         in_steps.charge(now, &ann, 0);
@@ -52,7 +52,7 @@
 /// Memory would grow with the number of account names that callers come up with.
 #[test]
 fn a_flood_of_accounts_evicts_the_least_used_ones() {
-    let mut usage = AccountUsage::default();
+    let mut usage = UsageTable::default();
     usage.charge(1_000, &name("large"), 1_000_000);
     let evicted = (0..5_000).filter(|n| usage.charge(1_000, &name(&format!("a{n}")), 10 + n));
     assert_eq!(evicted.count(), 5_000 + 1 - 1_024);
@@ -67,7 +67,7 @@
 /// it for good.
 #[test]
 fn use_through_other_routers_counts_for_two_seconds() {
-    let mut usage = AccountUsage::default();
+    let mut usage = UsageTable::default();
     usage.charge(1_000, &name("ann"), 100);
     usage.on_totals(1_000, &[of("ann", 900), of("bob", 400)]);
     assert_eq!(
