--- a/review/1/run.py
+++ b/review/1/run.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from standins import (Router, Store, answer_bytes, call, read_message, run_script, status_of)
 
-SLOTS, QUEUE, WORK_S = 1, 1, 0.06
+SLOTS, QUEUE, WORK_S = 1, 1, 0.045
 
 CONFIG = {
     "Version": 7,
@@ -122,7 +122,10 @@
         for n, route in enumerate(["pay", "book", "pay", "book"]):
             path = f"/{route}/{n}/"
             others = [asyncio.ensure_future(client(second, path, f"{route}{n}-other{k}")) for k in range(4)]
-            await asyncio.sleep(0.015)
+            for _ in range(30):
+                if all(replica.held == SLOTS + QUEUE for replica in replicas):
+                    break
+                await asyncio.sleep(0.001)
             await client(router, path, f"{route}{n}-fifth")
             await asyncio.gather(*others)
             # Connections that have rested so long aren't used again for what can't be repeated.
--- a/review/standins.py
+++ b/review/standins.py
@@ -365,11 +365,14 @@
     record("script", f"trouble: {'yes' if trouble else 'no'}")
 
     async def limited():
+        # A script that is told to end ends its processes first.
+        own = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, own.cancel)
         return await asyncio.wait_for(main(record, work, trouble), 110)
 
     try:
         broken = asyncio.run(limited())
-    except Exception as why:  # whatever it is, the case couldn't run
+    except (Exception, asyncio.CancelledError) as why:  # whatever it is, the case couldn't run
         record("script", f"couldn't run: {why!r}")
         print(f"couldn't run: {why!r}", file=sys.stderr)
         broken = None
