Logs name the segments of a request's prompt (E640)

Requests that differ in everything but one segment of their prompts can't be told from other ones in the logs: the fingerprint covers a whole request. The segments that other requests may share are read at the platform's boundary, and each send names them.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -114,6 +114,7 @@
     let kept_appointment = returns::on_arrival(state, arrived_at, known, &service, out);
     let flight = InFlightRequest {
         fingerprint,
+        segments: request.segments,
         label: request.label,
         service,
         model: request.model,
--- a/src/logic/direct/direct_request.rs
+++ b/src/logic/direct/direct_request.rs
@@ -12,6 +12,8 @@
     pub label: String,
     /// Fingerprint of the request without its client account.
     pub fingerprint: Fingerprint,
+    /// Segments of the prompt that other requests may share, in order: all but the last one.
+    pub segments: Vec<Fingerprint>,
     /// Requested host.
     pub host: String,
     /// Requested path.
--- a/src/logic/direct/fingerprint.rs
+++ b/src/logic/direct/fingerprint.rs
@@ -30,6 +30,19 @@
         Self(bytes)
     }
 
+    /// Fingerprint of a prompt segment with an id.
+    ///
+    /// It differs from that of any request, whose parts are others.
+    pub fn of_segment(id: &str) -> Self {
+        Self::of(&[b"prompt segment", id.as_bytes()])
+    }
+
+    /// The fingerprints as a list for the log, separated by commas.
+    pub fn join(all: &[Self]) -> String {
+        let all: Vec<_> = all.iter().map(Self::to_string).collect();
+        all.join(",")
+    }
+
     /// Fingerprint of the same request sent by a client account.
     pub fn for_account(&self, account: Option<&str>) -> Self {
         match account {
--- a/src/logic/direct/in_flight_request.rs
+++ b/src/logic/direct/in_flight_request.rs
@@ -14,6 +14,8 @@
     pub label: String,
     /// Identifies the request if the caller sends it again.
     pub fingerprint: Fingerprint,
+    /// Segments of the prompt that other requests may share.
+    pub segments: Vec<Fingerprint>,
     /// Its route.
     pub route: Arc<RouteSpec>,
     /// Service that it goes to.
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -3,8 +3,8 @@
 use super::admission::{pool, queue};
 use super::limits::hold_off;
 use super::{
-    choose, crashes, finish, peers, returns, DirectEffect, DirectState, InFlightRequest, Mechanism,
-    Precedence, RetryBounds, RetryWindow, Run, RunRequest,
+    choose, crashes, finish, peers, returns, DirectEffect, DirectState, Fingerprint,
+    InFlightRequest, Mechanism, Precedence, RetryBounds, RetryWindow, Run, RunRequest,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -81,6 +81,7 @@
     let event = LogEvent::new(LogCode::RequestSent)
         .with("request", &flight.label)
         .with("fingerprint", flight.fingerprint)
+        .with("segments", Fingerprint::join(&flight.segments))
         .with("endpoint", &to)
         .with("running", view.running)
         .with("turn", format!("{:?}", flight.precedence))
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -5,7 +5,9 @@
 use http_body_util::BodyExt;
 use proptest::prelude::*;
 use runrail::link::WatchResult;
-use runrail::logic::direct::{GroupOrder, GroupStep, OrderResult, Problem, RunRequest};
+use runrail::logic::direct::{
+    Fingerprint, GroupOrder, GroupStep, OrderResult, Problem, RunRequest,
+};
 use runrail::logic::router::{KeyWrite, RevisionCheck, StoreCall, StoreEntry, StoreReply};
 use runrail::platform::adapter;
 use runrail::types::{InstanceId, RequestRate, RouteKind, SeatState};
@@ -90,6 +92,7 @@
         .header("x-model", "big")
         .header("x-token-counts", "1460,80")
         .header("x-length-hint", "33")
+        .header("x-prompt-prefix", "5C1e:800, 91bd:410,e440:250")
         .header("connection", "keep-alive, x-private")
         .header("x-private", "1")
         .header("x-kept", "yes")
@@ -108,6 +111,8 @@
     assert_eq!((read.prompt_tokens, read.answer_tokens), (1_460, 33));
     assert_eq!(read.key.as_deref(), Some("k1"));
     assert_eq!(read.wait_ms, Some(8_000));
+    let shared = ["5c1e", "91bd"].map(Fingerprint::of_segment);
+    assert_eq!(read.segments, shared);
 }
 
 #[test]
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -305,6 +305,7 @@
     DirectRequest {
         id,
         fingerprint: Fingerprint::of(&[&id.to_be_bytes()]),
+        segments: Vec::new(),
         label: format!("q{id}"),
         host: "a.example".to_string(),
         path: path.to_string(),
