Failing tests: requests with one segment of their prompts crash endpoints

What callers saw: fraud-notes unserved for seconds, as one head after the other crashed. Each request that crashes a head is another one, and no record of crashes outlives it.

The stand-in crashes a replica that runs a request with a fatal segment.

--- a/testkit/src/soak/client.rs
+++ b/testkit/src/soak/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::Outcome;
-use crate::direct::{format_request_as, EVENTS, FLOOD_KEY};
+use crate::direct::{CallerRequest, EVENTS, FLOOD_KEY};
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -56,7 +56,15 @@
             kind => (kind, "k1"),
         };
         let path = format!("/{route}/x");
-        let text = format_request_as(key, "POST", &path, attempt, "keep-alive", body);
+        let request = CallerRequest {
+            key,
+            path: &path,
+            attempt,
+            connection: "keep-alive",
+            body,
+            ..CallerRequest::default()
+        };
+        let text = request.to_string();
         let written = self.reader.get_mut().write_all(text.as_bytes());
         match written.ok().and_then(|()| self.read_answer()) {
             Some(answer) => outcome(route, &answer),
--- a/testkit/standin/call.rs
+++ b/testkit/standin/call.rs
@@ -2,6 +2,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use super::CallerRequest;
+
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -41,9 +43,21 @@
     attempt: &str,
     body: &str,
 ) -> Option<Answer> {
+    let request = CallerRequest {
+        method,
+        path,
+        attempt,
+        body,
+        ..CallerRequest::default()
+    };
+    exchange(addr, &request)
+}
+
+/// Sends a request on a new connection; `None` when no answer head arrives.
+pub fn exchange(addr: SocketAddr, request: &CallerRequest) -> Option<Answer> {
     let mut stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT).ok()?;
     stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
-    let text = format_request(method, path, attempt, "close", body);
+    let text = request.to_string();
     stream.write_all(text.as_bytes()).ok()?;
     let mut received = Vec::new();
     let ended = stream.read_to_end(&mut received).is_ok();
@@ -66,7 +80,12 @@
 pub fn send_as(addr: SocketAddr, key: &str, attempt: &str) -> Option<(u16, Duration)> {
     let mut stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT).ok()?;
     stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
-    let text = format_request_as(key, "POST", "/stream/x", attempt, "close", "");
+    let request = CallerRequest {
+        key,
+        attempt,
+        ..CallerRequest::default()
+    };
+    let text = request.to_string();
     let begin = Instant::now();
     stream.write_all(text.as_bytes()).ok()?;
     let mut first = [0; 64];
@@ -77,25 +96,3 @@
     stream.read_to_end(&mut rest).ok()?;
     Some((head.split(' ').nth(1)?.parse().ok()?, took))
 }
-
-/// Formats an HTTP/1.1 request with the headers of a caller of the platform.
-fn format_request(method: &str, path: &str, attempt: &str, connection: &str, body: &str) -> String {
-    format_request_as("k1", method, path, attempt, connection, body)
-}
-
-/// The same with an API key.
-pub(crate) fn format_request_as(
-    key: &str,
-    method: &str,
-    path: &str,
-    attempt: &str,
-    connection: &str,
-    body: &str,
-) -> String {
-    format!(
-        "{method} {path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer {key}\r\n\
-         X-Attempt-Id: {attempt}\r\nX-Model: big\r\nX-Token-Counts: 10,10\r\n\
-         X-Deadline-Ms: 6000\r\nConnection: {connection}\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
--- a/testkit/standin/mod.rs
+++ b/testkit/standin/mod.rs
@@ -5,6 +5,7 @@
 
 mod call;
 mod caller;
+mod caller_request;
 mod config;
 mod fleet;
 mod replica;
@@ -15,14 +16,14 @@
 mod store_calls;
 mod world;
 
-pub(crate) use call::format_request_as;
-pub use call::{call, send, send_as, Answer};
+pub use call::{call, exchange, send, send_as, Answer};
 pub use caller::Caller;
+pub use caller_request::CallerRequest;
 pub(crate) use config::FLOOD_KEY;
 pub use config::{config, contended_config};
 pub use fleet::{fleet, logs, served, start_fleet, start_routers, start_routers_with, until};
 pub use replica::Arrival;
-pub use replica_calls::{EVENTS, FATAL};
+pub use replica_calls::{EVENTS, FATAL, FATAL_SEGMENT};
 pub use router::{routing_version_at, Router};
 pub use standin::Standin;
 pub use world::{Backup, World};
--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -23,6 +23,9 @@
 /// Body of a request that crashes every replica that runs it.
 pub const FATAL: &str = "fatal";
 
+/// Id of a prompt segment that crashes every replica which runs a request with it.
+pub const FATAL_SEGMENT: &str = "fa7a1";
+
 /// Number of events of one stream.
 pub const EVENTS: u64 = 12;
 
@@ -60,6 +63,7 @@
         value.unwrap_or("").to_string()
     };
     let (expected, attempt) = (header("x-expect-instance"), header("x-attempt-id"));
+    let segments = header("x-prompt-prefix");
     let last_event: u64 = header("last-event-id").parse().unwrap_or(0);
     let path = request.uri().path().to_string();
     if expected != own_id {
@@ -106,7 +110,8 @@
         return turn_away(time);
     }
     let body = request.into_body().collect().await;
-    let fatal = body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes());
+    let fatal = body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes())
+        || segments.split([',', ':']).any(|id| id == FATAL_SEGMENT);
     let can_run = !pool || world.lock().expect("state lock").is_open_head(&own_id);
     if can_run {
         start_run(&world, &own_id, &attempt, fatal);
@@ -147,7 +152,7 @@
     response
 }
 
-/// Records the start of a run; a request with the fatal body crashes the replica after
+/// Records the start of a run; a fatal request crashes the replica after
 /// [`CRASH_DELAY`].
 fn start_run(world: &Arc<Mutex<World>>, own_id: &str, attempt: &str, fatal: bool) {
     let mut state = world.lock().expect("state lock");
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -34,7 +34,7 @@
     pub once: HashMap<String, u32>,
     /// Number of runs by attempt id, of all requests.
     pub ran: HashMap<String, u32>,
-    /// Times at which a run of a request with the fatal body began.
+    /// Times at which a run of a fatal request began.
     pub fatal: Vec<Instant>,
     /// Violations that the audit has found.
     pub broken: Vec<String>,
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -38,6 +38,7 @@
 mod retries;
 mod returns;
 mod routes;
+mod segments;
 mod settings;
 mod soak;
 mod soak_checks;
