Crashes count against segments of prompts too, at all routers

Cause: crashes were counted under a digest of the whole request. Requests that share one segment of their prompts and nothing else never reached three crashes each.

Ruled out: late news (each refusal stood in all routers' logs within 40 ms); the router's own retries, which only double the rate.

Now a run that breaks off before its first event makes the segments of its prompt, but for the last one, suspects as well, unless a request with the segment was answered within the last 20 s. Crashes at three endpoints hold a segment: its callers are told to come back, and the planner tries a request with it alone. A crash then refuses it at all routers; the first event of any answer clears it. A segment whose crashes a refused one explains is sent. A router that has seen a segment answered clears it when another one suspects it, and a request with two held segments isn't tried, as its crash wouldn't tell them apart.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -79,7 +79,9 @@
         );
     };
     let fingerprint = request.fingerprint.for_account(account.as_deref());
-    if let Some((problem, why)) = crashes::refusal(state, now, request.id, &fingerprint, out) {
+    let segments = &request.segments;
+    let refusal = crashes::refusal(state, now, request.id, &fingerprint, segments, out);
+    if let Some((problem, why)) = refusal {
         return finish::refuse(request.id, &request.label, problem, why, out);
     }
     let random = state.random_below(u64::MAX);
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -85,9 +85,15 @@
     let Some(flight) = state.in_flight.get_mut(&id) else {
         return;
     };
-    if let Some(run) = &mut flight.run {
-        run.has_event = true;
+    let run = flight.run.as_mut();
+    let is_first = run.is_some_and(|run| !std::mem::replace(&mut run.has_event, true));
+    if is_first {
+        let segments = flight.segments.clone();
+        crashes::on_answer_begun(state, now, &segments, out);
     }
+    let Some(flight) = state.in_flight.get_mut(&id) else {
+        return;
+    };
     if event.is_some() && event <= flight.last_event {
         return;
     }
--- a/src/logic/direct/crashes/broadcast.rs
+++ b/src/logic/direct/crashes/broadcast.rs
@@ -1,6 +1,6 @@
 //! Exchanges crash records with the other routers.
 
-use super::{trial, CrashReport, MIN_RISKY_CRASHES};
+use super::{served, trial, CrashReport, MIN_RISKY_CRASHES};
 use crate::logic::direct::{DirectEffect, DirectState, Fingerprint, PeerMessage};
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -90,7 +90,7 @@
 ) {
     let alone_before = |r: &CrashReport| state.crashes.table.alone_crashes(&r.request);
     let alone_before: Vec<_> = reports.iter().map(alone_before).collect();
-    let blocked = newly_blocked(state, now, reports);
+    let blocked = newly_blocked(state, now, reports, out);
     for (report, before) in reports.iter().zip(alone_before) {
         if state.crashes.table.alone_crashes(&report.request) > before {
             let delay = WRITE_DELAY_MS + state.random_below(WRITE_DELAY_MS);
@@ -124,22 +124,29 @@
     report: &CrashReport,
     out: &mut Vec<Effect>,
 ) {
-    for report in newly_blocked(state, now, std::slice::from_ref(report)) {
+    for report in newly_blocked(state, now, std::slice::from_ref(report), out) {
         trial::on_blocked(state, now, report.request, out);
     }
 }
 
-/// Merges all reports; returns those of requests that are blocked from now on and were not before.
+/// Merges all reports, and clears the segments that this router has seen answered recently; returns
+/// those of requests that are blocked from now on and were not before.
 fn newly_blocked<'a>(
     state: &mut DirectState,
     now: Millis,
     reports: &'a [CrashReport],
+    out: &mut Vec<Effect>,
 ) -> Vec<&'a CrashReport> {
     let table = &mut state.crashes.table;
-    let is_new = |report: &&CrashReport| {
-        let before = table.is_blocked(&report.request);
+    let was_blocked = |r: &CrashReport| table.is_blocked(&r.request);
+    let before: Vec<_> = reports.iter().map(was_blocked).collect();
+    for report in reports {
         table.merge(now, report.request, &report.record);
-        !before && table.is_blocked(&report.request)
-    };
-    reports.iter().filter(is_new).collect()
+    }
+    served::object(state, now, reports, out);
+    let table = &state.crashes.table;
+    let is_new =
+        |(report, before): &(&CrashReport, bool)| !before && table.is_blocked(&report.request);
+    let blocked = reports.iter().zip(before).filter(is_new);
+    blocked.map(|(report, _)| report).collect()
 }
--- a/src/logic/direct/crashes/crash_record.rs
+++ b/src/logic/direct/crashes/crash_record.rs
@@ -8,7 +8,7 @@
 /// Largest number of crashes that one record holds.
 const MAX_CRASHES: usize = 8;
 
-/// The crashes of endpoints that one request may have caused.
+/// The crashes of endpoints that one request, or the requests with one prompt segment, may have caused.
 ///
 /// Sets and ages only grow, so that the records of two routers can be merged by union in any order, as
 /// long as they have at most `MAX_CRASHES` crashes together. Beyond that, a crash at which the request was
@@ -26,6 +26,10 @@
     /// Crashes at which the request was tried alone.
     #[serde(default)]
     pub alone: BTreeSet<Crash>,
+    /// Whether the record is of a prompt segment. Routers of earlier versions don't report it: they
+    /// never have a request with the fingerprint of a segment.
+    #[serde(default)]
+    pub is_segment: bool,
 }
 
 impl CrashRecord {
@@ -108,6 +112,7 @@
     /// Adds the crashes and the cleared crashes of another record; returns whether this one has
     /// changed.
     pub fn merge(&mut self, other: &Self) -> bool {
+        self.is_segment |= other.is_segment;
         let before = self.crashes.len() + self.cleared.len();
         let alone_before = self.alone.len();
         for crash in other.alone.intersection(&other.crashes) {
--- a/src/logic/direct/crashes/crash_report.rs
+++ b/src/logic/direct/crashes/crash_report.rs
@@ -3,11 +3,11 @@
 use super::CrashRecord;
 use crate::logic::direct::Fingerprint;
 
-/// What a router sends to others, and writes to the key-value service, about a request that
-/// may crash endpoints.
+/// What a router sends to others, and writes to the key-value service, about a request or a prompt
+/// segment that may crash endpoints.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CrashReport {
-    /// The request.
+    /// The request, or the segment.
     pub request: Fingerprint,
     /// Its crashes.
     pub record: CrashRecord,
@@ -17,7 +17,7 @@
     /// Upper bound of its size in a datagram, in bytes.
     pub fn max_bytes(&self) -> usize {
         /// The names of the fields and the fingerprint.
-        const FRAME_BYTES: usize = 80;
+        const FRAME_BYTES: usize = 96;
         /// The names of the fields of a crash and its time, without the endpoint's id.
         const CRASH_BYTES: usize = 30;
         let all = self.record.crashes.iter().chain(&self.record.cleared);
--- a/src/logic/direct/crashes/crash_state.rs
+++ b/src/logic/direct/crashes/crash_state.rs
@@ -1,23 +1,25 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{CrashTable, RecentlyServed, SuspectedCrash};
+use super::{CrashTable, RecentlyServed, SuspectedCrash, Trial};
 use crate::logic::direct::Fingerprint;
 use crate::logic::router::CallId;
 use crate::types::{InstanceId, Millis};
 
-/// What a router knows about requests that crash endpoints.
+/// What a router knows about requests and prompt segments that crash endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct CrashState {
-    /// Crashes by request.
+    /// Crashes by request and by segment.
     pub table: CrashTable,
     /// Endpoints that may have crashed and are probed.
     pub suspected_crashes: BTreeMap<InstanceId, SuspectedCrash>,
-    /// Requests that aren't sent and not refused for good either.
+    /// Requests and segments that aren't sent and not refused for good either.
     pub held: BTreeSet<Fingerprint>,
-    /// Id of the held request that was last tried alone.
-    pub trial: Option<u64>,
+    /// The held request that was last tried alone.
+    pub trial: Option<Trial>,
     /// Requests that were answered in full recently, and are not suspected of crashes.
     pub served: RecentlyServed,
+    /// Segments of requests whose answers began recently.
+    pub served_segments: RecentlyServed,
     /// Requests whose records are still to be sent to the other routers: when next, and how
     /// many times more.
     pub pending_reports: BTreeMap<Fingerprint, (Millis, u32)>,
--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -22,7 +22,7 @@
 /// refused for good.
 const SETTLING_MS: Millis = 1_000;
 
-/// The crash records of requests.
+/// The crash records of requests and of prompt segments.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct CrashTable {
     records: BTreeMap<Fingerprint, TableEntry>,
@@ -51,12 +51,39 @@
         self.get(request).map_or(0, |r| r.alone.len())
     }
 
+    /// Whether a record is that of a segment.
+    pub fn is_segment(&self, cause: &Fingerprint) -> bool {
+        self.get(cause).is_some_and(|r| r.is_segment)
+    }
+
     /// Whether routers don't send a request unless it is tried.
     pub fn is_blocked(&self, request: &Fingerprint) -> bool {
         self.get(request).is_some_and(CrashRecord::is_blocked)
     }
 
-    /// What follows for a request from all records.
+    /// Whether a request has been at so many crashes that it is sent with care: one at a time.
+    pub fn is_risky(&self, request: &Fingerprint) -> bool {
+        let record = self.get(request);
+        record.is_some_and(|record| {
+            record.counted_crashes() >= MIN_RISKY_CRASHES && !self.is_explained(request, record)
+        })
+    }
+
+    /// Whether a segment that crashed an endpoint when it was tried alone was at the crashes of
+    /// `record`, which is that of `request`.
+    fn is_explained(&self, request: &Fingerprint, record: &CrashRecord) -> bool {
+        let is_cause = |other: &CrashRecord| {
+            let shared = record.shared_crashes(other).len();
+            other.is_segment
+                && other.has_crashed_alone()
+                && shared >= MIN_RISKY_CRASHES
+                && record.counted_crashes() - shared <= MAX_UNSHARED
+        };
+        let mut others = self.records.iter().filter(|(other, _)| *other != request);
+        !record.has_crashed_alone() && others.any(|(_, e)| is_cause(&e.record))
+    }
+
+    /// What follows for a request or a segment from all records.
     pub fn verdict(&self, now: Millis, request: &Fingerprint) -> Verdict {
         let Some(entry) = self.records.get(request) else {
             return Verdict::Sent;
@@ -65,13 +92,24 @@
             return Verdict::Sent;
         }
         let record = &entry.record;
+        if self.is_explained(request, record) {
+            return Verdict::Sent;
+        }
+        // Segments are shared by many requests, so that crashes alone don't have them refused.
+        if record.is_segment {
+            return match record.has_crashed_alone() {
+                true => Verdict::Refused,
+                false => Verdict::Held,
+            };
+        }
         let is_settling = now < entry.updated_at + SETTLING_MS;
         let is_suspected_more = |name: &Fingerprint, other: &CrashRecord| {
             let shared = record.shared_crashes(other);
             let unshared = record.counted_crashes() - shared.len();
             let is_weaker = shared.len() >= MIN_RISKY_CRASHES
                 && unshared <= MAX_UNSHARED
-                && (record.is_weaker_than(other, &shared)
+                && (other.is_segment
+                    || record.is_weaker_than(other, &shared)
                     || (name < request && record.is_tied_with(other, &shared)));
             // Reports may still show that the other one was at the rest of these crashes.
             let may_be_weaker = !shared.is_empty()
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -1,8 +1,12 @@
-//! Finds the requests that crash endpoints.
+//! Finds the requests, and the segments of prompts, that crash endpoints.
 
-use super::{broadcast, trial, Crash, CrashRecord, SuspectedCrash, Verdict, MIN_RISKY_CRASHES};
+use super::{
+    broadcast, served, trial, Crash, CrashRecord, SuspectedCrash, Verdict, MIN_RISKY_CRASHES,
+};
 use crate::logic::direct::limits::hold_off;
-use crate::logic::direct::{finish, DirectEffect, DirectState, Fingerprint, ProbeResult, Problem};
+use crate::logic::direct::{
+    finish, DirectEffect, DirectState, Fingerprint, InFlightRequest, ProbeResult, Problem,
+};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
 
@@ -13,8 +17,8 @@
 /// to it may be cut, which no request has caused.
 const MAX_MISSES: u32 = 3;
 
-/// Handles a run that broke off: its request is suspected unless an event had come, or the
-/// same request was answered in full recently.
+/// Handles a run that broke off before its first event: its request is suspected unless the same
+/// request was answered recently, and so is each segment of its prompt.
 pub(in crate::logic::direct) fn on_run_broken(
     state: &mut DirectState,
     now: Millis,
@@ -30,7 +34,12 @@
     let Some(view) = state.endpoints.get(&run.endpoint) else {
         return;
     };
-    if state.crashes.served.contains(now, &flight.fingerprint) {
+    let request = Some(flight.fingerprint).filter(|r| !served::is_trusted(state, now, r));
+    let segments = flight.segments.iter().copied();
+    let segments: Vec<_> = segments
+        .filter(|s| !served::is_trusted_segment(state, now, s))
+        .collect();
+    if request.is_none() && segments.is_empty() {
         return;
     }
     let at = run.endpoint.clone();
@@ -39,16 +48,22 @@
         .suspected_crashes
         .entry(at.clone())
         .or_default();
-    if suspected.requests.is_empty() {
+    if !suspected.has_suspects() {
         suspected.born = view.entry.born;
         suspected.misses = 0;
-        suspected.tried = None;
+        suspected.tried.clear();
     }
     let age = u32::try_from(now.saturating_sub(run.sent_at)).unwrap_or(u32::MAX);
-    let longest = suspected.requests.entry(flight.fingerprint).or_default();
-    *longest = age.max(*longest);
-    if state.crashes.trial == Some(id) {
-        suspected.tried = Some(flight.fingerprint);
+    if let Some(request) = request {
+        let longest = suspected.requests.entry(request).or_default();
+        *longest = age.max(*longest);
+    }
+    for segment in segments {
+        let longest = suspected.segments.entry(segment).or_default();
+        *longest = age.max(*longest);
+    }
+    if let Some(trial) = state.crashes.trial.as_ref().filter(|t| t.request == id) {
+        suspected.tried.clone_from(&trial.causes);
     }
     probe(state, now, &at, out);
 }
@@ -95,7 +110,8 @@
         return;
     }
     let requests = std::mem::take(&mut suspected.requests);
-    let tried = suspected.tried.take();
+    let segments = std::mem::take(&mut suspected.segments);
+    let tried = std::mem::take(&mut suspected.tried);
     if !has_ended(suspected, result) {
         return;
     }
@@ -104,13 +120,19 @@
         born: suspected.born,
     };
     let mut blocked = Vec::new();
-    for (request, age) in requests {
-        let record = CrashRecord::of_run(crash.clone(), age, tried == Some(request));
+    let requests = requests.into_iter().map(|suspect| (suspect, false));
+    let segments = segments.into_iter().map(|suspect| (suspect, true));
+    for ((request, age), is_segment) in requests.chain(segments) {
+        let record = CrashRecord {
+            is_segment,
+            ..CrashRecord::of_run(crash.clone(), age, tried.contains(&request))
+        };
         if count_crash(state, now, request, &record) {
             blocked.push(request);
         }
         let event = LogEvent::new(LogCode::CrashCounted)
             .with("fingerprint", request)
+            .with("kind", if is_segment { "segment" } else { "request" })
             .with("endpoint", id)
             .with("born", crash.born.unwrap_or(0))
             .with("crashes", state.crashes.table.counted_crashes(&request));
@@ -167,81 +189,67 @@
         .with("fingerprint", request)
         .with("endpoints", ids.join(","));
     out.push(Effect::Log(event));
-    let has_event =
-        |f: &crate::logic::direct::InFlightRequest| f.run.as_ref().is_some_and(|r| r.has_event);
+    let has_event = |f: &InFlightRequest| f.run.as_ref().is_some_and(|r| r.has_event);
     let in_flight = state.in_flight.iter();
-    let ended = in_flight.filter(|(_, f)| f.fingerprint == request && !has_event(f));
+    let ended = in_flight.filter(|(_, f)| f.has_cause(&request) && !has_event(f));
     for id in ended.map(|(id, _)| *id).collect::<Vec<_>>() {
         state.crashes.refusals += 1;
         finish::refuse_blocked(state, id, out);
     }
 }
 
-/// Clears a request of earlier crashes, as it was answered in full.
-pub(in crate::logic::direct) fn on_answered(
-    state: &mut DirectState,
-    now: Millis,
-    request: Fingerprint,
-    out: &mut Vec<Effect>,
-) {
-    state.crashes.served.record(now, request);
-    if state.crashes.table.clear(&request) {
-        let event = LogEvent::new(LogCode::CrashesCleared).with("fingerprint", request);
-        out.push(Effect::Log(event));
-        let record = state.crashes.table.get(&request);
-        if record.is_some_and(CrashRecord::was_blocked) {
-            // Routers that start later read it from the key-value service.
-            state.crashes.store.queue.insert(request, now);
-        }
-        broadcast::schedule_broadcast(state, now, request);
-        broadcast::send_due(state, now, out);
-    }
-}
-
-/// Why a request that has just arrived is refused, if it is: it is blocked, or it is risky and
-/// another one with its fingerprint is in flight.
+/// Why a request that has just arrived is refused, if it is: it or a segment of its prompt is blocked,
+/// or is risky and another request with it is in flight.
 pub(in crate::logic::direct) fn refusal(
     state: &mut DirectState,
     now: Millis,
     id: u64,
     request: &Fingerprint,
+    segments: &[Fingerprint],
     out: &mut Vec<Effect>,
 ) -> Option<(Problem, &'static str)> {
-    match state.crashes.table.verdict(now, request) {
-        Verdict::Sent => {}
-        Verdict::Held if trial::begin(state, now, id, request, out) => return None,
-        Verdict::Held | Verdict::Unsettled => {
-            let retry = Problem::NotRun(state.params.again_ms);
-            return Some((retry, trial::WHY_HELD));
-        }
-        Verdict::Refused => {
-            state.crashes.refusals += 1;
-            return Some((
-                Problem::CrashesEndpoints,
-                "endpoints crashed while running it",
-            ));
-        }
-    }
-    let is_same = |f: &crate::logic::direct::InFlightRequest| f.fingerprint == *request;
-    let risky = state.crashes.table.counted_crashes(request) >= MIN_RISKY_CRASHES;
-    if risky && state.in_flight.values().any(is_same) {
-        let retry = Problem::NotRun(state.params.again_ms);
+    let retry = Problem::NotRun(state.params.again_ms);
+    let table = &state.crashes.table;
+    let causes = || std::iter::once(request).chain(segments);
+    let verdicts: Vec<_> = causes().map(|c| (*c, table.verdict(now, c))).collect();
+    let has = |wanted: Verdict| verdicts.iter().any(|(_, verdict)| *verdict == wanted);
+    if has(Verdict::Refused) {
+        state.crashes.refusals += 1;
         return Some((
-            retry,
-            "already in flight, and endpoints crashed while running it",
+            Problem::CrashesEndpoints,
+            "endpoints crashed while running it",
         ));
     }
+    let held = verdicts.iter().filter(|(_, v)| *v == Verdict::Held);
+    let held: Vec<_> = held.map(|(cause, _)| *cause).collect();
+    let is_risky = |cause: &&Fingerprint| table.is_risky(cause);
+    let risky: Vec<_> = causes().filter(is_risky).collect();
+    let is_same = |f: &InFlightRequest| risky.iter().any(|cause| f.has_cause(cause));
+    let is_in_flight = !risky.is_empty() && state.in_flight.values().any(is_same);
+    if has(Verdict::Unsettled) || (held.is_empty() && is_in_flight) {
+        let why = match is_in_flight {
+            true => "already in flight, and endpoints crashed while running it",
+            false => trial::WHY_HELD,
+        };
+        return Some((retry, why));
+    }
+    if !held.is_empty() && !trial::begin(state, now, id, held, out) {
+        return Some((retry, trial::WHY_HELD));
+    }
     None
 }
 
-/// Whether a request is risky, counting also the crashes that it is suspected of while the
-/// endpoints are still being probed.
-pub(in crate::logic::direct) fn is_risky(state: &DirectState, request: &Fingerprint) -> bool {
-    let suspected_crashes = state.crashes.suspected_crashes.values();
-    let unconfirmed = suspected_crashes
-        .filter(|d| d.requests.contains_key(request))
-        .count();
-    state.crashes.table.counted_crashes(request) + unconfirmed >= MIN_RISKY_CRASHES
+/// Whether a request or a segment of its prompt is risky, counting also the crashes that it is
+/// suspected of while the endpoints are still being probed.
+pub(in crate::logic::direct) fn is_risky(state: &DirectState, flight: &InFlightRequest) -> bool {
+    let suspected_crashes = || state.crashes.suspected_crashes.values();
+    let is_risky = |cause: &Fingerprint| {
+        let unconfirmed = suspected_crashes().filter(|d| d.suspects(cause)).count();
+        let table = &state.crashes.table;
+        table.is_risky(cause)
+            || (unconfirmed > 0 && table.counted_crashes(cause) + unconfirmed >= MIN_RISKY_CRASHES)
+    };
+    flight.causes().any(is_risky)
 }
 
 /// Removes what has expired, sends the probes that are due, and passes changed records on to
@@ -253,11 +261,9 @@
 ) {
     state.crashes.table.remove_expired(now);
     let (suspected_crashes, endpoints) = (&mut state.crashes.suspected_crashes, &state.endpoints);
-    let is_open = |d: &SuspectedCrash| d.probe_pending || !d.requests.is_empty() || now < d.next_at;
+    let is_open = |d: &SuspectedCrash| d.probe_pending || d.has_suspects() || now < d.next_at;
     suspected_crashes.retain(|id, d| endpoints.contains_key(id) && is_open(d));
-    let due = suspected_crashes
-        .iter()
-        .filter(|(_, d)| !d.requests.is_empty());
+    let due = suspected_crashes.iter().filter(|(_, d)| d.has_suspects());
     let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
     for id in due {
         probe(state, now, &id, out);
--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -1,4 +1,4 @@
-//! Requests that crash the endpoints that run them.
+//! Requests, and segments of prompts, that crash the endpoints that run them.
 //!
 //! A run that breaks off before its first event makes its request a suspect, and its
 //! endpoint is probed. If that has crashed, the crash is counted against the request, at all
@@ -8,6 +8,11 @@
 //! They are unlikely to run at the endpoint of the next crash too, and are cleared once they
 //! are answered in full. One that was at the same three crashes as another with stronger evidence is
 //! held: callers are told to come back, and the planner tries one alone.
+//!
+//! Requests that share a segment of their prompts may crash endpoints though no two are alike, so that
+//! crashes count against the segments as well. A segment is held after `MIN_BLOCKING_CRASHES` crashes,
+//! and refused if an endpoint crashes when a request with it is tried alone. It is cleared by any
+//! answer to a request with it that begins.
 
 mod broadcast;
 mod crash;
@@ -18,6 +23,7 @@
 mod crash_table;
 mod detect;
 mod recently_served;
+mod served;
 mod suspected_crash;
 mod trial;
 mod verdict;
@@ -29,13 +35,15 @@
 pub use crash_table::CrashTable;
 pub use recently_served::RecentlyServed;
 pub use suspected_crash::SuspectedCrash;
+pub use trial::Trial;
 pub use verdict::Verdict;
 
 pub(super) use broadcast::on_crash_reports;
 pub(super) use crash_store::{
     on_store_entries, on_store_reply, on_store_restored, on_watch_changes,
 };
-pub(super) use detect::{is_risky, on_answered, on_probe_result, on_run_broken, on_tick, refusal};
+pub(super) use detect::{is_risky, on_probe_result, on_run_broken, on_tick, refusal};
+pub(super) use served::{on_answer_begun, on_answered};
 
 /// Number of crashes from which on a request is risky: only one of its kind is in flight at a
 /// time, and no router retries it after a run that may have begun.
--- a/src/logic/direct/crashes/recently_served.rs
+++ b/src/logic/direct/crashes/recently_served.rs
@@ -7,9 +7,12 @@
 const MAX_ANSWERS: usize = 4_096;
 
 /// Time for which an answer is kept.
-const RETENTION_MS: Millis = 60_000;
+pub(super) const RETENTION_MS: Millis = 60_000;
 
-/// Requests that were answered in full recently.
+/// Time for which a further answer to the same request isn't recorded.
+const REFRESH_MS: Millis = 1_000;
+
+/// Requests that were answered in full recently, or segments of requests whose answers began.
 ///
 /// Callers may send the same harmless request many times a second, so that one of them is in
 /// flight at every crash without having caused it.
@@ -24,6 +27,9 @@
 impl RecentlyServed {
     /// Adds an answer, and removes those that are too old or too many.
     pub fn record(&mut self, now: Millis, request: Fingerprint) {
+        if self.contains(now, &request, REFRESH_MS) {
+            return;
+        }
         self.last.insert(request, now);
         self.answers.push_back((now, request));
         while let Some((at, oldest)) = self.answers.front().copied() {
@@ -37,9 +43,9 @@
         }
     }
 
-    /// Whether a request was answered within the retention time.
-    pub fn contains(&self, now: Millis, request: &Fingerprint) -> bool {
+    /// Whether a request was answered within some time, which is at most the retention time.
+    pub fn contains(&self, now: Millis, request: &Fingerprint, within_ms: Millis) -> bool {
         let last = self.last.get(request);
-        last.is_some_and(|at| now < at + RETENTION_MS)
+        last.is_some_and(|at| now < at + within_ms)
     }
 }
--- a/src/logic/direct/crashes/suspected_crash.rs
+++ b/src/logic/direct/crashes/suspected_crash.rs
@@ -13,8 +13,10 @@
     /// run of each had been there; empty once a probe has decided, or the endpoint is no longer
     /// probed.
     pub requests: BTreeMap<Fingerprint, u32>,
-    /// The request that was tried alone there, if any was.
-    pub tried: Option<Fingerprint>,
+    /// The same for the segments of their prompts.
+    pub segments: BTreeMap<Fingerprint, u32>,
+    /// The request and segments that were tried alone there.
+    pub tried: Vec<Fingerprint>,
     /// Whether the result of a probe is awaited.
     pub probe_pending: bool,
     /// When the next probe may be sent.
@@ -22,3 +24,15 @@
     /// Number of probes without an answer since the first of these requests.
     pub misses: u32,
 }
+
+impl SuspectedCrash {
+    /// Whether anything is suspected.
+    pub fn has_suspects(&self) -> bool {
+        !self.requests.is_empty() || !self.segments.is_empty()
+    }
+
+    /// Whether a request or a segment is suspected.
+    pub fn suspects(&self, cause: &Fingerprint) -> bool {
+        self.requests.contains_key(cause) || self.segments.contains_key(cause)
+    }
+}
--- a/src/logic/direct/crashes/trial.rs
+++ b/src/logic/direct/crashes/trial.rs
@@ -1,16 +1,26 @@
-//! Requests that another one has probably been confused with: they were at the same crashes.
+//! Requests that another one has probably been confused with, as they were at the same crashes, and
+//! segments of prompts that were at several crashes.
 //!
-//! The planner sends one of them at a time, alone of its kind. If it is answered in full it is
-//! cleared; if an endpoint crashes under it, it is refused.
+//! The planner sends one of them at a time, alone of its kind. If it is answered it is cleared; if an
+//! endpoint crashes under it, it is refused.
 
 use super::{detect, Verdict};
-use crate::logic::direct::{finish, DirectState, Fingerprint};
+use crate::logic::direct::{finish, DirectState, Fingerprint, InFlightRequest};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::Millis;
 
 /// Why a held request isn't sent.
 pub(super) const WHY_HELD: &str = "endpoints crashed while running it and another";
 
+/// A request that is tried alone.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Trial {
+    /// Its id.
+    pub request: u64,
+    /// What its outcome decides on: its fingerprint and its segments, as far as they are held.
+    pub causes: Vec<Fingerprint>,
+}
+
 /// Handles a request that isn't sent from now on: those in flight end, unless another request has
 /// probably caused the crashes.
 pub(super) fn on_blocked(
@@ -22,10 +32,14 @@
     if state.crashes.table.verdict(now, &request) == Verdict::Refused {
         return detect::end_in_flight(state, request, out);
     }
-    state.crashes.held.insert(request);
-    let is_waiting = |f: &crate::logic::direct::InFlightRequest| {
-        f.fingerprint == request && f.run.is_none() && f.last_event.is_none()
-    };
+    if state.crashes.held.insert(request) {
+        let event = LogEvent::new(LogCode::SuspectHeld)
+            .with("fingerprint", request)
+            .with("crashes", state.crashes.table.counted_crashes(&request));
+        out.push(Effect::Log(event));
+    }
+    let is_waiting =
+        |f: &InFlightRequest| f.has_cause(&request) && f.run.is_none() && f.last_event.is_none();
     let in_flight = state.in_flight.iter();
     let waiting = in_flight.filter(|(_, f)| is_waiting(f));
     for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
@@ -47,24 +61,33 @@
 }
 
 /// Begins a trial of a held request, if this router is the planner and no other trial is in flight;
-/// returns whether it has.
+/// returns whether it has. `held` are its fingerprint and its segments, as far as they are held.
+///
+/// A request with several held segments isn't tried: a crash wouldn't tell them apart, and requests
+/// with one of them alone may show that it is harmless.
 pub(super) fn begin(
     state: &mut DirectState,
     now: Millis,
     id: u64,
-    request: &Fingerprint,
+    held: Vec<Fingerprint>,
     out: &mut Vec<Effect>,
 ) -> bool {
     let table = &state.crashes.table;
-    let mut in_flight = state.in_flight.values();
-    let is_busy = in_flight.any(|f| f.fingerprint == *request || table.is_blocked(&f.fingerprint));
-    if is_busy || !state.plan.lease.holds(now) {
+    let segments = held.iter().filter(|cause| table.is_segment(cause));
+    let is_sent = |cause: &Fingerprint| table.verdict(now, cause) == Verdict::Sent;
+    let is_busy = state.in_flight.values().any(|f| !f.causes().all(is_sent));
+    if segments.count() > 1 || is_busy || !state.plan.lease.holds(now) {
         return false;
     }
-    let event = LogEvent::new(LogCode::SuspectTried)
-        .with("fingerprint", request)
-        .with("crashes", table.counted_crashes(request));
-    out.push(Effect::Log(event));
-    state.crashes.trial = Some(id);
+    for cause in &held {
+        let event = LogEvent::new(LogCode::SuspectTried)
+            .with("fingerprint", cause)
+            .with("crashes", table.counted_crashes(cause));
+        out.push(Effect::Log(event));
+    }
+    state.crashes.trial = Some(Trial {
+        request: id,
+        causes: held,
+    });
     true
 }
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -24,7 +24,7 @@
     let Some(flight) = state.in_flight.remove(&id) else {
         return;
     };
-    crashes::on_answered(state, now, flight.fingerprint, out);
+    crashes::on_answered(state, now, flight.fingerprint, &flight.segments, out);
     out.push(Effect::Direct(last));
     out.push(Effect::Log(
         LogEvent::new(LogCode::RequestCompleted)
--- a/src/logic/direct/in_flight_request.rs
+++ b/src/logic/direct/in_flight_request.rs
@@ -60,6 +60,16 @@
 }
 
 impl InFlightRequest {
+    /// What may crash the endpoints that run it: the request itself, and the segments of its prompt.
+    pub fn causes(&self) -> impl Iterator<Item = &Fingerprint> {
+        std::iter::once(&self.fingerprint).chain(&self.segments)
+    }
+
+    /// Whether the request has a fingerprint or has a segment with it.
+    pub fn has_cause(&self, cause: &Fingerprint) -> bool {
+        self.causes().any(|own| own == cause)
+    }
+
     /// Whether no endpoint can have run the request, so that the answer to the caller may say
     /// so. This has to be true also of requests that may be repeated.
     pub fn has_not_run(&self) -> bool {
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -143,8 +143,9 @@
     let repeatable = flight.route.repeatable();
     let allowed = flight.runs < flight.route.attempts && (!may_have_run || repeatable);
     let below_max_sends = flight.tried.len() as u32 <= flight.route.attempts + 1;
-    let (service, fingerprint) = (flight.service.clone(), flight.fingerprint);
-    if may_have_run && crashes::is_risky(state, &fingerprint) {
+    let service = flight.service.clone();
+    let flight = state.in_flight.get(&id);
+    if may_have_run && flight.is_some_and(|f| crashes::is_risky(state, f)) {
         return finish::give_up(state, now, id, "endpoints crashed while running it", out);
     }
     if !allowed || !below_max_sends || !spend_retry(state, now, &service) {
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -247,9 +247,13 @@
     let name = |n: u64| Fingerprint::of(&[&n.to_be_bytes()]);
     let mut served = RecentlyServed::default();
     (0..10_000).for_each(|n| served.record(n, name(n)));
-    assert!(served.contains(10_000, &name(9_999)));
-    assert!(!served.contains(10_000, &name(0)), "pushed out");
-    assert!(!served.contains(9_999 + 60_000, &name(9_999)), "too old");
+    let within = 60_000;
+    assert!(served.contains(10_000, &name(9_999), within));
+    assert!(!served.contains(10_000, &name(0), within), "pushed out");
+    assert!(
+        !served.contains(9_999 + within, &name(9_999), within),
+        "too old"
+    );
 }
 
 /// Guards against crashes being counted twice, or counted again after they were cleared, when
--- a/tests/direct/segments.rs
+++ b/tests/direct/segments.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use runrail::logic::direct::crashes::{Crash, CrashRecord, CrashReport};
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, DirectRequest, Fingerprint, ProbeResult, Problem, RunPart,
+    DirectEffect, DirectEvent, DirectRequest, Fingerprint, PeerMessage, ProbeResult, Problem,
+    RunPart,
 };
+use runrail::logic::router::StoreEntry;
 use runrail::logic::Effect;
 use runrail::types::{EndpointEntry, InstanceId};
 
@@ -92,12 +95,22 @@
 
 /// Two routers that know of each other; the first one is the planner.
 fn two_routers() -> [Router; 2] {
-    let mut routers = [Router::planner(open_groups()), Router::new(open_groups())];
-    for router in &mut routers {
-        let peers = &mut router.state().peers;
-        peers.insert(InstanceId::new("other"), addr(2_000));
-    }
-    routers
+    let names = ["r1", "r2"].map(InstanceId::new);
+    let router = |own: usize, other: usize| {
+        let mut router = Router::named(names[own].as_str(), &names, open_groups());
+        router.store_entries = vec![StoreEntry {
+            key: format!("runrail/router/{}", names[other]),
+            value: addr(2_000 + other as u16).to_string(),
+            revision: 1,
+        }];
+        router
+    };
+    [router(0, 1), router(1, 0)]
+}
+
+/// Lets a router know that it isn't the planner: the stand-in of the store grants each its lease.
+fn revoke_lease(router: &mut Router) {
+    router.state().plan.lease.fence = 0;
 }
 
 /// Guards against evidence that is kept under whole requests only: requests that share one segment
@@ -112,6 +125,7 @@
             0 => (&mut first, &mut second),
             _ => (&mut second, &mut first),
         };
+        revoke_lease(if id % 2 == 0 { there } else { here });
         serve(here, sound(100 + id));
         let (crashed, problem) = send_fatal(here, fatal(id));
         crashes += crashed.len();
@@ -132,6 +146,150 @@
     }
 }
 
+/// What another router reports of a segment that was at some crashes, perhaps the last one alone.
+fn report(segment: &str, crashes: &[u64], is_alone: bool) -> CrashReport {
+    let mut record = CrashRecord::default();
+    for (n, crash) in crashes.iter().enumerate() {
+        let crash = Crash {
+            endpoint: InstanceId::new(&format!("gone-{crash}")),
+            born: None,
+        };
+        let is_last = n + 1 == crashes.len();
+        record.merge(&CrashRecord::of_run(crash, 20, is_alone && is_last));
+    }
+    CrashReport {
+        request: Fingerprint::of_segment(segment),
+        record: CrashRecord {
+            is_segment: true,
+            ..record
+        },
+    }
+}
+
+fn receive(router: &mut Router, reports: &[CrashReport]) {
+    router.tell(DirectEvent::PeerMessage {
+        from: addr(2_001),
+        message: PeerMessage::Crashes(reports.to_vec()),
+    });
+}
+
+/// The problem that the caller of a request gets, if it is refused.
+fn refused(router: &mut Router, request: DirectRequest) -> Option<Problem> {
+    problem(&router.ask_for(request))
+}
+
+const HELD: Option<Problem> = Some(Problem::NotRun(400));
+
+/// Guards against refusing a segment for good that was at the same crashes as the fatal one by
+/// chance: a request with it alone is tried, and the outcome tells them apart.
+#[test]
+fn a_harmless_segment_at_the_same_crashes_is_cleared_by_a_trial() {
+    let mut router = Router::planner(open_groups());
+    let reports = ["common", "fatal"].map(|s| report(s, &[1, 2, 3], false));
+    receive(&mut router, &reports);
+    assert_eq!(refused(&mut router, fatal(1)), HELD, "not to be told apart");
+    let tried = run(&router.ask_for(sound(2)));
+    assert_eq!(refused(&mut router, sound(3)), HELD, "one trial at a time");
+    router.part(tried.run, RunPart::Head);
+    router.part(tried.run, piece(1));
+    assert_eq!(refused(&mut router, sound(4)), None);
+    assert_eq!(send_fatal(&mut router, fatal(5)).0.len(), 1);
+    let answer = refused(&mut router, fatal(6));
+    assert_eq!(answer, Some(Problem::CrashesEndpoints));
+    assert_eq!(refused(&mut router, sound(7)), None);
+}
+
+/// Guards against a segment that only the planner may clear staying held at all other routers, once
+/// another one is known to have caused its crashes.
+#[test]
+fn a_segment_whose_crashes_another_one_has_caused_is_sent() {
+    let mut router = Router::new(open_groups());
+    revoke_lease(&mut router);
+    receive(&mut router, &[report("rare", &[1, 2, 3], false)]);
+    let rare = |id| with_segments(id, &["rare"]);
+    assert_eq!(refused(&mut router, rare(1)), HELD);
+    receive(&mut router, &[report("fatal", &[1, 2, 3, 4], true)]);
+    assert_eq!(refused(&mut router, rare(2)), None);
+    let answer = refused(&mut router, with_segments(3, &["rare", "fatal"]));
+    assert_eq!(answer, Some(Problem::CrashesEndpoints));
+}
+
+/// Guards against a router that has just started and suspects segments that the others see answered
+/// all the time.
+#[test]
+fn a_router_clears_the_segments_that_it_has_seen_answered_when_another_suspects_them() {
+    let [mut first, mut second] = two_routers();
+    serve(&mut first, sound(1));
+    second.advance_ms(400);
+    receive(&mut second, &[report("common", &[1, 2, 3], false)]);
+    revoke_lease(&mut second);
+    assert_eq!(refused(&mut second, sound(2)), HELD);
+    receive(&mut first, &[report("common", &[1, 2, 3], false)]);
+    first.advance_ms(20);
+    deliver(&mut first, &mut second);
+    assert_eq!(refused(&mut second, sound(3)), None);
+}
+
+/// Guards against a segment that is never suspected, as it was answered before it came to crash
+/// endpoints, and against suspecting one that is answered all the time.
+#[test]
+fn a_segment_is_suspected_again_some_time_after_its_last_answer() {
+    let mut router = Router::new(open_groups());
+    serve(&mut router, fatal(1));
+    send_fatal(&mut router, fatal(2));
+    let crashes = |router: &mut Router| {
+        let segment = Fingerprint::of_segment("fatal");
+        router.state().crashes.table.counted_crashes(&segment)
+    };
+    assert_eq!(crashes(&mut router), 0);
+    router.advance_ms(20_000);
+    send_fatal(&mut router, fatal(3));
+    assert_eq!(crashes(&mut router), 2);
+}
+
+/// Guards against crashing further endpoints while the evidence is still thin.
+#[test]
+fn requests_with_a_risky_segment_are_sent_one_at_a_time_and_not_again() {
+    let mut router = Router::new(open_groups());
+    serve(&mut router, sound(1));
+    receive(&mut router, &[report("fatal", &[1, 2], false)]);
+    let sent = run(&router.ask_for(fatal(2)));
+    assert_eq!(refused(&mut router, fatal(3)), HELD);
+    assert_eq!(refused(&mut router, sound(4)), None);
+    let after = router.part(sent.run, RunPart::Broken);
+    assert_eq!(problem(&after), Some(Problem::Unknown));
+}
+
+/// Guards against a segment that crashes endpoints again once all routers have started anew.
+#[test]
+fn a_router_that_starts_later_reads_which_segments_are_refused() {
+    let stored = report("fatal", &[1, 2, 3, 4], true);
+    let mut router = Router::bare();
+    router.store_entries = vec![StoreEntry {
+        key: format!("runrail/crashes/{}", stored.request),
+        value: serde_json::to_string(&stored).expect("text"),
+        revision: 1,
+    }];
+    router.initialize(open_groups());
+    router.advance_ms(400);
+    let answer = refused(&mut router, fatal(1));
+    assert_eq!(answer, Some(Problem::CrashesEndpoints));
+    assert_eq!(refused(&mut router, sound(2)), None);
+}
+
+/// Guards against waiting requests that are sent after their segment was held.
+#[test]
+fn requests_that_wait_are_refused_once_their_segment_is_held() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    for id in 100..148 {
+        run(&router.ask_for(sound(id)));
+    }
+    assert_eq!(refused(&mut router, fatal(1)), None, "it waits");
+    receive(&mut router, &[report("fatal", &[1, 2, 3], false)]);
+    let refusal = problem(&router.take_effects());
+    assert!(matches!(refusal, Some(Problem::NotRun(_))), "{refusal:?}");
+}
+
 /// Sends a stream request of its own, with the common segment and perhaps the fatal one.
 fn send(router: &testkit::direct::Router, attempt: &str, is_fatal: bool) -> Option<Answer> {
     let fatal = if is_fatal { FATAL_SEGMENT } else { "50f7" };
