An unframed stream that ends without any event was broken off

What callers saw: a stream of no events that looked complete. An endpoint that crashes before its first event may close its connection without an error; where its answer has neither a length nor chunks, that end was taken for the end of the stream.

Now such a stream counts as broken, is sent again, and its request is suspected, unless the caller has all events of an earlier run already. Failed before: the caller got 0 of 12 events as a complete answer (an_unframed_stream_without_any_event_goes_on_at_another_head). Streams that end inside an event, and answers that aren't streams, were handled before; tests now show it.

The stand-in answers without framing, and breaks streams off, where a test asks for it.

--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{response, HeaderMap};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -11,7 +12,7 @@
 use super::call_fault::CallFault;
 use super::endpoint_calls;
 use super::link_event::ReceivedRequest;
-use super::pool::{Connection, SendOptions};
+use super::pool::SendOptions;
 use super::shared::{ActiveRun, Shared};
 use super::EventSplitter;
 use crate::logic::direct::{DirectEvent, RunPart, RunRequest};
@@ -82,10 +83,17 @@
         return Some(RunPart::Broken);
     }
     let keep_alive = keep_alive(&head.headers);
+    // An endpoint that crashes before its first event may close the connection as if the stream had
+    // ended. Without framing only an event shows that it had begun.
+    let needs_event = !is_framed(&head.headers) && run.last_event.is_none();
     if run.stream && reply.stream && !reply.not_run {
         store_head(shared, run.run, head);
         send_part(shared, run.run, RunPart::Head);
-        return Some(read_events(shared, run.run, body, connection, keep_alive).await);
+        let events = read_events(shared, run.run, body, needs_event).await;
+        if matches!(events, RunPart::End) {
+            shared.pool.give_back(connection, keep_alive);
+        }
+        return Some(events);
     }
     let Ok(whole) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
         return Some(RunPart::Broken);
@@ -108,15 +116,17 @@
     }
 }
 
-/// Reads a stream of events to its end and passes each event on.
-async fn read_events(
-    shared: &Shared,
-    run: u64,
-    mut body: Incoming,
-    connection: Connection,
-    keep_alive: Option<Duration>,
-) -> RunPart {
+/// Whether an answer has a length or chunks, so that its end is told apart from that of the
+/// connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Reads a stream of events to its end and passes each event on; where `needs_event` is true, a
+/// stream without any event is broken off.
+async fn read_events(shared: &Shared, run: u64, mut body: Incoming, needs_event: bool) -> RunPart {
     let mut splitter = EventSplitter::default();
+    let mut has_event = false;
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame,
@@ -135,12 +145,12 @@
                 bytes: event.bytes,
             };
             send_part(shared, run, part);
+            has_event = true;
         }
     }
-    if splitter.has_partial() {
+    if splitter.has_partial() || (needs_event && !has_event) {
         return RunPart::Broken;
     }
-    shared.pool.give_back(connection, keep_alive);
     RunPart::End
 }
 
--- a/testkit/standin/mod.rs
+++ b/testkit/standin/mod.rs
@@ -26,4 +26,4 @@
 pub use replica_calls::{EVENTS, FATAL, FATAL_SEGMENT};
 pub use router::{routing_version_at, Router};
 pub use standin::Standin;
-pub use world::{Backup, World};
+pub use world::{Backup, Cut, World};
--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, BodyStream, StreamBody};
 use hyper::body::{Frame, Incoming};
 use serde_json::{json, Value};
 use tokio::time::sleep;
 
 use super::replica::Arrival;
 use super::serve::{json_response, Body};
-use super::world::World;
+use super::world::{Cut, World};
 
 /// Time after which the streams of a group that lacks a member fail.
 pub(super) const STALL_TIMEOUT: Duration = Duration::from_millis(4_000);
@@ -109,6 +109,7 @@
     if let Some(time) = hold_off {
         return turn_away(time);
     }
+    let unframed = world.lock().expect("state lock").unframed;
     let body = request.into_body().collect().await;
     let fatal = body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes())
         || segments.split([',', ':']).any(|id| id == FATAL_SEGMENT);
@@ -128,6 +129,9 @@
         }
         json_response(StatusCode::OK, &json!({"by": own_id}))
     };
+    if unframed {
+        response = without_framing(response);
+    }
     if let Some(Ok(value)) = limit.map(|l| l.to_string().parse()) {
         response.headers_mut().insert("server-limit", value);
     }
@@ -140,6 +144,14 @@
     response
 }
 
+/// The same answer with neither a length nor chunks: it ends with its connection.
+fn without_framing(response: Response<Body>) -> Response<Body> {
+    let (mut head, body) = response.into_parts();
+    head.version = http::Version::HTTP_10;
+    let frames = BodyStream::new(body);
+    Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
+}
+
 /// The answer of a replica that turns a request away and asks its router to send nothing for some
 /// time.
 fn turn_away(time: Duration) -> Response<Body> {
@@ -191,6 +203,7 @@
         return json_response(StatusCode::MISDIRECTED_REQUEST, &Value::Null);
     };
     let own_id = own_id.to_string();
+    let cut = world.lock().expect("state lock").cuts.pop();
     let events = futures_util::stream::unfold(last_event + 1, move |n| {
         let (world, seat, own_id) = (world.clone(), seat.clone(), own_id.clone());
         async move {
@@ -209,8 +222,17 @@
                     return Some((Err(std::io::Error::other("broken")), EVENTS + 1));
                 }
             }
-            let bytes = Bytes::from(format!("id: {n}\ndata: {}\n\n", seat.model));
-            Some((Ok(Frame::data(bytes)), n + 1))
+            let mut event = format!("id: {n}\ndata: {}\n\n", seat.model);
+            let mut next = n + 1;
+            match cut {
+                Some(Cut::Empty) => return None,
+                Some(Cut::Inside(whole)) if n > last_event + whole => {
+                    event.truncate(event.len() / 2);
+                    next = EVENTS + 1;
+                }
+                _ => {}
+            }
+            Some((Ok(Frame::data(Bytes::from(event))), next))
         }
     });
     event_stream(events)
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -30,6 +30,10 @@
     /// Number of writes since the last one whose answer may be lost.
     pub(super) writes: u64,
     pub(super) replicas: BTreeMap<String, Replica>,
+    /// Whether answers to requests have neither a length nor chunks, and end with their connections.
+    pub unframed: bool,
+    /// Streams that are cut, the next one last.
+    pub cuts: Vec<Cut>,
     /// Number of runs by attempt id, of requests that may not be repeated.
     pub once: HashMap<String, u32>,
     /// Number of runs by attempt id, of all requests.
@@ -40,6 +44,15 @@
     pub broken: Vec<String>,
 }
 
+/// Where a replica breaks a stream off, by closing its connection without an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Before the first byte of the body.
+    Empty,
+    /// Within the event after so many whole ones.
+    Inside(u64),
+}
+
 /// A backup of the store, for [`World::restore`].
 pub struct Backup {
     pub(super) revision: i64,
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -13,6 +13,7 @@
 mod fields;
 mod fixture;
 mod foreign;
+mod framing;
 mod gate;
 mod hold_off;
 mod idle;
