A router with most of the callers has a larger share of the heads

The balancer may send most new connections to one router for some seconds.

Cause: each router's part of the slots and of the unread prompt tokens of a head was the whole divided by the number of routers, as if callers were spread evenly. A router with all callers of a fleet of ten refused 325 of 490 requests in the seconds after the first three, though the heads had room (a_router_with_most_callers_serves_what_the_heads_have_room_for on the code before; now 0 of 500, at most 30 runs at a head of 48 slots).

Now a router to which at least twice an even part of a model's demand comes, by its requests of the last second against the mean demand of all routers that digests have, takes that part of the slots and of the tokens; the others keep an even one. The limit in force never lies below the lowest for the present share.

--- a/src/logic/direct/admission/concurrency_limit.rs
+++ b/src/logic/direct/admission/concurrency_limit.rs
@@ -1,13 +1,13 @@
 //! Concurrency limits: how many runs a router has at one head at a time.
 //!
-//! Routers don't exchange how much they have sent. Each starts with an even share of the
-//! head's slots, raises its limit while requests begin well within their objective and
+//! Routers don't exchange how much they have sent. Each starts with its share of the
+//! head's slots, which is even unless most callers come to it, raises its limit while requests begin well within their objective and
 //! lowers it when they begin late, so that together they keep a head just short of queueing.
 //!
 //! What counts as well within is derived from the quickest recent first token: without any
 //! queue it takes 120 to 170 ms of objectives of 200 to 500 ms, which no limit changes.
 
-use super::Precedence;
+use super::{Precedence, RouterShare};
 use crate::logic::direct::{DirectState, EndpointView, InFlightRequest, Mechanism};
 use crate::types::{EngineSpec, InstanceId, Millis};
 
@@ -17,12 +17,12 @@
 /// Lowest limit of all, so that two requests of a router can overlap.
 const MIN_LIMIT_MILLI: u64 = 2 * RUN_MILLI;
 
-/// Lowest limit relative to the even share of the slots. A fixed floor of 8 runs let 14
+/// Lowest limit relative to the share of the slots. A fixed floor of 8 runs let 14
 /// routers have 112 runs at a head with 48 slots: on an overloaded fleet 12 % of the main
 /// requests then began in time, with this floor 35 %.
 const MIN_LIMIT_PERCENT: u64 = 80;
 
-/// Highest limit relative to the even share of the slots, where requests of a pool are admitted
+/// Highest limit relative to the share of the slots, where requests of a pool are admitted
 /// together. Runs beyond the slots queue at the endpoint, which knows neither objectives nor client
 /// accounts; a router whose callers ask for more may still use a part of what others leave.
 const MAX_LIMIT_PERCENT: u64 = 120;
@@ -56,7 +56,7 @@
 /// one pass.
 const READING_PERCENT: u64 = 60;
 
-/// How many times its even share of the unread prompt tokens one router may use at a head:
+/// How many times its share of the unread prompt tokens one router may use at a head:
 /// routers seldom send to the same head at once.
 const SHARE_FACTOR: u64 = 2;
 
@@ -64,7 +64,7 @@
 /// stream there, so too many tokens at once make all of them late.
 pub(in crate::logic::direct) fn can_read(
     view: &EndpointView,
-    routers: u64,
+    share: RouterShare,
     flight: &InFlightRequest,
     engine: &EngineSpec,
     late: bool,
@@ -72,8 +72,8 @@
     let model = view.entry.model.as_ref().and_then(|m| engine.model(m));
     let pace = model.map_or(1_000, |m| m.pace).max(1);
     let tokens_per_ms = engine.read_rate / pace;
-    let max_tokens =
-        flight.route.gap_ms * READING_PERCENT / 100 * tokens_per_ms * SHARE_FACTOR / routers.max(1);
+    let max_tokens = flight.route.gap_ms * READING_PERCENT / 100 * tokens_per_ms;
+    let max_tokens = share.times(SHARE_FACTOR).of(max_tokens);
     let max_tokens = if late {
         max_tokens * LATE_READING_PERCENT / 100
     } else {
@@ -85,11 +85,11 @@
 /// Whether an endpoint has room for one more run of this router.
 pub(in crate::logic::direct) fn has_room(
     view: &EndpointView,
-    routers: u64,
+    share: RouterShare,
     flight: &InFlightRequest,
     late: bool,
 ) -> bool {
-    let limit = current_limit(view, routers);
+    let limit = current_limit(view, share);
     let limit = match flight.precedence {
         Precedence::Resumed => limit * RESUMED_LIMIT_PERCENT / 100,
         Precedence::Fresh if late => limit * LATE_LIMIT_PERCENT / 100,
@@ -98,33 +98,39 @@
     u64::from(view.running) * RUN_MILLI < limit
 }
 
-/// Limit in force, in thousandths of a run; the even share of the slots at first.
-fn current_limit(view: &EndpointView, routers: u64) -> u64 {
+/// Limit in force, in thousandths of a run; the share of the slots at first.
+fn current_limit(view: &EndpointView, share: RouterShare) -> u64 {
     if view.limit > 0 {
-        return view.limit;
+        return view.limit.max(min_limit(view, share));
     }
-    even_share(view, routers).max(MIN_LIMIT_MILLI)
+    slot_share(view, share).max(MIN_LIMIT_MILLI)
 }
 
-/// Each router's even share of the slots, in thousandths of a run.
-fn even_share(view: &EndpointView, routers: u64) -> u64 {
-    u64::from(view.entry.slots) * RUN_MILLI / routers.max(1)
+/// This router's share of the slots, in thousandths of a run.
+fn slot_share(view: &EndpointView, share: RouterShare) -> u64 {
+    share.of(u64::from(view.entry.slots) * RUN_MILLI)
 }
 
 /// Lowest limit of a head, in thousandths of a run.
-fn min_limit(view: &EndpointView, routers: u64) -> u64 {
-    (even_share(view, routers) * MIN_LIMIT_PERCENT / 100).max(MIN_LIMIT_MILLI)
+fn min_limit(view: &EndpointView, share: RouterShare) -> u64 {
+    (slot_share(view, share) * MIN_LIMIT_PERCENT / 100).max(MIN_LIMIT_MILLI)
 }
 
 /// Highest limit of a head, in thousandths of a run; `pooled` says whether requests of its pool are
 /// admitted together.
-fn max_limit(view: &EndpointView, routers: u64, pooled: bool) -> u64 {
+fn max_limit(view: &EndpointView, share: RouterShare, pooled: bool) -> u64 {
     let slots = u64::from(view.entry.slots.max(1)) * RUN_MILLI;
-    let share = even_share(view, routers) * MAX_LIMIT_PERCENT / 100;
+    let share = slot_share(view, share) * MAX_LIMIT_PERCENT / 100;
     let max = if pooled { slots.min(share) } else { slots };
     max.max(MIN_LIMIT_MILLI)
 }
 
+/// This router's share of what an endpoint's model has.
+fn share_at(state: &DirectState, id: &InstanceId) -> RouterShare {
+    let view = state.endpoints.get(id);
+    RouterShare::of_model(state, view.and_then(|v| v.entry.model.as_ref()))
+}
+
 /// Handles a run that began after `took` milliseconds, of which `target` were within the objective;
 /// none if the objective says nothing about the run.
 pub(in crate::logic::direct) fn on_run_begun(
@@ -134,14 +140,14 @@
     took: Millis,
     target: Option<Millis>,
 ) {
-    let routers = state.peers.len() as u64 + 1;
+    let share = share_at(state, id);
     let service = state.endpoints.get(id).map(|v| v.entry.service.clone());
     let pooled = service.is_some_and(|s| state.is_active(Mechanism::Admission, &s));
     let Some(view) = state.endpoints.get_mut(id) else {
         return;
     };
-    let limit = current_limit(view, routers);
-    let max = max_limit(view, routers, pooled);
+    let limit = current_limit(view, share);
+    let max = max_limit(view, share, pooled);
     let grown = view.quickest_start + view.quickest_start / QUICKEST_GROWTH_DIVISOR + 1;
     view.quickest_start = if view.quickest_start == 0 {
         took
@@ -154,7 +160,7 @@
     let well_in_time =
         view.quickest_start + target.saturating_sub(view.quickest_start) / WELL_IN_TIME_DIVISOR;
     if took > target {
-        lower(view, now, limit, LATE_PERCENT, min_limit(view, routers));
+        lower(view, now, limit, LATE_PERCENT, min_limit(view, share));
     } else if took <= well_in_time {
         view.limit = (limit + RUN_MILLI * RUN_MILLI / limit).min(max);
     }
@@ -162,10 +168,10 @@
 
 /// Handles an endpoint's refusal of a run for lack of room.
 pub(in crate::logic::direct) fn on_full(state: &mut DirectState, now: Millis, id: &InstanceId) {
-    let routers = state.peers.len() as u64 + 1;
+    let share = share_at(state, id);
     if let Some(view) = state.endpoints.get_mut(id) {
-        let limit = current_limit(view, routers);
-        let min = min_limit(view, routers);
+        let limit = current_limit(view, share);
+        let min = min_limit(view, share);
         lower(view, now, limit, FULL_PERCENT, min);
     }
 }
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::admission::{concurrency_limit, pool};
+use super::admission::{concurrency_limit, pool, RouterShare};
 use super::limits::{cold, hold_off, rate_limit};
 use super::{DirectState, EndpointView, InFlightRequest, Mechanism};
 use crate::types::{EngineSpec, InstanceId, Millis};
@@ -93,7 +93,7 @@
     let spec = spec.and_then(|r| r.services.get(&flight.service));
     let engine = spec.and_then(|s| s.engine.as_ref());
     let late = pool::is_late(state, now, flight);
-    let routers = state.peers.len() as u64 + 1;
+    let share = RouterShare::of_model(state, flight.model.as_ref());
     let mut open = candidates(state, flight)
         .filter(|v| can_take(state, v, now, flight, engine.is_some()))
         .peekable();
@@ -105,15 +105,14 @@
             None => "it can't begin in time: no endpoint serves its model now",
         };
     }
-    let with_room = |v: &&EndpointView| {
-        engine.is_none() || concurrency_limit::has_room(v, routers, flight, late)
-    };
+    let with_room =
+        |v: &&EndpointView| engine.is_none() || concurrency_limit::has_room(v, share, flight, late);
     let mut with_room = open.filter(with_room).peekable();
     if with_room.peek().is_none() {
         return "it can't begin in time: its heads are at their limit of runs";
     }
     let can_read = |v: &EndpointView| {
-        engine.is_none_or(|e| concurrency_limit::can_read(v, routers, flight, e, late))
+        engine.is_none_or(|e| concurrency_limit::can_read(v, share, flight, e, late))
     };
     if with_room.any(can_read) {
         "it can't begin in time: other requests go before it"
@@ -153,7 +152,7 @@
     let spec = routing.services.get(&flight.service);
     let engine = spec.and_then(|s| s.engine.as_ref());
     let mut found: Option<(u64, u64, InstanceId)> = None;
-    let routers = state.peers.len() as u64 + 1;
+    let share = RouterShare::of_model(state, flight.model.as_ref());
     let random = state.random_below(u64::MAX);
     let late = pool::is_late(state, now, flight);
     let params = &state.params;
@@ -165,9 +164,9 @@
         }
         let has_room = |e: &EngineSpec| {
             (!params.is_enabled(Mechanism::Limits)
-                || concurrency_limit::has_room(view, routers, flight, late))
+                || concurrency_limit::has_room(view, share, flight, late))
                 && (!params.is_enabled(Mechanism::ReadingBound)
-                    || concurrency_limit::can_read(view, routers, flight, e, late))
+                    || concurrency_limit::can_read(view, share, flight, e, late))
         };
         if !engine.is_none_or(has_room) {
             continue;
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod cold;
 mod command_line;
+mod concentration;
 mod crashes;
 mod demand;
 mod digests;
