The soak plays fatal segments, answers without framing and concentrated callers

New faults, drawn by themselves so that the other faults of a seed stay what they were: requests that share one fatal segment, no two alike; endpoints that answer with neither a length nor chunks and break off two streams; callers that open new connections to one router only, one a request. New checks, each with a change to a sound record that it finds: runs of requests with the fatal segment end, and a router that gets all new connections serves at least three quarters of what all served before.

--- a/testkit/src/soak/client.rs
+++ b/testkit/src/soak/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::Outcome;
-use crate::direct::{CallerRequest, EVENTS, FLOOD_KEY};
+use crate::direct::{CallerRequest, EVENTS, FATAL_SEGMENT, FLOOD_KEY};
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -51,16 +51,21 @@
     /// Sends a request of a kind and reads its answer.
     pub fn send_request(&mut self, kind: &'static str, attempt: &str, body: &str) -> Outcome {
         let (route, key) = match kind {
-            "fatal" => ("stream", "k1"),
+            "fatal" | "segment" => ("stream", "k1"),
             "flood" => ("stream", FLOOD_KEY),
             kind => (kind, "k1"),
         };
         let path = format!("/{route}/x");
+        let segments = match kind {
+            "segment" => format!("c0de:5,{FATAL_SEGMENT}:3,{attempt}:2"),
+            _ => format!("c0de:5,{attempt}:2"),
+        };
         let request = CallerRequest {
             key,
             path: &path,
             attempt,
             connection: "keep-alive",
+            segments: &segments,
             body,
             ..CallerRequest::default()
         };
--- a/testkit/src/soak/driver.rs
+++ b/testkit/src/soak/driver.rs
@@ -7,7 +7,7 @@
 
 use super::client::Connection;
 use super::{Fault, Limited, Outcome, Record, Sample, Span};
-use crate::direct::{config, Backup, Router, Standin, World, FATAL};
+use crate::direct::{config, Backup, Cut, Router, Standin, World, EVENTS, FATAL};
 use crate::Relay;
 
 /// Time limit from `SIGTERM` to the end of a router's process.
@@ -19,7 +19,7 @@
 /// Time between two checks of a condition that is waited for.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Pause between two sends of the fatal request.
+/// Pause between two sends of fatal requests.
 const FATAL_PAUSE: Duration = Duration::from_millis(150);
 
 /// Time by which the store carries out writes late.
@@ -31,7 +31,7 @@
 /// Pause of such a caller after an answer.
 const FLOOD_PAUSE: Duration = Duration::from_millis(20);
 
-/// Engines that are added after the sends of a fatal request, as it crashes engines.
+/// Engines that are added after the sends of fatal requests, as they crash engines.
 const ADDED_ENGINES: usize = 3;
 
 /// Invalid values that another writer puts into the endpoint list.
@@ -57,6 +57,8 @@
     pub record: Mutex<Record>,
     /// Version of the newest configuration.
     pub version: Mutex<u64>,
+    /// Router that callers open new connections to, if it is a single one.
+    pub preferred: Mutex<Option<usize>>,
     /// Backup for the next restore of the store.
     pub backup: Mutex<Option<Backup>>,
 }
@@ -124,6 +126,9 @@
                 lock(&self.record).configured.push(written);
             }
             Fault::FatalRequest(times) => self.fatal_request(n, *times),
+            Fault::FatalSegment(times) => self.fatal_segment(n, *times),
+            Fault::Unframed(ms) => self.answer_unframed(n, *ms),
+            Fault::Concentrate(at, ms) => self.concentrate(*at, *ms),
             Fault::LimitEndpoint(rate, ms) => self.limit_endpoint(n, f64::from(*rate), *ms),
             Fault::HoldOff(hold_ms, ms) => self.hold_off_endpoint(n, *hold_ms, *ms),
             Fault::Leave(ms) => self.leave_endpoint(n, *ms),
@@ -306,22 +311,68 @@
     }
 
     fn fatal_request(&self, n: usize, times: u32) {
+        self.send_fatal("fatal", n, times, |_| FATAL);
+    }
+
+    fn fatal_segment(&self, n: usize, times: u32) {
+        self.send_fatal("segment", n, times, |attempt| attempt);
+    }
+
+    /// Sends requests of a kind that crashes endpoints to the routers in turn, each with the body that
+    /// `body` returns for its attempt id, and adds engines for those that crashed.
+    fn send_fatal(&self, kind: &'static str, n: usize, times: u32, body: impl Fn(&str) -> &str) {
         let from = self.now_ms();
         for time in 0..times {
             let at = time as usize % self.slots.len();
             let addr = lock(&self.slots[at]).router.callers;
-            let attempt = format!("fatal{n}-{time}");
+            let attempt = format!("{kind}{n}-{time}");
             if let Some(mut connection) = Connection::open(addr) {
-                self.send_request(&mut connection, at, "fatal", attempt, FATAL, false);
+                let body = body(&attempt).to_string();
+                self.send_request(&mut connection, at, kind, attempt, &body, false);
             }
             std::thread::sleep(FATAL_PAUSE);
         }
         for added in 0..ADDED_ENGINES {
-            self.standin.add(&format!("f{n}-{added}"), "pool");
+            self.standin.add(&format!("{kind}{n}-{added}"), "pool");
         }
         self.record_endpoint_fault(from);
     }
 
+    /// Makes endpoints answer without framing, and break off two streams.
+    fn answer_unframed(&self, n: usize, ms: u64) {
+        let from = self.now_ms();
+        {
+            let mut world = self.standin.world();
+            world.unframed = true;
+            world.cuts = vec![Cut::Inside(n as u64 % EVENTS), Cut::Empty];
+        }
+        std::thread::sleep(Duration::from_millis(ms));
+        let mut world = self.standin.world();
+        world.unframed = false;
+        world.cuts.clear();
+        drop(world);
+        self.record_endpoint_fault(from);
+    }
+
+    /// Has callers open new connections to one router only.
+    fn concentrate(&self, at: usize, ms: u64) {
+        let from_ms = self.now_ms();
+        if lock(&self.preferred).replace(at).is_some() {
+            // Another concentration is in progress, and now goes on at this router.
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(ms));
+        *lock(&self.preferred) = None;
+        let to_ms = self.now_ms();
+        let span = Span { from_ms, to_ms };
+        lock(&self.record).concentrations.push((at, span));
+    }
+
+    /// The router that gets all new connections, if there is one.
+    pub fn preferred_router(&self) -> Option<usize> {
+        *lock(&self.preferred)
+    }
+
     /// Sends requests of one account by many callers at once. Each has a body of its own, so that it
     /// isn't taken for one that was at a crash before.
     fn flood(&self, n: usize, ms: u64) {
--- a/testkit/src/soak/fault.rs
+++ b/testkit/src/soak/fault.rs
@@ -40,6 +40,14 @@
     Configure,
     /// A request that crashes every endpoint which runs it is sent some times.
     FatalRequest(u32),
+    /// Requests that share one segment of their prompts, which crashes every endpoint that runs them,
+    /// are sent some times; no two are alike.
+    FatalSegment(u32),
+    /// Endpoints answer with neither a length nor chunks for some milliseconds, and break off two
+    /// streams by closing the connection without an error.
+    Unframed(u64),
+    /// For some milliseconds callers open new connections to one router only, one for each request.
+    Concentrate(usize, u64),
     /// An endpoint names a rate limit, in requests a second, for some milliseconds.
     LimitEndpoint(u32, u64),
     /// An endpoint turns everything away and asks each router to send nothing for some milliseconds;
@@ -75,6 +83,9 @@
             Fault::ForeignEntry => "foreign-entry",
             Fault::Configure => "configure",
             Fault::FatalRequest(_) => "fatal-request",
+            Fault::FatalSegment(_) => "fatal-segment",
+            Fault::Unframed(_) => "unframed",
+            Fault::Concentrate(..) => "concentrate",
             Fault::LimitEndpoint(..) => "limit-endpoint",
             Fault::HoldOff(..) => "hold-off",
             Fault::Leave(_) => "leave",
--- a/testkit/src/soak/judge.rs
+++ b/testkit/src/soak/judge.rs
@@ -3,14 +3,21 @@
 use super::received::{broken_hold_offs, sent_to_leaving};
 use super::{Finding, Limited, Outcome, Record, Sample, Span};
 
-/// Time in which all routers learn of the third crash under a request, or of an endpoint's rate
-/// limit.
+/// Time in which all routers learn of the last crash that they need to know of, or of an endpoint's
+/// rate limit.
 const PROPAGATION_MS: u64 = 3_000;
 
-/// Maximum number of runs of the fatal request that begin more than [`PROPAGATION_MS`] after its
-/// third run.
+/// Runs of the fatal request, and of requests with the fatal segment, after which routers have to
+/// know it.
+const FATAL_RUNS: usize = 3;
+const SEGMENT_RUNS: usize = 5;
+
+/// Maximum number of such runs that begin more than [`PROPAGATION_MS`] after that.
 const MAX_LATE_RUNS: usize = 3;
 
+/// Requests before and in a concentration of callers from which it is judged.
+const MIN_CONCENTRATION_SAMPLES: usize = 20;
+
 /// Time in which a configuration has to be in force at routers without a recent fault.
 const APPLY_MS: u64 = 2_000;
 
@@ -84,6 +91,14 @@
         "a request that crashes endpoints is stopped",
         late_fatal_runs(record),
     );
+    add(
+        "a segment that crashes endpoints is stopped",
+        late_segment_runs(record),
+    );
+    add(
+        "a router that gets all new connections serves them",
+        unserved_concentrations(record),
+    );
     add("the limit of an endpoint is kept", exceeded_limits(record));
     add(
         "an endpoint that holds off gets nothing",
@@ -217,25 +232,79 @@
 }
 
 fn refused_harmless(record: &Record) -> Vec<String> {
-    let harmless = record.samples.iter().filter(|s| s.kind != "fatal");
+    let is_harmless = |s: &&Sample| s.kind != "fatal" && s.kind != "segment";
+    let harmless = record.samples.iter().filter(is_harmless);
     let refused = harmless.filter(|s| s.outcome == Outcome::Refused);
     refused.map(describe).collect()
 }
 
 fn late_fatal_runs(record: &Record) -> Vec<String> {
-    let Some(third) = record.fatal_ms.get(2) else {
+    late_runs(&record.fatal_ms, FATAL_RUNS)
+}
+
+fn late_segment_runs(record: &Record) -> Vec<String> {
+    late_runs(&record.segment_ms, SEGMENT_RUNS)
+}
+
+/// Whether more than [`MAX_LATE_RUNS`] runs that crashed endpoints began later than
+/// [`PROPAGATION_MS`] after the one with the number `decisive`.
+fn late_runs(runs_ms: &[u64], decisive: usize) -> Vec<String> {
+    let Some(known) = runs_ms.get(decisive - 1) else {
         return Vec::new();
     };
-    let later = record
-        .fatal_ms
-        .iter()
-        .filter(|at| **at > third + PROPAGATION_MS);
-    let later = later.count();
-    let all = record.fatal_ms.len();
-    let seen = format!("{later} runs later than {PROPAGATION_MS} ms after the third, {all} in all");
+    let later = runs_ms.iter().filter(|at| **at > known + PROPAGATION_MS);
+    let (later, all) = (later.count(), runs_ms.len());
+    let seen =
+        format!("{later} runs later than {PROPAGATION_MS} ms after run {decisive}, {all} in all");
     Vec::from_iter((later > MAX_LATE_RUNS).then_some(seen))
 }
 
+/// Concentrations of callers at a router in which it served requests less than three quarters as
+/// often as all routers did before, though neither it nor an endpoint had a fault.
+fn unserved_concentrations(record: &Record) -> Vec<String> {
+    let mut seen = Vec::new();
+    for (router, span) in &record.concentrations {
+        let before = Span {
+            from_ms: span.from_ms.saturating_sub(CONTACT_MS),
+            to_ms: span.from_ms,
+        };
+        let during = Span {
+            from_ms: span.from_ms + CONTACT_MS,
+            to_ms: span.to_ms,
+        };
+        let around = Span {
+            from_ms: before.from_ms,
+            to_ms: span.to_ms,
+        };
+        let of_router = |(at, fault): &(usize, Span)| at == router && fault.overlaps(&around);
+        let is_disturbed = record.router_faults.iter().any(of_router)
+            || record.endpoint_faults.iter().any(|f| f.overlaps(&around))
+            || record.limited.iter().any(|l| l.span.overlaps(&around))
+            || record.floods.iter().any(|f| f.overlaps(&around));
+        if is_disturbed || during.from_ms >= during.to_ms {
+            continue;
+        }
+        let served = |span: &Span, at: Option<usize>| {
+            let is_in = |s: &&Sample| {
+                let is_at = at.is_none_or(|at| at == s.router);
+                is_at && s.at_ms >= span.from_ms && s.at_ms <= span.to_ms
+            };
+            let all: Vec<_> = record.samples.iter().filter(is_in).collect();
+            let whole = all.iter().filter(|s| s.outcome == Outcome::Whole);
+            (whole.count(), all.len())
+        };
+        let (usual, all) = served(&before, None);
+        let (whole, sent) = served(&during, Some(*router));
+        let is_less = whole * all * 4 < usual * sent * 3;
+        if all >= MIN_CONCENTRATION_SAMPLES && sent >= MIN_CONCENTRATION_SAMPLES && is_less {
+            seen.push(format!(
+                "router {router}, {span:?}: {whole} of {sent} whole, {usual} of {all} before"
+            ));
+        }
+    }
+    seen
+}
+
 fn exceeded_limits(record: &Record) -> Vec<String> {
     record
         .limited
--- a/testkit/src/soak/outcome.rs
+++ b/testkit/src/soak/outcome.rs
@@ -32,7 +32,8 @@
 pub struct Sample {
     /// Attempt id.
     pub attempt: String,
-    /// Kind of request: its route, or `fatal`.
+    /// Kind of request: its route, `flood`, or what in it crashes endpoints: `fatal` (its body) or
+    /// `segment`.
     pub kind: &'static str,
     /// Index of the router that it was sent to.
     pub router: usize,
--- a/testkit/src/soak/plan.rs
+++ b/testkit/src/soak/plan.rs
@@ -73,6 +73,7 @@
         }
         faults.extend(draw_further(settings));
         faults.extend(draw_floods(settings));
+        faults.extend(draw_prompts_and_connections(settings));
         faults.sort_by_key(|planned| planned.at_ms);
         Self {
             faults,
@@ -107,6 +108,31 @@
     }
 }
 
+/// Draws requests with a fatal segment, answers without framing, and times in which one router gets all
+/// new connections. They don't overlap each other.
+fn draw_prompts_and_connections(settings: &SoakSettings) -> Vec<PlannedFault> {
+    let mut rng = fastrand::Rng::with_seed(settings.seed.rotate_left(16));
+    let mut faults = Vec::new();
+    let mut at_ms = MARGIN_MS;
+    loop {
+        at_ms += rng.u64(500..3_000);
+        let ms = rng.u64(1_000..3_000);
+        let (fault, length) = match rng.u32(0..3) {
+            0 => (Fault::FatalSegment(rng.u32(6..20)), 3_000),
+            1 => (Fault::Unframed(ms), ms),
+            _ => {
+                let router = rng.usize(0..settings.routers);
+                (Fault::Concentrate(router, 3_000 + ms), 3_000 + ms)
+            }
+        };
+        if at_ms + length + MARGIN_MS >= settings.seconds * 1_000 {
+            return faults;
+        }
+        faults.push(PlannedFault { at_ms, fault });
+        at_ms += length;
+    }
+}
+
 /// Draws what endpoints ask for, and further faults of the store. They are drawn by themselves, so
 /// that the other faults of a seed stay what they were.
 fn draw_further(settings: &SoakSettings) -> Vec<PlannedFault> {
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -55,6 +55,11 @@
     pub audit: Vec<String>,
     /// Times at which runs of the fatal request began, in milliseconds from the beginning.
     pub fatal_ms: Vec<u64>,
+    /// Times at which runs of requests with the fatal segment began, in milliseconds from the
+    /// beginning.
+    pub segment_ms: Vec<u64>,
+    /// Times in which most new connections went to one router, with its index.
+    pub concentrations: Vec<(usize, Span)>,
     /// Times in which endpoints named a rate limit.
     pub limited: Vec<Limited>,
     /// Faults of routers, with the index of the router.
--- a/testkit/src/soak/report.rs
+++ b/testkit/src/soak/report.rs
@@ -44,6 +44,8 @@
         let _ = writeln!(out, "{outcome:?}: {}", count.count());
     }
     let _ = writeln!(out, "fatal request: {} runs", record.fatal_ms.len());
+    let runs = record.segment_ms.len();
+    let _ = writeln!(out, "requests with the fatal segment: {runs} runs");
     let _ = writeln!(out, "processes: {:?}", record.usages);
     let _ = writeln!(out, "recovered after: {:?} ms", record.recovered_ms);
     let windows = record
--- a/testkit/src/soak/run.rs
+++ b/testkit/src/soak/run.rs
@@ -59,6 +59,7 @@
         }),
         version: Mutex::new(1),
         backup: Mutex::new(None),
+        preferred: Mutex::new(None),
     });
     let stop = Arc::new(AtomicBool::new(false));
     let number = Arc::new(AtomicU64::new(0));
@@ -122,7 +123,8 @@
     let mut connection = None;
     while !stop.load(Ordering::Relaxed) {
         let Some(open) = connection.as_mut() else {
-            router = (router + 1) % driver.slots.len();
+            let next = (router + 1) % driver.slots.len();
+            router = driver.preferred_router().unwrap_or(next);
             let addr = lock(&driver.slots[router]).router.callers;
             connection = Connection::open(addr);
             std::thread::sleep(CALLER_PAUSE);
@@ -132,20 +134,23 @@
         let attempt = format!("{kind}{}", number.fetch_add(1, Ordering::Relaxed));
         let outcome = driver.send_request(open, router, kind, attempt, "", false);
         let must_leave = open.closes && n & 1 == 0;
-        if outcome == Outcome::Closed || must_leave {
+        let reconnects = driver.preferred_router().is_some();
+        if outcome == Outcome::Closed || must_leave || reconnects {
             connection = None;
         }
         std::thread::sleep(CALLER_PAUSE);
     }
 }
 
-/// Runs a caller of one router whose requests differ from all others. One that is refused comes back
+/// Runs a caller of its own router whose requests differ from all others. One that is refused comes back
 /// when it was asked to, once.
-fn run_returning_caller(driver: &Driver, router: usize, stop: &AtomicBool, number: &AtomicU64) {
+fn run_returning_caller(driver: &Driver, home: usize, stop: &AtomicBool, number: &AtomicU64) {
+    let mut router = home;
     let mut connection = None;
     while !stop.load(Ordering::Relaxed) {
         std::thread::sleep(CALLER_PAUSE);
         let Some(open) = connection.as_mut() else {
+            router = driver.preferred_router().unwrap_or(home);
             let addr = lock(&driver.slots[router]).router.callers;
             connection = Connection::open(addr);
             continue;
@@ -158,7 +163,7 @@
             let attempt = format!("{body}-returned");
             outcome = driver.send_request(open, router, "stream", attempt, &body, true);
         }
-        if outcome == Outcome::Closed || open.closes {
+        if outcome == Outcome::Closed || open.closes || driver.preferred_router().is_some() {
             connection = None;
         }
     }
@@ -233,6 +238,7 @@
     let after = |at: &Instant| at.saturating_duration_since(driver.begin).as_millis() as u64;
     record.received = received(&record, &world, after);
     record.fatal_ms = world.fatal.iter().map(after).collect();
+    record.segment_ms = world.fatal_segment.iter().map(after).collect();
     record
 }
 
--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -17,7 +17,7 @@
 /// Time after which the streams of a group that lacks a member fail.
 pub(super) const STALL_TIMEOUT: Duration = Duration::from_millis(4_000);
 
-/// Time from the start of a run with the fatal body to the crash of the replica.
+/// Time from the start of a fatal run to the crash of the replica.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 
 /// Body of a request that crashes every replica that runs it.
@@ -109,18 +109,31 @@
     if let Some(time) = hold_off {
         return turn_away(time);
     }
-    let unframed = world.lock().expect("state lock").unframed;
     let body = request.into_body().collect().await;
-    let fatal = body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes())
-        || segments.split([',', ':']).any(|id| id == FATAL_SEGMENT);
+    let fatal_body = body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes());
+    let fatal_segment = segments.split([',', ':']).any(|id| id == FATAL_SEGMENT);
+    let fatal = fatal_body || fatal_segment;
     let can_run = !pool || world.lock().expect("state lock").is_open_head(&own_id);
     if can_run {
-        start_run(&world, &own_id, &attempt, fatal);
+        let mut world = world.lock().expect("state lock");
+        *world.ran.entry(attempt.clone()).or_default() += 1;
+        let now = Instant::now();
+        world.fatal.extend(fatal_body.then_some(now));
+        world.fatal_segment.extend(fatal_segment.then_some(now));
+    }
+    if can_run && fatal {
+        crash_later(&world, &own_id);
     }
+    let (unframed, cut) = {
+        let mut world = world.lock().expect("state lock");
+        let is_stream = pool && can_run && !fatal;
+        let cut = (world.unframed && is_stream).then(|| world.cuts.pop());
+        (world.unframed, cut.flatten())
+    };
     let mut response = if pool && fatal && can_run {
         empty_stream()
     } else if pool {
-        stream_response(world, &own_id, last_event)
+        stream_response(world, &own_id, last_event, cut)
     } else {
         sleep(Duration::from_millis(5)).await;
         if path.starts_with("/once/") {
@@ -164,15 +177,8 @@
     response
 }
 
-/// Records the start of a run; a fatal request crashes the replica after
-/// [`CRASH_DELAY`].
-fn start_run(world: &Arc<Mutex<World>>, own_id: &str, attempt: &str, fatal: bool) {
-    let mut state = world.lock().expect("state lock");
-    *state.ran.entry(attempt.to_string()).or_default() += 1;
-    if !fatal {
-        return;
-    }
-    state.fatal.push(Instant::now());
+/// Crashes the replica after [`CRASH_DELAY`].
+fn crash_later(world: &Arc<Mutex<World>>, own_id: &str) {
     let (world, own_id) = (world.clone(), own_id.to_string());
     tokio::spawn(async move {
         sleep(CRASH_DELAY).await;
@@ -193,6 +199,7 @@
     world: Arc<Mutex<World>>,
     own_id: &str,
     last_event: u64,
+    cut: Option<Cut>,
 ) -> Response<Body> {
     let seat = {
         let world = world.lock().expect("state lock");
@@ -203,7 +210,6 @@
         return json_response(StatusCode::MISDIRECTED_REQUEST, &Value::Null);
     };
     let own_id = own_id.to_string();
-    let cut = world.lock().expect("state lock").cuts.pop();
     let events = futures_util::stream::unfold(last_event + 1, move |n| {
         let (world, seat, own_id) = (world.clone(), seat.clone(), own_id.clone());
         async move {
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -38,8 +38,10 @@
     pub once: HashMap<String, u32>,
     /// Number of runs by attempt id, of all requests.
     pub ran: HashMap<String, u32>,
-    /// Times at which a run of a fatal request began.
+    /// Times at which a run of a request with the fatal body began.
     pub fatal: Vec<Instant>,
+    /// Times at which a run of a request with the fatal segment began.
+    pub fatal_segment: Vec<Instant>,
     /// Violations that the audit has found.
     pub broken: Vec<String>,
 }
--- a/tests/direct/soak_checks.rs
+++ b/tests/direct/soak_checks.rs
@@ -25,6 +25,7 @@
         ran: BTreeMap::from([("stream1".to_string(), 2)]),
         once: BTreeMap::from([("once1".to_string(), 1)]),
         fatal_ms: vec![1_000, 1_100, 1_200, 2_000],
+        segment_ms: vec![1_000, 1_100, 1_200, 2_000, 2_500, 5_600, 5_700, 5_800],
         versions: BTreeMap::from([((0, 0), vec![1, 2, 2]), ((0, 1), vec![1])]),
         usages: vec![ProcessFigures::default()],
         recovered_ms: Some(100),
@@ -101,6 +102,14 @@
             "a request that crashes endpoints is stopped",
             Box::new(|r| r.fatal_ms.extend([4_300, 4_400, 4_500, 4_600])),
         ),
+        (
+            "a segment that crashes endpoints is stopped",
+            Box::new(|r| r.segment_ms.push(5_900)),
+        ),
+        (
+            "a router that gets all new connections serves them",
+            Box::new(|r| concentrate(r, 74)),
+        ),
         (
             "the limit of an endpoint is kept",
             Box::new(|r| exceed_limit(r, 0)),
@@ -146,6 +155,47 @@
     }
 }
 
+/// A concentration of callers at router 0 in which so many percent of the requests are served, after
+/// all were served at router 1.
+fn concentrate(record: &mut Record, percent: u64) {
+    record.concentrations.push((0, span(10_000, 16_000)));
+    for n in 0..100 {
+        let sample = |at_ms, router, is_whole| Sample {
+            attempt: format!("{at_ms}-{router}"),
+            kind: "safe",
+            router,
+            at_ms,
+            took_ms: 10,
+            outcome: match is_whole {
+                true => Outcome::Whole,
+                false => Outcome::NotRun,
+            },
+            retry_after_ms: None,
+            returned: false,
+        };
+        record.samples.push(sample(7_010 + 20 * n, 1, true));
+        record.samples.push(sample(13_010 + 20 * n, 0, n < percent));
+    }
+}
+
+/// A concentration is judged where neither the router nor an endpoint had a fault.
+#[test]
+fn a_concentration_is_judged_by_what_was_served_before() {
+    assert!(failed_checks(|r| concentrate(r, 76)).is_empty());
+    let excused = |fault: &dyn Fn(&mut Record)| {
+        failed_checks(|r| {
+            concentrate(r, 10);
+            fault(r);
+        })
+    };
+    assert!(excused(&|r| r.endpoint_faults.push(span(9_000, 9_100))).is_empty());
+    assert!(excused(&|r| r.router_faults.push((0, span(15_000, 15_100)))).is_empty());
+    assert_eq!(
+        excused(&|r| r.router_faults.push((1, span(15_000, 15_100)))).len(),
+        1
+    );
+}
+
 /// Requests that return in time beside a fresh one that is served, and are refused again.
 fn returned(count: u64) -> Vec<Sample> {
     let sample = |n: u64| Sample {
