--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -85,7 +85,7 @@
     let keep_alive = keep_alive(&head.headers);
     // An endpoint that crashes before its first event may close the connection as if the stream had
     // ended. Without framing only an event shows that it had begun.
-    let needs_event = !is_framed(&head.headers) && run.last_event.is_none();
+    let needs_event = !is_framed(&head.headers);
     if run.stream && reply.stream && !reply.not_run {
         store_head(shared, run.run, head);
         send_part(shared, run.run, RunPart::Head);
--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -26,6 +26,15 @@
 /// Id of a prompt segment that crashes every replica which runs a request with it.
 pub const FATAL_SEGMENT: &str = "fa7a1";
 
+/// Bytes of the last event of a stream that is broken off inside it.
+const CUT_BYTES: usize = 5;
+
+/// How the answers to a request are framed, and where its stream is broken off.
+struct Framing {
+    unframed: bool,
+    cut: Option<Cut>,
+}
+
 /// Number of events of one stream.
 pub const EVENTS: u64 = 12;
 
@@ -133,7 +142,8 @@
     let mut response = if pool && fatal && can_run {
         empty_stream()
     } else if pool {
-        stream_response(world, &own_id, last_event, cut)
+        let framing = Framing { unframed, cut };
+        stream_response(world, &own_id, last_event, framing)
     } else {
         sleep(Duration::from_millis(5)).await;
         if path.starts_with("/once/") {
@@ -195,11 +205,11 @@
 ///
 /// The stream stalls while a member of the group is missing, and fails when the head has been
 /// stalled for longer than [`STALL_TIMEOUT`].
-pub(super) fn stream_response(
+fn stream_response(
     world: Arc<Mutex<World>>,
     own_id: &str,
     last_event: u64,
-    cut: Option<Cut>,
+    Framing { unframed, cut }: Framing,
 ) -> Response<Body> {
     let seat = {
         let world = world.lock().expect("state lock");
@@ -228,12 +238,17 @@
                     return Some((Err(std::io::Error::other("broken")), EVENTS + 1));
                 }
             }
-            let mut event = format!("id: {n}\ndata: {}\n\n", seat.model);
+            // Without framing, the last line of an event comes with the next event, so that a crash
+            // always ends the stream inside an event.
+            let withheld = unframed && n > last_event + 1;
+            let last_line = if unframed && n < EVENTS { "" } else { "\n" };
+            let first_line = if withheld { "\n" } else { "" };
+            let mut event = format!("{first_line}id: {n}\ndata: {}\n{last_line}", seat.model);
             let mut next = n + 1;
             match cut {
                 Some(Cut::Empty) => return None,
                 Some(Cut::Inside(whole)) if n > last_event + whole => {
-                    event.truncate(event.len() / 2);
+                    event.truncate(first_line.len() + CUT_BYTES);
                     next = EVENTS + 1;
                 }
                 _ => {}
--- a/tests/direct/framing.rs
+++ b/tests/direct/framing.rs
@@ -56,8 +56,9 @@
     assert_whole(&stream(&[Cut::Empty]));
 }
 
-/// Guards against sending a stream again whose caller has all its events already.
+/// Guards against a resumed stream whose second head crashes before its first event.
 #[test]
-fn an_unframed_stream_that_is_resumed_after_its_last_event_is_complete() {
+fn an_unframed_stream_that_is_resumed_and_ends_at_once_goes_on_again() {
+    assert_whole(&stream(&[Cut::Inside(4), Cut::Empty]));
     assert_whole(&stream(&[Cut::Inside(EVENTS - 1)]));
 }
