--- a/src/logic/direct/admission/concurrency_limit.rs
+++ b/src/logic/direct/admission/concurrency_limit.rs
@@ -73,7 +73,7 @@
     let pace = model.map_or(1_000, |m| m.pace).max(1);
     let tokens_per_ms = engine.read_rate / pace;
     let max_tokens = flight.route.gap_ms * READING_PERCENT / 100 * tokens_per_ms;
-    let max_tokens = share.times(SHARE_FACTOR).of(max_tokens);
+    let max_tokens = share.of(max_tokens * SHARE_FACTOR);
     let max_tokens = if late {
         max_tokens * LATE_READING_PERCENT / 100
     } else {
--- a/src/logic/direct/admission/router_share.rs
+++ b/src/logic/direct/admission/router_share.rs
@@ -22,13 +22,6 @@
         }
     }
 
-    /// So many times the share, at most the whole.
-    pub fn times(self, factor: u64) -> Self {
-        Self {
-            ppm: (self.ppm * factor).min(WHOLE_PPM),
-        }
-    }
-
     /// This part of an amount.
     pub fn of(self, amount: u64) -> u64 {
         amount * self.ppm / WHOLE_PPM
