Crash records are of causes: a request or a segment

Naming only, but for a cause whose crashes another one explains: its waiting requests aren't given up any more when its third crash is counted.

--- a/src/logic/direct/crashes/broadcast.rs
+++ b/src/logic/direct/crashes/broadcast.rs
@@ -18,19 +18,19 @@
 /// Size of the reports in one datagram, which leaves room for its other parts.
 const MAX_REPORT_BYTES: usize = 1_100;
 
-/// Schedules the changed record of a request for sending to the other routers. With that of a risky
-/// request they also get the records of others that may have caused its crashes, as one of them may
+/// Schedules the changed record of a cause for sending to the other routers. With that of a risky
+/// one they also get the records of others that may have caused its crashes, as one of them may
 /// have just started.
-pub(super) fn schedule_broadcast(state: &mut DirectState, now: Millis, request: Fingerprint) {
+pub(super) fn schedule_broadcast(state: &mut DirectState, now: Millis, cause: Fingerprint) {
     let table = &state.crashes.table;
-    let sharing = if table.counted_crashes(&request) >= MIN_RISKY_CRASHES {
-        table.sharing(&request)
+    let sharing = if table.counted_crashes(&cause) >= MIN_RISKY_CRASHES {
+        table.sharing(&cause)
     } else {
         Vec::new()
     };
     let pending = &mut state.crashes.pending_reports;
-    for request in sharing.into_iter().chain([request]) {
-        pending.insert(request, (now, MAX_SENDS));
+    for cause in sharing.into_iter().chain([cause]) {
+        pending.insert(cause, (now, MAX_SENDS));
     }
 }
 
@@ -38,15 +38,15 @@
 pub(super) fn send_due(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let crashes = &mut state.crashes;
     let mut reports = Vec::new();
-    for (request, (next_at, sends_left)) in &mut crashes.pending_reports {
+    for (cause, (next_at, sends_left)) in &mut crashes.pending_reports {
         if now < *next_at {
             continue;
         }
         *next_at = now + RESEND_DELAY_MS;
         *sends_left -= 1;
-        if let Some(record) = crashes.table.get(request) {
-            let (request, record) = (*request, record.clone());
-            reports.push(CrashReport { request, record });
+        if let Some(record) = crashes.table.get(cause) {
+            let (cause, record) = (*cause, record.clone());
+            reports.push(CrashReport { cause, record });
         }
     }
     crashes
@@ -78,7 +78,7 @@
     datagrams
 }
 
-/// Merges the reports of another router. A request that is blocked only by the crashes of
+/// Merges the reports of another router. A cause that is blocked only by the crashes of
 /// both records together is sent on. One that the other router has blocked by itself may not
 /// be in the key-value service yet when that router ends, so that this one writes it as well
 /// after a delay, unless the service shows it by then.
@@ -88,31 +88,27 @@
     reports: &[CrashReport],
     out: &mut Vec<Effect>,
 ) {
-    let alone_before = |r: &CrashReport| state.crashes.table.alone_crashes(&r.request);
+    let alone_before = |r: &CrashReport| state.crashes.table.alone_crashes(&r.cause);
     let alone_before: Vec<_> = reports.iter().map(alone_before).collect();
     let blocked = newly_blocked(state, now, reports, out);
     for (report, before) in reports.iter().zip(alone_before) {
-        if state.crashes.table.alone_crashes(&report.request) > before {
+        if state.crashes.table.alone_crashes(&report.cause) > before {
             let delay = WRITE_DELAY_MS + state.random_below(WRITE_DELAY_MS);
             let queue = &mut state.crashes.store.queue;
-            queue.entry(report.request).or_insert(now + delay);
+            queue.entry(report.cause).or_insert(now + delay);
         }
     }
     for report in blocked {
-        trial::on_blocked(state, now, report.request, out);
+        trial::on_blocked(state, now, report.cause, out);
         let combined = !report.record.is_blocked();
         let delay = if combined {
             0
         } else {
             WRITE_DELAY_MS + state.random_below(WRITE_DELAY_MS)
         };
-        state
-            .crashes
-            .store
-            .queue
-            .insert(report.request, now + delay);
+        state.crashes.store.queue.insert(report.cause, now + delay);
         if combined {
-            schedule_broadcast(state, now, report.request);
+            schedule_broadcast(state, now, report.cause);
         }
     }
 }
@@ -125,12 +121,12 @@
     out: &mut Vec<Effect>,
 ) {
     for report in newly_blocked(state, now, std::slice::from_ref(report), out) {
-        trial::on_blocked(state, now, report.request, out);
+        trial::on_blocked(state, now, report.cause, out);
     }
 }
 
 /// Merges all reports, and clears the segments that this router has seen answered recently; returns
-/// those of requests that are blocked from now on and were not before.
+/// those of causes that are blocked from now on and were not before.
 fn newly_blocked<'a>(
     state: &mut DirectState,
     now: Millis,
@@ -138,15 +134,15 @@
     out: &mut Vec<Effect>,
 ) -> Vec<&'a CrashReport> {
     let table = &mut state.crashes.table;
-    let was_blocked = |r: &CrashReport| table.is_blocked(&r.request);
+    let was_blocked = |r: &CrashReport| table.is_blocked(&r.cause);
     let before: Vec<_> = reports.iter().map(was_blocked).collect();
     for report in reports {
-        table.merge(now, report.request, &report.record);
+        table.merge(now, report.cause, &report.record);
     }
     served::object(state, now, reports, out);
     let table = &state.crashes.table;
     let is_new =
-        |(report, before): &(&CrashReport, bool)| !before && table.is_blocked(&report.request);
+        |(report, before): &(&CrashReport, bool)| !before && table.is_blocked(&report.cause);
     let blocked = reports.iter().zip(before).filter(is_new);
     blocked.map(|(report, _)| report).collect()
 }
--- a/src/logic/direct/crashes/crash_report.rs
+++ b/src/logic/direct/crashes/crash_report.rs
@@ -8,7 +8,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CrashReport {
     /// The request, or the segment.
-    pub request: Fingerprint,
+    #[serde(rename = "request")]
+    pub cause: Fingerprint,
     /// Its crashes.
     pub record: CrashRecord,
 }
--- a/src/logic/direct/crashes/crash_store.rs
+++ b/src/logic/direct/crashes/crash_store.rs
@@ -1,4 +1,4 @@
-//! Writes the records of blocked requests to the key-value service, for routers that start
+//! Writes the records of blocked requests and segments to the key-value service, for routers that start
 //! later.
 //!
 //! Running routers receive them by datagram, so that nothing waits for the service.
@@ -12,7 +12,7 @@
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::Millis;
 
-/// Prefix of the keys, which end in the fingerprint of the request.
+/// Prefix of the keys, which end in the fingerprint of the cause.
 const PREFIX: &str = "runrail/crashes/";
 
 /// Time to live of the lease that a key is attached to, which is how long a router keeps a
@@ -28,8 +28,8 @@
 /// Time over which routers spread their writes of a record that the service has in an older form.
 const REWRITE_SPREAD_MS: Millis = 500;
 
-fn key(request: &Fingerprint) -> String {
-    format!("{PREFIX}{request}")
+fn key(cause: &Fingerprint) -> String {
+    format!("{PREFIX}{cause}")
 }
 
 /// Writes the records that are due, one call at a time, also while the router shuts down.
@@ -38,43 +38,43 @@
     let store = &mut state.crashes.store;
     store
         .queue
-        .retain(|request, _| table.get(request).is_some_and(CrashRecord::was_blocked));
+        .retain(|cause, _| table.get(cause).is_some_and(CrashRecord::was_blocked));
     if store.call.is_some() || now < store.next_at {
         return;
     }
     let due = store.queue.iter().find(|(_, from)| now >= **from);
-    store.current = due.map(|(request, _)| *request);
-    let Some(request) = store.current else {
+    store.current = due.map(|(cause, _)| *cause);
+    let Some(cause) = store.current else {
         return;
     };
     let op = match store.lease {
         None => StoreCall::Grant { ttl_s: LEASE_S },
-        Some(lease) => swap_call(state, request, lease, out),
+        Some(lease) => swap_call(state, cause, lease, out),
     };
     let call = state.call_store(op, out);
     state.crashes.store.call = Some(call);
 }
 
-/// The call that writes the record of a request under a lease.
+/// The call that writes the record of a cause under a lease.
 fn swap_call(
     state: &DirectState,
-    request: Fingerprint,
+    cause: Fingerprint,
     lease: i64,
     out: &mut Vec<Effect>,
 ) -> StoreCall {
-    let record = state.crashes.table.get(&request).cloned();
+    let record = state.crashes.table.get(&cause).cloned();
     let report = CrashReport {
-        request,
+        cause,
         record: record.unwrap_or_default(),
     };
     let value = serde_json::to_string(&report).unwrap_or_else(|e| {
-        out.push(invalid_record(&request.to_string(), &e.to_string()));
+        out.push(invalid_record(&cause.to_string(), &e.to_string()));
         String::new()
     });
     StoreCall::Transaction {
         checks: Vec::new(),
         puts: vec![KeyWrite {
-            key: key(&request),
+            key: key(&cause),
             value,
             lease: Some(lease),
         }],
@@ -95,8 +95,8 @@
         Ok(StoreReply::Lease { lease, ttl_s }) if *ttl_s > 0 => store.lease = Some(*lease),
         Ok(StoreReply::Transaction { done: true, .. }) => {
             store.lease = None;
-            if let Some(request) = store.current.take() {
-                store.queue.remove(&request);
+            if let Some(cause) = store.current.take() {
+                store.queue.remove(&cause);
             }
         }
         _ => {
@@ -146,7 +146,7 @@
     match serde_json::from_str::<CrashReport>(value) {
         Ok(report) => {
             broadcast::merge_stored(state, now, &report, out);
-            let record = state.crashes.table.get(&report.request);
+            let record = state.crashes.table.get(&report.cause);
             // What the stored record has no room for can't be added by writing it again.
             let is_stored = |own: &CrashRecord| {
                 let stored = &report.record;
@@ -156,13 +156,13 @@
             };
             if record.is_none_or(is_stored) {
                 // The record is stored already: this router needn't write it as well.
-                state.crashes.store.queue.remove(&report.request);
+                state.crashes.store.queue.remove(&report.cause);
             } else {
                 // Another router has written it without knowing that the request was cleared or has
                 // crashed an endpoint alone. Of those that know, the first to write spares the others.
                 let due = now + state.random_below(REWRITE_SPREAD_MS);
                 let queue = &mut state.crashes.store.queue;
-                queue.entry(report.request).or_insert(due);
+                queue.entry(report.cause).or_insert(due);
             }
         }
         Err(e) => out.push(invalid_record(key, &e.to_string())),
@@ -181,8 +181,8 @@
 pub(in crate::logic::direct) fn on_store_restored(state: &mut DirectState, now: Millis) {
     let blocked: Vec<_> = state.crashes.table.blocked().collect();
     let mut queue = BTreeMap::new();
-    for request in blocked {
-        queue.insert(request, now + state.random_below(WRITE_SPREAD_MS));
+    for cause in blocked {
+        queue.insert(cause, now + state.random_below(WRITE_SPREAD_MS));
     }
     state.crashes.store = CrashStore {
         queue,
--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -13,7 +13,7 @@
 /// new version of the service: once its record has expired, it is sent again.
 pub(super) const RETENTION_MS: Millis = 600_000;
 
-/// Crashes that two requests with the same cause needn't share: a router that ends loses what it
+/// Crashes that two causes at the same crashes needn't share: a router that ends loses what it
 /// hasn't reported yet.
 const MAX_UNSHARED: usize = 1;
 
@@ -36,42 +36,43 @@
 }
 
 impl CrashTable {
-    /// The record of a request, if there is one.
-    pub fn get(&self, request: &Fingerprint) -> Option<&CrashRecord> {
-        self.records.get(request).map(|e| &e.record)
+    /// The record of a cause, if there is one.
+    pub fn get(&self, cause: &Fingerprint) -> Option<&CrashRecord> {
+        self.records.get(cause).map(|e| &e.record)
     }
 
-    /// Number of crashes that count against a request.
-    pub fn counted_crashes(&self, request: &Fingerprint) -> usize {
-        self.get(request).map_or(0, CrashRecord::counted_crashes)
+    /// Number of crashes that count against a cause.
+    pub fn counted_crashes(&self, cause: &Fingerprint) -> usize {
+        self.get(cause).map_or(0, CrashRecord::counted_crashes)
     }
 
-    /// Number of crashes at which a request was tried alone.
-    pub fn alone_crashes(&self, request: &Fingerprint) -> usize {
-        self.get(request).map_or(0, |r| r.alone.len())
+    /// Number of crashes at which a cause was tried alone.
+    pub fn alone_crashes(&self, cause: &Fingerprint) -> usize {
+        self.get(cause).map_or(0, |r| r.alone.len())
     }
 
-    /// Whether a record is that of a segment.
+    /// Whether a cause is a segment of prompts.
     pub fn is_segment(&self, cause: &Fingerprint) -> bool {
         self.get(cause).is_some_and(|r| r.is_segment)
     }
 
-    /// Whether routers don't send a request unless it is tried.
-    pub fn is_blocked(&self, request: &Fingerprint) -> bool {
-        self.get(request).is_some_and(CrashRecord::is_blocked)
+    /// Whether routers don't send requests with a cause, unless another one explains its crashes or it
+    /// is tried.
+    pub fn is_blocked(&self, cause: &Fingerprint) -> bool {
+        self.get(cause).is_some_and(CrashRecord::is_blocked)
     }
 
-    /// Whether a request has been at so many crashes that it is sent with care: one at a time.
-    pub fn is_risky(&self, request: &Fingerprint) -> bool {
-        let record = self.get(request);
+    /// Whether a cause was at so many crashes that requests with it are sent one at a time.
+    pub fn is_risky(&self, cause: &Fingerprint) -> bool {
+        let record = self.get(cause);
         record.is_some_and(|record| {
-            record.counted_crashes() >= MIN_RISKY_CRASHES && !self.is_explained(request, record)
+            record.counted_crashes() >= MIN_RISKY_CRASHES && !self.is_explained(cause, record)
         })
     }
 
     /// Whether a segment that crashed an endpoint when it was tried alone was at the crashes of
-    /// `record`, which is that of `request`.
-    fn is_explained(&self, request: &Fingerprint, record: &CrashRecord) -> bool {
+    /// `record`, which is that of `cause`.
+    fn is_explained(&self, cause: &Fingerprint, record: &CrashRecord) -> bool {
         let is_cause = |other: &CrashRecord| {
             let shared = record.shared_crashes(other).len();
             other.is_segment
@@ -79,20 +80,20 @@
                 && shared >= MIN_RISKY_CRASHES
                 && record.counted_crashes() - shared <= MAX_UNSHARED
         };
-        let mut others = self.records.iter().filter(|(other, _)| *other != request);
+        let mut others = self.records.iter().filter(|(other, _)| *other != cause);
         !record.has_crashed_alone() && others.any(|(_, e)| is_cause(&e.record))
     }
 
-    /// What follows for a request or a segment from all records.
-    pub fn verdict(&self, now: Millis, request: &Fingerprint) -> Verdict {
-        let Some(entry) = self.records.get(request) else {
+    /// What follows for requests with a cause from all records.
+    pub fn verdict(&self, now: Millis, cause: &Fingerprint) -> Verdict {
+        let Some(entry) = self.records.get(cause) else {
             return Verdict::Sent;
         };
         if !entry.record.is_blocked() {
             return Verdict::Sent;
         }
         let record = &entry.record;
-        if self.is_explained(request, record) {
+        if self.is_explained(cause, record) {
             return Verdict::Sent;
         }
         // Segments are shared by many requests, so that crashes alone don't have them refused.
@@ -110,7 +111,7 @@
                 && unshared <= MAX_UNSHARED
                 && (other.is_segment
                     || record.is_weaker_than(other, &shared)
-                    || (name < request && record.is_tied_with(other, &shared)));
+                    || (name < cause && record.is_tied_with(other, &shared)));
             // Reports may still show that the other one was at the rest of these crashes.
             let may_be_weaker = !shared.is_empty()
                 && unshared > 0
@@ -121,7 +122,7 @@
                 false => is_weaker && other.is_blocked(),
             }
         };
-        let mut others = self.records.iter().filter(|(other, _)| *other != request);
+        let mut others = self.records.iter().filter(|(other, _)| *other != cause);
         match others.any(|(name, e)| is_suspected_more(name, &e.record)) {
             false => Verdict::Refused,
             true if is_settling => Verdict::Unsettled,
@@ -129,13 +130,13 @@
         }
     }
 
-    /// Other requests that were at crashes which count against a request, and are risky themselves.
-    pub fn sharing(&self, request: &Fingerprint) -> Vec<Fingerprint> {
-        let Some(record) = self.get(request) else {
+    /// Other causes that were at crashes which count against a cause, and are risky themselves.
+    pub fn sharing(&self, cause: &Fingerprint) -> Vec<Fingerprint> {
+        let Some(record) = self.get(cause) else {
             return Vec::new();
         };
         let is_sharing = |(other, e): &(&Fingerprint, &TableEntry)| {
-            *other != request
+            *other != cause
                 && e.record.counted_crashes() >= MIN_RISKY_CRASHES
                 && !record.shared_crashes(&e.record).is_empty()
         };
@@ -143,13 +144,13 @@
         sharing.map(|(other, _)| *other).collect()
     }
 
-    /// The requests that routers refuse or hold.
+    /// The causes with so many crashes that routers refuse or hold requests with them.
     pub fn blocked(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         let blocked = self.records.iter().filter(|(_, e)| e.record.is_blocked());
-        blocked.map(|(request, _)| *request)
+        blocked.map(|(cause, _)| *cause)
     }
 
-    /// Number of crashes that count against any request.
+    /// Number of crashes that count against any cause.
     pub fn all_counted(&self) -> usize {
         let records = self.records.values();
         records.map(|e| e.record.counted_crashes()).sum()
@@ -165,24 +166,24 @@
         self.records.is_empty()
     }
 
-    /// Adds the crashes and the cleared crashes of a record to that of a request; returns whether
+    /// Adds the crashes and the cleared crashes of a record to that of a cause; returns whether
     /// it has changed.
-    pub fn merge(&mut self, now: Millis, request: Fingerprint, record: &CrashRecord) -> bool {
-        let entry = self.records.entry(request).or_default();
+    pub fn merge(&mut self, now: Millis, cause: Fingerprint, record: &CrashRecord) -> bool {
+        let entry = self.records.entry(cause).or_default();
         let changed = entry.record.merge(record);
         if changed {
             entry.updated_at = now;
         }
         if entry.record.crashes.is_empty() {
-            self.records.remove(&request);
+            self.records.remove(&cause);
         }
         self.evict_least();
         changed
     }
 
-    /// Marks all crashes of a request as cleared; returns whether one of them still counted.
-    pub fn clear(&mut self, request: &Fingerprint) -> bool {
-        let entry = self.records.get_mut(request);
+    /// Marks all crashes of a cause as cleared; returns whether one of them still counted.
+    pub fn clear(&mut self, cause: &Fingerprint) -> bool {
+        let entry = self.records.get_mut(cause);
         entry.is_some_and(|e| e.record.clear())
     }
 
@@ -199,8 +200,8 @@
         let fewest =
             |(_, e): &(&Fingerprint, &TableEntry)| (e.record.counted_crashes(), e.updated_at);
         let fewest = self.records.iter().min_by_key(fewest);
-        if let Some(request) = fewest.map(|(request, _)| *request) {
-            self.records.remove(&request);
+        if let Some(cause) = fewest.map(|(cause, _)| *cause) {
+            self.records.remove(&cause);
         }
     }
 }
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -122,24 +122,24 @@
     let mut blocked = Vec::new();
     let requests = requests.into_iter().map(|suspect| (suspect, false));
     let segments = segments.into_iter().map(|suspect| (suspect, true));
-    for ((request, age), is_segment) in requests.chain(segments) {
+    for ((cause, age), is_segment) in requests.chain(segments) {
         let record = CrashRecord {
             is_segment,
-            ..CrashRecord::of_run(crash.clone(), age, tried.contains(&request))
+            ..CrashRecord::of_run(crash.clone(), age, tried.contains(&cause))
         };
-        if count_crash(state, now, request, &record) {
-            blocked.push(request);
+        if count_crash(state, now, cause, &record) {
+            blocked.push(cause);
         }
         let event = LogEvent::new(LogCode::CrashCounted)
-            .with("fingerprint", request)
+            .with("fingerprint", cause)
             .with("kind", if is_segment { "segment" } else { "request" })
             .with("endpoint", id)
             .with("born", crash.born.unwrap_or(0))
-            .with("crashes", state.crashes.table.counted_crashes(&request));
+            .with("crashes", state.crashes.table.counted_crashes(&cause));
         out.push(Effect::Log(event));
     }
-    for request in blocked {
-        trial::on_blocked(state, now, request, out);
+    for cause in blocked {
+        trial::on_blocked(state, now, cause, out);
     }
     broadcast::send_due(state, now, out);
 }
@@ -157,41 +157,41 @@
     }
 }
 
-/// Counts a crash against a request, and schedules it for sending to the other routers; returns
-/// whether the request is blocked from now on and was not before.
+/// Counts a crash against a cause, and schedules it for sending to the other routers; returns
+/// whether the cause is blocked from now on and was not before.
 fn count_crash(
     state: &mut DirectState,
     now: Millis,
-    request: Fingerprint,
+    cause: Fingerprint,
     record: &CrashRecord,
 ) -> bool {
-    let before = state.crashes.table.is_blocked(&request);
-    let alone_before = state.crashes.table.alone_crashes(&request);
-    if !state.crashes.table.merge(now, request, record) {
+    let before = state.crashes.table.is_blocked(&cause);
+    let alone_before = state.crashes.table.alone_crashes(&cause);
+    if !state.crashes.table.merge(now, cause, record) {
         return false;
     }
-    broadcast::schedule_broadcast(state, now, request);
-    let newly_blocked = !before && state.crashes.table.is_blocked(&request);
-    // Routers that start later would try a request again that has crashed an endpoint alone.
-    if newly_blocked || state.crashes.table.alone_crashes(&request) > alone_before {
-        state.crashes.store.queue.insert(request, now);
+    broadcast::schedule_broadcast(state, now, cause);
+    let newly_blocked = !before && state.crashes.table.is_blocked(&cause);
+    // Routers that start later would try a cause again that has crashed an endpoint alone.
+    if newly_blocked || state.crashes.table.alone_crashes(&cause) > alone_before {
+        state.crashes.store.queue.insert(cause, now);
     }
     newly_blocked
 }
 
-/// Ends the in-flight requests of a fingerprint that is refused from now on, except those
+/// Ends the in-flight requests with a cause that is refused from now on, except those
 /// whose run has had an event.
-pub(super) fn end_in_flight(state: &mut DirectState, request: Fingerprint, out: &mut Vec<Effect>) {
-    let record = state.crashes.table.get(&request);
+pub(super) fn end_in_flight(state: &mut DirectState, cause: Fingerprint, out: &mut Vec<Effect>) {
+    let record = state.crashes.table.get(&cause);
     let ids = record.into_iter().flat_map(|r| r.crashes.iter());
     let ids: Vec<_> = ids.map(|c| c.endpoint.to_string()).collect();
     let event = LogEvent::new(LogCode::RequestBlocked)
-        .with("fingerprint", request)
+        .with("fingerprint", cause)
         .with("endpoints", ids.join(","));
     out.push(Effect::Log(event));
     let has_event = |f: &InFlightRequest| f.run.as_ref().is_some_and(|r| r.has_event);
     let in_flight = state.in_flight.iter();
-    let ended = in_flight.filter(|(_, f)| f.has_cause(&request) && !has_event(f));
+    let ended = in_flight.filter(|(_, f)| f.has_cause(&cause) && !has_event(f));
     for id in ended.map(|(id, _)| *id).collect::<Vec<_>>() {
         state.crashes.refusals += 1;
         finish::refuse_blocked(state, id, out);
--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -10,7 +10,7 @@
 //! held: callers are told to come back, and the planner tries one alone.
 //!
 //! Requests that share a segment of their prompts may crash endpoints though no two are alike, so that
-//! crashes count against the segments as well. A segment is held after `MIN_BLOCKING_CRASHES` crashes,
+//! crashes count against the segments as well: a *cause* is a request or a segment. A segment is held after `MIN_BLOCKING_CRASHES` crashes,
 //! and refused if an endpoint crashes when a request with it is tried alone. It is cleared by any
 //! answer to a request with it that begins.
 
--- a/src/logic/direct/crashes/served.rs
+++ b/src/logic/direct/crashes/served.rs
@@ -55,7 +55,7 @@
     out: &mut Vec<Effect>,
 ) {
     let segments = reports.iter().filter(|r| r.record.is_segment);
-    for segment in segments.map(|r| r.request) {
+    for segment in segments.map(|r| r.cause) {
         if is_trusted_segment(state, now, &segment) {
             clear(state, now, segment, out);
         }
--- a/src/logic/direct/crashes/trial.rs
+++ b/src/logic/direct/crashes/trial.rs
@@ -21,25 +21,27 @@
     pub causes: Vec<Fingerprint>,
 }
 
-/// Handles a request that isn't sent from now on: those in flight end, unless another request has
-/// probably caused the crashes.
+/// Handles a cause whose requests aren't sent from now on: those in flight end if it is refused, those
+/// that wait if it is held.
 pub(super) fn on_blocked(
     state: &mut DirectState,
     now: Millis,
-    request: Fingerprint,
+    cause: Fingerprint,
     out: &mut Vec<Effect>,
 ) {
-    if state.crashes.table.verdict(now, &request) == Verdict::Refused {
-        return detect::end_in_flight(state, request, out);
+    match state.crashes.table.verdict(now, &cause) {
+        Verdict::Sent => return,
+        Verdict::Refused => return detect::end_in_flight(state, cause, out),
+        Verdict::Held | Verdict::Unsettled => {}
     }
-    if state.crashes.held.insert(request) {
+    if state.crashes.held.insert(cause) {
         let event = LogEvent::new(LogCode::SuspectHeld)
-            .with("fingerprint", request)
-            .with("crashes", state.crashes.table.counted_crashes(&request));
+            .with("fingerprint", cause)
+            .with("crashes", state.crashes.table.counted_crashes(&cause));
         out.push(Effect::Log(event));
     }
     let is_waiting =
-        |f: &InFlightRequest| f.has_cause(&request) && f.run.is_none() && f.last_event.is_none();
+        |f: &InFlightRequest| f.has_cause(&cause) && f.run.is_none() && f.last_event.is_none();
     let in_flight = state.in_flight.iter();
     let waiting = in_flight.filter(|(_, f)| is_waiting(f));
     for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
@@ -47,16 +49,16 @@
     }
 }
 
-/// Refuses the held requests that turn out to be refused.
+/// Ends the requests with held causes that turn out to be refused.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let crashes = &mut state.crashes;
     let table = &crashes.table;
-    crashes.held.retain(|request| table.is_blocked(request));
+    crashes.held.retain(|cause| table.is_blocked(cause));
     let is_refused = |r: &&Fingerprint| table.verdict(now, r) == Verdict::Refused;
     let refused: Vec<_> = crashes.held.iter().filter(is_refused).copied().collect();
-    for request in refused {
-        state.crashes.held.remove(&request);
-        detect::end_in_flight(state, request, out);
+    for cause in refused {
+        state.crashes.held.remove(&cause);
+        detect::end_in_flight(state, cause, out);
     }
 }
 
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -343,7 +343,7 @@
         born: None,
     };
     let report = CrashReport {
-        request: fatal(1).fingerprint,
+        cause: fatal(1).fingerprint,
         record: CrashRecord {
             crashes: (0..3).map(crash).collect(),
             ..CrashRecord::default()
@@ -410,7 +410,7 @@
         .insert(InstanceId::new("r2"), addr(2_000));
     let id = |n: u64| InstanceId::new(&format!("instance-of-a-long-name-{n}"));
     let of = |request: u64| CrashReport {
-        request: Fingerprint::of(&[&request.to_be_bytes()]),
+        cause: Fingerprint::of(&[&request.to_be_bytes()]),
         record: CrashRecord {
             crashes: (0..8)
                 .map(|n| Crash {
@@ -433,12 +433,12 @@
             .state()
             .crashes
             .table
-            .merge(1_000, of(request).request, &of(request).record);
+            .merge(1_000, of(request).cause, &of(request).record);
         router
             .state()
             .crashes
             .pending_reports
-            .insert(of(request).request, (0, 1));
+            .insert(of(request).cause, (0, 1));
     }
     router.advance_ms(20);
     let sent = router.sent_messages();
@@ -621,7 +621,10 @@
     for n in crashes {
         record.merge(&CrashRecord::of_run(crash_at(*n), age, false));
     }
-    CrashReport { request, record }
+    CrashReport {
+        cause: request,
+        record,
+    }
 }
 
 fn receive(router: &mut Router, reports: Vec<CrashReport>) {
@@ -781,7 +784,7 @@
         PeerMessage::Crashes(reports) => reports.as_slice(),
         _ => &[],
     });
-    reports.map(|r| r.request).collect()
+    reports.map(|r| r.cause).collect()
 }
 
 /// Guards against a router that has just started, and learns of the second crash under a harmless
--- a/tests/direct/segments.rs
+++ b/tests/direct/segments.rs
@@ -158,7 +158,7 @@
         record.merge(&CrashRecord::of_run(crash, 20, is_alone && is_last));
     }
     CrashReport {
-        request: Fingerprint::of_segment(segment),
+        cause: Fingerprint::of_segment(segment),
         record: CrashRecord {
             is_segment: true,
             ..record
@@ -266,7 +266,7 @@
     let stored = report("fatal", &[1, 2, 3, 4], true);
     let mut router = Router::bare();
     router.store_entries = vec![StoreEntry {
-        key: format!("runrail/crashes/{}", stored.request),
+        key: format!("runrail/crashes/{}", stored.cause),
         value: serde_json::to_string(&stored).expect("text"),
         revision: 1,
     }];
