A held segment is tried by other routers too where the planner doesn't

Cause: only the planner tried requests with a held segment. Where there are many routers it seldom gets one, and without a planner none was tried, so that a harmless segment that was held by chance stayed held for ten minutes.

Now, from two seconds after the last crash under a segment, each router tries one in four of the requests that are held for it alone. Test: a_router_that_is_not_the_planner_tries_a_held_segment_after_a_while.

--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -11,8 +11,8 @@
 //!
 //! Requests that share a segment of their prompts may crash endpoints though no two are alike, so that
 //! crashes count against the segments as well: a *cause* is a request or a segment. A segment is held after `MIN_BLOCKING_CRASHES` crashes,
-//! and refused if an endpoint crashes when a request with it is tried alone. It is cleared by any
-//! answer to a request with it that begins.
+//! and refused if an endpoint crashes when a request with it is tried alone, by the planner or, after a
+//! while, by another router. It is cleared by any answer to a request with it that begins.
 
 mod broadcast;
 mod crash;
--- a/src/logic/direct/crashes/trial.rs
+++ b/src/logic/direct/crashes/trial.rs
@@ -12,6 +12,13 @@
 /// Why a held request isn't sent.
 pub(super) const WHY_HELD: &str = "endpoints crashed while running it and another";
 
+/// Time that the planner gets to try a request with a held segment before other routers may.
+const PLANNER_TIME_MS: Millis = 2_000;
+
+/// A router that isn't the planner tries one in so many of these requests, so that few of them are
+/// tried before all routers know of the outcome.
+const TRIAL_ODDS: u64 = 4;
+
 /// A request that is tried alone.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Trial {
@@ -62,7 +69,22 @@
     }
 }
 
-/// Begins a trial of a held request, if this router is the planner and no other trial is in flight;
+/// Whether this router may try a request with these held causes: the planner always; another router
+/// one in [`TRIAL_ODDS`] requests whose only held cause is a segment that has been held for a while.
+///
+/// Where there are many routers, the planner seldom gets a request with the segment, and a harmless
+/// one would stay held.
+fn may_try(state: &mut DirectState, now: Millis, held: &[Fingerprint]) -> bool {
+    let table = &state.crashes.table;
+    let is_due = |cause: &Fingerprint| {
+        let unchanged_ms = table.unchanged_ms(now, cause);
+        table.is_segment(cause) && unchanged_ms.is_some_and(|ms| ms >= PLANNER_TIME_MS)
+    };
+    let are_due = held.iter().all(is_due);
+    state.plan.lease.holds(now) || (are_due && state.random_below(TRIAL_ODDS) == 0)
+}
+
+/// Begins a trial of a held request, if this router may try it and no other trial is in flight here;
 /// returns whether it has. `held` are its fingerprint and its segments, as far as they are held.
 ///
 /// A request with several held segments isn't tried: a crash wouldn't tell them apart, and requests
@@ -74,11 +96,12 @@
     held: Vec<Fingerprint>,
     out: &mut Vec<Effect>,
 ) -> bool {
+    let may_try = may_try(state, now, &held);
     let table = &state.crashes.table;
     let segments = held.iter().filter(|cause| table.is_segment(cause));
     let is_sent = |cause: &Fingerprint| table.verdict(now, cause) == Verdict::Sent;
     let is_busy = state.in_flight.values().any(|f| !f.causes().all(is_sent));
-    if segments.count() > 1 || is_busy || !state.plan.lease.holds(now) {
+    if segments.count() > 1 || is_busy || !may_try {
         return false;
     }
     for cause in &held {
--- a/tests/direct/segments.rs
+++ b/tests/direct/segments.rs
@@ -214,6 +214,26 @@
     assert_eq!(answer, Some(Problem::CrashesEndpoints));
 }
 
+/// Guards against a harmless segment that stays held where no router plans, or the one that does gets
+/// none of its requests.
+#[test]
+fn a_router_that_is_not_the_planner_tries_a_held_segment_after_a_while() {
+    let mut router = Router::new(open_groups());
+    receive(&mut router, &[report("common", &[1, 2, 3], false)]);
+    let is_held = |router: &mut Router, id: u64| {
+        revoke_lease(router);
+        refused(router, sound(id)) == HELD
+    };
+    assert!((0..40).all(|id| is_held(&mut router, id)), "too early");
+    router.advance_ms(2_000);
+    let held = (100..200).filter(|id| is_held(&mut router, *id)).count();
+    assert_eq!(held, 99, "one is in flight");
+    let run = *router.state().runs.keys().next().expect("a run");
+    router.part(run, RunPart::Head);
+    router.part(run, piece(1));
+    assert!(!is_held(&mut router, 300));
+}
+
 /// Guards against a router that has just started and suspects segments that the others see answered
 /// all the time.
 #[test]
