--- a/src/logic/direct/admission/concurrency_limit.rs
+++ b/src/logic/direct/admission/concurrency_limit.rs
@@ -1,8 +1,9 @@
 //! Concurrency limits: how many runs a router has at one head at a time.
 //!
-//! Routers don't exchange how much they have sent. Each starts with its share of the
-//! head's slots, which is even unless most callers come to it, raises its limit while requests begin well within their objective and
-//! lowers it when they begin late, so that together they keep a head just short of queueing.
+//! Routers don't exchange how much they have sent. Each starts with its share of the head's slots,
+//! which is even unless most callers come to it. It raises its limit while requests begin well within
+//! their objective and lowers it when they begin late, so that together they keep a head just short of
+//! queueing.
 //!
 //! What counts as well within is derived from the quickest recent first token: without any
 //! queue it takes 120 to 170 ms of objectives of 200 to 500 ms, which no limit changes.
--- a/src/logic/direct/admission/mod.rs
+++ b/src/logic/direct/admission/mod.rs
@@ -30,7 +30,7 @@
 pub use precedence::Precedence;
 pub use queue_key::QueueKey;
 pub use request_cost::request_cost;
-pub(in crate::logic::direct) use router_share::RouterShare;
+pub(in crate::logic::direct) use router_share::{RouterShare, WHOLE_PPM};
 pub use start_forecast::StartForecast;
 pub use usage_table::{largest_accounts, UsageTable, MAX_REPORTED};
 pub use verdict::Verdict;
--- a/src/logic/direct/admission/router_share.rs
+++ b/src/logic/direct/admission/router_share.rs
@@ -3,9 +3,9 @@
 use crate::logic::direct::DirectState;
 
 /// The whole, in parts per million.
-const WHOLE_PPM: u64 = 1_000_000;
+pub(in crate::logic::direct) const WHOLE_PPM: u64 = 1_000_000;
 
-/// This router's share of what all routers may use together.
+/// This router's share of what all routers may use together, in parts per million.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::logic::direct) struct RouterShare {
     ppm: u64,
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -85,9 +85,8 @@
     let Some(flight) = state.in_flight.get_mut(&id) else {
         return;
     };
-    let run = flight.run.as_mut();
-    let is_first = run.is_some_and(|run| !std::mem::replace(&mut run.has_event, true));
-    if is_first {
+    if let Some(run) = flight.run.as_mut().filter(|run| !run.has_event) {
+        run.has_event = true;
         let segments = flight.segments.clone();
         crashes::on_answer_begun(state, now, &segments, out);
     }
--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::admission::usage_reports;
+use super::admission::{usage_reports, WHOLE_PPM};
 use super::arrivals::ModelArrivals;
 use super::capacity::{ModelTrend, TREND_PERIOD_MS};
 use super::encoded_size::encoded_size;
@@ -60,9 +60,6 @@
 /// Fewest requests in these slots from which a router's part of the demand is told from chance.
 const MIN_SHARE_REQUESTS: u64 = 10;
 
-/// The whole demand, in parts per million.
-const WHOLE_PPM: u64 = 1_000_000;
-
 /// One request, in thousandths.
 const REQUEST_MILLI: u64 = 1_000;
 
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -57,18 +57,7 @@
             run,
             part: RunPart::Broken,
         });
-        answer_probes(router);
-    }
-}
-
-/// Answers the probes of endpoints that have crashed: nothing listens there.
-fn answer_probes(router: &mut Router) {
-    let probes = router.effects.iter().filter_map(|e| match e {
-        Effect::Direct(DirectEffect::Probe { id, .. }) => Some(id.to_string()),
-        _ => None,
-    });
-    for id in probes.collect::<Vec<_>>() {
-        router.answer_probe(&id, ProbeResult::Refused);
+        router.answer_crash_probes();
     }
 }
 
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -236,6 +236,17 @@
 
     /// Takes the effects, and returns the groups of more than one member that endpoints were
     /// ordered to join, with their members.
+    /// Answers the probes of endpoints that have crashed: nothing listens there.
+    pub fn answer_crash_probes(&mut self) {
+        let probes = self.effects.iter().filter_map(|e| match e {
+            Effect::Direct(DirectEffect::Probe { id, .. }) => Some(id.to_string()),
+            _ => None,
+        });
+        for id in probes.collect::<Vec<_>>() {
+            self.answer_probe(&id, ProbeResult::Refused);
+        }
+    }
+
     pub fn joins(&mut self) -> Vec<(String, Vec<String>)> {
         let effects = self.take_effects();
         let mut joins: Vec<(String, Vec<String>)> = Vec::new();
--- a/tests/direct/segments.rs
+++ b/tests/direct/segments.rs
@@ -4,11 +4,9 @@
 
 use runrail::logic::direct::crashes::{Crash, CrashRecord, CrashReport};
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, DirectRequest, Fingerprint, PeerMessage, ProbeResult, Problem,
-    RunPart,
+    DirectEffect, DirectEvent, DirectRequest, Fingerprint, PeerMessage, Problem, RunPart,
 };
 use runrail::logic::router::StoreEntry;
-use runrail::logic::Effect;
 use runrail::types::{EndpointEntry, InstanceId};
 
 use crate::fixture::{addr, open_group, piece, problem, request, run, Router};
@@ -70,18 +68,7 @@
         for part in [RunPart::Head, RunPart::Broken] {
             router.tell(DirectEvent::RunPart { run, part });
         }
-        answer_probes(router);
-    }
-}
-
-/// Answers the probes of endpoints that have crashed: nothing listens there.
-fn answer_probes(router: &mut Router) {
-    let probes = router.effects.iter().filter_map(|e| match e {
-        Effect::Direct(DirectEffect::Probe { id, .. }) => Some(id.to_string()),
-        _ => None,
-    });
-    for id in probes.collect::<Vec<_>>() {
-        router.answer_probe(&id, ProbeResult::Refused);
+        router.answer_crash_probes();
     }
 }
 
