--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -234,8 +234,6 @@
         self.tell(DirectEvent::Probed { id, result });
     }
 
-    /// Takes the effects, and returns the groups of more than one member that endpoints were
-    /// ordered to join, with their members.
     /// Answers the probes of endpoints that have crashed: nothing listens there.
     pub fn answer_crash_probes(&mut self) {
         let probes = self.effects.iter().filter_map(|e| match e {
@@ -247,6 +245,8 @@
         }
     }
 
+    /// Takes the effects, and returns the groups of more than one member that endpoints were
+    /// ordered to join, with their members.
     pub fn joins(&mut self) -> Vec<(String, Vec<String>)> {
         let effects = self.take_effects();
         let mut joins: Vec<(String, Vec<String>)> = Vec::new();
