Soak: a flood isn't judged where the other callers are all at an interrupted router

The check that a flood by one account doesn't shut the others out compares callers that are subject to the same faults.

--- a/testkit/src/soak/judge.rs
+++ b/testkit/src/soak/judge.rs
@@ -363,13 +363,17 @@
 }
 
 /// Floods in which other callers of streams got complete answers less often than the account that
-/// floods, though admission was on and they asked for less. Both are subject to the same faults.
+/// floods, though admission was on and they asked for less. Both are subject to the same faults, unless
+/// the others are all at one router that was killed or frozen.
 fn crowded_out(record: &Record) -> Vec<String> {
     if !record.features.contains(&"admission") {
         return Vec::new();
     }
     let mut seen = Vec::new();
     for flood in &record.floods {
+        if is_alone_interrupted(record, flood) {
+            continue;
+        }
         let served = |kind: &str| {
             let of_kind = |s: &&Sample| s.kind == kind && span_of(s).overlaps(flood);
             let of_kind: Vec<_> = record.samples.iter().filter(of_kind).collect();
@@ -388,6 +392,23 @@
     seen
 }
 
+/// Whether all new connections went to one router in a span, and that router was killed or frozen then
+/// or shortly before.
+fn is_alone_interrupted(record: &Record, span: &Span) -> bool {
+    let around = Span {
+        from_ms: span.from_ms.saturating_sub(CONTACT_MS),
+        ..*span
+    };
+    let concentrations = record.concentrations.iter();
+    let mut routers = concentrations
+        .filter(|(_, c)| c.overlaps(span))
+        .map(|(at, _)| at);
+    routers.any(|router| {
+        let mut all = record.interruptions.iter();
+        all.any(|(at, interruption)| at == router && interruption.overlaps(&around))
+    })
+}
+
 fn missing_recovery(record: &Record) -> Vec<String> {
     let missing = record.recovered_ms.is_none();
     Vec::from_iter(missing.then(|| "not within the time limit".to_string()))
--- a/tests/direct/soak_checks.rs
+++ b/tests/direct/soak_checks.rs
@@ -285,6 +285,27 @@
     assert_eq!(reported(4_000, Some(span(500, 700))).len(), 1);
 }
 
+/// A flood isn't judged where all other callers are at a router that was frozen; it is where another one
+/// was, or none.
+#[test]
+fn a_flood_is_judged_unless_the_other_callers_are_all_at_an_interrupted_router() {
+    let found = |frozen: Option<(usize, Span)>, concentrated: bool| {
+        failed_checks(|r| {
+            crowd_out(r, 80, 40);
+            r.interruptions.extend(frozen);
+            if concentrated {
+                r.concentrations.push((0, span(4_000, 9_000)));
+            }
+        })
+    };
+    let frozen = Some((0, span(2_500, 5_500)));
+    assert!(found(frozen, true).is_empty());
+    assert_eq!(found(frozen, false).len(), 1);
+    assert_eq!(found(None, true).len(), 1);
+    assert_eq!(found(Some((1, span(2_500, 5_500))), true).len(), 1);
+    assert_eq!(found(Some((0, span(1_000, 1_900))), true).len(), 1);
+}
+
 /// A flood of which so many percent are answered, and so many of the requests of others.
 fn crowd_out(record: &mut Record, flood_percent: usize, percent: usize) {
     record.features = vec!["admission"];
