Held segments: only the planner tries them, and what didn't run isn't sent again

Found by reading the change: more than three requests with a fatal segment could reach endpoints.

- A request in flight when its segment was held, which its endpoint didn't run or that found no connection, was sent to another endpoint (a_request_that_did_not_run_is_not_sent_again_once_its_segment_is_held).
- Waiting requests of callers that resume a stream weren't given up when their segment was held (requests_that_wait_are_refused_once_their_segment_is_held).

Streams of which the caller has a part are still resumed.

--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -51,12 +51,6 @@
         self.get(cause).map_or(0, |r| r.alone.len())
     }
 
-    /// Time since a merge last changed the record of a cause, if there is one.
-    pub fn unchanged_ms(&self, now: Millis, cause: &Fingerprint) -> Option<Millis> {
-        let entry = self.records.get(cause);
-        entry.map(|e| now.saturating_sub(e.updated_at))
-    }
-
     /// Whether a cause is a segment of prompts.
     pub fn is_segment(&self, cause: &Fingerprint) -> bool {
         self.get(cause).is_some_and(|r| r.is_segment)
--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -11,8 +11,8 @@
 //!
 //! Requests that share a segment of their prompts may crash endpoints though no two are alike, so that
 //! crashes count against the segments as well: a *cause* is a request or a segment. A segment is held after `MIN_BLOCKING_CRASHES` crashes,
-//! and refused if an endpoint crashes when a request with it is tried alone, by the planner or, after a
-//! while, by another router. It is cleared by any answer to a request with it that begins.
+//! and refused if an endpoint crashes when a request with it is tried alone. It is cleared by any
+//! answer to a request with it that begins.
 
 mod broadcast;
 mod crash;
@@ -44,6 +44,7 @@
 };
 pub(super) use detect::{is_risky, on_probe_result, on_run_broken, on_tick, refusal};
 pub(super) use served::{on_answer_begun, on_answered};
+pub(super) use trial::{is_withheld, WHY_HELD};
 
 /// Number of crashes from which on a request is risky: only one of its kind is in flight at a
 /// time, and no router retries it after a run that may have begun.
--- a/src/logic/direct/crashes/trial.rs
+++ b/src/logic/direct/crashes/trial.rs
@@ -10,14 +10,8 @@
 use crate::types::Millis;
 
 /// Why a held request isn't sent.
-pub(super) const WHY_HELD: &str = "endpoints crashed while running it and another";
-
-/// Time that the planner gets to try a request with a held segment before other routers may.
-const PLANNER_TIME_MS: Millis = 2_000;
-
-/// A router that isn't the planner tries one in so many of these requests, so that few of them are
-/// tried before all routers know of the outcome.
-const TRIAL_ODDS: u64 = 4;
+pub(in crate::logic::direct) const WHY_HELD: &str =
+    "endpoints crashed while running it and another";
 
 /// A request that is tried alone.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -48,7 +42,7 @@
         out.push(Effect::Log(event));
     }
     let is_waiting =
-        |f: &InFlightRequest| f.has_cause(&cause) && f.run.is_none() && f.last_event.is_none();
+        |f: &InFlightRequest| f.has_cause(&cause) && f.run.is_none() && !f.is_partly_delivered();
     let in_flight = state.in_flight.iter();
     let waiting = in_flight.filter(|(_, f)| is_waiting(f));
     for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
@@ -69,25 +63,23 @@
     }
 }
 
-/// Whether this router may try a request with these held causes: the planner always; another router
-/// one in [`TRIAL_ODDS`] requests whose only held cause is a segment that has been held for a while.
-///
-/// Where there are many routers, the planner seldom gets a request with the segment, and a harmless
-/// one would stay held.
-fn may_try(state: &mut DirectState, now: Millis, held: &[Fingerprint]) -> bool {
-    let table = &state.crashes.table;
-    let is_due = |cause: &Fingerprint| {
-        let unchanged_ms = table.unchanged_ms(now, cause);
-        table.is_segment(cause) && unchanged_ms.is_some_and(|ms| ms >= PLANNER_TIME_MS)
+/// Whether a request isn't to be sent again: one of its causes is held or refused, and it isn't the one
+/// that is tried.
+pub(in crate::logic::direct) fn is_withheld(state: &DirectState, now: Millis, id: u64) -> bool {
+    let Some(flight) = state.in_flight.get(&id) else {
+        return false;
     };
-    let are_due = held.iter().all(is_due);
-    state.plan.lease.holds(now) || (are_due && state.random_below(TRIAL_ODDS) == 0)
+    let crashes = &state.crashes;
+    let is_tried = crashes.trial.as_ref().is_some_and(|t| t.request == id);
+    let is_sent = |cause: &Fingerprint| crashes.table.verdict(now, cause) == Verdict::Sent;
+    !is_tried && !flight.is_partly_delivered() && !flight.causes().all(is_sent)
 }
 
-/// Begins a trial of a held request, if this router may try it and no other trial is in flight here;
+/// Begins a trial of a held request, if this router is the planner and no other trial is in flight;
 /// returns whether it has. `held` are its fingerprint and its segments, as far as they are held.
 ///
-/// A request with several held segments isn't tried: a crash wouldn't tell them apart, and requests
+/// Only the planner does: a trial by each router would be as many crashes. A request with several held
+/// segments isn't tried: a crash wouldn't tell them apart, and requests
 /// with one of them alone may show that it is harmless.
 pub(super) fn begin(
     state: &mut DirectState,
@@ -96,12 +88,11 @@
     held: Vec<Fingerprint>,
     out: &mut Vec<Effect>,
 ) -> bool {
-    let may_try = may_try(state, now, &held);
     let table = &state.crashes.table;
     let segments = held.iter().filter(|cause| table.is_segment(cause));
     let is_sent = |cause: &Fingerprint| table.verdict(now, cause) == Verdict::Sent;
     let is_busy = state.in_flight.values().any(|f| !f.causes().all(is_sent));
-    if segments.count() > 1 || is_busy || !may_try {
+    if segments.count() > 1 || is_busy || !state.plan.lease.holds(now) {
         return false;
     }
     for cause in &held {
--- a/src/logic/direct/in_flight_request.rs
+++ b/src/logic/direct/in_flight_request.rs
@@ -70,6 +70,12 @@
         self.causes().any(|own| own == cause)
     }
 
+    /// Whether its caller has a part of its stream: an endpoint answered it, so that it isn't the cause of
+    /// a crash.
+    pub fn is_partly_delivered(&self) -> bool {
+        self.head_sent && self.last_event.is_some()
+    }
+
     /// Whether no endpoint can have run the request, so that the answer to the caller may say
     /// so. This has to be true also of requests that may be repeated.
     pub fn has_not_run(&self) -> bool {
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -148,6 +148,9 @@
     if may_have_run && flight.is_some_and(|f| crashes::is_risky(state, f)) {
         return finish::give_up(state, now, id, "endpoints crashed while running it", out);
     }
+    if crashes::is_withheld(state, now, id) {
+        return finish::give_up(state, now, id, crashes::WHY_HELD, out);
+    }
     if !allowed || !below_max_sends || !spend_retry(state, now, &service) {
         return finish::give_up(state, now, id, why, out);
     }
--- a/tests/direct/segments.rs
+++ b/tests/direct/segments.rs
@@ -201,24 +201,46 @@
     assert_eq!(answer, Some(Problem::CrashesEndpoints));
 }
 
-/// Guards against a harmless segment that stays held where no router plans, or the one that does gets
-/// none of its requests.
+/// Guards against a trial by each router, as requests with a held segment come to all of them and wait
+/// for a head: at most three of them may reach endpoints in all.
 #[test]
-fn a_router_that_is_not_the_planner_tries_a_held_segment_after_a_while() {
-    let mut router = Router::new(open_groups());
-    receive(&mut router, &[report("common", &[1, 2, 3], false)]);
-    let is_held = |router: &mut Router, id: u64| {
-        revoke_lease(router);
-        refused(router, sound(id)) == HELD
+fn a_held_segment_is_tried_by_the_planner_only() {
+    let mut planner = Router::planner(open_groups());
+    let mut others: Vec<_> = (0..4).map(|_| Router::new(open_groups())).collect();
+    for router in others.iter_mut().chain([&mut planner]) {
+        receive(router, &[report("fatal", &[1, 2, 3], false)]);
+        router.advance_ms(4_000);
+    }
+    let mut tried = 0;
+    for id in 0..20 {
+        for router in &mut others {
+            revoke_lease(router);
+            tried += usize::from(refused(router, fatal(id)).is_none());
+        }
+    }
+    assert_eq!(tried, 0);
+    assert_eq!(refused(&mut planner, fatal(1)), None);
+    assert_eq!(refused(&mut planner, fatal(2)), HELD);
+}
+
+/// Guards against sending a request on after its segment was held, as the endpoint that had it didn't
+/// run it.
+#[test]
+fn a_request_that_did_not_run_is_not_sent_again_once_its_segment_is_held() {
+    let not_run = RunPart::Complete {
+        status: 503,
+        not_run: true,
     };
-    assert!((0..40).all(|id| is_held(&mut router, id)), "too early");
-    router.advance_ms(2_000);
-    let held = (100..200).filter(|id| is_held(&mut router, *id)).count();
-    assert_eq!(held, 99, "one is in flight");
-    let run = *router.state().runs.keys().next().expect("a run");
-    router.part(run, RunPart::Head);
-    router.part(run, piece(1));
-    assert!(!is_held(&mut router, 300));
+    for part in [not_run, RunPart::NotSent { refused: true }] {
+        let mut router = Router::new(open_groups());
+        let sent = run(&router.ask_for(fatal(1)));
+        receive(&mut router, &[report("fatal", &[1, 2, 3], false)]);
+        let effects = router.part(sent.run, part);
+        let is_sent = effects.iter().any(|e| matches!(e, DirectEffect::Run(_)));
+        assert!(!is_sent, "{effects:?}");
+        let refusal = problem(&effects);
+        assert!(matches!(refusal, Some(Problem::NotRun(_))), "{refusal:?}");
+    }
 }
 
 /// Guards against a router that has just started and suspects segments that the others see answered
@@ -292,9 +314,18 @@
         run(&router.ask_for(sound(id)));
     }
     assert_eq!(refused(&mut router, fatal(1)), None, "it waits");
+    let resumed = DirectRequest {
+        last_event: Some(3),
+        ..fatal(2)
+    };
+    assert_eq!(refused(&mut router, resumed), None, "it waits");
     receive(&mut router, &[report("fatal", &[1, 2, 3], false)]);
-    let refusal = problem(&router.take_effects());
-    assert!(matches!(refusal, Some(Problem::NotRun(_))), "{refusal:?}");
+    let effects = router.take_effects();
+    let is_refusal = |e: &&DirectEffect| {
+        let problem = problem(std::slice::from_ref(*e));
+        matches!(problem, Some(Problem::NotRun(_)))
+    };
+    assert_eq!(effects.iter().filter(is_refusal).count(), 2, "{effects:?}");
 }
 
 /// Sends a stream request of its own, with the common segment and perhaps the fatal one.
