--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{response, HeaderMap};
+use http::{response, HeaderMap, Method};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
@@ -85,7 +85,7 @@
     let keep_alive = keep_alive(&head.headers);
     // An endpoint that crashes before its first event may close the connection as if the stream had
     // ended. Without framing only an event shows that it had begun.
-    let needs_event = !is_framed(&head.headers);
+    let needs_event = !is_framed(&head.headers) && received.head.method != Method::HEAD;
     if run.stream && reply.stream && !reply.not_run {
         store_head(shared, run.run, head);
         send_part(shared, run.run, RunPart::Head);
--- a/tests/direct/framing.rs
+++ b/tests/direct/framing.rs
@@ -62,3 +62,17 @@
     assert_whole(&stream(&[Cut::Inside(4), Cut::Empty]));
     assert_whole(&stream(&[Cut::Inside(EVENTS - 1)]));
 }
+
+/// Guards against taking an answer that has no body by its nature for one that broke off.
+#[test]
+fn the_answer_to_a_head_request_is_complete_without_events() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (standin, routers) = fleet(9, dir.path());
+    standin.world().unframed = true;
+    let answer = call(routers[0].callers, "HEAD", "/stream/x", "head");
+    let answer = answer.unwrap_or_else(|| panic!("no answer\n{}", logs(dir.path())));
+    assert_eq!(answer.status, 200, "{}", logs(dir.path()));
+    let sent_again = |line: &str| line.contains("E641") && line.contains("\"head\"");
+    let logs = logs(dir.path());
+    assert!(!logs.lines().any(sent_again), "{logs}");
+}
