Crashes, shares, stand-in: one job and one public type a file; titles and claims that hold

Trial, DemandShares and Cut have files of their own, clearing and trials are named after what they do, and the reason of refusals stands once. Log titles say that segments are refused, cleared and tried as well.

--- a/src/logic/direct/admission/router_share.rs
+++ b/src/logic/direct/admission/router_share.rs
@@ -15,7 +15,7 @@
     /// The share of a model's capacity: an even one, or that of the model's demand if much more of it
     /// comes to this router.
     pub fn of_model(state: &DirectState, model: Option<&Arc<str>>) -> Self {
-        let by_demand = model.and_then(|model| state.demand.share_ppm(model));
+        let by_demand = model.and_then(|model| state.demand.shares.ppm(model));
         let even = WHOLE_PPM / (state.peers.len() as u64 + 1);
         Self {
             ppm: by_demand.unwrap_or(even),
--- a/src/logic/direct/crashes/broadcast.rs
+++ b/src/logic/direct/crashes/broadcast.rs
@@ -1,6 +1,6 @@
 //! Exchanges crash records with the other routers.
 
-use super::{served, trial, CrashReport, MIN_RISKY_CRASHES};
+use super::{clearing, trials, CrashReport, MIN_RISKY_CRASHES};
 use crate::logic::direct::{DirectEffect, DirectState, Fingerprint, PeerMessage};
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -99,7 +99,7 @@
         }
     }
     for report in blocked {
-        trial::on_blocked(state, now, report.cause, out);
+        trials::on_blocked(state, now, report.cause, out);
         let combined = !report.record.is_blocked();
         let delay = if combined {
             0
@@ -121,7 +121,7 @@
     out: &mut Vec<Effect>,
 ) {
     for report in newly_blocked(state, now, std::slice::from_ref(report), out) {
-        trial::on_blocked(state, now, report.cause, out);
+        trials::on_blocked(state, now, report.cause, out);
     }
 }
 
@@ -139,7 +139,7 @@
     for report in reports {
         table.merge(now, report.cause, &report.record);
     }
-    served::object(state, now, reports, out);
+    clearing::clear_trusted(state, now, reports, out);
     let table = &state.crashes.table;
     let is_new =
         |(report, before): &(&CrashReport, bool)| !before && table.is_blocked(&report.cause);
--- a/src/logic/direct/crashes/served.rs
+++ b/src/logic/direct/crashes/clearing.rs
@@ -48,7 +48,7 @@
 }
 
 /// Clears the segments that another router suspects and this one has seen answered recently.
-pub(super) fn object(
+pub(super) fn clear_trusted(
     state: &mut DirectState,
     now: Millis,
     reports: &[CrashReport],
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -1,7 +1,8 @@
 //! Finds the requests, and the segments of prompts, that crash endpoints.
 
 use super::{
-    broadcast, served, trial, Crash, CrashRecord, SuspectedCrash, Verdict, MIN_RISKY_CRASHES,
+    broadcast, clearing, trials, Crash, CrashRecord, SuspectedCrash, Verdict, MIN_RISKY_CRASHES,
+    WHY_CRASHES,
 };
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{
@@ -34,10 +35,10 @@
     let Some(view) = state.endpoints.get(&run.endpoint) else {
         return;
     };
-    let request = Some(flight.fingerprint).filter(|r| !served::is_trusted(state, now, r));
+    let request = Some(flight.fingerprint).filter(|r| !clearing::is_trusted(state, now, r));
     let segments = flight.segments.iter().copied();
     let segments: Vec<_> = segments
-        .filter(|s| !served::is_trusted_segment(state, now, s))
+        .filter(|s| !clearing::is_trusted_segment(state, now, s))
         .collect();
     if request.is_none() && segments.is_empty() {
         return;
@@ -139,7 +140,7 @@
         out.push(Effect::Log(event));
     }
     for cause in blocked {
-        trial::on_blocked(state, now, cause, out);
+        trials::on_blocked(state, now, cause, out);
     }
     broadcast::send_due(state, now, out);
 }
@@ -215,10 +216,7 @@
     let has = |wanted: Verdict| verdicts.iter().any(|(_, verdict)| *verdict == wanted);
     if has(Verdict::Refused) {
         state.crashes.refusals += 1;
-        return Some((
-            Problem::CrashesEndpoints,
-            "endpoints crashed while running it",
-        ));
+        return Some((Problem::CrashesEndpoints, WHY_CRASHES));
     }
     let held = verdicts.iter().filter(|(_, v)| *v == Verdict::Held);
     let held: Vec<_> = held.map(|(cause, _)| *cause).collect();
@@ -229,12 +227,12 @@
     if has(Verdict::Unsettled) || (held.is_empty() && is_in_flight) {
         let why = match is_in_flight {
             true => "already in flight, and endpoints crashed while running it",
-            false => trial::WHY_HELD,
+            false => trials::WHY_HELD,
         };
         return Some((retry, why));
     }
-    if !held.is_empty() && !trial::begin(state, now, id, held, out) {
-        return Some((retry, trial::WHY_HELD));
+    if !held.is_empty() && !trials::begin(state, now, id, held, out) {
+        return Some((retry, trials::WHY_HELD));
     }
     None
 }
@@ -268,7 +266,7 @@
     for id in due {
         probe(state, now, &id, out);
     }
-    trial::on_tick(state, now, out);
+    trials::on_tick(state, now, out);
     broadcast::send_due(state, now, out);
     super::crash_store::on_tick(state, now, out);
 }
--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -15,6 +15,7 @@
 //! answer to a request with it that begins.
 
 mod broadcast;
+mod clearing;
 mod crash;
 mod crash_record;
 mod crash_report;
@@ -23,9 +24,9 @@
 mod crash_table;
 mod detect;
 mod recently_served;
-mod served;
 mod suspected_crash;
 mod trial;
+mod trials;
 mod verdict;
 
 pub use crash::Crash;
@@ -39,12 +40,15 @@
 pub use verdict::Verdict;
 
 pub(super) use broadcast::on_crash_reports;
+pub(super) use clearing::{on_answer_begun, on_answered};
 pub(super) use crash_store::{
     on_store_entries, on_store_reply, on_store_restored, on_watch_changes,
 };
 pub(super) use detect::{is_risky, on_probe_result, on_run_broken, on_tick, refusal};
-pub(super) use served::{on_answer_begun, on_answered};
-pub(super) use trial::{is_withheld, WHY_HELD};
+pub(super) use trials::{is_withheld, WHY_HELD};
+
+/// Why a request is refused, or not sent again, under which endpoints have crashed.
+pub(super) const WHY_CRASHES: &str = "endpoints crashed while running it";
 
 /// Number of crashes from which on a request is risky: only one of its kind is in flight at a
 /// time, and no router retries it after a run that may have begun.
--- a/src/logic/direct/demand.rs
+++ b/src/logic/direct/demand.rs
@@ -8,16 +8,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::admission::{usage_reports, WHOLE_PPM};
+use super::admission::usage_reports;
 use super::arrivals::ModelArrivals;
 use super::capacity::{ModelTrend, TREND_PERIOD_MS};
 use super::encoded_size::encoded_size;
-use super::{tree, DirectEffect, DirectState, Mechanism, ModelDemand, PeerMessage};
+use super::{
+    demand_shares, tree, DemandShares, DirectEffect, DirectState, Mechanism, ModelDemand,
+    PeerMessage,
+};
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, RouteSpec};
 
 /// Length of one slot of the window.
-const SLOT_MS: Millis = 500;
+pub(super) const SLOT_MS: Millis = 500;
 
 /// Slots of the window, 6 s in all: enough for over a hundred requests to a group of a small
 /// model, and short enough for a jump in traffic to show before a load of a model has ended.
@@ -46,22 +49,8 @@
 /// shares: four slots.
 const MIN_COUNTED_MS: Millis = 2_000;
 
-/// Slots over which this router's own part of the demand is counted: a bit more than a second, in
-/// which a router that gets most callers gets a multiple of its usual requests.
-const SHARE_SLOTS: u64 = 3;
-
-/// Time after which these parts are worked out again.
-const SHARES_INTERVAL_MS: Millis = 100;
-
-/// How many times an even part of the demand a router has to have for its share to follow it. Data
-/// halls that differ in callers and routers make less of a difference.
-const CONCENTRATION_FACTOR: u64 = 2;
-
-/// Fewest requests in these slots from which a router's part of the demand is told from chance.
-const MIN_SHARE_REQUESTS: u64 = 10;
-
 /// One request, in thousandths.
-const REQUEST_MILLI: u64 = 1_000;
+pub(super) const REQUEST_MILLI: u64 = 1_000;
 
 /// Weight of a token of an answer against one of a prompt: operators weigh requests by tokens
 /// in and ten times the tokens out.
@@ -84,11 +73,8 @@
     trends: BTreeMap<SocketAddr, (Millis, Vec<ModelTrend>)>,
     /// When the next report is due.
     report_at: Millis,
-    /// By model, the part of the demand of all routers that comes to this one, in parts per million,
-    /// where it is much more than an even one.
-    shares: BTreeMap<Arc<str>, u64>,
-    /// When they are next worked out.
-    shares_at: Millis,
+    /// Parts of the demand that come to this router.
+    pub shares: DemandShares,
 }
 
 impl Demand {
@@ -103,14 +89,8 @@
         sums.into_values().filter(asked).map(per_second).collect()
     }
 
-    /// Part of a model's demand that comes to this router, in parts per million, if it is much more
-    /// than an even one.
-    pub fn share_ppm(&self, model: &Arc<str>) -> Option<u64> {
-        self.shares.get(model).copied()
-    }
-
     /// Requests by model in the slots after `oldest` up to `newest`.
-    fn sums(&self, oldest: u64, newest: u64) -> BTreeMap<Arc<str>, ModelArrivals> {
+    pub(super) fn sums(&self, oldest: u64, newest: u64) -> BTreeMap<Arc<str>, ModelArrivals> {
         let mut sums: BTreeMap<Arc<str>, ModelArrivals> = BTreeMap::new();
         let in_range = |slot: u64| slot > oldest && slot <= newest;
         for (_, models) in self.slots.iter().filter(|(slot, _)| in_range(*slot)) {
@@ -212,39 +192,9 @@
     }
 }
 
-/// Works out which part of the demand for each model comes to this router now.
-///
-/// The balancer may send most callers to one router. The demand of all routers doesn't change then,
-/// so that its mean over a longer time tells how much of it this one has.
-fn update_shares(state: &mut DirectState, now: Millis) {
-    if now < state.demand.shares_at {
-        return;
-    }
-    let routers = router_count(state);
-    let all = match is_known(state, now) {
-        true => estimated_demand(state, now),
-        false => BTreeMap::new(),
-    };
-    let demand = &mut state.demand;
-    demand.shares_at = now + SHARES_INTERVAL_MS;
-    let newest = now / SLOT_MS;
-    let recent = demand.sums(newest.saturating_sub(SHARE_SLOTS), newest);
-    let span = now - newest.saturating_sub(SHARE_SLOTS - 1) * SLOT_MS;
-    let share = |(model, arrivals): (Arc<str>, ModelArrivals)| {
-        let tries = arrivals.first_tries();
-        let own = tries.scaled(1_000, span.max(SLOT_MS)).requests;
-        let all = all.get(&model)?.requests.max(own);
-        let ppm = own * WHOLE_PPM / all.max(1);
-        let is_large = ppm * routers >= CONCENTRATION_FACTOR * WHOLE_PPM;
-        let is_significant = tries.requests >= MIN_SHARE_REQUESTS * REQUEST_MILLI;
-        (is_large && is_significant).then_some((model, ppm))
-    };
-    demand.shares = recent.into_iter().filter_map(share).collect();
-}
-
 /// Sends the demand of this router's subtree to its parent in the tree, when it is due.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    update_shares(state, now);
+    demand_shares::update(state, now);
     if now < state.demand.report_at {
         return;
     }
@@ -403,7 +353,7 @@
 }
 
 /// Number of routers known, this one included.
-fn router_count(state: &DirectState) -> u64 {
+pub(super) fn router_count(state: &DirectState) -> u64 {
     state.peers.len() as u64 + 1
 }
 
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -129,7 +129,7 @@
 
 /// Ends a request that has been blocked because it crashes endpoints.
 pub(super) fn refuse_blocked(state: &mut DirectState, id: u64, out: &mut Vec<Effect>) {
-    let why = "endpoints crashed while running it";
+    let why = crashes::WHY_CRASHES;
     finish(state, id, Problem::CrashesEndpoints, why, out);
 }
 
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -24,6 +24,7 @@
 mod arrivals;
 mod choose;
 mod demand;
+mod demand_shares;
 mod digest;
 mod digest_part;
 mod digest_state;
@@ -78,6 +79,7 @@
 
 pub use admission::{AccountUse, AdmissionState, Precedence, QueueKey, WaitQueue};
 pub use demand::Demand;
+pub use demand_shares::DemandShares;
 pub use digest::Digest;
 pub use digest_state::DigestState;
 pub use direct_effect::DirectEffect;
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -146,7 +146,7 @@
     let service = flight.service.clone();
     let flight = state.in_flight.get(&id);
     if may_have_run && flight.is_some_and(|f| crashes::is_risky(state, f)) {
-        return finish::give_up(state, now, id, "endpoints crashed while running it", out);
+        return finish::give_up(state, now, id, crashes::WHY_CRASHES, out);
     }
     if crashes::is_withheld(state, now, id) {
         return finish::give_up(state, now, id, crashes::WHY_HELD, out);
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -164,8 +164,8 @@
     StreamAborted = 644 Warn "stream aborted";
     CallerLeft = 645 Info "caller left";
     CrashCounted = 646 Warn "endpoint crashed while a request had just begun there";
-    RequestBlocked = 647 Error "request refused from now on: endpoints crash under it";
-    CrashesCleared = 648 Info "request cleared of crashes: it was answered in full";
+    RequestBlocked = 647 Error "request or segment refused from now on: endpoints crash under it";
+    CrashesCleared = 648 Info "request or segment cleared of crashes: it was answered";
     CrashesUnread = 649 Error "record of a request that crashes endpoints can't be read or written";
     EndpointLimited = 650 Warn "endpoint reports a request rate limit";
     EndpointUnlimited = 651 Info "endpoint reports no request rate limit any more";
@@ -178,7 +178,7 @@
     HoldOffEnded = 658 Info "endpoint takes requests of this router again";
     OrderFencesUsed = 659 Info "planner lease handed back: its order fences are used up";
     OrdersStopped = 660 Warn "endpoint gets no more orders: it answers none and is lost or not listed";
-    SuspectTried = 661 Info "request at the same crashes as another is tried alone";
+    SuspectTried = 661 Info "request that is held for crashes is tried alone";
     PoolContended = 662 Info "requests contend for endpoints";
     PoolCalm = 663 Info "requests no longer contend for endpoints";
     AccountsEvicted = 664 Warn "more client accounts than are kept: the least used ones are forgotten";
--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -10,9 +10,10 @@
 use serde_json::{json, Value};
 use tokio::time::sleep;
 
+use super::cut::Cut;
 use super::replica::Arrival;
 use super::serve::{json_response, Body};
-use super::world::{Cut, World};
+use super::world::World;
 
 /// Time after which the streams of a group that lacks a member fail.
 pub(super) const STALL_TIMEOUT: Duration = Duration::from_millis(4_000);
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -4,6 +4,7 @@
 use http::StatusCode;
 use serde_json::Value;
 
+use super::cut::Cut;
 use super::replica::{Arrival, Replica, Seat};
 use super::replica_calls::STALL_TIMEOUT;
 
@@ -46,15 +47,6 @@
     pub broken: Vec<String>,
 }
 
-/// Where a replica breaks a stream off, by closing its connection without an error.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cut {
-    /// Before the first byte of the body.
-    Empty,
-    /// Within the event after so many whole ones.
-    Inside(u64),
-}
-
 /// A backup of the store, for [`World::restore`].
 pub struct Backup {
     pub(super) revision: i64,
--- a/tests/direct/concentration.rs
+++ b/tests/direct/concentration.rs
@@ -194,7 +194,7 @@
 fn the_share_falls_once_callers_are_spread_again() {
     let mut load = Load::new();
     load.run_for(FLEET_PER_S, 4_000);
-    let of_model = |load: &mut Load| load.router.state().demand.share_ppm(&MODEL.into());
+    let of_model = |load: &mut Load| load.router.state().demand.shares.ppm(&MODEL.into());
     assert!(of_model(&mut load).is_some_and(|ppm| ppm >= 900_000));
     load.run_for(FLEET_PER_S / ROUTERS, 2_000);
     assert_eq!(of_model(&mut load), None, "an even one");
