A moved stream keeps its earlier run until one of them goes on

Callers saw: streams cut in the middle of their answer, a second after their head had fallen silent, though it would have gone on and their deadline was far: the head that they were moved to refused them (503, not run), couldn't be reached, failed or broke off.

A refusal is ordinary: two routers choose one place, a report is 200 ms old.

Fix: a moved stream has a run at both heads. The first to send an event that its caller lacks keeps it, and the other is cancelled then. A run that fails is dropped (E677) and costs no retry while another one is left. Sends that were refused no longer use up the sends of a stream that has begun; they are 50 ms apart at first, twice as much with each further one.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -132,6 +132,8 @@
         tried: Vec::new(),
         runs: 0,
         run: None,
+        earlier_runs: Vec::new(),
+        resend_at: 0,
         head_sent: false,
         last_event: request.last_event,
         first_ms: 0,
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -2,7 +2,7 @@
 
 use super::admission::pool;
 use super::limits::hold_off;
-use super::{crashes, endpoints, finish, send, DirectEffect, DirectState, RunPart};
+use super::{crashes, endpoints, finish, moves, send, DirectEffect, DirectState, RunPart};
 use crate::logic::router::Metric;
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -26,6 +26,7 @@
     let Some(id) = state.runs.get(&run).copied() else {
         return;
     };
+    moves::make_current(state, id, run);
     let heard = !matches!(part, RunPart::NotSent { .. } | RunPart::Broken);
     endpoints::on_output(state, now, id, heard);
     match part {
@@ -96,6 +97,10 @@
     if event.is_some() && event <= flight.last_event {
         return;
     }
+    moves::cancel_others(state, id, out);
+    let Some(flight) = state.in_flight.get_mut(&id) else {
+        return;
+    };
     flight.last_event = event.or(flight.last_event);
     flight.longest_pause = flight
         .longest_pause
--- a/src/logic/direct/choose.rs
+++ b/src/logic/direct/choose.rs
@@ -14,16 +14,21 @@
 const PLAIN_REQUEST_US: u64 = 15_000;
 
 /// Returns the endpoint that is expected to begin first. Endpoints that the request was
-/// not sent to yet come first; failing these, any but the one that it was last sent to.
+/// not sent to yet come first; failing these, any but the one that it was last sent to and
+/// those at which it still has a run.
 pub(super) fn pick(
     state: &mut DirectState,
     now: Millis,
     flight: &InFlightRequest,
 ) -> Option<InstanceId> {
-    let untried = best_endpoint(state, now, flight, |tried| !flight.tried.contains(tried));
+    let has_run = |(id, epoch): &(InstanceId, u64)| {
+        let mut runs = flight.all_runs();
+        runs.any(|r| r.endpoint == *id && r.epoch == *epoch)
+    };
+    let untried = best_endpoint(state, now, flight, |at| !flight.tried.contains(at));
     untried.or_else(|| {
-        best_endpoint(state, now, flight, |tried| {
-            flight.tried.last() != Some(tried)
+        best_endpoint(state, now, flight, |at| {
+            flight.tried.last() != Some(at) && !has_run(at)
         })
     })
 }
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -209,7 +209,7 @@
         .with("fingerprint", cause)
         .with("endpoints", ids.join(","));
     out.push(Effect::Log(event));
-    let has_event = |f: &InFlightRequest| f.run.as_ref().is_some_and(|r| r.has_event);
+    let has_event = |f: &InFlightRequest| f.all_runs().any(|r| r.has_event);
     let in_flight = state.in_flight.iter();
     let ended = in_flight.filter(|(_, f)| f.has_cause(&cause) && !has_event(f));
     for id in ended.map(|(id, _)| *id).collect::<Vec<_>>() {
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -2,7 +2,7 @@
 
 use super::admission::{pool, queue};
 use super::{
-    choose, crashes, demand, endpoints, returns, DirectEffect, DirectState, InFlightRequest,
+    choose, crashes, demand, endpoints, moves, returns, DirectEffect, DirectState, InFlightRequest,
     Problem,
 };
 use crate::logic::router::Metric;
@@ -18,6 +18,7 @@
     last: DirectEffect,
     out: &mut Vec<Effect>,
 ) {
+    moves::cancel_others(state, id, out);
     endpoints::on_served(state, id);
     pool::on_completed(state, now, id);
     endpoints::release_run(state, id);
@@ -140,7 +141,7 @@
     why: &'static str,
     out: &mut Vec<Effect>,
 ) {
-    cancel(state, id, out);
+    moves::cancel_all(state, id, out);
     queue::remove(state, id);
     let Some(flight) = state.in_flight.remove(&id) else {
         return;
@@ -194,7 +195,7 @@
 
 /// Handles a caller that has closed its connection: its request is dropped.
 pub(super) fn on_caller_gone(state: &mut DirectState, id: u64, out: &mut Vec<Effect>) {
-    cancel(state, id, out);
+    moves::cancel_all(state, id, out);
     queue::remove(state, id);
     state.held_requests.retain(|(_, request)| request.id != id);
     if let Some(flight) = state.in_flight.remove(&id) {
@@ -203,15 +204,6 @@
     }
 }
 
-/// Cancels the request's current run, if any.
-pub(super) fn cancel(state: &mut DirectState, id: u64, out: &mut Vec<Effect>) {
-    let run = state.in_flight.get(&id).and_then(|f| f.run.as_ref());
-    if let Some(run) = run.map(|r| r.id) {
-        endpoints::release_run(state, id);
-        out.push(Effect::Direct(DirectEffect::Cancel(run)));
-    }
-}
-
 /// Ends requests whose deadline has passed or is close.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let begun = |f: &InFlightRequest| f.head_sent || f.run.as_ref().is_some_and(|r| r.begun);
--- a/src/logic/direct/in_flight_request.rs
+++ b/src/logic/direct/in_flight_request.rs
@@ -47,6 +47,10 @@
     pub runs: u32,
     /// The current run.
     pub run: Option<Run>,
+    /// Runs that it was moved from and that may still go on; empty without a current run.
+    pub earlier_runs: Vec<Run>,
+    /// Time before which it isn't sent again.
+    pub resend_at: Millis,
     /// Whether the head of a stream was sent to the caller.
     pub head_sent: bool,
     /// Id of the last stream event that the caller has.
@@ -65,6 +69,11 @@
         std::iter::once(&self.fingerprint).chain(&self.segments)
     }
 
+    /// Its runs: the current one and those that it was moved from.
+    pub fn all_runs(&self) -> impl Iterator<Item = &Run> {
+        self.run.iter().chain(&self.earlier_runs)
+    }
+
     /// Whether the request has a fingerprint or has a segment with it.
     pub fn has_cause(&self, cause: &Fingerprint) -> bool {
         self.causes().any(|own| own == cause)
--- a/src/logic/direct/limits/rate_limit.rs
+++ b/src/logic/direct/limits/rate_limit.rs
@@ -36,7 +36,8 @@
 ) {
     let sent = run.and_then(|run| {
         let flight = state.in_flight.get(state.runs.get(&run)?)?;
-        flight.run.as_ref().map(|r| r.sent_at)
+        let mut runs = flight.all_runs();
+        runs.find(|r| r.id == run).map(|r| r.sent_at)
     });
     match rate {
         Some(rate) => on_limit_named(state, now, id, rate, out),
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -56,6 +56,7 @@
 mod list_start;
 mod mechanism;
 mod model_demand;
+mod moves;
 mod observation;
 mod observation_request;
 mod order_result;
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -3,7 +3,7 @@
 use super::admission::{pool, queue};
 use super::limits::hold_off;
 use super::{
-    choose, crashes, finish, peers, returns, DirectEffect, DirectState, Fingerprint,
+    choose, crashes, finish, moves, peers, returns, DirectEffect, DirectState, Fingerprint,
     InFlightRequest, Mechanism, Precedence, RetryBounds, RetryWindow, Run, RunRequest,
 };
 use crate::logic::router::Metric;
@@ -26,6 +26,10 @@
 /// the endpoint says of itself in the meantime isn't known to the choice.
 const MAX_UNSENT_MS: Millis = 400;
 
+/// Shortest pause between two sends of a stream that endpoints refuse, and how often it doubles.
+const MIN_RESEND_PAUSE_MS: Millis = 50;
+const MAX_RESEND_DOUBLINGS: u32 = 4;
+
 /// Sends a request to the best endpoint, enqueues it, or ends it.
 pub(super) fn send_or_wait(state: &mut DirectState, now: Millis, id: u64, out: &mut Vec<Effect>) {
     let Some(flight) = state.in_flight.get(&id) else {
@@ -107,6 +111,7 @@
     if let Some(flight) = state.in_flight.get_mut(&id) {
         flight.tried.push((to.clone(), epoch));
         flight.runs += 1;
+        flight.earlier_runs.extend(flight.run.take());
         flight.run = Some(Run {
             id: run,
             endpoint: to,
@@ -122,7 +127,17 @@
     true
 }
 
-/// Retries a request after a failed run if [`reserve_retry`] allows it, and gives it up otherwise.
+/// Pause before a stream is sent again of whose sends so many were refused: the first one is followed at
+/// once by another, and the pause doubles with each further one.
+fn resend_pause(refusals: u32) -> Millis {
+    match refusals {
+        0 | 1 => 0,
+        _ => MIN_RESEND_PAUSE_MS << (refusals - 2).min(MAX_RESEND_DOUBLINGS),
+    }
+}
+
+/// Handles the end of a request's run that has failed. If it has another run, that one may go on;
+/// otherwise it is sent again if [`reserve_retry`] allows it, and given up if not.
 ///
 /// `may_have_run` is false if the endpoint can't have run it.
 pub(super) fn retry(
@@ -138,6 +153,11 @@
     };
     if !may_have_run {
         flight.runs = flight.runs.saturating_sub(1);
+        let refusals = (flight.tried.len() as u32).saturating_sub(flight.runs);
+        flight.resend_at = now + resend_pause(refusals);
+    }
+    if moves::fall_back(state, id, why, out) {
+        return;
     }
     let why = match reserve_retry(state, now, id, may_have_run) {
         Ok(()) => return send_again(state, now, id, why, out),
@@ -162,9 +182,7 @@
 }
 
 /// Spends a retry on a request if its route, the number of its sends, its crash record and the retry
-/// budget allow it; [`send_again`] has to follow.
-///
-/// A run that may still be answered is cancelled only after this.
+/// budget allow it; the send has to follow. A stream that has begun may be refused any number of times.
 pub(super) fn reserve_retry(
     state: &mut DirectState,
     now: Millis,
@@ -182,7 +200,8 @@
     }
     let repeatable = flight.route.repeatable();
     let allowed = flight.runs < flight.route.attempts && (!may_have_run || repeatable);
-    let below_max_sends = flight.tried.len() as u32 <= flight.route.attempts + 1;
+    let below_max_sends =
+        flight.head_sent || flight.tried.len() as u32 <= flight.route.attempts + 1;
     let service = flight.service.clone();
     if !allowed || !below_max_sends {
         return Err(NoRetry::Route);
@@ -194,7 +213,19 @@
 }
 
 /// Sends a request again for which a retry was reserved.
-pub(super) fn send_again(
+fn send_again(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    why: &'static str,
+    out: &mut Vec<Effect>,
+) {
+    prepare_resend(state, now, id, why, out);
+    send_or_wait(state, now, id, out);
+}
+
+/// Prepares a request for being sent again: a stream that has begun goes before others.
+pub(super) fn prepare_resend(
     state: &mut DirectState,
     now: Millis,
     id: u64,
@@ -203,27 +234,27 @@
 ) {
     let waits = state.params.is_enabled(Mechanism::ResumeWait);
     let age = state.age(now);
-    if let Some(flight) = state.in_flight.get_mut(&id) {
-        let window = state.retries.get(&flight.service);
-        let (requests, retries) = window.map_or((0, 0), RetryWindow::counts);
-        if flight.head_sent {
-            flight.precedence = Precedence::Resumed;
-        }
-        if flight.head_sent && waits {
-            flight.wait_until = flight.wait_until.max(now + RESUME_WAIT_MS);
-        }
-        let event = LogEvent::new(LogCode::RequestResent)
-            .with("request", &flight.label)
-            .with("why", why)
-            .with("runs", flight.runs)
-            .with("event", flight.last_event.unwrap_or(0))
-            .with("retries", retries)
-            .with("requests", requests)
-            .with("age", age);
-        out.push(Effect::Log(event));
-        finish::record_metric(flight, Metric::Retry, 1, out);
+    let Some(flight) = state.in_flight.get_mut(&id) else {
+        return;
+    };
+    let window = state.retries.get(&flight.service);
+    let (requests, retries) = window.map_or((0, 0), RetryWindow::counts);
+    if flight.head_sent {
+        flight.precedence = Precedence::Resumed;
     }
-    send_or_wait(state, now, id, out);
+    if flight.head_sent && waits {
+        flight.wait_until = flight.wait_until.max(now + RESUME_WAIT_MS);
+    }
+    let event = LogEvent::new(LogCode::RequestResent)
+        .with("request", &flight.label)
+        .with("why", why)
+        .with("runs", flight.runs)
+        .with("event", flight.last_event.unwrap_or(0))
+        .with("retries", retries)
+        .with("requests", requests)
+        .with("age", age);
+    out.push(Effect::Log(event));
+    finish::record_metric(flight, Metric::Retry, 1, out);
 }
 
 /// Spends a retry of the service's budget; false if the budget has none left.
--- a/src/logic/direct/silence.rs
+++ b/src/logic/direct/silence.rs
@@ -1,6 +1,6 @@
 //! Finds endpoints that send nothing although they have runs, and moves their streams.
 
-use super::{choose, finish, peers, plan, send, DirectState, Mechanism};
+use super::{moves, peers, plan, DirectState, Mechanism};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis, RouteKind};
 
@@ -124,14 +124,6 @@
         .map(|(id, _)| *id)
         .collect();
     for id in streams {
-        // If no other endpoint can take it, or it can't be sent again, it stays: the silent one may
-        // still go on.
-        let flight = state.in_flight.get(&id).cloned();
-        let has_place = flight.is_some_and(|f| choose::pick(state, now, &f).is_some());
-        if !has_place || send::reserve_retry(state, now, id, true).is_err() {
-            continue;
-        }
-        finish::cancel(state, id, out);
-        send::send_again(state, now, id, "the endpoint is silent", out);
+        moves::move_stream(state, now, id, out);
     }
 }
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -193,4 +193,5 @@
     SuspectHeld = 674 Warn "requests held: endpoints crashed while running them, and maybe because of others";
     GroupEnded = 675 Info "group has ended: its members are free";
     AnswerForeign = 676 Warn "answer belongs to another request: it is not used and its connection is closed";
+    RunDropped = 677 Info "a run of a moved stream has failed: another one may go on";
 }
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -28,6 +28,7 @@
 mod list_start;
 mod logs;
 mod metrics;
+mod moves;
 mod names;
 mod needs;
 mod order_queue;
