A stream that lost its endpoint waits for the retry budget and for room

Callers saw: streams cut at once as their endpoint broke off, at a router that was restarted less than ten seconds before, though its retry budget opened before their deadline; and streams cut 1.5 s after that, or after four refusals, though a head got room in time.

Cause: the retry was asked for at the moment of the failure and never again. A stream that had one waited for RESUME_WAIT_MS, not for as long as its caller.

Fix: a stream of which the caller has a part waits in its queue until a head can take it and a retry can be spent, which is done at the send. It is given up at once if its route or its crash record allows no further send, or if the budget opens after its deadline. Refused sends are spaced by the pause of moved streams. Queues count the requests whose stream hasn't begun, so that streams that wait for the budget take no place from others.

--- a/src/logic/direct/admission/pool.rs
+++ b/src/logic/direct/admission/pool.rs
@@ -284,7 +284,7 @@
     };
     let wait = flight.wait_until.saturating_sub(flight.arrived);
     let queue = state.queues.entry(key.clone()).or_default();
-    if queue.waiting.len() as u64 > queue.max_waiting(now, wait) {
+    if queue.waiting_fresh() > queue.max_waiting(now, wait) {
         pool_mut(state, now, key).load.on_contention(now, last);
         finish::give_up(state, now, last, queue::FULL, out);
     }
--- a/src/logic/direct/admission/queue.rs
+++ b/src/logic/direct/admission/queue.rs
@@ -92,7 +92,7 @@
     let wait = flight.wait_until.saturating_sub(flight.arrived);
     let most = queue.max_waiting(now, wait);
     let beyond = u64::from(flight.kept_appointment) * most / KEPT_DIVISOR;
-    let fits = (queue.waiting.len() as u64) < most + beyond;
+    let fits = queue.waiting_fresh() < most + beyond;
     let is_open = flight.head_sent || choose::has_open_hall(state, &flight.service);
     let queue = state.queues.entry(key.clone()).or_default();
     let active = (queue.has_sent(now) || flight.head_sent) && is_open;
--- a/src/logic/direct/admission/wait_queue.rs
+++ b/src/logic/direct/admission/wait_queue.rs
@@ -61,6 +61,12 @@
         MIN_WAITING.max(self.total(now, |c| c.sent) * wait / (SLOTS * SLOT_MS))
     }
 
+    /// How many requests wait whose stream hasn't begun. The others are few, go first, and may have to
+    /// wait for the retry budget, which takes no place from anyone.
+    pub fn waiting_fresh(&self) -> u64 {
+        self.waiting.range((Precedence::Fresh, 0, 0)..).count() as u64
+    }
+
     /// Whether waiting is effective: nearly all requests that waited until they were late
     /// recently got an endpoint.
     pub fn is_effective(&mut self, now: Millis) -> bool {
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -156,7 +156,8 @@
             .with("request", &flight.label)
             .with("event", flight.last_event.unwrap_or(0))
             .with("sends", flight.tried.len())
-            .with("why", why);
+            .with("why", why)
+            .with("waited_after", flight.unpaid_resend.unwrap_or("-"));
         out.push(Effect::Log(event));
         out.push(Effect::Direct(DirectEffect::AbortStream(id)));
         return;
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -66,6 +66,7 @@
 mod problem;
 mod process_pause;
 mod recent_peak;
+mod resume;
 mod retry_bounds;
 mod retry_window;
 mod run_part;
--- a/src/logic/direct/moves.rs
+++ b/src/logic/direct/moves.rs
@@ -3,7 +3,7 @@
 //! The endpoint may still go on, and another one may refuse the stream. So a stream that is moved has
 //! a run at each of them, until one of the runs goes on or only one is left.
 
-use super::{choose, endpoints, send, DirectEffect, DirectState, Run};
+use super::{choose, endpoints, send, DirectEffect, DirectState, Precedence, Run};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::Millis;
 
@@ -15,7 +15,10 @@
     };
     let has_place = choose::pick(state, now, &flight).is_some();
     if has_place && send::reserve_retry(state, now, id, true).is_ok() {
-        send::prepare_resend(state, now, id, "the endpoint is silent", out);
+        if let Some(flight) = state.in_flight.get_mut(&id).filter(|f| f.head_sent) {
+            flight.precedence = Precedence::Resumed;
+        }
+        send::log_resend(state, now, id, "the endpoint is silent", out);
         send::try_send(state, now, id, out);
     }
 }
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -3,8 +3,8 @@
 use super::admission::{pool, queue};
 use super::limits::hold_off;
 use super::{
-    choose, crashes, finish, moves, peers, returns, DirectEffect, DirectState, Fingerprint,
-    InFlightRequest, Mechanism, Precedence, RetryBounds, RetryWindow, Run, RunRequest,
+    choose, crashes, finish, moves, peers, resume, returns, DirectEffect, DirectState, Fingerprint,
+    InFlightRequest, RetryBounds, RetryWindow, Run, RunRequest,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -18,16 +18,12 @@
     (flight.priority + flight.precedence as u8).min(MAX_PRIORITY)
 }
 
-/// How long a partly delivered stream waits for a head that resumes it. Groups form again
-/// within this time, and callers wait longer.
-const RESUME_WAIT_MS: Millis = 1_500;
-
 /// Longest time from the choice of an endpoint until the request is written to its connection. What
 /// the endpoint says of itself in the meantime isn't known to the choice.
 const MAX_UNSENT_MS: Millis = 400;
 
 /// Shortest pause between two sends of a stream that endpoints refuse, and how often it doubles.
-const MIN_RESEND_PAUSE_MS: Millis = 50;
+pub(super) const MIN_RESEND_PAUSE_MS: Millis = 50;
 const MAX_RESEND_DOUBLINGS: u32 = 4;
 
 /// Sends a request to the best endpoint, enqueues it, or ends it.
@@ -53,12 +49,16 @@
     id: u64,
     out: &mut Vec<Effect>,
 ) -> bool {
-    let Some(flight) = state.in_flight.get(&id).cloned() else {
+    let flight = state.in_flight.get(&id).filter(|f| now >= f.resend_at);
+    let Some(flight) = flight.cloned() else {
         return false;
     };
     let Some(to) = choose::pick(state, now, &flight) else {
         return false;
     };
+    if !resume::pay(state, now, id, out) {
+        return false;
+    }
     let late = queue::on_sent(state, now, id, out);
     returns::on_sent(state, now, id, &to);
     let spec = state.routing.as_ref();
@@ -153,22 +153,25 @@
     };
     if !may_have_run {
         flight.runs = flight.runs.saturating_sub(1);
-        let refusals = (flight.tried.len() as u32).saturating_sub(flight.runs);
-        flight.resend_at = now + resend_pause(refusals);
+        if flight.head_sent || !flight.earlier_runs.is_empty() {
+            let refusals = (flight.tried.len() as u32).saturating_sub(flight.runs);
+            flight.resend_at = now + resend_pause(refusals);
+        }
     }
     if moves::fall_back(state, id, why, out) {
         return;
     }
-    let why = match reserve_retry(state, now, id, may_have_run) {
-        Ok(()) => return send_again(state, now, id, why, out),
-        Err(NoRetry::Crashes(why)) => why,
-        Err(NoRetry::Route) => why,
-        Err(NoRetry::Budget) => {
-            state.retries_unpaid += 1;
-            why
+    let is_begun = state.in_flight.get(&id).is_some_and(|f| f.head_sent);
+    if is_begun {
+        return resume::resume_or_give_up(state, now, id, may_have_run, why, out);
+    }
+    match reserve_retry(state, now, id, may_have_run) {
+        Ok(()) => send_again(state, now, id, why, out),
+        Err(no_retry) => {
+            state.retries_unpaid += u64::from(matches!(no_retry, NoRetry::Budget));
+            finish::give_up(state, now, id, no_retry.reason(why), out)
         }
-    };
-    finish::give_up(state, now, id, why, out);
+    }
 }
 
 /// Why a request can't be sent again.
@@ -181,10 +184,20 @@
     Budget,
 }
 
-/// Spends a retry on a request if its route, the number of its sends, its crash record and the retry
-/// budget allow it; the send has to follow. A stream that has begun may be refused any number of times.
-pub(super) fn reserve_retry(
-    state: &mut DirectState,
+impl NoRetry {
+    /// Reason of giving up a request whose last run failed because of `why`.
+    pub(super) fn reason(self, why: &'static str) -> &'static str {
+        match self {
+            NoRetry::Crashes(crashes) => crashes,
+            NoRetry::Route | NoRetry::Budget => why,
+        }
+    }
+}
+
+/// Checks whether a request's route, the number of its sends and its crash record allow a retry. A
+/// stream that has begun may be refused any number of times.
+pub(super) fn check_retry(
+    state: &DirectState,
     now: Millis,
     id: u64,
     may_have_run: bool,
@@ -202,14 +215,25 @@
     let allowed = flight.runs < flight.route.attempts && (!may_have_run || repeatable);
     let below_max_sends =
         flight.head_sent || flight.tried.len() as u32 <= flight.route.attempts + 1;
-    let service = flight.service.clone();
-    if !allowed || !below_max_sends {
-        return Err(NoRetry::Route);
-    }
-    match spend_retry(state, now, &service) {
+    match allowed && below_max_sends {
         true => Ok(()),
-        false => Err(NoRetry::Budget),
+        false => Err(NoRetry::Route),
+    }
+}
+
+/// Spends a retry on a request if [`check_retry`] and the retry budget allow it; the send has to follow.
+pub(super) fn reserve_retry(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    may_have_run: bool,
+) -> Result<(), NoRetry> {
+    check_retry(state, now, id, may_have_run)?;
+    let service = state.in_flight.get(&id).map(|f| f.service.clone());
+    if service.is_some_and(|service| spend_retry(state, now, &service)) {
+        return Ok(());
     }
+    Err(NoRetry::Budget)
 }
 
 /// Sends a request again for which a retry was reserved.
@@ -220,31 +244,23 @@
     why: &'static str,
     out: &mut Vec<Effect>,
 ) {
-    prepare_resend(state, now, id, why, out);
+    log_resend(state, now, id, why, out);
     send_or_wait(state, now, id, out);
 }
 
-/// Prepares a request for being sent again: a stream that has begun goes before others.
-pub(super) fn prepare_resend(
-    state: &mut DirectState,
+/// Logs and counts a retry that has been spent.
+pub(super) fn log_resend(
+    state: &DirectState,
     now: Millis,
     id: u64,
     why: &'static str,
     out: &mut Vec<Effect>,
 ) {
-    let waits = state.params.is_enabled(Mechanism::ResumeWait);
-    let age = state.age(now);
-    let Some(flight) = state.in_flight.get_mut(&id) else {
+    let Some(flight) = state.in_flight.get(&id) else {
         return;
     };
     let window = state.retries.get(&flight.service);
     let (requests, retries) = window.map_or((0, 0), RetryWindow::counts);
-    if flight.head_sent {
-        flight.precedence = Precedence::Resumed;
-    }
-    if flight.head_sent && waits {
-        flight.wait_until = flight.wait_until.max(now + RESUME_WAIT_MS);
-    }
     let event = LogEvent::new(LogCode::RequestResent)
         .with("request", &flight.label)
         .with("why", why)
@@ -252,13 +268,17 @@
         .with("event", flight.last_event.unwrap_or(0))
         .with("retries", retries)
         .with("requests", requests)
-        .with("age", age);
+        .with("age", state.age(now));
     out.push(Effect::Log(event));
     finish::record_metric(flight, Metric::Retry, 1, out);
 }
 
 /// Spends a retry of the service's budget; false if the budget has none left.
-fn spend_retry(state: &mut DirectState, now: Millis, service: &std::sync::Arc<str>) -> bool {
+pub(super) fn spend_retry(
+    state: &mut DirectState,
+    now: Millis,
+    service: &std::sync::Arc<str>,
+) -> bool {
     peers::record_routers(state, now);
     let bounds = RetryBounds::new(&state.params, state.router_peak.highest());
     let window = state.retries.entry(service.clone()).or_default();
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -40,6 +40,7 @@
 mod repair;
 mod restarts;
 mod restored;
+mod resumes;
 mod retries;
 mod returns;
 mod routes;
