A failure of an endpoint is passed on if no retry is left for it

Callers saw: a 502 of the router in place of the answer with which an endpoint had failed, at a router without retries: one that was just restarted, or whose budget was used up.

Cause: the answer was dropped, and the retry budget was asked after that.

Evidence: answers::a_failure_of_an_endpoint_reaches_its_caller_if_no_retry_is_left failed before with the problem "unknown".

Fix: the retry is reserved first; without one the answer is passed on, as it is where the route allows no further send.

--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -15,6 +15,9 @@
 /// request or part of a stream was sent already.
 const GATEWAY_TIMEOUT: u16 = 504;
 
+/// Why a request is sent again whose endpoint has answered with a server error.
+const WHY_FAILED: &str = "the endpoint failed";
+
 /// Handles one part of an endpoint's answer.
 pub(super) fn on_run_part(
     state: &mut DirectState,
@@ -131,9 +134,15 @@
         endpoints::release_run(state, id);
         return send::retry(state, now, id, false, "the endpoint did not run it", out);
     }
-    if flight.head_sent || (failed && !is_last) {
+    let is_moved = !flight.earlier_runs.is_empty();
+    if flight.head_sent || (failed && is_moved) {
+        endpoints::release_run(state, id);
+        return send::retry(state, now, id, true, WHY_FAILED, out);
+    }
+    // Without a retry the caller gets the endpoint's own answer.
+    if failed && !is_last && send::reserve_retry(state, now, id, true).is_ok() {
         endpoints::release_run(state, id);
-        return send::retry(state, now, id, true, "the endpoint failed", out);
+        return send::send_again(state, now, id, WHY_FAILED, out);
     }
     hold_off::on_run_begun(state, id);
     pool::learn_start(state, now, id);
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -237,7 +237,7 @@
 }
 
 /// Sends a request again for which a retry was reserved.
-fn send_again(
+pub(super) fn send_again(
     state: &mut DirectState,
     now: Millis,
     id: u64,
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -125,6 +125,26 @@
     assert_eq!(answer, Some(Problem::Unknown));
 }
 
+/// Guards against callers that get a failure of the router's in place of their endpoint's, which was
+/// dropped before it was certain that a retry is left.
+#[test]
+fn a_failure_of_an_endpoint_reaches_its_caller_if_no_retry_is_left() {
+    let mut router = Router::new(vec![plain(1), plain(2)]);
+    router.state().retries_from = None;
+    let first = run(&router.ask(1, "/safe/x"));
+    let failure = RunPart::Complete {
+        status: 500,
+        not_run: false,
+    };
+    let effects = router.part(first.run, failure);
+    assert_eq!(problem(&effects), None);
+    let pass = DirectEffect::PassAnswer {
+        request: 1,
+        run: first.run,
+    };
+    assert_eq!(effects, [pass]);
+}
+
 #[test]
 fn where_nobody_serves_a_model_the_caller_hears_at_once_when_to_come_back() {
     let mut router = Router::new(Vec::new());
