A head without end is given up after 256 KiB, interim answers included

Callers saw: 504 at their deadline, though another endpoint was sound, where an endpoint of a plain service sent interim answers without end; the router was busy with them and answered others seconds late.

Cause: the HTTP client bounds each head (at 400 KiB) but not how many interim answers come before the final one, and reads them as fast as they come.

Status lines and headers without end passed before.

Fix: the connection counts the bytes that it reads while a head is awaited, on calls of every kind. The read buffer of a connection is 64 KiB at most.

--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -14,6 +14,7 @@
 mod endpoint_calls;
 mod event_splitter;
 mod http_listener;
+mod limited_stream;
 mod link_event;
 mod operator_key;
 mod operator_keys;
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -16,6 +16,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::TrySendError;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -24,6 +25,7 @@
 use super::call_fault::CallFault;
 use super::call_use::CallUse;
 use super::carried::Carried;
+use super::limited_stream::{HeadLimit, LimitedStream};
 use super::reuse::Reuse;
 use crate::host::Clock;
 use crate::types::Millis;
@@ -37,6 +39,9 @@
 /// Longest keep-alive time that is assumed, whatever the peer names.
 const MAX_KEEP_ALIVE: Duration = Duration::from_secs(30);
 
+/// Size of a connection's read buffer, which bounds each head.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// How a request is sent.
 #[derive(Clone, Copy, Default)]
 pub(super) struct SendOptions<'a> {
@@ -74,15 +79,27 @@
     }
 }
 
+/// The head of an answer, or an error, with the request if it wasn't sent.
+type SendResult = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
+
 /// An open connection; dropping it closes it.
 pub(super) struct Connection {
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     carried: Carried,
+    head: HeadLimit,
 }
 
 impl Connection {
+    /// Sends a request and waits for the head of its answer.
+    async fn send(&mut self, request: Request<Full<Bytes>>) -> SendResult {
+        self.head.begin();
+        let result = self.sender.try_send_request(request).await;
+        self.head.end();
+        result
+    }
+
     /// Whether its last answer may be one to an earlier request, if nothing in it shows to which.
     pub fn has_earlier(&self) -> bool {
         self.carried.has_several()
@@ -138,7 +155,7 @@
         while let Some(mut connection) = self.take(addr, &options) {
             self.check_time(options.send_by)?;
             connection.carried.add(options.label);
-            match connection.sender.try_send_request(request).await {
+            match connection.send(request).await {
                 Ok(response) => {
                     self.count(options.call_use, "reused");
                     return Ok((response, connection));
@@ -154,7 +171,7 @@
         self.count(options.call_use, "opened");
         connection.carried.add(options.label);
         self.check_time(options.send_by)?;
-        match connection.sender.try_send_request(request).await {
+        match connection.send(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(CallFault::NotSent),
@@ -224,8 +241,13 @@
     };
     // An error is ignored: without TCP_NODELAY answers are only delayed.
     let _ = stream.set_nodelay(true);
-    let io = TokioIo::new(stream);
-    let (sender, driver) = http1::handshake(io).await.map_err(|_| CallFault::NotSent)?;
+    let head = HeadLimit::default();
+    let io = TokioIo::new(LimitedStream::new(stream, head.clone()));
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(io)
+        .await;
+    let (sender, driver) = handshake.map_err(|_| CallFault::NotSent)?;
     let driver = tokio::task::spawn_local(async move {
         // An error of the connection is reported to the request that awaits its answer.
         let _ = driver.await;
@@ -235,5 +257,6 @@
         sender,
         driver: driver.abort_handle(),
         carried: Carried::default(),
+        head,
     })
 }
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -14,6 +14,7 @@
 mod evacuation;
 mod fields;
 mod fixture;
+mod floods;
 mod foreign;
 mod framing;
 mod gate;
