Answers that are read whole share a bound of memory

Callers saw: 504 at their deadline beside an endpoint of a plain service whose answers have no end; on the users' machines its router would have been killed for its memory, with all that it served.

Cause: an answer could have 16 MiB, and nothing bounded all of them together: 12 of them at a time took 207 MiB. Each chunk was kept as it came: the same in chunks of 16 bytes took 386 MiB and three seconds.

Evidence: floods::requests_are_served_beside_an_endpoint_whose_bodies_do_not_end failed before with 504 for every second request.

Fix: answers of endpoints take room from 16 MiB in all, those of the store and of other routers from 32 MiB, until they are dropped.

--- a/src/link/endpoint_calls.rs
+++ b/src/link/endpoint_calls.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use tokio::time::timeout;
 
 use super::call_fault::CallFault;
@@ -227,9 +227,9 @@
     max_bytes: usize,
     options: SendOptions<'_>,
 ) -> Result<(Response<Bytes>, Connection), CallFault> {
+    let room = shared.room(options.call_use);
     let (response, connection) = shared.pool.send(addr, request, options).await?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, max_bytes).collect().await;
-    let body = body.map_err(|_| CallFault::Broken)?.to_bytes();
+    let body = room.read(body, max_bytes).await?;
     Ok((Response::from_parts(head, body), connection))
 }
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -11,6 +11,7 @@
 use tokio::task::LocalSet;
 use tokio::time::{interval, sleep, MissedTickBehavior};
 
+use super::answer_room::AnswerRoom;
 use super::direct_actor::DirectActor;
 use super::link_event::LinkEvent;
 use super::pool::Pool;
@@ -32,6 +33,12 @@
 /// requests are sent without much delay.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Memory for all answers of endpoints that are read whole.
+const ENDPOINT_ROOM_BYTES: usize = 16 * 1024 * 1024;
+
+/// Memory for all answers of the store and of other routers.
+const STORE_ROOM_BYTES: usize = 32 * 1024 * 1024;
+
 /// Interval at which idle connections are checked for expiry.
 const REAP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -60,6 +67,8 @@
         routing_reads: Cell::new(0),
         store: settings.store,
         pool: Pool::new(clock),
+        endpoint_room: AnswerRoom::new(ENDPOINT_ROOM_BYTES),
+        store_room: AnswerRoom::new(STORE_ROOM_BYTES),
         callers: RefCell::new(HashMap::new()),
         runs: RefCell::new(HashMap::new()),
         limits: Cell::new(CallerLimits::default()),
--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{response, HeaderMap, Method};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::call_fault::CallFault;
@@ -111,14 +111,15 @@
         }
         return Some(events);
     }
-    let Ok(whole) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
+    let room = shared.room(CallUse::Run);
+    let Ok(whole) = room.read(body, MAX_ANSWER_BYTES).await else {
         return Some(RunPart::Broken);
     };
     shared.pool.give_back(connection, keep_alive);
     let status = head.status.as_u16();
     store_head(shared, run.run, head);
     if let Some(active) = shared.runs.borrow_mut().get_mut(&run.run) {
-        active.body = whole.to_bytes();
+        active.body = whole;
     }
     Some(RunPart::Complete {
         status,
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -11,6 +11,8 @@
 use tokio::task::AbortHandle;
 
 use super::answer_body::{AnswerBody, StreamPart};
+use super::answer_room::AnswerRoom;
+use super::call_use::CallUse;
 use super::link_event::{LinkEvent, ReceivedRequest};
 use super::pool::Pool;
 use super::store::PrefixEntries;
@@ -42,6 +44,10 @@
     pub store: SocketAddr,
     /// Idle connections.
     pub pool: Pool,
+    /// Memory for answers of endpoints.
+    pub endpoint_room: AnswerRoom,
+    /// Memory for answers of the store and of other routers.
+    pub store_room: AnswerRoom,
     /// Callers that wait for an answer, by request.
     pub callers: RefCell<HashMap<u64, Caller>>,
     /// Runs that haven't ended, by number.
@@ -129,6 +135,14 @@
 }
 
 impl Shared {
+    /// Memory for the answers to calls of one use.
+    pub fn room(&self, call_use: CallUse) -> &AnswerRoom {
+        match call_use {
+            CallUse::Run | CallUse::Probe | CallUse::Order => &self.endpoint_room,
+            CallUse::Store | CallUse::Router => &self.store_room,
+        }
+    }
+
     /// Shortest pause between two calls of one watch, so that each watch uses at most half of
     /// the store's read rate, all routers together.
     pub fn min_pause(&self) -> Duration {
--- a/tests/direct/floods.rs
+++ b/tests/direct/floods.rs
@@ -105,3 +105,18 @@
         check_served("e0", "/stream/", STREAMS, kind);
     }
 }
+
+/// Guards against a router that is out of memory: each body was bounded, but not all of them together,
+/// and a body of many small chunks took many times its length.
+#[test]
+fn requests_are_served_beside_an_endpoint_whose_bodies_do_not_end() {
+    let kinds = [
+        Flood::Chunks,
+        Flood::Unframed,
+        Flood::Trailers,
+        Flood::Surplus,
+    ];
+    for kind in kinds {
+        check_served("p0", "/safe/", REQUESTS, kind);
+    }
+}
