A stream whose events don't go on is resumed at another head

Callers saw: streams that ended at their deadline, in the middle, while their head sent events without end of which none had an id above the last one. The head counted as alive, and a router that passed such events on waited for more.

Fix: after 64 events in a row without a higher id the run counts as broken. An incomplete event may have 128 KiB instead of 1 MiB, as a head runs dozens of streams. A few bytes now and then can't be told from a slow answer: a second test shows that callers get an end in time.

--- a/src/link/event_splitter.rs
+++ b/src/link/event_splitter.rs
@@ -1,7 +1,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Most bytes that are buffered for an event.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+const MAX_EVENT_BYTES: usize = 128 * 1024;
 
 /// Splits a stream of server-sent events into complete events.
 ///
--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -26,6 +26,10 @@
 /// Longest answer that isn't streamed.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Events in a row without an id above the last one, after which a stream isn't read on: the ids of a
+/// stream that goes on rise.
+const MAX_UNNUMBERED_EVENTS: usize = 64;
+
 /// Starts a run.
 pub(super) fn start(shared: &Rc<Shared>, run: RunRequest, received: Rc<ReceivedRequest>) {
     let number = run.run;
@@ -140,10 +144,11 @@
 }
 
 /// Reads a stream of events to its end and passes each event on; where `needs_event` is true, a
-/// stream without any event is broken off.
+/// stream without any event is broken off. So is one whose events don't go on.
 async fn read_events(shared: &Shared, run: u64, mut body: Incoming, needs_event: bool) -> RunPart {
     let mut splitter = EventSplitter::default();
     let mut has_event = false;
+    let (mut last_id, mut unnumbered) = (None, 0);
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame,
@@ -157,6 +162,15 @@
             return RunPart::Broken;
         }
         while let Some(event) = splitter.next_event() {
+            unnumbered = if event.id > last_id {
+                0
+            } else {
+                unnumbered + 1
+            };
+            last_id = last_id.max(event.id);
+            if unnumbered > MAX_UNNUMBERED_EVENTS {
+                return RunPart::Broken;
+            }
             let part = RunPart::Event {
                 id: event.id,
                 bytes: event.bytes,
--- a/tests/direct/floods.rs
+++ b/tests/direct/floods.rs
@@ -120,3 +120,40 @@
         check_served("p0", "/safe/", REQUESTS, kind);
     }
 }
+
+/// Guards against streams that end at their deadline, in the middle of their answer, as their head sends
+/// events without end of which none goes on: it counted as alive.
+#[test]
+fn streams_are_served_beside_a_head_whose_streams_do_not_end() {
+    let kinds = [
+        Flood::Chunks,
+        Flood::Unframed,
+        Flood::Event,
+        Flood::Events,
+        Flood::SameEvents,
+        Flood::Trailers,
+    ];
+    for kind in kinds {
+        check_served("e0", "/stream/", STREAMS, kind);
+    }
+}
+
+/// Guards against a caller that waits beyond its time, or takes an answer for whole that isn't: a few
+/// bytes now and then can't be told from a slow answer.
+#[test]
+fn callers_of_an_endpoint_that_trickles_get_an_end_in_time() {
+    for (id, path, count) in [("p0", "/safe/", REQUESTS), ("e0", "/stream/", STREAMS)] {
+        let dir = tempfile::tempdir().expect("a folder");
+        let (_standin, flooder, routers) = start(id, path, Flood::Trickle, dir.path());
+        let (answers, took) = ask(&routers[0], path, count);
+        let is_true = |a: &Option<u16>| matches!(a, Some(200 | 504) | None);
+        assert!(answers.iter().all(is_true), "{path}: {answers:?}");
+        let served = answers.iter().filter(|a| **a == Some(200)).count();
+        assert!(served > 0, "{path}: {answers:?}");
+        assert!(
+            took.as_millis() < u128::from(WAIT_MS) + 500,
+            "{path}: {took:?}"
+        );
+        check(path, &flooder, &routers[0]);
+    }
+}
