Answers of the store have 16 MiB at most; floods of every kind of call

Cause: an answer of the store could have 64 MiB. While the store answered all calls without end, a router took 192 MiB; callers were served all the same.

The store gives pages of 1 MB.

--- a/src/link/store.rs
+++ b/src/link/store.rs
@@ -38,7 +38,7 @@
 const RATE_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest answer that is read.
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// Failed page calls after which a read in pages is given up.
 const MAX_PAGE_FAILURES: u32 = 5;
--- a/testkit/standin/flooder.rs
+++ b/testkit/standin/flooder.rs
@@ -1,6 +1,6 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,7 @@
 
 #[derive(Default)]
 struct Counts {
-    connections: AtomicU64,
+    paused: AtomicBool,
     floods: AtomicU64,
     bytes: AtomicU64,
     open: AtomicU64,
@@ -39,7 +39,6 @@
         std::thread::spawn(move || {
             for caller in listener.incoming().flatten() {
                 let counts = shared.clone();
-                counts.connections.fetch_add(1, Ordering::Relaxed);
                 std::thread::spawn(move || relay(caller, target, path, flood, &counts));
             }
         });
@@ -51,9 +50,9 @@
         self.addr
     }
 
-    /// Number of connections so far.
-    pub fn connections(&self) -> u64 {
-        self.counts.connections.load(Ordering::Relaxed)
+    /// Passes all calls on, or ends that.
+    pub fn set_paused(&self, paused: bool) {
+        self.counts.paused.store(paused, Ordering::Relaxed);
     }
 
     /// Number of floods so far.
@@ -87,7 +86,8 @@
         let length = caller.read(&mut block).ok().filter(|length| *length > 0)?;
         let request = String::from_utf8_lossy(&block[..length]);
         let mut words = request.split(' ').skip(1);
-        if words.next().is_some_and(|p| p.starts_with(path)) {
+        let is_flooded = words.next().is_some_and(|p| p.starts_with(path));
+        if is_flooded && !counts.paused.load(Ordering::Relaxed) {
             counts.floods.fetch_add(1, Ordering::Relaxed);
             counts.open.fetch_add(1, Ordering::Relaxed);
             send(&mut caller, flood, &request, counts);
--- a/tests/direct/floods.rs
+++ b/tests/direct/floods.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use testkit::direct::{
-    exchange, logs, start_routers, until, CallerRequest, Flood, Flooder, Router, Standin,
+    config, exchange, logs, served, start_routers, until, CallerRequest, Flood, Flooder, Router,
+    Standin,
 };
 
 /// Published bound of a router's memory.
@@ -18,6 +19,14 @@
 const REQUESTS: usize = 24;
 const STREAMS: usize = 6;
 
+/// Lists an endpoint at a relay that floods calls of a path.
+fn flood_calls(standin: &Standin, id: &str, path: &'static str, flood: Flood) -> Flooder {
+    let target = standin.world().addr(id).expect("an endpoint");
+    let flooder = Flooder::start(target, path, flood);
+    standin.world().list_at(id, flooder.addr());
+    flooder
+}
+
 /// Starts two routers and a fleet in which an endpoint floods calls of a path.
 fn start(
     id: &str,
@@ -26,9 +35,7 @@
     dir: &Path,
 ) -> (Standin, Flooder, Vec<Router>) {
     let standin = Standin::start(6, 2);
-    let target = standin.world().addr(id).expect("an endpoint");
-    let flooder = Flooder::start(target, path, flood);
-    standin.world().list_at(id, flooder.addr());
+    let flooder = flood_calls(&standin, id, path, flood);
     let routers = start_routers(&standin, &[standin.store; 2], dir);
     until("two groups are open", Duration::from_secs(20), || {
         standin.open_groups().len() == 2
@@ -157,3 +164,107 @@
         check(path, &flooder, &routers[0]);
     }
 }
+
+/// Floods of calls that aren't requests of callers.
+const CALLS: [Flood; 4] = [
+    Flood::Headers,
+    Flood::Interim,
+    Flood::Chunks,
+    Flood::Unframed,
+];
+
+/// Guards against groups that aren't formed as one endpoint answers orders without end.
+#[test]
+fn groups_are_formed_beside_an_endpoint_that_floods_the_answers_to_orders() {
+    for kind in CALLS {
+        let dir = tempfile::tempdir().expect("a folder");
+        let standin = Standin::start(4, 2);
+        let flooder = flood_calls(&standin, "e0", "/runrail/order", kind);
+        let routers = start_routers(&standin, &[standin.store; 2], dir.path());
+        let groups = standin.open_groups();
+        assert!(groups.iter().all(|g| !g.contains(&"e0".to_string())));
+        let planner = &routers[usize::from(!is_planner(&routers[0]))];
+        check(&format!("{kind:?} at orders"), &flooder, planner);
+    }
+}
+
+fn is_planner(router: &Router) -> bool {
+    router.metrics().contains("runrail_plans 1")
+}
+
+/// Guards against a group that isn't replaced as one endpoint answers probes without end.
+#[test]
+fn a_lost_group_is_replaced_beside_an_endpoint_that_floods_reports() {
+    for kind in CALLS {
+        let dir = tempfile::tempdir().expect("a folder");
+        let standin = Standin::start(6, 2);
+        let flooder = flood_calls(&standin, "e0", "/runrail/report", kind);
+        let routers = start_routers(&standin, &[standin.store; 2], dir.path());
+        let is_whole = || {
+            let groups = standin.open_groups();
+            groups.iter().any(|g| g.iter().all(|id| id != "e1"))
+        };
+        standin.kill("e1");
+        until("a group is open", Duration::from_secs(20), is_whole);
+        until("a stream is served", Duration::from_secs(10), || {
+            served(&routers[0], "after")
+        });
+        for router in &routers {
+            let peak = peak_memory_kib(router);
+            assert!(peak <= MAX_MEMORY_KIB, "{kind:?}: {peak} KiB");
+        }
+        println!("{kind:?} at reports: {} floods", flooder.floods());
+    }
+}
+
+/// Guards against a router that stops serving, or runs out of memory, while the store answers without
+/// end, and against one that doesn't follow the store after that.
+#[test]
+fn callers_are_served_while_the_store_floods_its_answers() {
+    for (version, kind) in (2..).zip(CALLS) {
+        let dir = tempfile::tempdir().expect("a folder");
+        let standin = Standin::start(3, 2);
+        let flooder = Flooder::start(standin.store, "/runrail/", kind);
+        flooder.set_paused(true);
+        let routers = start_routers(&standin, &[standin.store, flooder.addr()], dir.path());
+        flooder.set_paused(false);
+        let begin = Instant::now();
+        while begin.elapsed() < Duration::from_secs(3) {
+            let (answers, _) = ask(&routers[1], "/safe/", 4);
+            let is_served = |a: &Option<u16>| *a == Some(200);
+            assert!(answers.iter().all(is_served), "{kind:?}: {answers:?}");
+        }
+        flooder.set_paused(true);
+        check(&format!("{kind:?} at the store"), &flooder, &routers[1]);
+        standin.world().configure(&config(version));
+        until("the routing is in force", Duration::from_secs(10), || {
+            routers[1].routing() == Some(version)
+        });
+    }
+}
+
+/// Guards against a router that doesn't start, or doesn't follow the routing, as other routers answer
+/// its calls without end.
+#[test]
+fn a_router_starts_and_follows_the_routing_beside_others_that_flood_answers() {
+    for (version, kind) in (2..).zip(CALLS) {
+        let dir = tempfile::tempdir().expect("a folder");
+        let standin = Standin::start(3, 2);
+        let flooder = Flooder::start(standin.store, "/", kind);
+        for n in 0..40 {
+            let key = format!("runrail/router/flooder{n}");
+            standin
+                .world()
+                .configure_key(&key, &flooder.addr().to_string());
+        }
+        let routers = start_routers(&standin, &[standin.store; 2], dir.path());
+        standin.world().configure(&config(version));
+        for router in &routers {
+            until("the routing is in force", Duration::from_secs(10), || {
+                router.routing() == Some(version)
+            });
+        }
+        check(&format!("{kind:?} at routers"), &flooder, &routers[0]);
+        check(&format!("{kind:?} at routers"), &flooder, &routers[1]);
+    }
+}
