A router that stops lets callers read their answers until its grace time is over

Callers saw: an answer that was cut when its router was told to stop, with seconds of its grace time left, where they read it late.

Cause: the process ended 0.4 s after the last answer was handed to its connection; what the connection hadn't written by then was lost.

Fix: the process waits for its callers' connections until the time at which it would exit with requests in flight.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -172,6 +172,9 @@
             } => self.metrics.record(metric, &account, &class, value),
             Effect::Exit => {
                 self.log_event(&LogEvent::new(LogCode::Stopped));
+                if let Node::Direct(state) = &self.node {
+                    self.shared.exit_by.set(state.exit_by().unwrap_or(0));
+                }
                 self.shared.exit.notify_one();
             }
             _ => {}
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -42,8 +42,8 @@
 /// Interval at which idle connections are checked for expiry.
 const REAP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Longest time that the shutdown waits for callers' connections to close.
-const MAX_FLUSH_TIME: Duration = Duration::from_millis(400);
+/// Time that the shutdown waits for callers' connections to close if the grace time is nearly over.
+const MIN_FLUSH_TIME: Duration = Duration::from_millis(400);
 
 /// Runs a router with direct links on this thread until it has shut down.
 ///
@@ -92,6 +92,7 @@
         keys_source: Cell::new(None),
         pace_changed: Notify::new(),
         own_watch: (Cell::new(StorePosition::default()), Notify::new()),
+        exit_by: Cell::new(0),
         exit: Notify::new(),
         open_connections: Rc::new(()),
         peers: RefCell::new(None),
@@ -277,7 +278,8 @@
 /// being written are delivered before the process ends.
 async fn flush_answers(shared: &Rc<Shared>) {
     let start = Instant::now();
-    while Rc::strong_count(&shared.open_connections) > 1 && start.elapsed() < MAX_FLUSH_TIME {
+    let has_time = || shared.clock.now() < shared.exit_by.get() || start.elapsed() < MIN_FLUSH_TIME;
+    while Rc::strong_count(&shared.open_connections) > 1 && has_time() {
         sleep(Duration::from_millis(10)).await;
     }
     sleep(Duration::from_millis(20)).await;
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -22,7 +22,7 @@
 use crate::host::Clock;
 use crate::logic::direct::{DirectEvent, KeysSource, ListPace};
 use crate::logic::Event;
-use crate::types::{CallerLimits, StorePosition};
+use crate::types::{CallerLimits, Millis, StorePosition};
 
 /// Pause of one router at a store that takes one read call a second from all routers.
 const PAUSE_PER_ROUTER_MS: u64 = 2_000;
@@ -95,6 +95,8 @@
     pub pace_changed: Notify,
     /// Position after which the routers' own keys are watched, and the signal to begin.
     pub own_watch: (Cell<StorePosition>, Notify),
+    /// Time until which callers may read their answers once the process is to end.
+    pub exit_by: Cell<Millis>,
     /// Notified when the process is to end.
     pub exit: Notify,
     /// Cloned for every connection of a caller; the count shows how many are open.
--- a/src/logic/direct/direct_state.rs
+++ b/src/logic/direct/direct_state.rs
@@ -151,6 +151,12 @@
         }
     }
 
+    /// Time at which the process exits in any case, once it is shutting down: answers that callers still
+    /// read may take until then.
+    pub fn exit_by(&self) -> Option<Millis> {
+        super::step::exit_by(self)
+    }
+
     /// Metrics of this router by name, for its metrics address.
     pub fn metrics(&self, now: Millis) -> Vec<(&'static str, u64)> {
         let listed = self.endpoints.values().filter(|v| v.listed);
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -188,6 +188,12 @@
 /// Part of the grace time after which the process exits in any case, in sixteenths.
 const EXIT_SIXTEENTHS: Millis = 15;
 
+/// Time at which the process exits in any case, once it is shutting down.
+pub(super) fn exit_by(state: &DirectState) -> Option<Millis> {
+    let part = state.params.grace_ms / 16;
+    state.stop_since.map(|since| since + EXIT_SIXTEENTHS * part)
+}
+
 /// Advances the shutdown: stops accepting callers, then exits once all requests are answered or
 /// the grace time is nearly over.
 fn advance_shutdown(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
@@ -201,7 +207,7 @@
             state.shutdown = ShutdownStage::Draining;
             out.push(Effect::Direct(DirectEffect::StopAccepting));
         }
-        ShutdownStage::Draining if answered || now >= since + EXIT_SIXTEENTHS * part => {
+        ShutdownStage::Draining if answered || exit_by(state).is_some_and(|by| now >= by) => {
             state.shutdown = ShutdownStage::Done;
             out.push(Effect::Exit);
         }
--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -209,7 +209,11 @@
             let mut world = world.lock().expect("state lock");
             *world.once.entry(attempt.clone()).or_default() += 1;
         }
-        json_response(StatusCode::OK, &json!({"by": own_id}))
+        let padding = world.lock().expect("state lock").padding;
+        json_response(
+            StatusCode::OK,
+            &json!({"by": own_id, "padding": "x".repeat(padding)}),
+        )
     };
     if unframed {
         response = without_framing(response);
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -41,6 +41,8 @@
     pub orders: (u32, u32),
     /// Number of answers that were given once more.
     pub repeated: u32,
+    /// Bytes by which the answers of the plain service are longer.
+    pub padding: usize,
     /// Whether answers to requests have neither a length nor chunks, and end with their connections.
     pub unframed: bool,
     /// Streams that are cut, the next one last.
--- a/tests/direct/stopping.rs
+++ b/tests/direct/stopping.rs
@@ -1,7 +1,13 @@
 //! Orderly shutdown of a router: no request that was accepted loses its answer.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
 use runrail::logic::direct::{DirectEffect, Problem, RunPart};
 use runrail::logic::{Effect, Event};
+use testkit::direct::{fleet, logs, until, CallerRequest};
 
 use crate::fixture::{open_group, piece, problem, run, Router};
 
@@ -69,3 +75,37 @@
     let answer = problem(&router.take_effects());
     assert!(matches!(answer, Some(Problem::NotYet(_))), "{answer:?}");
 }
+
+/// Guards against an answer that is cut at shutdown though grace time is left: the process ended 0.4 s
+/// after the last answer was handed to its connection, whether its caller had it or not.
+#[test]
+fn a_caller_that_reads_late_gets_its_whole_answer_before_the_process_ends() {
+    const ANSWER_BYTES: usize = 12 * 1024 * 1024;
+    let dir = tempfile::tempdir().expect("a folder");
+    let (standin, mut routers) = fleet(3, dir.path());
+    standin.world().padding = ANSWER_BYTES;
+    let request = CallerRequest {
+        path: "/safe/x",
+        attempt: "late",
+        ..CallerRequest::default()
+    };
+    let mut caller = TcpStream::connect(routers[0].callers).expect("a connection");
+    caller
+        .write_all(request.to_string().as_bytes())
+        .expect("a request");
+    let is_answered =
+        || logs(dir.path()).contains("E642 request answered in full request=\"late\"");
+    until("it is answered", Duration::from_secs(10), is_answered);
+    routers[0].signal(Signal::SIGTERM);
+    std::thread::sleep(Duration::from_millis(2_500));
+    let mut answer = Vec::new();
+    let ended = caller.read_to_end(&mut answer);
+    assert!(
+        ended.is_ok() && answer.len() > ANSWER_BYTES,
+        "{ended:?}: {} bytes",
+        answer.len()
+    );
+    until("the process ends", Duration::from_secs(2), || {
+        routers[0].child.try_wait().is_ok_and(|s| s.is_some())
+    });
+}
