--- a/src/link/answer_room.rs
+++ b/src/link/answer_room.rs
@@ -10,7 +10,7 @@
 /// Bytes of an answer that take no room, so that long answers keep out no short ones.
 const FREE_BYTES: usize = 64 * 1024;
 
-/// Memory for answers that are read whole: all of them together are bounded.
+/// Bounds the memory of all answers that are being read whole or wait for their callers.
 pub(super) struct AnswerRoom {
     max_bytes: usize,
     used: Arc<AtomicUsize>,
--- a/src/link/limited_stream.rs
+++ b/src/link/limited_stream.rs
@@ -35,18 +35,20 @@
         self.left.set(None);
     }
 
+    /// Counts bytes that were read.
+    ///
     /// # Errors
-    /// Returns an error if more bytes have come than the head may have.
+    /// Returns an error if more have come than the head may have.
     fn count(&self, bytes: usize) -> io::Result<()> {
         let Some(left) = self.left.get() else {
             return Ok(());
         };
-        let left = left.checked_sub(bytes);
-        self.left.set(Some(left.unwrap_or(0)));
-        left.map(|_| ()).ok_or_else(|| {
+        let Some(left) = left.checked_sub(bytes) else {
             let why = format!("no complete head in {MAX_HEAD_BYTES} bytes");
-            io::Error::new(io::ErrorKind::InvalidData, why)
-        })
+            return Err(io::Error::new(io::ErrorKind::InvalidData, why));
+        };
+        self.left.set(Some(left));
+        Ok(())
     }
 }
 
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -34,10 +34,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Memory for all answers of endpoints that are read whole.
-const ENDPOINT_ROOM_BYTES: usize = 16 * 1024 * 1024;
+const ENDPOINT_ROOM_BYTES: usize = 32 * 1024 * 1024;
 
 /// Memory for all answers of the store and of other routers.
-const STORE_ROOM_BYTES: usize = 32 * 1024 * 1024;
+const STORE_ROOM_BYTES: usize = 24 * 1024 * 1024;
 
 /// Interval at which idle connections are checked for expiry.
 const REAP_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -180,12 +180,12 @@
             if unnumbered > MAX_UNNUMBERED_EVENTS {
                 return RunPart::Broken;
             }
+            has_event = true;
             let part = RunPart::Event {
                 id: event.id,
                 bytes: event.bytes,
             };
             send_part(shared, run.run, part);
-            has_event = true;
         }
         disconnect_slow_caller(shared, run.request);
     }
