A stream that waits isn't sent after its deadline

Cause: since streams wait until their deadline, an event between the deadline and the tick that ends the stream could send it. A release build would have given the endpoint endless time.

--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -42,15 +42,16 @@
     }
 }
 
-/// Sends a request to the best endpoint; false if none can take it now.
+/// Sends a request to the best endpoint; false if none can take it now, if it isn't to be sent again yet,
+/// or if its deadline has passed.
 pub(super) fn try_send(
     state: &mut DirectState,
     now: Millis,
     id: u64,
     out: &mut Vec<Effect>,
 ) -> bool {
-    let flight = state.in_flight.get(&id).filter(|f| now >= f.resend_at);
-    let Some(flight) = flight.cloned() else {
+    let can_send = |f: &&InFlightRequest| (f.resend_at..f.deadline).contains(&now);
+    let Some(flight) = state.in_flight.get(&id).filter(can_send).cloned() else {
         return false;
     };
     let Some(to) = choose::pick(state, now, &flight) else {
--- a/tests/direct/resumes.rs
+++ b/tests/direct/resumes.rs
@@ -144,3 +144,22 @@
     fresh.wait_ms = Some(4_000);
     assert_eq!(problem(&router.ask_for(fresh)), None);
 }
+
+/// Guards against a router that ends, or gives an endpoint endless time: a stream that waits is sent after
+/// its deadline, by an event that comes before the tick which ends it.
+#[test]
+fn a_waiting_stream_is_not_sent_after_its_deadline() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let first = begin(&mut router);
+    router.part(first.run, RunPart::Broken);
+    router.change("e1", None);
+    router.advance_ms(4_990);
+    router.take_effects();
+    router.now += 15;
+    for (id, entry) in open_group("h", [4, 5, 6]) {
+        router.change(id.as_str(), Some(entry));
+    }
+    assert_eq!(sends(&router.take_effects()), 0);
+    router.advance_ms(20);
+    assert!(is_cut(&router.take_effects()));
+}
