A body in small chunks counts more than its bytes

Each part takes time to read whatever its size.

A part counts 512 bytes at least, against the bound of the answer and against the room.

--- a/src/link/answer_room.rs
+++ b/src/link/answer_room.rs
@@ -10,6 +10,10 @@
 /// Bytes of an answer that take no room, so that long answers keep out no short ones.
 const FREE_BYTES: usize = 64 * 1024;
 
+/// What a part of an answer counts at least, as reading each takes time: a body may come in chunks of a
+/// few bytes.
+const MIN_PART_BYTES: usize = 512;
+
 /// Bounds the memory of all answers that are being read whole or wait for their callers.
 pub(super) struct AnswerRoom {
     max_bytes: usize,
@@ -35,7 +39,8 @@
     /// Reads the body of an answer.
     ///
     /// # Errors
-    /// Returns [`CallFault::Broken`] if it isn't complete, has more than `max_bytes`, or finds no room.
+    /// Returns [`CallFault::Broken`] if it isn't complete, has more than `max_bytes`, each part counted with
+    /// [`MIN_PART_BYTES`] at least, or finds no room.
     pub async fn read(&self, mut body: Incoming, max_bytes: usize) -> Result<Bytes, CallFault> {
         if body.size_hint().lower() > max_bytes as u64 {
             return Err(CallFault::Broken);
@@ -45,13 +50,14 @@
             taken: 0,
             used: self.used.clone(),
         };
+        let mut counted = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| CallFault::Broken)?;
             let Some(data) = frame.data_ref() else {
                 continue;
             };
-            let length = answer.bytes.len() + data.len();
-            if length > max_bytes || !answer.take_room(length, self.max_bytes) {
+            counted += data.len().max(MIN_PART_BYTES);
+            if counted > max_bytes || !answer.take_room(counted, self.max_bytes) {
                 return Err(CallFault::Broken);
             }
             answer.bytes.extend_from_slice(data);
@@ -61,9 +67,9 @@
 }
 
 impl Answer {
-    /// Takes room for an answer of this length; false if there is none.
-    fn take_room(&mut self, length: usize, max_bytes: usize) -> bool {
-        let more = length.saturating_sub(FREE_BYTES) - self.taken;
+    /// Takes room for so many bytes of the answer; false if there is none.
+    fn take_room(&mut self, counted: usize, max_bytes: usize) -> bool {
+        let more = counted.saturating_sub(FREE_BYTES) - self.taken;
         if self.used.load(Ordering::Relaxed) + more > max_bytes {
             return false;
         }
