--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -134,7 +134,7 @@
         run: None,
         earlier_runs: Vec::new(),
         resend_at: 0,
-        unpaid_resend: None,
+        pending_resend: None,
         head_sent: false,
         last_event: request.last_event,
         first_ms: 0,
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -157,7 +157,7 @@
             .with("event", flight.last_event.unwrap_or(0))
             .with("sends", flight.tried.len())
             .with("why", why)
-            .with("waited_after", flight.unpaid_resend.unwrap_or("-"));
+            .with("waited_after", flight.pending_resend.unwrap_or("-"));
         out.push(Effect::Log(event));
         out.push(Effect::Direct(DirectEffect::AbortStream(id)));
         return;
--- a/src/logic/direct/in_flight_request.rs
+++ b/src/logic/direct/in_flight_request.rs
@@ -52,7 +52,7 @@
     /// Time before which it isn't sent again.
     pub resend_at: Millis,
     /// Why it waits to be sent again, if a retry has yet to be spent on that.
-    pub unpaid_resend: Option<&'static str>,
+    pub pending_resend: Option<&'static str>,
     /// Whether the head of a stream was sent to the caller.
     pub head_sent: bool,
     /// Id of the last stream event that the caller has.
--- a/src/logic/direct/resume.rs
+++ b/src/logic/direct/resume.rs
@@ -30,7 +30,7 @@
         return finish::give_up(state, now, id, why, out);
     }
     flight.precedence = Precedence::Resumed;
-    flight.unpaid_resend = Some(why);
+    flight.pending_resend = Some(why);
     if waits {
         flight.wait_until = flight.deadline;
     }
@@ -38,16 +38,21 @@
 }
 
 /// Spends a retry on a stream that is resumed, if it still needs one; returns whether it may be sent.
-pub(super) fn pay(state: &mut DirectState, now: Millis, id: u64, out: &mut Vec<Effect>) -> bool {
+pub(super) fn spend_pending_retry(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    out: &mut Vec<Effect>,
+) -> bool {
     let flight = state.in_flight.get(&id);
-    let Some((why, service)) = flight.and_then(|f| Some((f.unpaid_resend?, f.service.clone())))
+    let Some((why, service)) = flight.and_then(|f| Some((f.pending_resend?, f.service.clone())))
     else {
         return true;
     };
     let is_paid = send::spend_retry(state, now, &service);
     if let Some(flight) = state.in_flight.get_mut(&id) {
         if is_paid {
-            flight.unpaid_resend = None;
+            flight.pending_resend = None;
             send::log_resend(state, now, id, why, out);
         } else {
             flight.resend_at = now + send::MIN_RESEND_PAUSE_MS;
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -57,7 +57,7 @@
     let Some(to) = choose::pick(state, now, &flight) else {
         return false;
     };
-    if !resume::pay(state, now, id, out) {
+    if !resume::spend_pending_retry(state, now, id, out) {
         return false;
     }
     let late = queue::on_sent(state, now, id, out);
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -296,6 +296,19 @@
     })
 }
 
+/// Begins stream 1, whose caller gets one event.
+pub fn begin_stream(router: &mut Router) -> RunRequest {
+    let first = run(&router.ask(1, "/stream/x"));
+    router.part(first.run, RunPart::Head);
+    router.part(first.run, piece(1));
+    first
+}
+
+/// Whether stream 1 is broken off for its caller.
+pub fn is_cut(effects: &[DirectEffect]) -> bool {
+    effects.contains(&DirectEffect::AbortStream(1))
+}
+
 pub fn piece(id: u64) -> RunPart {
     RunPart::Event {
         id: Some(id),
--- a/tests/direct/moves.rs
+++ b/tests/direct/moves.rs
@@ -2,7 +2,7 @@
 
 use runrail::logic::direct::{DirectEffect, DirectEvent, RunPart, RunRequest};
 
-use crate::fixture::{open_group, piece, run, Router};
+use crate::fixture::{begin_stream, is_cut, open_group, piece, run, Router};
 
 /// Silence after which a head's streams are moved.
 const MOVE_MS: u64 = 1_100;
@@ -20,17 +20,9 @@
     Router::new(entries)
 }
 
-/// Begins a stream whose caller has got one event.
-fn begin(router: &mut Router) -> RunRequest {
-    let first = run(&router.ask(1, "/stream/x"));
-    router.part(first.run, RunPart::Head);
-    router.part(first.run, piece(1));
-    first
-}
-
 /// Begins a stream and moves it from its head, which is silent; no further retry is left.
 fn begin_and_move(router: &mut Router) -> (RunRequest, RunRequest) {
-    let first = begin(router);
+    let first = begin_stream(router);
     router.advance_ms(MOVE_MS);
     let second = run(&router.take_effects());
     router.state().retries_from = None;
@@ -50,10 +42,6 @@
     effects.iter().filter(|e| is_event(e)).count() == 1
 }
 
-fn is_cut(effects: &[DirectEffect]) -> bool {
-    effects.contains(&DirectEffect::AbortStream(1))
-}
-
 /// Guards against a stream that is cut although its first head would have gone on: that run was
 /// cancelled as soon as another head was chosen, which then didn't serve it.
 #[test]
@@ -138,7 +126,7 @@
 #[test]
 fn a_stream_that_every_other_head_puts_off_stays_and_is_moved_later() {
     let mut router = three_groups();
-    let first = begin(&mut router);
+    let first = begin_stream(&mut router);
     let mut sends = 0;
     router.advance_ms(MOVE_MS);
     for _ in 0..100 {
--- a/tests/direct/resumes.rs
+++ b/tests/direct/resumes.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
-use runrail::logic::direct::{DirectEffect, DirectEvent, RunPart, RunRequest};
+use runrail::logic::direct::{DirectEffect, DirectEvent, RunPart};
 use runrail::logic::Event;
 
-use crate::fixture::{open_group, piece, problem, request, routing, run, Router};
+use crate::fixture::{
+    begin_stream, is_cut, open_group, piece, problem, request, routing, run, Router,
+};
 
 /// Time within which a stream that waits is sent again once it may be.
 const RESEND_MS: u64 = 100;
@@ -16,14 +18,6 @@
     Router::new(entries)
 }
 
-/// Begins a stream whose caller has got one event.
-fn begin(router: &mut Router) -> RunRequest {
-    let first = run(&router.ask(1, "/stream/x"));
-    router.part(first.run, RunPart::Head);
-    router.part(first.run, piece(1));
-    first
-}
-
 fn sends(effects: &[DirectEffect]) -> usize {
     let is_run = |e: &&DirectEffect| matches!(e, DirectEffect::Run(_));
     effects.iter().filter(is_run).count()
@@ -34,16 +28,12 @@
     effects.iter().any(is_event)
 }
 
-fn is_cut(effects: &[DirectEffect]) -> bool {
-    effects.contains(&DirectEffect::AbortStream(1))
-}
-
 /// Guards against a stream that is cut although the retry budget opens in time: its endpoint broke off
 /// while its router, which was restarted, had no retries to spend.
 #[test]
 fn a_broken_stream_waits_until_the_retry_budget_allows_it() {
     let mut router = two_groups();
-    let first = begin(&mut router);
+    let first = begin_stream(&mut router);
     let opens_at = router.now + 2_500;
     router.state().retries_from = Some(opens_at);
     let effects = router.part(first.run, RunPart::Broken);
@@ -62,7 +52,7 @@
 #[test]
 fn a_broken_stream_waits_for_room_as_long_as_its_caller_does() {
     let mut router = Router::new(open_group("g", [1, 2, 3]));
-    let first = begin(&mut router);
+    let first = begin_stream(&mut router);
     router.part(first.run, RunPart::Broken);
     router.change("e1", None);
     router.advance_ms(3_000);
@@ -81,7 +71,7 @@
 #[test]
 fn a_waiting_stream_stays_through_a_stop_and_a_new_routing_until_its_deadline() {
     let mut router = two_groups();
-    let first = begin(&mut router);
+    let first = begin_stream(&mut router);
     router.state().retries_from = None;
     router.part(first.run, RunPart::Broken);
     router.feed(Event::Stop);
@@ -96,7 +86,7 @@
 #[test]
 fn a_broken_stream_ends_at_once_if_the_retry_budget_opens_after_its_deadline() {
     let mut router = two_groups();
-    let first = begin(&mut router);
+    let first = begin_stream(&mut router);
     router.state().retries_from = Some(router.now + 5_000);
     assert!(is_cut(&router.part(first.run, RunPart::Broken)));
 }
@@ -105,7 +95,7 @@
 #[test]
 fn a_broken_stream_that_heads_refuse_is_sent_again_less_and_less_often() {
     let mut router = two_groups();
-    let first = begin(&mut router);
+    let first = begin_stream(&mut router);
     let mut effects = router.part(first.run, RunPart::Broken);
     let mut sent = 0;
     for _ in 0..100 {
@@ -150,7 +140,7 @@
 #[test]
 fn a_waiting_stream_is_not_sent_after_its_deadline() {
     let mut router = Router::new(open_group("g", [1, 2, 3]));
-    let first = begin(&mut router);
+    let first = begin_stream(&mut router);
     router.part(first.run, RunPart::Broken);
     router.change("e1", None);
     router.advance_ms(4_990);
