floods: the endless stream begins after the start of the fleet

Its head answers each stream with events of rising ids, which is a stream that is alive, until the deadline; the start waits for a whole stream at any head. If its first stream went to that head it went there each time, as a key's requests stay with a group.

--- a/tests/direct/floods.rs
+++ b/tests/direct/floods.rs
@@ -172,7 +172,16 @@
 #[test]
 fn a_caller_that_reads_nothing_of_an_endless_stream_is_disconnected() {
     let dir = tempfile::tempdir().expect("a folder");
-    let (_standin, flooder, routers) = start("e0", "/stream/", Flood::RisingEvents, dir.path());
+    let standin = Standin::start(6, 2);
+    let flooder = flood_calls(&standin, "e0", "/stream/", Flood::RisingEvents);
+    // A stream with rising ids goes on until its deadline: the stream that the start waits for would not
+    // be whole at this head.
+    flooder.set_paused(true);
+    let routers = start_routers(&standin, &[standin.store; 2], dir.path());
+    until("two groups are open", Duration::from_secs(20), || {
+        standin.open_groups().len() == 2
+    });
+    flooder.set_paused(false);
     let request = CallerRequest {
         wait_ms: WAIT_MS,
         ..CallerRequest::default()
