A closing group gets as long as its requests may take

The limit is now the longest deadline of any route to the service plus a second, after which every request at the head has ended. The same limit holds for the members of a head that only other routers find alive.

a_head_that_closes_may_finish_all_that_it_has_begun failed before.

--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -10,8 +10,12 @@
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{GroupSeat, InstanceId, Millis, SeatState};
 
-/// Longest time that a closing group gets to finish its requests.
-const CLOSING_LIMIT_MS: Millis = 3_000;
+/// Shortest time that a closing group gets to finish its requests, for those of routes that are no
+/// longer configured.
+const MIN_CLOSING_LIMIT_MS: Millis = 3_000;
+
+/// Time in which a head gets the order to close its group and the list shows that it has done so.
+const CLOSING_SLACK_MS: Millis = 1_000;
 
 /// Time that other routers get to report what they observe of a head.
 const CONFIRM_LIMIT_MS: Millis = 400;
@@ -321,7 +325,7 @@
         EndingStep::Closing => {
             let is_closed =
                 head.and_then(|id| seat_state(state, id, group)) == Some(SeatState::Ready);
-            if is_closed || now >= ending.step_since + CLOSING_LIMIT_MS {
+            if is_closed || now >= ending.step_since + closing_limit_ms(state, head) {
                 EndingStep::Leaving
             } else {
                 EndingStep::Closing
@@ -335,12 +339,22 @@
     }
 }
 
+/// How long a closing group gets to finish its requests: as long as any request to its service may take.
+fn closing_limit_ms(state: &DirectState, head: Option<&InstanceId>) -> Millis {
+    let service = head
+        .and_then(|id| state.endpoints.get(id))
+        .map(|v| &v.entry.service);
+    let routing = state.routing.as_ref();
+    let longest = service.zip(routing).map(|(s, r)| r.longest_timeout_ms(s));
+    MIN_CLOSING_LIMIT_MS.max(longest.unwrap_or(0) + CLOSING_SLACK_MS)
+}
+
 /// How long other routers get to confirm that a head has stopped, before the other members
 /// are ordered to leave, which breaks it. A head that a router finds alive gets as long as
 /// an orderly end may take; once no router reaches the head, nothing more is to be learnt.
 fn confirm_limit_ms(state: &DirectState, head: Option<&InstanceId>) -> Millis {
     if head.is_some_and(|id| probe::is_found_alive(state, id)) {
-        CLOSING_LIMIT_MS
+        closing_limit_ms(state, head)
     } else if head.is_some_and(|id| probe::is_silence_confirmed(state, id)) {
         0
     } else {
--- a/src/types/routing.rs
+++ b/src/types/routing.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{CallerLimits, KeyedAccount, MissingValue, RouteSpec, ServiceSpec};
+use super::{CallerLimits, KeyedAccount, Millis, MissingValue, RouteSpec, ServiceSpec};
 
 /// Routes, services and accounts, as read from the operators' document that is in force.
 ///
@@ -35,6 +35,14 @@
         routes.insert(index, Arc::new(route));
     }
 
+    /// The longest deadline of requests to a service, in milliseconds; 0 if no route leads to it.
+    pub fn longest_timeout_ms(&self, service: &Arc<str>) -> Millis {
+        let routes = self.routes.values().flatten();
+        let leads_there = |r: &&Arc<RouteSpec>| r.split.iter().any(|(name, _)| name == service);
+        let timeouts = routes.filter(leads_there).map(|r| r.timeout_ms);
+        timeouts.max().unwrap_or(0)
+    }
+
     /// Finds the route of a host with the longest prefix that matches a path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RouteSpec>> {
         let routes = self.routes.get(host)?;
--- /dev/null
+++ b/tests/direct/ending.rs
@@ -0,0 +1,79 @@
+//! How groups end: what their heads have begun is finished first, as long as they can finish it.
+
+use runrail::logic::direct::{DirectEffect, GroupStep, OrderResult};
+use runrail::types::{EndpointEntry, InstanceId, SeatState};
+
+use crate::fixture::{engine, open_group, order, seat, Router};
+
+fn fleet() -> Vec<(InstanceId, EndpointEntry)> {
+    let mut entries = open_group("g", [1, 2, 3]);
+    entries.extend([engine(4, None), engine(5, None)]);
+    entries
+}
+
+/// Endpoints that were ordered to close their group.
+fn closes(effects: &[DirectEffect]) -> Vec<String> {
+    let close = |e| match order(e) {
+        Some((_, id, GroupStep::Close { .. })) => Some(id),
+        _ => None,
+    };
+    effects.iter().filter_map(close).collect()
+}
+
+/// Endpoints that were ordered to leave their group.
+fn leaves(effects: &[DirectEffect]) -> Vec<String> {
+    let leave = |e| match order(e) {
+        Some((_, id, GroupStep::Leave { .. })) => Some(id),
+        _ => None,
+    };
+    effects.iter().filter_map(leave).collect()
+}
+
+/// Makes the planner end a group in order: a member announces that it leaves, and the list shows that
+/// the head closes the group.
+fn close_group(router: &mut Router) {
+    let (_, mut leaving) = open_group("g", [1, 2, 3]).remove(1);
+    leaving.leaving = true;
+    router.change("e2", Some(leaving));
+    router.advance_ms(60);
+    assert_eq!(closes(&router.take_effects()), ["e1"]);
+    let (_, closing) = engine(1, seat("g", 0, SeatState::Closing));
+    router.change("e1", Some(closing));
+}
+
+/// Advances the clock while each order is carried out at once, and returns the endpoints that were
+/// ordered to leave.
+fn advance(router: &mut Router, ms: u64) -> Vec<String> {
+    let mut left = Vec::new();
+    for _ in 0..ms / 20 {
+        router.advance_ms(20);
+        let effects = router.take_effects();
+        left.extend(leaves(&effects));
+        for (number, ..) in effects.iter().filter_map(order) {
+            router.answer_order(number, OrderResult::Done);
+        }
+    }
+    left
+}
+
+/// Guards against streams that are cut as their group has closed for three seconds, though their time
+/// isn't over: the head was told to leave, whatever it still had to do.
+#[test]
+fn a_head_that_closes_may_finish_all_that_it_has_begun() {
+    let mut router = Router::planner(fleet());
+    router.take_effects();
+    close_group(&mut router);
+    assert!(advance(&mut router, 4_900).is_empty());
+    let (_, ready) = engine(1, seat("g", 0, SeatState::Ready));
+    router.change("e1", Some(ready));
+    assert_eq!(advance(&mut router, 100), ["e1"]);
+}
+
+/// Guards against a group that closes forever: no request may take longer than the time limit of its route.
+#[test]
+fn a_head_that_does_not_finish_in_time_leaves() {
+    let mut router = Router::planner(fleet());
+    router.take_effects();
+    close_group(&mut router);
+    assert!(advance(&mut router, 6_500).contains(&"e1".to_string()));
+}
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod cut_heads;
 mod demand;
 mod digests;
+mod ending;
 mod evacuation;
 mod fields;
 mod fixture;
