--- a/src/logic/direct/plan/trade.rs
+++ b/src/logic/direct/plan/trade.rs
@@ -179,12 +179,12 @@
     let mut remaining = counts.to_vec();
     remaining[model] -= 1;
     let mut all = free.to_vec();
-    let usable = |id: &InstanceId| {
-        let view = state.endpoints.get(id);
-        view.is_some_and(|v| !state.evacuation.contains(&v.entry.hall))
+    let is_usable = |id: &&InstanceId| {
+        let view = state.endpoints.get(*id);
+        view.is_some_and(|v| survey::is_usable(state, id, v))
     };
     let members = group.seats.values().map(|s| &s.id);
-    all.extend(members.filter(|id| usable(id)).cloned());
+    all.extend(members.filter(is_usable).cloned());
     let sizes: Vec<usize> = engine.models.iter().map(|m| m.size).collect();
     let mix = best_mix(
         &readiness_by_model(state, &all, engine),
--- a/tests/direct/demand.rs
+++ b/tests/direct/demand.rs
@@ -56,6 +56,22 @@
     assert!(traded[0].starts_with('s'), "{traded:?}");
 }
 
+/// Guards against a group that ends for nothing: its members counted for the group that was to take its
+/// place, though they can't join one.
+#[test]
+fn no_group_is_traded_whose_members_can_not_join_another() {
+    let unable = |router: &mut Router| {
+        for id in ["e12", "e14"] {
+            router.change(id, None);
+        }
+    };
+    let mut router = Router::planner(fleet());
+    unable(&mut router);
+    keep_busy(&mut router, 2.0, 0.4, 4);
+    router.advance_ms(1_000);
+    assert!(router.state().plan.traded_groups.is_empty());
+}
+
 #[test]
 fn a_group_that_callers_need_is_left_alone() {
     let mut router = Router::planner(fleet());
