A group that works without a member the planner misses is drained

Given up: the runs of the head; certain then: only that this router doesn't reach the member.

What the head sends after the probe that the member missed shows that the group works, as it stands still without a member. It closes then and finishes its streams. A group that stands still ends as before.

a_group_that_works_with_a_member_out_of_reach_finishes_its_streams failed before.

--- a/src/logic/direct/plan/inspect.rs
+++ b/src/logic/direct/plan/inspect.rs
@@ -46,7 +46,8 @@
             ADOPTED_LIMIT_MS
         };
         if !can_complete(state, name, group) || now >= since + limit {
-            retire::begin(state, now, name, group, false, out);
+            let drain = works_without_missing(state, name, group, since);
+            retire::begin(state, now, name, group, drain, out);
         }
         return;
     }
@@ -67,6 +68,27 @@
     }
 }
 
+/// Whether the open head of an incomplete group has sent something to this router after its missing
+/// members didn't answer a probe, or after they were last listed. Without them it would stand still, so
+/// only this router doesn't reach them.
+fn works_without_missing(
+    state: &DirectState,
+    name: &Arc<str>,
+    group: &GroupView,
+    incomplete_since: Millis,
+) -> bool {
+    let is_missing = |id: &&InstanceId| {
+        let seat = state.endpoints.get(*id).and_then(|v| v.entry.seat.as_ref());
+        seat.is_some_and(|s| s.group == *name)
+    };
+    let missing = state.plan.lost.keys().filter(is_missing);
+    let probed_at = missing.filter_map(|id| Some(state.plan.probes.get(id)?.sent_at));
+    let missing_since = probed_at.max().unwrap_or(incomplete_since);
+    let head = group.head().filter(|h| h.state == SeatState::Open);
+    let view = head.and_then(|h| state.endpoints.get(&h.id));
+    view.is_some_and(|v| v.running > 0 && v.responded_at > missing_since)
+}
+
 /// Whether an incomplete group may still become complete in the list: none of its members
 /// is lost, and either an earlier planner has just begun it or the list lacks its head.
 fn can_complete(state: &DirectState, name: &Arc<str>, group: &GroupView) -> bool {
--- a/tests/direct/ending.rs
+++ b/tests/direct/ending.rs
@@ -1,9 +1,9 @@
 //! How groups end: what their heads have begun is finished first, as long as they can finish it.
 
-use runrail::logic::direct::{DirectEffect, GroupStep, OrderResult};
+use runrail::logic::direct::{DirectEffect, GroupStep, OrderResult, ProbeResult, RunPart};
 use runrail::types::{EndpointEntry, InstanceId, SeatState};
 
-use crate::fixture::{engine, open_group, order, seat, Router};
+use crate::fixture::{begin_stream, engine, open_group, order, piece, seat, Router};
 
 fn fleet() -> Vec<(InstanceId, EndpointEntry)> {
     let mut entries = open_group("g", [1, 2, 3]);
@@ -77,3 +77,43 @@
     close_group(&mut router);
     assert!(advance(&mut router, 6_500).contains(&"e1".to_string()));
 }
+
+/// Guards against streams that are cut as the planner alone can't reach a member of their group: its head
+/// was told to leave at once. Without the member the head sends nothing any more.
+#[test]
+fn a_group_that_works_with_a_member_out_of_reach_finishes_its_streams() {
+    let lost = [ProbeResult::Silent, ProbeResult::Refused];
+    for (result, works) in lost
+        .into_iter()
+        .flat_map(|r| [(r.clone(), true), (r, false)])
+    {
+        let mut router = Router::planner(fleet());
+        let sent = begin_stream(&mut router);
+        assert_eq!(sent.to.as_str(), "e1");
+        router.advance_ms(200);
+        assert!(router.probes().contains(&"e3".to_string()));
+        router.advance_ms(20);
+        if works {
+            router.part(sent.run, piece(2));
+        }
+        router.answer_probe("e3", result.clone());
+        if result == ProbeResult::Silent {
+            router.advance_ms(20);
+            if works {
+                router.part(sent.run, piece(3));
+            }
+            router.answer_probe("e3", result.clone());
+        }
+        router.advance_ms(60);
+        let effects = router.take_effects();
+        let expected: &[&str] = if works { &["e1"] } else { &[] };
+        assert_eq!(closes(&effects), expected, "{result:?}");
+        assert_eq!(leaves(&effects).is_empty(), works, "{result:?}");
+        if works {
+            assert_eq!(
+                router.part(sent.run, RunPart::End),
+                [DirectEffect::EndStream(1)]
+            );
+        }
+    }
+}
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -234,6 +234,15 @@
         self.tell(DirectEvent::Probed { id, result });
     }
 
+    /// Takes the effects, and returns the endpoints that were probed.
+    pub fn probes(&mut self) -> Vec<String> {
+        let probe = |e: &DirectEffect| match e {
+            DirectEffect::Probe { id, .. } => Some(id.to_string()),
+            _ => None,
+        };
+        self.take_effects().iter().filter_map(probe).collect()
+    }
+
     /// Answers the probes of endpoints that have crashed: nothing listens there.
     pub fn answer_crash_probes(&mut self) {
         let probes = self.effects.iter().filter_map(|e| match e {
