A group goes on if its head was only lost for a moment

Given up: the seat and its runs; certain then: that the head is alive.

Such an ending is called off as long as nothing was ordered, and a head that was closing goes on to do so.

a_group_whose_head_is_found_again_goes_on and a_closing_head_that_is_found_again_finishes_its_streams failed before.

--- a/src/logic/direct/plan/ending.rs
+++ b/src/logic/direct/plan/ending.rs
@@ -11,6 +11,8 @@
     pub others: Vec<InstanceId>,
     /// When it began to end.
     pub began_at: Millis,
+    /// Whether its head finishes its requests before it leaves.
+    pub drains: bool,
     /// The current step.
     pub step: EndingStep,
     /// When the step began.
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -265,6 +265,7 @@
             epoch: forming.epoch,
             head: forming.members.first().cloned(),
             others: forming.members.iter().skip(1).cloned().collect(),
+            drains: false,
             step: EndingStep::Leaving,
             step_since: now,
             began_at: now,
--- a/src/logic/direct/plan/inspect.rs
+++ b/src/logic/direct/plan/inspect.rs
@@ -137,6 +137,7 @@
         epoch: group.epoch,
         head: group.head().map(|h| h.id.clone()),
         others: others.map(|s| s.id.clone()).collect(),
+        drains: true,
         step: EndingStep::Closing,
         step_since: now,
         began_at: now,
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -42,6 +42,7 @@
         epoch: view.epoch,
         others: listed_others(state, group),
         head: head.or_else(|| lost_head(state, group)),
+        drains: drain,
         step: if drain {
             EndingStep::Closing
         } else {
@@ -290,6 +291,12 @@
         record_end(state, now, group, ending, proof, out);
         return false;
     }
+    if is_called_off(state, ending) {
+        out.push(Effect::Log(
+            LogEvent::new(LogCode::EndingCalledOff).with("group", group),
+        ));
+        return false;
+    }
     if let Some(head) = &ending.head {
         let is_confirming = ending.step == EndingStep::Confirming;
         let is_absent = order::is_out_of_reach(state, head) && !state.plan.lost.contains_key(head);
@@ -310,6 +317,17 @@
     true
 }
 
+/// Whether a group goes on: it only ends because its head was lost, which was found again before anything
+/// was ordered.
+fn is_called_off(state: &DirectState, ending: &EndingGroup) -> bool {
+    let is_found =
+        |id: &InstanceId| state.endpoints.contains_key(id) && !state.plan.lost.contains_key(id);
+    let began_here = ending.step_since == ending.began_at;
+    ending.step == EndingStep::Confirming
+        && began_here
+        && ending.head.as_ref().is_some_and(is_found)
+}
+
 /// The step that the group is in now.
 fn next_step(
     state: &DirectState,
@@ -331,6 +349,7 @@
                 EndingStep::Closing
             }
         }
+        EndingStep::Confirming if !is_lost && ending.drains => EndingStep::Closing,
         EndingStep::Confirming | EndingStep::Breaking if !is_lost => EndingStep::Leaving,
         EndingStep::Confirming if now >= ending.step_since + confirm_limit_ms(state, head) => {
             EndingStep::Breaking
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -194,4 +194,5 @@
     GroupEnded = 675 Info "group has ended: its members are free";
     AnswerForeign = 676 Warn "answer belongs to another request: it is not used and its connection is closed";
     RunDropped = 677 Info "a run of a moved stream has failed: another one may go on";
+    EndingCalledOff = 678 Info "group goes on: its head was found again";
 }
--- a/tests/direct/ending.rs
+++ b/tests/direct/ending.rs
@@ -11,6 +11,20 @@
     entries
 }
 
+/// Makes the planner find an endpoint lost.
+fn lose(router: &mut Router, id: &str) {
+    router.answer_probe(id, ProbeResult::Silent);
+    router.answer_probe(id, ProbeResult::Silent);
+}
+
+fn alive() -> ProbeResult {
+    ProbeResult::Alive {
+        started_ms: None,
+        seat: None,
+        slowness: 1_000,
+    }
+}
+
 /// Endpoints that were ordered to close their group.
 fn closes(effects: &[DirectEffect]) -> Vec<String> {
     let close = |e| match order(e) {
@@ -117,3 +131,36 @@
         }
     }
 }
+
+/// Guards against streams that are cut as the planner didn't reach their head for a moment: once it was
+/// found again it was told to leave.
+#[test]
+fn a_group_whose_head_is_found_again_goes_on() {
+    let mut router = Router::planner(fleet());
+    let sent = begin_stream(&mut router);
+    lose(&mut router, "e1");
+    assert!(advance(&mut router, 100).is_empty());
+    assert!(router.state().plan.ending.contains_key("g"));
+    router.answer_probe("e1", alive());
+    assert!(advance(&mut router, 1_000).is_empty());
+    assert!(router.state().plan.ending.is_empty());
+    assert_eq!(
+        router.part(sent.run, RunPart::End),
+        [DirectEffect::EndStream(1)]
+    );
+}
+
+/// Guards against the same while the group closes.
+#[test]
+fn a_closing_head_that_is_found_again_finishes_its_streams() {
+    let mut router = Router::planner(fleet());
+    router.take_effects();
+    close_group(&mut router);
+    lose(&mut router, "e1");
+    assert!(advance(&mut router, 100).is_empty());
+    router.answer_probe("e1", alive());
+    assert!(advance(&mut router, 1_000).is_empty());
+    let (_, ready) = engine(1, seat("g", 0, SeatState::Ready));
+    router.change("e1", Some(ready));
+    assert_eq!(advance(&mut router, 100), ["e1"]);
+}
