An endpoint's failure is kept until another endpoint has answered

Callers got a 502 or 504 of the router's in place of their endpoint's failure: it was dropped as soon as a retry was reserved, and the retry broke off, wasn't sent, was refused or came too late. Given up: the answer; certain then: only that a retry is left.

The failure is kept with its caller until another answer comes, and passed on if none does.

--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -73,6 +73,7 @@
                     request: received,
                     reply: Some(reply),
                     stream: None,
+                    kept: None,
                 };
                 self.shared.callers.borrow_mut().insert(call.id, caller);
                 Event::Direct(DirectEvent::Request(call))
@@ -192,6 +193,8 @@
             DirectEffect::Cancel(run) => runs::cancel(&self.shared, run),
             DirectEffect::PassHead { request, run } => self.forward_head(request, run),
             DirectEffect::PassAnswer { request, run } => self.forward_answer(request, run),
+            DirectEffect::KeepAnswer { request, run } => self.keep_answer(request, run),
+            DirectEffect::PassKeptAnswer(request) => self.forward_kept_answer(request),
             DirectEffect::PassEvent { request, bytes } => {
                 self.forward_part(request, StreamPart::Bytes(bytes))
             }
@@ -266,6 +269,7 @@
         let mut callers = self.shared.callers.borrow_mut();
         if let Some(caller) = callers.get_mut(&request) {
             caller.stream = Some(sender);
+            caller.kept = None;
             if let Some(reply) = caller.reply.take() {
                 // Fails only for a caller that has disconnected; its guard reports that.
                 let _ = reply.send(Response::from_parts(head, body));
@@ -274,15 +278,33 @@
     }
 
     fn forward_answer(&self, request: u64, run: u64) {
-        let found = self.shared.runs.borrow_mut().remove(&run);
-        let Some((head, body)) = found.and_then(|r| Some((r.head?, r.body))) else {
-            return;
-        };
-        let head = (self.shared.adapter.build_head)(&head);
-        self.reply(
-            request,
-            Response::from_parts(head, AnswerBody::Whole(Some(body))),
-        );
+        if let Some(answer) = self.take_answer(run) {
+            self.reply(request, answer);
+        }
+    }
+
+    fn keep_answer(&self, request: u64, run: u64) {
+        let answer = self.take_answer(run);
+        if let Some(caller) = self.shared.callers.borrow_mut().get_mut(&request) {
+            caller.kept = answer;
+        }
+    }
+
+    fn forward_kept_answer(&self, request: u64) {
+        let mut callers = self.shared.callers.borrow_mut();
+        let kept = callers.get_mut(&request).and_then(|c| c.kept.take());
+        drop(callers);
+        if let Some(answer) = kept {
+            self.reply(request, answer);
+        }
+    }
+
+    /// The complete answer of a run, for its caller.
+    fn take_answer(&self, run: u64) -> Option<Response<AnswerBody>> {
+        let run = self.shared.runs.borrow_mut().remove(&run)?;
+        let head = (self.shared.adapter.build_head)(&run.head?);
+        let body = AnswerBody::Whole(Some(run.body));
+        Some(Response::from_parts(head, body))
     }
 
     fn refuse(&self, request: u64, problem: Problem) {
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -124,6 +124,8 @@
     pub reply: Option<oneshot::Sender<Response<AnswerBody>>>,
     /// Receives the parts of a stream, once its head has been passed on.
     pub stream: Option<StreamSender>,
+    /// A failure of an endpoint, which is the answer if no other endpoint gives one.
+    pub kept: Option<Response<AnswerBody>>,
 }
 
 /// A run that hasn't ended.
--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -135,6 +135,7 @@
         earlier_runs: Vec::new(),
         resend_at: 0,
         pending_resend: None,
+        failure_kept: false,
         head_sent: false,
         last_event: request.last_event,
         first_ms: 0,
--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -115,6 +115,15 @@
     }));
 }
 
+/// Keeps an endpoint's failure while the request is sent again.
+fn keep_failure(state: &mut DirectState, id: u64, run: u64, out: &mut Vec<Effect>) {
+    if let Some(flight) = state.in_flight.get_mut(&id) {
+        flight.failure_kept = true;
+        let keep = DirectEffect::KeepAnswer { request: id, run };
+        out.push(Effect::Direct(keep));
+    }
+}
+
 fn on_whole_answer(
     state: &mut DirectState,
     now: Millis,
@@ -135,12 +144,17 @@
         return send::retry(state, now, id, false, "the endpoint did not run it", out);
     }
     let is_moved = !flight.earlier_runs.is_empty();
-    if flight.head_sent || (failed && is_moved) {
+    let head_sent = flight.head_sent;
+    if head_sent || (failed && is_moved) {
+        if !head_sent {
+            keep_failure(state, id, run, out);
+        }
         endpoints::release_run(state, id);
         return send::retry(state, now, id, true, WHY_FAILED, out);
     }
     // Without a retry the caller gets the endpoint's own answer.
     if failed && !is_last && send::reserve_retry(state, now, id, true).is_ok() {
+        keep_failure(state, id, run, out);
         endpoints::release_run(state, id);
         return send::send_again(state, now, id, WHY_FAILED, out);
     }
--- a/src/logic/direct/direct_effect.rs
+++ b/src/logic/direct/direct_effect.rs
@@ -26,6 +26,15 @@
         /// The run.
         run: u64,
     },
+    /// Keep a run's complete answer, which is a failure, until the request has another answer.
+    KeepAnswer {
+        /// The request.
+        request: u64,
+        /// The run.
+        run: u64,
+    },
+    /// Forward the kept answer of a request to the caller.
+    PassKeptAnswer(u64),
     /// Forward events of a stream to the caller.
     PassEvent {
         /// The request.
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -27,20 +27,21 @@
     };
     crashes::on_answered(state, now, flight.fingerprint, &flight.segments, out);
     out.push(Effect::Direct(last));
+    record_completion(&flight, now, out);
+}
+
+/// Logs and measures a request whose caller gets an endpoint's answer.
+fn record_completion(flight: &InFlightRequest, now: Millis, out: &mut Vec<Effect>) {
+    let took = now.saturating_sub(flight.arrived);
     out.push(Effect::Log(
         LogEvent::new(LogCode::RequestCompleted)
             .with("request", &flight.label)
-            .with("took", now.saturating_sub(flight.arrived))
+            .with("took", took)
             .with("first", flight.first_ms)
             .with("paused", flight.longest_pause)
             .with("sends", flight.tried.len()),
     ));
-    record_metric(
-        &flight,
-        Metric::Total,
-        now.saturating_sub(flight.arrived),
-        out,
-    );
+    record_metric(flight, Metric::Total, took, out);
 }
 
 /// Records a metric of a request under its client account and route.
@@ -116,7 +117,7 @@
     if let Some(model) = model {
         demand::count_refusal(state, now, &model);
     }
-    finish(state, id, problem, why, out);
+    fail(state, now, id, problem, why, out);
 }
 
 /// Ends a request whose deadline has passed, or is so close that it is given up.
@@ -124,7 +125,7 @@
     let why = "its deadline has passed or is too close";
     match state.in_flight.get(&id) {
         Some(f) if f.has_not_run() && !f.head_sent => give_up(state, now, id, why, out),
-        _ => finish(state, id, Problem::TimedOut, why, out),
+        _ => fail(state, now, id, Problem::TimedOut, why, out),
     }
 }
 
@@ -134,6 +135,29 @@
     finish(state, id, Problem::CrashesEndpoints, why, out);
 }
 
+/// Ends a request that has no answer: its caller gets the failure of an endpoint if one is kept, and that
+/// of the router otherwise.
+fn fail(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    problem: Problem,
+    why: &'static str,
+    out: &mut Vec<Effect>,
+) {
+    let is_unanswered = matches!(problem, Problem::Unknown | Problem::TimedOut);
+    let has_failure = |f: &InFlightRequest| f.failure_kept && !f.head_sent;
+    if !is_unanswered || !state.in_flight.get(&id).is_some_and(has_failure) {
+        return finish(state, id, problem, why, out);
+    }
+    moves::cancel_all(state, id, out);
+    queue::remove(state, id);
+    if let Some(flight) = state.in_flight.remove(&id) {
+        out.push(Effect::Direct(DirectEffect::PassKeptAnswer(id)));
+        record_completion(&flight, now, out);
+    }
+}
+
 fn finish(
     state: &mut DirectState,
     id: u64,
--- a/src/logic/direct/in_flight_request.rs
+++ b/src/logic/direct/in_flight_request.rs
@@ -53,6 +53,8 @@
     pub resend_at: Millis,
     /// Why it waits to be sent again, if a retry has yet to be spent on that.
     pub pending_resend: Option<&'static str>,
+    /// Whether an endpoint's failure is kept, which the caller gets if no other endpoint answers.
+    pub failure_kept: bool,
     /// Whether the head of a stream was sent to the caller.
     pub head_sent: bool,
     /// Id of the last stream event that the caller has.
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -1,8 +1,12 @@
 //! Answers, retries and resumed streams.
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+
 use runrail::logic::direct::crashes::{Crash, CrashRecord, CrashReport};
 use runrail::logic::direct::{DirectEffect, DirectEvent, PeerMessage, Problem, RunPart};
 use runrail::types::InstanceId;
+use testkit::direct::{call, logs, start_routers, Standin};
 
 use crate::fixture::{addr, open_group, piece, plain, problem, request, run, Router};
 
@@ -145,6 +149,110 @@
     assert_eq!(effects, [pass]);
 }
 
+/// Guards against callers that get a failure of the router's in place of their endpoint's, which was
+/// dropped before it was certain that another endpoint answers.
+#[test]
+fn a_failure_of_an_endpoint_reaches_its_caller_if_no_other_one_answers() {
+    let failures = [
+        RunPart::Broken,
+        RunPart::NotSent { refused: true },
+        RunPart::Complete {
+            status: 503,
+            not_run: true,
+        },
+    ];
+    for failure in failures {
+        let mut router = Router::new(vec![plain(1), plain(2)]);
+        let mut sent = run(&router.ask(1, "/safe/x"));
+        let own_failure = RunPart::Complete {
+            status: 500,
+            not_run: false,
+        };
+        let mut effects = router.part(sent.run, own_failure);
+        let kept = DirectEffect::KeepAnswer {
+            request: 1,
+            run: sent.run,
+        };
+        assert_eq!(effects[0], kept);
+        let mut ended = false;
+        for _ in 0..300 {
+            assert_eq!(problem(&effects), None, "{failure:?}");
+            ended |= effects.contains(&DirectEffect::PassKeptAnswer(1));
+            if effects.iter().any(|e| matches!(e, DirectEffect::Run(_))) {
+                sent = run(&effects);
+                effects = router.part(sent.run, failure.clone());
+            } else {
+                router.advance_ms(20);
+                effects = router.take_effects();
+            }
+        }
+        assert!(ended, "{failure:?}");
+    }
+}
+
+/// Guards against the same where the caller's time ends before another endpoint has answered.
+#[test]
+fn a_failure_of_an_endpoint_reaches_its_caller_if_no_other_one_answers_in_time() {
+    let mut router = Router::new(vec![plain(1), plain(2)]);
+    let sent = run(&router.ask(1, "/safe/x"));
+    let own_failure = RunPart::Complete {
+        status: 500,
+        not_run: false,
+    };
+    router.part(sent.run, own_failure);
+    router.advance_ms(5_100);
+    let effects = router.take_effects();
+    assert_eq!(problem(&effects), None);
+    assert!(effects.contains(&DirectEffect::PassKeptAnswer(1)));
+}
+
+/// The same with a real process: the answer comes with its status and body.
+#[test]
+fn a_caller_gets_the_body_of_the_only_failure_that_came() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let standin = Standin::start(3, 2);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for caller in listener.incoming().flatten() {
+            std::thread::spawn(move || fail_all(caller));
+        }
+    });
+    standin.world().list_at("p0", addr);
+    let routers = start_routers(&standin, &[standin.store; 2], dir.path());
+    standin.kill("p1");
+    let mut own = 0;
+    for n in 0..8 {
+        let answer = call(routers[0].callers, "POST", "/safe/x", &format!("f{n}"));
+        let answer = answer.expect("an answer");
+        own += usize::from(answer.status == 500 && answer.body == FAILURE);
+        assert_ne!(answer.status, 502, "{}", logs(dir.path()));
+    }
+    assert!(own > 0, "{}", logs(dir.path()));
+}
+
+const FAILURE: &str = "a failure of its own";
+
+/// Answers each request on a connection with a failure.
+fn fail_all(caller: TcpStream) {
+    let mut writer = caller.try_clone().expect("a connection");
+    let mut attempt = String::new();
+    for line in BufReader::new(caller).lines().map_while(Result::ok) {
+        if line.to_ascii_lowercase().starts_with("x-attempt-id:") {
+            attempt.clone_from(&line);
+        }
+        if line.is_empty() {
+            let length = FAILURE.len();
+            let answer = format!(
+                "HTTP/1.1 500 Failed\r\n{attempt}\r\nContent-Length: {length}\r\n\r\n{FAILURE}"
+            );
+            if writer.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
+
 #[test]
 fn where_nobody_serves_a_model_the_caller_hears_at_once_when_to_come_back() {
     let mut router = Router::new(Vec::new());
