testkit: processes are started while no port is tried out

A run of floods failed once: "the process can't start: Address already in use". free_addr tries a port out by listening there, and a process that is started at that moment has the listener until it runs its own program.

--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -20,7 +20,7 @@
 pub use engine::{Engine, EngineParams, EngineRun, Fabric};
 pub use fleet::{test_bundle, Chat, Fleet, FleetPlan, BRANCH_KEY, DESK_KEY, LONG};
 pub use platform::{ListedInstance, Platform, PlatformFault};
-pub use ports::free_addr;
+pub use ports::{free_addr, spawn};
 pub use process::{until, Process};
 pub use relay::Relay;
 pub use service::{Service, ServiceRun};
--- a/testkit/src/ports.rs
+++ b/testkit/src/ports.rs
@@ -1,6 +1,7 @@
 //! Loopback addresses for the processes of tests.
 
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command};
 use std::sync::Mutex;
 
 /// First port that is handed out. The range lies below the system's ephemeral ports, so that no
@@ -53,6 +54,16 @@
     }
 }
 
+/// Starts a process while no port is tried out: until it runs its own program it has all open sockets of
+/// this one, so that a port which was free would be in use for its first user.
+///
+/// # Errors
+/// When the process can't be started.
+pub fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _claimed = CLAIMED.lock().expect("no test panics meanwhile");
+    command.spawn()
+}
+
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -9,6 +9,8 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 
+use super::spawn;
+
 /// One process of the system under test; killed when it is dropped.
 pub struct Process {
     /// Instance id.
@@ -33,7 +35,8 @@
             .append(true)
             .open(log)
             .expect("a log file");
-        let mut child = Command::new(binary)
+        let mut command = Command::new(binary);
+        command
             .args([role, "--settings"])
             .arg(settings)
             .env(
@@ -42,9 +45,8 @@
             )
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(log.try_clone().expect("a second handle"))
-            .spawn()
-            .expect("the binary starts");
+            .stderr(log.try_clone().expect("a second handle"));
+        let mut child = spawn(&mut command).expect("the binary starts");
         let stdout = child.stdout.take().expect("stdout is piped");
         let line = copy_output(stdout, log);
         let addr = |name: &str| {
--- a/testkit/standin/router.rs
+++ b/testkit/standin/router.rs
@@ -6,7 +6,7 @@
 use nix::unistd::Pid;
 
 use super::call::call;
-use crate::free_addr;
+use crate::{free_addr, spawn};
 
 /// A router as a real process; killed when it is dropped.
 pub struct Router {
@@ -42,7 +42,7 @@
              [direct]\nstore = {store}\nfirst_start = true\n[stop]\ngrace_s = 4\n{further}"
         );
         std::fs::write(&settings, text).expect("settings");
-        let child = spawn(&settings);
+        let child = start_process(&settings);
         let id = id.to_string();
         Self {
             child,
@@ -63,7 +63,7 @@
     /// Kills the process and starts it again with the same settings.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = spawn(&self.settings);
+        self.child = start_process(&self.settings);
     }
 
     /// Sends the process a signal.
@@ -121,15 +121,15 @@
         .expect("runrail is built: cargo build")
 }
 
-fn spawn(settings: &Path) -> Child {
-    Command::new(binary())
+fn start_process(settings: &Path) -> Child {
+    let mut command = Command::new(binary());
+    command
         .args(["router", "--settings"])
         .arg(settings)
         .stdin(Stdio::null())
         .stdout(log_file(settings))
-        .stderr(log_file(settings))
-        .spawn()
-        .expect("the binary starts")
+        .stderr(log_file(settings));
+    spawn(&mut command).expect("the binary starts")
 }
 
 /// Opens a router's log file, beside its settings; every process of the router appends to it.
