Only short failures are kept while other answers are awaited

A failure of an endpoint that is kept takes the room of other answers, 32 MiB for all, until another endpoint has answered. Those of more than 64 KiB aren't kept; their callers get the router's own failure, as before.

a_caller_gets_an_answer_where_the_only_failure_is_too_long_to_keep failed before: all of eight callers got the long failure.

--- a/src/link/answer_room.rs
+++ b/src/link/answer_room.rs
@@ -8,7 +8,7 @@
 use super::call_fault::CallFault;
 
 /// Bytes of an answer that take no room, so that long answers keep out no short ones.
-const FREE_BYTES: usize = 64 * 1024;
+pub(super) const FREE_BYTES: usize = 64 * 1024;
 
 /// What a part of an answer counts at least, as reading each takes time: a body may come in chunks of a
 /// few bytes.
--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -4,6 +4,7 @@
 use stakker::CX;
 
 use super::answer_body::{AnswerBody, StreamPart};
+use super::answer_room::FREE_BYTES;
 use super::link_event::LinkEvent;
 use super::shared::{Caller, ListSource, Shared};
 use super::{endpoint_calls, peers, runs, snapshots, store};
@@ -283,19 +284,25 @@
         }
     }
 
+    /// Keeps an answer, unless it takes room of other answers.
     fn keep_answer(&self, request: u64, run: u64) {
-        let answer = self.take_answer(run);
-        if let Some(caller) = self.shared.callers.borrow_mut().get_mut(&request) {
-            caller.kept = answer;
+        let runs = self.shared.runs.borrow();
+        let is_short = runs.get(&run).is_some_and(|r| r.body.len() <= FREE_BYTES);
+        drop(runs);
+        let mut callers = self.shared.callers.borrow_mut();
+        if let Some(caller) = callers.get_mut(&request).filter(|_| is_short) {
+            caller.kept = self.take_answer(run);
         }
     }
 
+    /// Passes on the kept answer, or the router's own if none was short enough.
     fn forward_kept_answer(&self, request: u64) {
         let mut callers = self.shared.callers.borrow_mut();
         let kept = callers.get_mut(&request).and_then(|c| c.kept.take());
         drop(callers);
-        if let Some(answer) = kept {
-            self.reply(request, answer);
+        match kept {
+            Some(answer) => self.reply(request, answer),
+            None => self.refuse(request, Problem::Unknown),
         }
     }
 
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -1,7 +1,7 @@
 //! Answers, retries and resumed streams.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 
 use runrail::logic::direct::crashes::{Crash, CrashRecord, CrashReport};
 use runrail::logic::direct::{DirectEffect, DirectEvent, PeerMessage, Problem, RunPart};
@@ -211,14 +211,7 @@
 fn a_caller_gets_the_body_of_the_only_failure_that_came() {
     let dir = tempfile::tempdir().expect("a folder");
     let standin = Standin::start(3, 2);
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let addr = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
-        for caller in listener.incoming().flatten() {
-            std::thread::spawn(move || fail_all(caller));
-        }
-    });
-    standin.world().list_at("p0", addr);
+    standin.world().list_at("p0", start_failing(FAILURE));
     let routers = start_routers(&standin, &[standin.store; 2], dir.path());
     standin.kill("p1");
     let mut own = 0;
@@ -231,10 +224,44 @@
     assert!(own > 0, "{}", logs(dir.path()));
 }
 
+/// Guards against callers that get no answer as nothing was kept: long failures aren't, as they would keep
+/// out the answers of other endpoints.
+#[test]
+fn a_caller_gets_an_answer_where_the_only_failure_is_too_long_to_keep() {
+    const FAILURE_BYTES: usize = 1 << 20;
+    let dir = tempfile::tempdir().expect("a folder");
+    let standin = Standin::start(3, 2);
+    let failure = String::from_utf8(vec![b'x'; FAILURE_BYTES]).expect("a text");
+    let failing = start_failing(failure.leak());
+    standin.world().list_at("p0", failing);
+    let routers = start_routers(&standin, &[standin.store; 2], dir.path());
+    standin.kill("p1");
+    let statuses: Vec<_> = (0..8)
+        .map(|n| {
+            let answer = call(routers[0].callers, "POST", "/safe/x", &format!("l{n}"));
+            answer.map(|a| a.status)
+        })
+        .collect();
+    let is_failure = |s: &Option<u16>| matches!(s, Some(500 | 502));
+    assert!(statuses.iter().all(is_failure), "{statuses:?}");
+    assert!(statuses.contains(&Some(502)), "none was too long");
+}
+
 const FAILURE: &str = "a failure of its own";
 
-/// Answers each request on a connection with a failure.
-fn fail_all(caller: TcpStream) {
+/// Starts an endpoint that answers each request with a failure; returns its address.
+fn start_failing(failure: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for caller in listener.incoming().flatten() {
+            std::thread::spawn(move || fail_all(caller, failure));
+        }
+    });
+    addr
+}
+
+fn fail_all(caller: TcpStream, failure: &str) {
     let mut writer = caller.try_clone().expect("a connection");
     let mut attempt = String::new();
     for line in BufReader::new(caller).lines().map_while(Result::ok) {
@@ -242,9 +269,9 @@
             attempt.clone_from(&line);
         }
         if line.is_empty() {
-            let length = FAILURE.len();
+            let length = failure.len();
             let answer = format!(
-                "HTTP/1.1 500 Failed\r\n{attempt}\r\nContent-Length: {length}\r\n\r\n{FAILURE}"
+                "HTTP/1.1 500 Failed\r\n{attempt}\r\nContent-Length: {length}\r\n\r\n{failure}"
             );
             if writer.write_all(answer.as_bytes()).is_err() {
                 return;
