A send that reached no endpoint costs no retry

Callers would be refused, and streams cut, for want of a retry after a send that found no connection (found by reading; not seen in a run): it spent one like any other, though the budget bounds how often endpoints get requests once more.

a_send_that_reached_no_endpoint_costs_no_retry failed before, for a request and for a stream that is resumed.

--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -2,6 +2,7 @@
 
 use super::admission::pool;
 use super::limits::hold_off;
+use super::send::FailedSend;
 use super::{crashes, endpoints, finish, moves, send, DirectEffect, DirectState, RunPart};
 use crate::logic::router::Metric;
 use crate::logic::Effect;
@@ -42,7 +43,14 @@
         RunPart::NotSent { refused } => {
             endpoints::on_run_failure(state, now, id, refused, out);
             endpoints::release_run(state, id);
-            send::retry(state, now, id, false, "no connection to the endpoint", out);
+            send::retry(
+                state,
+                now,
+                id,
+                FailedSend::NotSent,
+                "no connection to the endpoint",
+                out,
+            );
         }
         RunPart::Broken => {
             crashes::on_run_broken(state, now, id, out);
@@ -53,7 +61,7 @@
                 state,
                 now,
                 id,
-                true,
+                FailedSend::MayHaveRun,
                 "the answer was cut off or invalid",
                 out,
             );
@@ -141,7 +149,8 @@
     if not_run {
         endpoints::on_full(state, now, id);
         endpoints::release_run(state, id);
-        return send::retry(state, now, id, false, "the endpoint did not run it", out);
+        let why = "the endpoint did not run it";
+        return send::retry(state, now, id, FailedSend::NotRun, why, out);
     }
     let is_moved = !flight.earlier_runs.is_empty();
     let head_sent = flight.head_sent;
@@ -150,7 +159,7 @@
             keep_failure(state, id, run, out);
         }
         endpoints::release_run(state, id);
-        return send::retry(state, now, id, true, WHY_FAILED, out);
+        return send::retry(state, now, id, FailedSend::MayHaveRun, WHY_FAILED, out);
     }
     // Without a retry the caller gets the endpoint's own answer.
     if failed && !is_last && send::reserve_retry(state, now, id, true).is_ok() {
--- a/src/logic/direct/resume.rs
+++ b/src/logic/direct/resume.rs
@@ -3,6 +3,7 @@
 //! Part of such a stream is with its caller, who would lose it. It waits until another endpoint can take
 //! it and the retry budget allows that, as long as its caller does.
 
+use super::send::FailedSend;
 use super::{finish, send, DirectState, Mechanism, Precedence};
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -13,10 +14,11 @@
     state: &mut DirectState,
     now: Millis,
     id: u64,
-    may_have_run: bool,
+    failed: FailedSend,
     why: &'static str,
     out: &mut Vec<Effect>,
 ) {
+    let may_have_run = failed == FailedSend::MayHaveRun;
     if let Err(no_retry) = send::check_retry(state, now, id, may_have_run) {
         return finish::give_up(state, now, id, no_retry.reason(why), out);
     }
@@ -25,15 +27,19 @@
     let Some(flight) = state.in_flight.get_mut(&id) else {
         return;
     };
-    if opens_at >= flight.deadline {
+    let needs_retry = failed != FailedSend::NotSent;
+    if needs_retry && opens_at >= flight.deadline {
         state.retries_unpaid += 1;
         return finish::give_up(state, now, id, why, out);
     }
     flight.precedence = Precedence::Resumed;
-    flight.pending_resend = Some(why);
+    flight.pending_resend = needs_retry.then_some(why);
     if waits {
         flight.wait_until = flight.deadline;
     }
+    if !needs_retry {
+        send::log_resend(state, now, id, why, out);
+    }
     send::send_or_wait(state, now, id, out);
 }
 
--- a/src/logic/direct/send.rs
+++ b/src/logic/direct/send.rs
@@ -137,18 +137,28 @@
     }
 }
 
+/// What is known of a send that has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FailedSend {
+    /// Nothing was sent. Another send is the first to reach an endpoint in its place, and costs no retry.
+    NotSent,
+    /// The endpoint hasn't run the request.
+    NotRun,
+    /// The endpoint may have run it.
+    MayHaveRun,
+}
+
 /// Handles the end of a request's run that has failed. If it has another run, that one may go on;
 /// otherwise it is sent again if [`reserve_retry`] allows it, and given up if not.
-///
-/// `may_have_run` is false if the endpoint can't have run it.
 pub(super) fn retry(
     state: &mut DirectState,
     now: Millis,
     id: u64,
-    may_have_run: bool,
+    failed: FailedSend,
     why: &'static str,
     out: &mut Vec<Effect>,
 ) {
+    let may_have_run = failed == FailedSend::MayHaveRun;
     let Some(flight) = state.in_flight.get_mut(&id) else {
         return;
     };
@@ -164,9 +174,13 @@
     }
     let is_begun = state.in_flight.get(&id).is_some_and(|f| f.head_sent);
     if is_begun {
-        return resume::resume_or_give_up(state, now, id, may_have_run, why, out);
+        return resume::resume_or_give_up(state, now, id, failed, why, out);
     }
-    match reserve_retry(state, now, id, may_have_run) {
+    let reserved = match failed {
+        FailedSend::NotSent => check_retry(state, now, id, may_have_run),
+        _ => reserve_retry(state, now, id, may_have_run),
+    };
+    match reserved {
         Ok(()) => send_again(state, now, id, why, out),
         Err(no_retry) => {
             state.retries_unpaid += u64::from(matches!(no_retry, NoRetry::Budget));
--- a/tests/direct/resumes.rs
+++ b/tests/direct/resumes.rs
@@ -6,7 +6,7 @@
 use runrail::logic::Event;
 
 use crate::fixture::{
-    begin_stream, is_cut, open_group, piece, problem, request, routing, run, Router,
+    begin_stream, is_cut, open_group, piece, plain, problem, request, routing, run, Router,
 };
 
 /// Time within which a stream that waits is sent again once it may be.
@@ -153,3 +153,29 @@
     router.advance_ms(20);
     assert!(is_cut(&router.take_effects()));
 }
+
+/// Guards against requests and streams that are given up for want of a retry though nothing was sent to
+/// the endpoint that they need another one for.
+#[test]
+fn a_send_that_reached_no_endpoint_costs_no_retry() {
+    for refused in [true, false] {
+        let mut router = Router::new(vec![plain(1), plain(2)]);
+        router.state().retries_from = None;
+        let first = run(&router.ask(1, "/safe/x"));
+        let second = run(&router.part(first.run, RunPart::NotSent { refused }));
+        assert_ne!(second.to, first.to);
+
+        let mut entries = open_group("g", [1, 2, 3]);
+        entries.extend(open_group("h", [4, 5, 6]));
+        entries.extend(open_group("i", [7, 8, 9]));
+        let mut router = Router::new(entries);
+        let first = begin_stream(&mut router);
+        let second = run(&router.part(first.run, RunPart::Broken));
+        router.state().retries_from = None;
+        let effects = router.part(second.run, RunPart::NotSent { refused });
+        assert!(!is_cut(&effects));
+        router.advance_ms(RESEND_MS);
+        let third = [effects, router.take_effects()].concat();
+        assert_eq!(run(&third).last_event, Some(1));
+    }
+}
