A group isn't ended for a member that only the planner misses

A member that didn't answer the planner counted as lost; other routers were asked about heads only. Given up: the group; certain then: that the planner's router doesn't reach the member.

Other routers are asked about members too. While one finds the member alive, or may still say so, its group is left alone and the member is probed further.

--- a/src/logic/direct/plan/inspect.rs
+++ b/src/logic/direct/plan/inspect.rs
@@ -46,6 +46,9 @@
             ADOPTED_LIMIT_MS
         };
         if !can_complete(state, name, group) || now >= since + limit {
+            if is_reached_by_others(state, now, name, group, out) {
+                return;
+            }
             let drain = works_without_missing(state, name, group, since);
             retire::begin(state, now, name, group, drain, out);
         }
@@ -77,11 +80,7 @@
     group: &GroupView,
     incomplete_since: Millis,
 ) -> bool {
-    let is_missing = |id: &&InstanceId| {
-        let seat = state.endpoints.get(*id).and_then(|v| v.entry.seat.as_ref());
-        seat.is_some_and(|s| s.group == *name)
-    };
-    let missing = state.plan.lost.keys().filter(is_missing);
+    let missing = lost_members(state, name);
     let probed_at = missing.filter_map(|id| Some(state.plan.probes.get(id)?.sent_at));
     let missing_since = probed_at.max().unwrap_or(incomplete_since);
     let head = group.head().filter(|h| h.state == SeatState::Open);
@@ -89,15 +88,44 @@
     view.is_some_and(|v| v.running > 0 && v.responded_at > missing_since)
 }
 
+/// The members of a group that are lost.
+fn lost_members<'a>(
+    state: &'a DirectState,
+    name: &'a Arc<str>,
+) -> impl Iterator<Item = &'a InstanceId> {
+    state.plan.lost.keys().filter(|id| {
+        let seat = state.endpoints.get(*id).and_then(|v| v.entry.seat.as_ref());
+        seat.is_some_and(|s| s.group == *name)
+    })
+}
+
+/// Whether the lost members of an open group answer other routers, or may do so: only this router doesn't
+/// reach them then. They are probed further, so that their loss is noticed.
+fn is_reached_by_others(
+    state: &mut DirectState,
+    now: Millis,
+    name: &Arc<str>,
+    group: &GroupView,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let is_open = group.head().is_some_and(|h| h.state == SeatState::Open);
+    let missing: Vec<_> = lost_members(state, name).cloned().collect();
+    let is_reached = |id: &InstanceId| {
+        probe::is_found_alive(state, id) || probe::awaits_observations(state, now, id)
+    };
+    if !is_open || missing.is_empty() || !missing.iter().all(is_reached) {
+        return false;
+    }
+    for id in &missing {
+        probe::send_if_due(state, now, id, out);
+    }
+    true
+}
+
 /// Whether an incomplete group may still become complete in the list: none of its members
 /// is lost, and either an earlier planner has just begun it or the list lacks its head.
 fn can_complete(state: &DirectState, name: &Arc<str>, group: &GroupView) -> bool {
-    let seat_of = |id: &InstanceId| state.endpoints.get(id).and_then(|v| v.entry.seat.as_ref());
-    let has_lost = state
-        .plan
-        .lost
-        .keys()
-        .any(|id| seat_of(id).is_some_and(|s| s.group == *name));
+    let has_lost = lost_members(state, name).next().is_some();
     let is_begun = |s: SeatState| matches!(s, SeatState::Joining | SeatState::Ready);
     let is_forming = |head: &GroupMember| is_begun(head.state) || !group.loaded();
     !has_lost && group.head().is_none_or(is_forming)
--- a/src/logic/direct/plan/probe.rs
+++ b/src/logic/direct/plan/probe.rs
@@ -5,7 +5,7 @@
 use super::{form, readiness};
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{
-    endpoints, peers, DirectEffect, DirectState, Mechanism, Observation, ProbeResult,
+    endpoints, peers, DirectEffect, DirectState, EndpointView, Mechanism, Observation, ProbeResult,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
@@ -24,12 +24,12 @@
 /// Shortest time between two probes of a lost endpoint that sends heartbeats again.
 const LOST_PROBE_INTERVAL_MS: Millis = 1_000;
 
-/// Most other routers that are asked about a head that didn't answer. All of them must report that
+/// Most other routers that are asked about an endpoint that didn't answer. All of them must report that
 /// it is gone or refuses connections, as a few routers may be cut off from it together.
 const MAX_ASKED_ROUTERS: usize = 4;
 
-/// Shortest time between two rounds of probe requests to other routers about one head: as long as
-/// an ending group waits for their answers.
+/// Shortest time between two rounds of probe requests to other routers about one endpoint: as long as
+/// its group waits for their answers.
 const ASK_INTERVAL_MS: Millis = 400;
 
 /// Probes of one endpoint.
@@ -199,13 +199,13 @@
     }
 }
 
-/// Asks other routers about a head that didn't answer, unless they were asked just now.
+/// Asks other routers about a member of a group that didn't answer, unless they were asked just now.
 fn ask_routers(state: &mut DirectState, now: Millis, id: &InstanceId, out: &mut Vec<Effect>) {
     let seat = state.endpoints.get(id).and_then(|v| v.entry.seat.as_ref());
-    let is_head = seat.is_some_and(|s| s.rank == 0);
+    let is_member = seat.is_some_and(|s| s.rank == 0 || has_reachable_head(state, &s.group));
     let probe = state.plan.probes.get(id);
     let due = probe.is_some_and(|p| p.asked_at == 0 || now >= p.asked_at + ASK_INTERVAL_MS);
-    if !is_head || !due {
+    if !is_member || !due {
         return;
     }
     let asked = peers::send_probe_requests(state, id, MAX_ASKED_ROUTERS, out);
@@ -216,6 +216,16 @@
     }
 }
 
+/// Whether the head of a group isn't lost. Without it no other member matters.
+fn has_reachable_head(state: &DirectState, group: &Arc<str>) -> bool {
+    let is_head = |id: &InstanceId, v: &EndpointView| {
+        let seat = v.entry.seat.as_ref();
+        let is_first = seat.is_some_and(|s| s.group == *group && s.rank == 0);
+        is_first && !state.plan.lost.contains_key(id)
+    };
+    state.endpoints.iter().any(|(id, v)| is_head(id, v))
+}
+
 /// Handles another router's observation of an endpoint.
 pub(in crate::logic::direct) fn on_observation(
     state: &mut DirectState,
@@ -260,6 +270,12 @@
     all.join(",")
 }
 
+/// Whether other routers that were asked about an endpoint may still report it alive.
+pub(super) fn awaits_observations(state: &DirectState, now: Millis, id: &InstanceId) -> bool {
+    let probe = state.plan.probes.get(id);
+    probe.is_some_and(|p| !p.probe_requests.is_empty() && now < p.asked_at + ASK_INTERVAL_MS)
+}
+
 /// Whether any router finds an endpoint alive.
 pub(super) fn is_found_alive(state: &DirectState, id: &InstanceId) -> bool {
     state.plan.probes.get(id).is_some_and(ProbeState::is_alive)
