--- a/review/5/standin.rs
+++ b/review/5/standin.rs
@@ -21,7 +21,8 @@
 const REJOIN_MS: u64 = 200;
 const WARMUP_MS: u64 = 1_100;
 const LOAD_MS: u64 = 12_000;
-const ENGINES: usize = 5;
+/// As many replicas as the Payment Desk has, in three fabric domains.
+const DOMAINS: [(&str, usize); 3] = [("d0", 5), ("d1", 11), ("d2", 11)];
 const MODEL: &str = "m1";
 const SIZE: usize = 3;
 /// How long the replicas are cut off from the store: the site file goes to 10 s.
@@ -198,6 +199,7 @@
 }
 
 struct Engine {
+    domain: &'static str,
     addr: SocketAddr,
     born: u64,
     alive: bool,
@@ -298,8 +300,8 @@
         };
         let staged = if e.staged { format!("[\"{MODEL}\"]") } else { "[]".into() };
         format!(
-            "\"Seq\":{seq},\"born\":{},\"Stage\":\"both\",\"Models\":{models},\"Domain\":\"d0\",\"Staged\":{staged},\"group\":{group}",
-            e.born
+            "\"Seq\":{seq},\"born\":{},\"Stage\":\"both\",\"Models\":{models},\"Domain\":\"{}\",\"Staged\":{staged},\"group\":{group}",
+            e.born, e.domain
         )
     }
     fn entry(&self, id: &str, seq: u64) -> String {
@@ -714,7 +716,7 @@
     };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(9)));
     let text = format!(
-        "POST /chat/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt:016x}\r\nX-Deadline-Ms: 8000\r\nX-Model: {MODEL}\r\nX-Token-Counts: 1460,80\r\nX-Prompt-Prefix: aa:40,{attempt:x}:1420\r\nAuthorization: Bearer k1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
+        "POST /chat/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt:016x}\r\nX-Deadline-Ms: 8000\r\nX-Model: {MODEL}\r\nX-Token-Counts: 6000,800\r\nX-Prompt-Prefix: aa:40,{attempt:x}:5960\r\nAuthorization: Bearer k1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
     );
     if stream.write_all(text.as_bytes()).is_err() {
         return "no connection".into();
@@ -802,19 +804,22 @@
     )
 }
 
+/// The head of the open group of the first domain.
 fn open_head(w: &World) -> Option<(String, Seat)> {
     w.engines.iter().find_map(|(id, e)| {
         let seat = e.seat.as_ref().filter(|s| e.alive && s.rank == 0 && s.state() == "open")?;
+        (e.domain == DOMAINS[0].0).then_some(())?;
         Some((id.clone(), seat.clone()))
     })
 }
 
 /// Starts a replica; `staged` says whether its host keeps the model.
-fn start_engine(world: &Shared, id: &str, staged: bool) -> Result<(), String> {
+fn start_engine(world: &Shared, id: &str, domain: &'static str, staged: bool) -> Result<(), String> {
     let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64);
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
     let addr = listener.local_addr().map_err(|e| e.to_string())?;
     let engine = Engine {
+        domain,
         addr,
         born,
         alive: true,
@@ -844,8 +849,10 @@
     let state = world.clone();
     serve(listener, move |call, out| on_store_call(&state, call, out));
     lock(world).put("op/config", &config(), 0);
-    for n in 0..ENGINES {
-        start_engine(world, &format!("i-e{n}"), false)?;
+    for (domain, count) in DOMAINS {
+        for n in 0..count {
+            start_engine(world, &format!("i-{domain}-{n}"), domain, false)?;
+        }
     }
     let state = world.clone();
     thread::spawn(move || loop {
@@ -858,7 +865,7 @@
         return Err("no group has opened, or the routers aren't ready".into());
     }
     // The spare has its model on its host before the first request, as in a deployment.
-    wait(Duration::from_secs(5), || lock(world).engines.values().all(|e| e.staged || e.loaded));
+    wait(Duration::from_secs(15), || lock(world).engines.values().all(|e| e.staged || e.loaded));
     lock(world).has_traffic = true;
     let callers: Vec<SocketAddr> = routers.iter().map(|r| r.callers).collect();
     let state = world.clone();
@@ -885,12 +892,12 @@
     {
         let mut w = lock(world);
         for (id, e) in w.engines.iter_mut() {
-            e.cut = *id != victim;
+            e.cut = e.domain == DOMAINS[0].0 && *id != victim;
         }
         if let Some(e) = w.engines.get_mut(&victim) {
             e.alive = false;
         }
-        w.note(&format!("srv_cut: all but {victim} are partitioned from the store; srv_crash: {victim} crashes"));
+        w.note(&format!("srv_cut: the 4 others of its domain are partitioned from the store; srv_crash: {victim} crashes"));
     }
     let cut_at = Instant::now();
     let reopened = wait(Duration::from_millis(3_000), || {
@@ -910,7 +917,7 @@
     lock(world).note(&format!("roll_term: SIGTERM to {planner}, which plans"));
     let _ = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", router.child.id())).status();
     thread::sleep(Duration::from_millis(DOWN_MS).saturating_sub(cut_at.elapsed()));
-    start_engine(world, &format!("{victim}-2"), true)?;
+    start_engine(world, &format!("{victim}-2"), DOMAINS[0].0, true)?;
     lock(world).note(&format!("{victim} is back as {victim}-2"));
     let left = Duration::from_millis(CUT_MS).saturating_sub(cut_at.elapsed());
     thread::sleep(left);
