--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/5/standin.rs review/6/standin.rs; do
+for source in review/4/standin.rs review/5/standin.rs review/6/standin.rs; do
     [ -f "$source" ] || continue
     name=$(basename "$(dirname "$source")")
     rustc --edition 2021 -O -o "target/review/standin-$name" "$source"
