A router that stops takes no request that the exit would cut

Now callers are accepted for 5/16 of the grace time and 2.5 s at most, by the time at which a request was read, counted from the tick before the signal was noticed. By then the balancer has found the router not ready twice.

Ruled out: an exit that comes too early; it comes at the end of the grace time.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -4,8 +4,8 @@
 
 use super::admission::queue;
 use super::{
-    crashes, demand, finish, peers, returns, send, DirectRequest, DirectState, InFlightRequest,
-    Precedence, Problem, ShutdownStage,
+    crashes, demand, finish, peers, returns, send, step, DirectRequest, DirectState,
+    InFlightRequest, Precedence, Problem,
 };
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
@@ -21,7 +21,7 @@
     request: DirectRequest,
     out: &mut Vec<Effect>,
 ) {
-    if state.shutdown != ShutdownStage::Accepting {
+    if !step::accepts_callers(state, now) {
         let problem = Problem::NotRun(state.params.again_ms / 4);
         return finish::refuse(
             request.id,
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -22,7 +22,7 @@
     let is_arrival = matches!(event, Event::Direct(DirectEvent::Request(_)));
     let may_free_room = !is_arrival && !is_stream_event(&event);
     match event {
-        Event::Stop => on_stop(state, now),
+        Event::Stop => on_stop(state),
         Event::Store { call, result } if state.registration.call == Some(call) => {
             peers::on_store_reply(state, now, &result);
         }
@@ -155,8 +155,10 @@
     state.digests.has_changes = true;
 }
 
-fn on_stop(state: &mut DirectState, now: Millis) {
-    state.stop_since.get_or_insert(now);
+/// Begins the shutdown. A signal that came while this process handled another event is noticed late,
+/// so the time to shut down counts from the tick before that.
+fn on_stop(state: &mut DirectState) {
+    state.stop_since.get_or_insert(state.previous_tick);
 }
 
 fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
@@ -181,9 +183,12 @@
     advance_shutdown(state, now, out);
 }
 
-/// Part of the grace time after which no more callers are accepted, in sixteenths: by then the
-/// balancer has noticed that this router isn't ready.
-const CLOSE_SIXTEENTHS: Millis = 6;
+/// Part of the grace time for which callers are still accepted, in sixteenths.
+const ACCEPT_SIXTEENTHS: Millis = 5;
+
+/// Longest time for which callers are still accepted. The balancer checks each router once a second,
+/// and after two failed checks it sends no more callers.
+const MAX_ACCEPT_MS: Millis = 2_500;
 
 /// Part of the grace time after which the process exits in any case, in sixteenths.
 const EXIT_SIXTEENTHS: Millis = 15;
@@ -194,17 +199,30 @@
     state.stop_since.map(|since| since + EXIT_SIXTEENTHS * part)
 }
 
+/// Whether callers are accepted at `now`. This doesn't wait for the tick that closes the listener,
+/// which is late if the process is busy: a request that is taken late has too little time left.
+pub(super) fn accepts_callers(state: &DirectState, now: Millis) -> bool {
+    let accept_ms = MAX_ACCEPT_MS.min(ACCEPT_SIXTEENTHS * (state.params.grace_ms / 16));
+    let is_over = state
+        .stop_since
+        .is_some_and(|since| now >= since + accept_ms);
+    state.shutdown == ShutdownStage::Accepting && !is_over
+}
+
 /// Advances the shutdown: stops accepting callers, then exits once all requests are answered or
 /// the grace time is nearly over.
 fn advance_shutdown(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
     let Some(since) = state.stop_since else {
         return;
     };
-    let part = state.params.grace_ms / 16;
     let answered = state.in_flight.is_empty() && state.held_requests.is_empty();
     match state.shutdown {
-        ShutdownStage::Accepting if now >= since + CLOSE_SIXTEENTHS * part => {
+        ShutdownStage::Accepting if !accepts_callers(state, now) => {
             state.shutdown = ShutdownStage::Draining;
+            let event = LogEvent::new(LogCode::CallersRefused)
+                .with("after", now.saturating_sub(since))
+                .with("in_flight", state.in_flight.len());
+            out.push(Effect::Log(event));
             out.push(Effect::Direct(DirectEffect::StopAccepting));
         }
         ShutdownStage::Draining if answered || exit_by(state).is_some_and(|by| now >= by) => {
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -79,6 +79,7 @@
     LogLinesDropped = 105 Warn "log lines dropped";
     Suspended = 106 Warn "machine was suspended";
     Paused = 107 Warn "process was stalled";
+    CallersRefused = 108 Info "no more callers are accepted";
     SessionUp = 110 Debug "session opened";
     SessionDown = 111 Info "session closed";
     SessionRefused = 112 Warn "session refused";
