A request without an answer gets a final one before the exit

What callers saw: a connection that just closes, when their endpoint hadn't begun to answer by the end of the grace time: whether the request has run is unknown then, also where the router knows that it hasn't.

Cause: the shutdown ends the process with requests in flight, and nothing answers them.

--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -2,8 +2,8 @@
 
 use super::admission::{pool, queue};
 use super::{
-    choose, crashes, demand, endpoints, moves, returns, DirectEffect, DirectState, InFlightRequest,
-    Problem,
+    accept, choose, crashes, demand, endpoints, moves, returns, DirectEffect, DirectState,
+    InFlightRequest, Problem,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -129,6 +129,19 @@
     }
 }
 
+/// Ends all requests whose answer hasn't begun, as the process exits: their connections would just
+/// close.
+pub(super) fn end_unbegun(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let unbegun = state.in_flight.iter().filter(|(_, f)| !f.head_sent);
+    let ids: Vec<u64> = unbegun.map(|(id, _)| *id).collect();
+    for id in ids {
+        give_up(state, now, id, "the router exits", out);
+    }
+    for (_, request) in std::mem::take(&mut state.held_requests) {
+        accept::refuse_not_ready(state, &request, out);
+    }
+}
+
 /// Ends a request that has been blocked because it crashes endpoints.
 pub(super) fn refuse_blocked(state: &mut DirectState, id: u64, out: &mut Vec<Effect>) {
     let why = crashes::WHY_CRASHES;
--- a/tests/direct/stopping.rs
+++ b/tests/direct/stopping.rs
@@ -2,10 +2,11 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use runrail::logic::direct::{DirectEffect, Problem, RunPart};
+use runrail::logic::direct::{DirectEffect, DirectEvent, Problem, RunPart};
 use runrail::logic::{Effect, Event};
 use testkit::direct::{fleet, logs, until, CallerRequest};
 
@@ -38,7 +39,7 @@
     );
     router.advance_ms(200);
     assert_eq!(ended(&router), 0, "a stream is still being served");
-    router.tell(runrail::logic::direct::DirectEvent::RunPart {
+    router.tell(DirectEvent::RunPart {
         run: accepted.run,
         part: RunPart::End,
     });
@@ -109,6 +110,34 @@
     assert!(router.state().shutdown == runrail::logic::direct::ShutdownStage::Done);
 }
 
+/// Guards against a request that an endpoint hasn't answered when the process exits, and whose
+/// connection closes without an answer.
+#[test]
+fn a_request_without_an_answer_gets_a_final_one_before_the_exit() {
+    let mut router = Router::new(open_group("g", [1, 2, 3]));
+    let mut routing = crate::fixture::routing(2);
+    for route in routing.routes.values_mut().flatten() {
+        Arc::make_mut(route).timeout_ms = 20_000;
+    }
+    router.tell(DirectEvent::Routing(Arc::new(routing)));
+    router.advance_ms(100);
+    router.feed(Event::Stop);
+    let mut request = crate::fixture::request(1, "/stream/x");
+    request.wait_ms = Some(20_000);
+    run(&router.ask_for(request));
+    router.advance_ms(7_900);
+    assert_eq!(ended(&router), 1);
+    let answered_at = position(&router, |e| {
+        matches!(e, Effect::Direct(DirectEffect::Refuse { request: 1, .. }))
+    });
+    let exit_at = position(&router, |e| *e == Effect::Exit);
+    assert!(answered_at.is_some() && answered_at < exit_at);
+}
+
+fn position(router: &Router, is_it: impl Fn(&Effect) -> bool) -> Option<usize> {
+    router.effects.iter().position(is_it)
+}
+
 /// Guards against a request that is held until the routing is known and gets no answer at
 /// shutdown: its connection would just close.
 #[test]
