Only another process at its address proves from outside that a head has stopped

Cause: a broken run beside a refused connection counted as a stop (Observation::Gone), when every router that was asked was refused too. A partition that resets connections looks like that to all of them.

Now such an observation (RunBroke) only suggests a crash: the members are ordered to leave at once, and are free when their entries show that they have left. Another process at the address still proves a stop.

Ruled out: a member that is freed by a reply or by an entry that lapsed; no order to leave came before.

--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -323,8 +323,8 @@
     view.silent_since = None;
 }
 
-/// Time after a broken run within which a refused connection means that the endpoint is gone.
-/// Later on the endpoint may have restarted, so that a refusal proves less.
+/// Time after a broken run within which a refused connection suggests that the endpoint has crashed.
+/// Later on it may have restarted.
 const BROKEN_RUN_MS: Millis = 3_000;
 
 /// The answer to a request's run broke off, or there was none.
@@ -350,12 +350,12 @@
     // One that is leaving stops listening before it ends, and its entry may go before that.
     let is_staying = view.is_some_and(|v| v.listed && !v.is_leaving());
     match result {
-        ProbeResult::Replaced => Observation::Gone,
+        ProbeResult::Replaced => Observation::Replaced,
         ProbeResult::Alive { .. } => Observation::Alive,
         _ if has_answered => Observation::Alive,
         ProbeResult::Silent => Observation::Silent,
         ProbeResult::Refused if has_runs => Observation::Alive,
-        ProbeResult::Refused if run_broke && is_staying => Observation::Gone,
+        ProbeResult::Refused if run_broke && is_staying => Observation::RunBroke,
         ProbeResult::Refused => Observation::Refuses,
     }
 }
--- a/src/logic/direct/observation.rs
+++ b/src/logic/direct/observation.rs
@@ -11,7 +11,10 @@
     /// Its address refuses connections and nothing more is known: it may have crashed, or it
     /// may have stopped listening while it finishes the runs of other routers.
     Refuses,
-    /// It is gone: its address refuses connections and a run there has just broken off though it
-    /// wasn't leaving, or another endpoint has its address.
-    Gone,
+    /// Its address refuses connections and a run there has just broken off though it wasn't leaving: it
+    /// has crashed, or it is cut off by a fault that resets connections.
+    #[serde(rename = "Gone")]
+    RunBroke,
+    /// Another endpoint has its address: its process has ended.
+    Replaced,
 }
--- a/src/logic/direct/plan/end_proof.rs
+++ b/src/logic/direct/plan/end_proof.rs
@@ -5,7 +5,7 @@
     Left,
     /// Its head reports that it has broken.
     Broken,
-    /// Its head's process is gone.
+    /// Another process has its head's address.
     Gone,
     /// Its head's process has started anew.
     Restarted,
--- a/src/logic/direct/plan/probe.rs
+++ b/src/logic/direct/plan/probe.rs
@@ -24,8 +24,8 @@
 /// Shortest time between two probes of a lost endpoint that sends heartbeats again.
 const LOST_PROBE_INTERVAL_MS: Millis = 1_000;
 
-/// Most other routers that are asked about an endpoint that didn't answer. All of them must report that
-/// it is gone or refuses connections, as a few routers may be cut off from it together.
+/// Most other routers that are asked about an endpoint that didn't answer, as a few routers may be cut off
+/// from it together.
 const MAX_ASKED_ROUTERS: usize = 4;
 
 /// Shortest time between two rounds of probe requests to other routers about one endpoint: as long as
@@ -57,19 +57,20 @@
         self.observations().any(|s| s == Observation::Alive)
     }
 
-    /// Whether the observations prove that the endpoint has stopped. Silence doesn't, as an
-    /// endpoint that is cut off is silent too, and a router that gets no answer may have runs
-    /// there. Refused connections alone don't either: an endpoint that stops in order refuses
-    /// them while it finishes its work.
+    /// Whether the observations prove that the endpoint has stopped. Silence, refused connections and
+    /// broken runs don't, however many routers observe them: an endpoint that is cut off from all of
+    /// them looks the same.
     fn is_stopped(&self) -> bool {
-        let refuses = |o| matches!(o, Observation::Refuses | Observation::Gone);
-        let mut gone = self.observations().filter(|o| *o == Observation::Gone);
-        gone.next().is_some() && self.observations().all(refuses)
+        self.observations().any(|o| o == Observation::Replaced) && !self.is_alive()
     }
 
-    /// Whether no router has got any answer.
-    fn is_silent(&self) -> bool {
-        self.observations().all(|o| o == Observation::Silent)
+    /// Whether no router reaches the endpoint, and it isn't one that stops in order, which refuses
+    /// connections while it finishes its work.
+    fn is_unreachable(&self) -> bool {
+        let is_silent = |o| o == Observation::Silent;
+        let has_crashed = |o| matches!(o, Observation::RunBroke | Observation::Replaced);
+        !self.is_alive()
+            && (self.observations().all(is_silent) || self.observations().any(has_crashed))
     }
 
     fn observations(&self) -> impl Iterator<Item = Observation> + '_ {
@@ -253,9 +254,10 @@
     confirmed(state, id).is_some_and(ProbeState::is_stopped)
 }
 
-/// Whether an endpoint answers neither this router nor the others that were asked.
-pub(super) fn is_silence_confirmed(state: &DirectState, id: &InstanceId) -> bool {
-    confirmed(state, id).is_some_and(ProbeState::is_silent)
+/// Whether neither this router nor the others that were asked reach an endpoint, which isn't stopping in
+/// order.
+pub(super) fn is_loss_confirmed(state: &DirectState, id: &InstanceId) -> bool {
+    confirmed(state, id).is_some_and(ProbeState::is_unreachable)
 }
 
 /// What this router and others observe of an endpoint, for the log; this router's own observation
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -374,7 +374,7 @@
 fn confirm_limit_ms(state: &DirectState, head: Option<&InstanceId>) -> Millis {
     if head.is_some_and(|id| probe::is_found_alive(state, id)) {
         closing_limit_ms(state, head)
-    } else if head.is_some_and(|id| probe::is_silence_confirmed(state, id)) {
+    } else if head.is_some_and(|id| probe::is_loss_confirmed(state, id)) {
         0
     } else {
         CONFIRM_LIMIT_MS
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -257,17 +257,7 @@
     /// Takes the effects, and returns the groups of more than one member that endpoints were
     /// ordered to join, with their members.
     pub fn joins(&mut self) -> Vec<(String, Vec<String>)> {
-        let effects = self.take_effects();
-        let mut joins: Vec<(String, Vec<String>)> = Vec::new();
-        for effect in effects {
-            if let Some((_, _, GroupStep::Join { group, members, .. })) = order(&effect) {
-                let members: Vec<_> = members.iter().map(|m| m.to_string()).collect();
-                if members.len() > 1 && joins.iter().all(|(g, _)| *g != **group) {
-                    joins.push((group.to_string(), members));
-                }
-            }
-        }
-        joins
+        joins(&self.take_effects())
     }
 
     pub fn answer_order(&mut self, order: u64, result: OrderResult) {
@@ -275,6 +265,20 @@
     }
 }
 
+/// Groups of more than one member that endpoints are ordered to join, with their members.
+pub fn joins(effects: &[DirectEffect]) -> Vec<(String, Vec<String>)> {
+    let mut joins: Vec<(String, Vec<String>)> = Vec::new();
+    for effect in effects {
+        if let Some((_, _, GroupStep::Join { group, members, .. })) = order(effect) {
+            let members: Vec<_> = members.iter().map(|m| m.to_string()).collect();
+            if members.len() > 1 && joins.iter().all(|(g, _)| *g != **group) {
+                joins.push((group.to_string(), members));
+            }
+        }
+    }
+    joins
+}
+
 /// The order in an effect: its number, its endpoint and its step.
 pub fn order(effect: &DirectEffect) -> Option<(u64, String, &GroupStep)> {
     match effect {
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -9,7 +9,7 @@
 use runrail::types::{EndpointEntry, InstanceId, Routing, SeatState};
 
 use crate::fixture::{
-    addr, engine, keep_busy, open_group, order, routing, run, seat, Router, MODEL,
+    addr, engine, joins, keep_busy, open_group, order, routing, run, seat, Router, MODEL,
 };
 
 /// An open group of three, and two spares that hold its model.
@@ -112,7 +112,7 @@
     for (last, over) in [
         (Observation::Refuses, false),
         (Observation::Alive, false),
-        (Observation::Gone, true),
+        (Observation::Replaced, true),
     ] {
         let mut router = Router::planner(fleet());
         add_peers(&mut router);
@@ -124,10 +124,44 @@
             report(&mut router, number, sight);
         }
         router.advance_ms(300);
-        assert_eq!(!router.joins().is_empty(), over, "{last:?}");
+        let effects = router.take_effects();
+        assert_eq!(leaves(&effects), [], "its streams need the members");
+        assert_eq!(!joins(&effects).is_empty(), over, "{last:?}");
     }
 }
 
+/// Guards against an instance in two groups: a partition that resets connections breaks runs off and
+/// refuses connections at every router, as a crash does, while the head is open.
+#[test]
+fn resets_at_every_router_free_no_member() {
+    let mut router = observed([ProbeResult::Refused], [Observation::RunBroke; 4]);
+    for _ in 0..500 {
+        router.advance_ms(20);
+        assert_eq!(router.joins(), [], "the head may still be open");
+    }
+}
+
+/// Guards against a repair that waits without a reason: the members of a head that has probably crashed
+/// are ordered to leave at once, and are free when their entries show that they have left.
+#[test]
+fn members_that_have_left_a_head_whose_runs_broke_off_are_free_at_once() {
+    let mut router = observed([ProbeResult::Refused], [Observation::RunBroke; 4]);
+    router.advance_ms(60);
+    let orders = leaves(&router.take_effects());
+    let to_members: Vec<_> = orders.iter().filter(|(_, id)| id != "e1").collect();
+    assert_eq!(to_members.len(), 2, "{orders:?}");
+    for (number, id) in to_members {
+        router.answer_order(*number, OrderResult::Done);
+        let n = id[1..].parse().expect("a number");
+        let (id, entry) = engine(n, None);
+        let entry = EndpointEntry { beats: 1, ..entry };
+        router.change(id.as_str(), Some(entry));
+    }
+    router.advance_ms(100);
+    let members = router.joins().first().map(|(_, members)| members.clone());
+    assert_eq!(members, Some(["e2", "e3", "e4"].map(String::from).to_vec()));
+}
+
 #[test]
 fn a_head_that_still_works_keeps_its_members_for_as_long_as_an_orderly_end_takes() {
     let mut router = Router::planner(fleet());
@@ -153,7 +187,7 @@
     for (end, expected) in [
         (None, Observation::Alive),
         (Some(RunPart::End), Observation::Refuses),
-        (Some(RunPart::Broken), Observation::Gone),
+        (Some(RunPart::Broken), Observation::RunBroke),
     ] {
         let mut router = Router::new(fleet());
         let sent = run(&router.ask(1, "/stream/x"));
@@ -305,7 +339,7 @@
 /// that has runs there.
 #[test]
 fn a_head_that_refuses_some_routers_and_is_silent_to_others_has_not_stopped() {
-    let mut sights = [Observation::Gone; 4];
+    let mut sights = [Observation::RunBroke; 4];
     sights[0] = Observation::Silent;
     let mut router = observed([ProbeResult::Refused], sights);
     router.advance_ms(300);
