After a takeover an endpoint joins a group only by its own report

Cause: the new planner reads the list, which is as new as its lease, and takes endpoints for free by entries that they couldn't write meanwhile. A reply that a head isn't in a listed group freed the listed members as well, wherever they are.

Now an order to join waits until its endpoints have reported their seats to this planner, and the first one carries the number of orders that the endpoint had begun by then (ExpectedRev): if it has begun another since, it refuses and reports again. Seats that the list doesn't show are taken from reports (E679). Nobody is asked where no router has planned before, which the write of the lease's key checks.

The stand-in now reports its group and orders, and honours ExpectedRev.

Ruled out as the cause seen: late orders of the planner before; what was changed covers them.

--- a/src/link/endpoint_calls.rs
+++ b/src/link/endpoint_calls.rs
@@ -14,7 +14,7 @@
 use super::pool::{Connection, SendOptions};
 use super::reuse::Reuse;
 use super::shared::Shared;
-use crate::logic::direct::{DirectEvent, GroupOrder, OrderResult, ProbeResult};
+use crate::logic::direct::{DirectEvent, EndpointReport, GroupOrder, OrderResult, ProbeResult};
 use crate::logic::{LogCode, LogEvent};
 use crate::types::InstanceId;
 
@@ -24,9 +24,6 @@
 /// Longest time for the answer to an order, and for opening the connection of a call.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Factor on the times of an endpoint that isn't slow.
-const NORMAL_PACE_PER_MILLE: u64 = 1_000;
-
 /// Longest report, and longest answer to an order.
 const MAX_ANSWER_BYTES: usize = 256 * 1024;
 
@@ -96,8 +93,8 @@
     Ok(read_report(shared, id, status, answer.body()))
 }
 
-/// Reads a report. An endpoint whose report is invalid is alive all the same; its seat in a
-/// group is then known from the endpoint list only.
+/// Reads a report. An endpoint whose report is invalid is alive all the same, and not
+/// ordered to join a group before a report of it could be read.
 fn read_report(shared: &Shared, id: &InstanceId, status: StatusCode, body: &[u8]) -> ProbeResult {
     match (shared.adapter.parse_report)(status, body) {
         Ok(report) => {
@@ -107,11 +104,10 @@
         }
         Err(why) => {
             log_invalid("a report", id.as_str(), &why);
-            ProbeResult::Alive {
-                started_ms: None,
-                seat: None,
-                slowness: NORMAL_PACE_PER_MILLE,
-            }
+            ProbeResult::Alive(EndpointReport {
+                readable: false,
+                ..EndpointReport::default()
+            })
         }
     }
 }
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -138,6 +138,7 @@
         settings.params.clone(),
     );
     state.plan.first_start = settings.first_start;
+    state.plan.has_predecessor = !settings.first_start;
     state.own_addr = settings.peers;
     let node = Node::Direct(Box::new(state));
     let metrics = Metrics::new(None)?;
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -169,8 +169,8 @@
 fn has_ended(suspected: &SuspectedCrash, result: &ProbeResult) -> bool {
     match result {
         ProbeResult::Refused | ProbeResult::Replaced => true,
-        ProbeResult::Alive { started_ms, .. } => {
-            let starts = suspected.born.zip(*started_ms);
+        ProbeResult::Alive(report) => {
+            let starts = suspected.born.zip(report.started_ms);
             starts.is_some_and(|(before, after)| after > before)
         }
         ProbeResult::Silent => false,
--- a/src/logic/direct/endpoints.rs
+++ b/src/logic/direct/endpoints.rs
@@ -195,22 +195,19 @@
     result: &ProbeResult,
     out: &mut Vec<Effect>,
 ) {
-    let ProbeResult::Alive {
-        started_ms, seat, ..
-    } = result
-    else {
+    let ProbeResult::Alive(report) = result else {
         return;
     };
     let Some(view) = state.endpoints.get(id).filter(|v| v.listed) else {
         return;
     };
     let entry = EndpointEntry {
-        born: *started_ms,
+        born: report.started_ms,
         beats: 0,
         leaving: false,
         cold_ms: 0,
         model: None,
-        seat: seat.clone(),
+        seat: report.seat.clone(),
         ..view.entry.clone()
     };
     if entry.restarts(&view.entry) {
@@ -351,7 +348,7 @@
     let is_staying = view.is_some_and(|v| v.listed && !v.is_leaving());
     match result {
         ProbeResult::Replaced => Observation::Replaced,
-        ProbeResult::Alive { .. } => Observation::Alive,
+        ProbeResult::Alive(_) => Observation::Alive,
         _ if has_answered => Observation::Alive,
         ProbeResult::Silent => Observation::Silent,
         ProbeResult::Refused if has_runs => Observation::Alive,
--- a/src/logic/direct/group_order.rs
+++ b/src/logic/direct/group_order.rs
@@ -10,6 +10,8 @@
     /// Its fence, above those of all earlier orders of any planner: an endpoint that has seen it refuses
     /// them.
     pub fence: u64,
+    /// Number of orders that the endpoint must have begun so far; it refuses this one otherwise.
+    pub expected: Option<u64>,
 }
 
 /// What an order tells an endpoint to do.
--- a/src/logic/direct/plan/form.rs
+++ b/src/logic/direct/plan/form.rs
@@ -92,16 +92,31 @@
 /// Orders every member to join that hasn't accepted that order yet.
 fn send_join_orders(state: &mut DirectState, group: &Arc<str>, forming: &FormingGroup) {
     for id in &forming.members {
-        if forming.accepted.contains(id) {
-            continue;
+        if !forming.accepted.contains(id) {
+            send_join_order(state, id, group, forming);
         }
-        let step = GroupStep::Join {
-            group: group.clone(),
-            epoch: forming.epoch,
-            model: forming.model.clone(),
-            members: forming.members.clone(),
-        };
-        order::enqueue(state, id, step, OrderUse::Join(group.clone()));
+    }
+}
+
+fn send_join_order(
+    state: &mut DirectState,
+    id: &InstanceId,
+    group: &Arc<str>,
+    forming: &FormingGroup,
+) {
+    let step = GroupStep::Join {
+        group: group.clone(),
+        epoch: forming.epoch,
+        model: forming.model.clone(),
+        members: forming.members.clone(),
+    };
+    order::enqueue(state, id, step, OrderUse::Join(group.clone()));
+}
+
+/// Orders a member once more to join, which has refused as it had begun another order.
+pub(super) fn repeat_join(state: &mut DirectState, group: &Arc<str>, id: &InstanceId) {
+    if let Some(forming) = state.plan.forming.get(group).cloned() {
+        send_join_order(state, id, group, &forming);
     }
 }
 
@@ -278,6 +293,24 @@
     }
 }
 
+/// Gives up the groups that are being formed with this member.
+pub(super) fn give_up_with(
+    state: &mut DirectState,
+    now: Millis,
+    id: &InstanceId,
+    why: &str,
+    out: &mut Vec<Effect>,
+) {
+    let is_member = |(_, f): &(&Arc<str>, &FormingGroup)| f.members.contains(id);
+    let forming = state.plan.forming.iter().filter(is_member);
+    let groups: Vec<_> = forming.map(|(group, _)| group.clone()).collect();
+    for group in groups {
+        if let Some(forming) = state.plan.forming.remove(&group) {
+            give_up(state, now, &group, &forming, why, out);
+        }
+    }
+}
+
 /// Handles a member's own report of its seat in a group that is being formed.
 pub(super) fn on_seat_report(state: &mut DirectState, id: &InstanceId, seat: &GroupSeat) {
     if let Some(forming) = state.plan.forming.get_mut(&seat.group) {
--- a/src/logic/direct/plan/inspect.rs
+++ b/src/logic/direct/plan/inspect.rs
@@ -3,7 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::{probe, retire, survey, EndingGroup, EndingStep, FormingGroup, GroupMember, GroupView};
+use super::{
+    confirmation, probe, retire, survey, EndingGroup, EndingStep, FormingGroup, GroupMember,
+    GroupView,
+};
 use crate::logic::direct::DirectState;
 use crate::logic::Effect;
 use crate::types::{InstanceId, Millis, SeatState};
@@ -123,12 +126,15 @@
 }
 
 /// Whether an incomplete group may still become complete in the list: none of its members
-/// is lost, and either an earlier planner has just begun it or the list lacks its head.
+/// is lost, and either an earlier planner has just begun it, or the list lacks its head or other
+/// members, which have yet to report.
 fn can_complete(state: &DirectState, name: &Arc<str>, group: &GroupView) -> bool {
     let has_lost = lost_members(state, name).next().is_some();
     let is_begun = |s: SeatState| matches!(s, SeatState::Joining | SeatState::Ready);
     let is_forming = |head: &GroupMember| is_begun(head.state) || !group.loaded();
-    !has_lost && group.head().is_none_or(is_forming)
+    let may_grow =
+        group.head().is_none_or(is_forming) || confirmation::awaits_members(state, group);
+    !has_lost && may_grow
 }
 
 /// Number of members that a group needs. Unknown while no member shows the model; the
--- a/src/logic/direct/plan/mod.rs
+++ b/src/logic/direct/plan/mod.rs
@@ -14,8 +14,9 @@
 //! its predecessor. `halls` finds data halls that don't answer, and `repairs` measures how long lost
 //! groups take to be replaced. `value` estimates
 //! what groups are worth given the demand, `readiness` what a load in advance adds.
-//! `idle` reports endpoints that serve in no group, with the reason.
+//! `confirmation` has endpoints confirm that they may join a group, `idle` reports endpoints that serve in no group, with the reason.
 
+mod confirmation;
 mod end_proof;
 mod ending;
 mod fill;
@@ -50,6 +51,7 @@
 mod trade;
 mod value;
 
+pub use confirmation::Confirmation;
 pub use ending::{EndingGroup, EndingStep};
 pub use forming::FormingGroup;
 pub use group_view::{GroupMember, GroupView};
--- a/src/logic/direct/plan/order.rs
+++ b/src/logic/direct/plan/order.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::{form, probe, retire, scheduled, PlanState, QueuedOrder, SentOrder};
+use super::{confirmation, form, probe, retire, scheduled, PlanState, QueuedOrder, SentOrder};
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{DirectEffect, DirectState, GroupOrder, GroupStep, OrderResult};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -131,15 +131,18 @@
         };
         let order = state.next_number();
         let fence = state.plan.lease.next_order_fence();
+        let expected = confirmation::expected_orders(state, &queued.endpoint, &queued.what);
         let sent = SentOrder {
             endpoint: queued.endpoint.clone(),
             purpose: queued.purpose,
+            expected,
             sent_at: now,
         };
         state.plan.orders.insert(order, sent);
         let body = GroupOrder {
             what: queued.what,
             fence,
+            expected,
         };
         out.push(Effect::Direct(DirectEffect::Order {
             order,
@@ -227,10 +230,11 @@
     }
 }
 
-/// Whether the endpoint of an order doesn't hold off orders.
+/// Whether the endpoint of an order doesn't hold off orders, and may join a group if it is to.
 fn takes_orders(state: &DirectState, now: Millis, order: &QueuedOrder) -> bool {
     let view = state.endpoints.get(&order.endpoint);
     view.is_none_or(|v| hold_off::takes_calls(v, now))
+        && confirmation::is_confirmed(state, &order.what)
 }
 
 /// Orders that wait to be sent or await their results.
@@ -256,9 +260,13 @@
         return;
     };
     let SentOrder {
-        endpoint, purpose, ..
+        endpoint,
+        purpose,
+        expected,
+        ..
     } = sent;
     count_unanswered(state, &endpoint, result, out);
+    confirmation::on_order_result(state, &endpoint, expected, result);
     let labels = (purpose.name(), result.name());
     *state.plan.counts.entry(labels).or_default() += 1;
     let is_accepted = matches!(result, OrderResult::Begun | OrderResult::Done);
@@ -284,10 +292,16 @@
                 );
             }
         }
+        OrderUse::Join(group) if result == OrderResult::Unfit && expected.is_some() => {
+            form::repeat_join(state, &group, &endpoint);
+        }
         OrderUse::Break(group, _) if has_left(result) => retire::on_member_left(state, now, &group),
         OrderUse::Leave(group) if has_left(result) => {
             retire::on_head_left(state, now, &group, out);
         }
+        OrderUse::Stage(id) if result == OrderResult::Unfit && expected.is_some() => {
+            state.plan.staging.remove(&id);
+        }
         OrderUse::Stage(id) if !is_accepted => {
             scheduled::on_order_failed(state, now, &id, result, out);
         }
--- a/src/logic/direct/plan/plan_state.rs
+++ b/src/logic/direct/plan/plan_state.rs
@@ -3,8 +3,8 @@
 
 use super::survey::Place;
 use super::{
-    EndingGroup, FormingGroup, IdleEndpoint, KnownLoad, LoadBudget, LoadPause, OrderQueue,
-    PlannerLease, ProbeState, Repairs, SentOrder, StagedLoad,
+    Confirmation, EndingGroup, FormingGroup, IdleEndpoint, KnownLoad, LoadBudget, LoadPause,
+    OrderQueue, PlannerLease, ProbeState, Repairs, SentOrder, StagedLoad,
 };
 use crate::observe::LabelledCount;
 use crate::types::{GroupSeat, InstanceId, Millis};
@@ -61,6 +61,10 @@
     /// Seats, with their model, in groups that this planner has opened, while the list doesn't
     /// show them yet.
     pub opened_seats: BTreeMap<InstanceId, (GroupSeat, Arc<str>)>,
+    /// Endpoints that have reported to this planner.
+    pub confirmed: BTreeMap<InstanceId, Confirmation>,
+    /// Whether another router may have planned before: endpoints may have orders of it.
+    pub has_predecessor: bool,
     /// Orders that wait to be sent.
     pub order_queue: OrderQueue,
     /// Orders that await a result, by order number.
--- a/src/logic/direct/plan/planner_lease.rs
+++ b/src/logic/direct/plan/planner_lease.rs
@@ -59,6 +59,8 @@
     pub fence: u64,
     /// Orders sent under this fence.
     pub orders_sent: u64,
+    /// Whether no router has held a planner lease before.
+    pub is_first: bool,
     /// Position of the store at which the key was written.
     pub taken_at: StorePosition,
     /// Earliest time at which a lease may be requested. After the store was restored from a
@@ -193,6 +195,7 @@
             .with("why", "the store was restored from a backup");
         out.push(Effect::Log(event));
     }
+    state.plan.has_predecessor = true;
     state.plan.lease = PlannerLease {
         free_from: now + settling_ms(state),
         ..PlannerLease::default()
@@ -206,13 +209,21 @@
     }
 }
 
-/// Writes the key under the own lease, unless it has changed since it was read.
+/// Writes the key under the own lease, unless it has changed since it was read, or another router has
+/// planned meanwhile that this one doesn't know of.
 fn acquire_call(state: &DirectState, lease: i64) -> StoreCall {
+    let mut checks = vec![RevisionCheck {
+        key: KEY.to_string(),
+        revision: state.plan.lease.revision,
+    }];
+    if !state.plan.has_predecessor {
+        checks.push(RevisionCheck {
+            key: ERA_KEY.to_string(),
+            revision: 0,
+        });
+    }
     StoreCall::Transaction {
-        checks: vec![RevisionCheck {
-            key: KEY.to_string(),
-            revision: state.plan.lease.revision,
-        }],
+        checks,
         puts: vec![
             KeyWrite {
                 key: KEY.to_string(),
@@ -254,6 +265,7 @@
         (LeaseCall::Read, Ok(StoreReply::Entries { revision, entries })) => {
             planner_lease.watched = true;
             let last_era = entries.iter().find(|e| e.key == ERA_KEY);
+            state.plan.has_predecessor |= last_era.is_some();
             if last_era.is_some_and(|e| e.value != era.to_string()) {
                 planner_lease.free_from = planner_lease.free_from.max(now + settling);
             }
@@ -275,6 +287,8 @@
             if done =>
         {
             planner_lease.lease_id = Some(lease);
+            planner_lease.is_first = !state.plan.has_predecessor;
+            state.plan.has_predecessor = true;
             planner_lease.taken_at = StorePosition { era, revision };
             planner_lease.fence = planner_lease.taken_at.fence();
             planner_lease.orders_sent = 0;
@@ -323,6 +337,7 @@
             0
         };
         let is_other = planner_lease.holder.as_ref().is_some_and(|h| *h != me);
+        state.plan.has_predecessor |= is_other;
         if is_other && planner_lease.fence > 0 {
             planner_lease.fence = 0;
             planner_lease.lease_id = None;
--- a/src/logic/direct/plan/planning_pass.rs
+++ b/src/logic/direct/plan/planning_pass.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use super::{
-    fill, fleet_view, form, halls, idle, inspect, known_loads, planner_lease, probe, repairs,
-    retire, stage, survey, value, LoadBudget,
+    confirmation, fill, fleet_view, form, halls, idle, inspect, known_loads, planner_lease, probe,
+    repairs, retire, stage, survey, value, LoadBudget,
 };
 use crate::logic::direct::{DirectEffect, DirectState};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -59,6 +59,7 @@
     fill::on_tick(state, now, out);
     stage::on_tick(state, now, out);
     idle::on_tick(state, now, out);
+    confirmation::on_tick(state, now, out);
     log_needs(state, now, out);
     forget_ended(state);
 }
@@ -103,6 +104,7 @@
     plan.order_queue.clear();
     plan.misfits.clear();
     plan.opened_seats.clear();
+    plan.confirmed.clear();
     plan.lost.clear();
     plan.probes.clear();
     plan.probes_pending = 0;
--- a/src/logic/direct/plan/probe.rs
+++ b/src/logic/direct/plan/probe.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{form, readiness};
+use super::{confirmation, form, readiness};
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{
     endpoints, peers, DirectEffect, DirectState, EndpointView, Mechanism, Observation, ProbeResult,
@@ -158,12 +158,13 @@
     endpoints::on_probe_result(state, now, id, &result, out);
     let observation = endpoints::observation(state, now, id, &result, since);
     let probe = state.plan.probes.entry(id.clone()).or_default();
-    if std::mem::take(&mut probe.pending) {
+    let was_pending = std::mem::take(&mut probe.pending);
+    if was_pending {
         state.plan.probes_pending = state.plan.probes_pending.saturating_sub(1);
     }
     probe.own = Some(observation);
     match result {
-        ProbeResult::Alive { seat, .. } => {
+        ProbeResult::Alive(report) => {
             *probe = ProbeState {
                 sent_at: probe.sent_at,
                 ..ProbeState::default()
@@ -176,8 +177,11 @@
             }
             // Seats are taken from the list, as the report may be older than it; but a
             // reported seat in a group that is being formed may be newer than the list.
-            if let Some(seat) = seat {
-                form::on_seat_report(state, id, &seat);
+            if let Some(seat) = &report.seat {
+                form::on_seat_report(state, id, seat);
+            }
+            if was_pending {
+                confirmation::on_report(state, now, id, &report, out);
             }
             clear_silence(state, now, id);
         }
--- a/src/logic/direct/plan/retire.rs
+++ b/src/logic/direct/plan/retire.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 
 use super::{
-    form, order, probe, readiness, EndProof, EndingGroup, EndingStep, FormingGroup, GroupView,
-    OrderUse,
+    form, order, probe, readiness, EndProof, EndingGroup, EndingStep, GroupView, OrderUse,
 };
 use crate::logic::direct::{DirectState, EndpointView, GroupStep};
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -204,6 +203,7 @@
 ) {
     let plan = &mut state.plan;
     plan.opened_seats.remove(id);
+    plan.confirmed.remove(id);
     plan.staging.remove(id);
     plan.detached_loads.remove(id);
     plan.load_pauses.remove(id);
@@ -219,13 +219,7 @@
     if !was_lost {
         readiness::on_endpoint_lost(state, now);
     }
-    let is_member = |(_, f): &(&Arc<str>, &FormingGroup)| f.members.contains(id);
-    let forming = state.plan.forming.iter().find(is_member);
-    if let Some(group) = forming.map(|(group, _)| group.clone()) {
-        if let Some(forming) = state.plan.forming.remove(&group) {
-            form::give_up(state, now, &group, &forming, "a member has restarted", out);
-        }
-    }
+    form::give_up_with(state, now, id, "a member has restarted", out);
     // The head's earlier process has stopped, so its group has ended whichever members are left.
     let headed = seat.filter(|s| s.rank == 0).map(|s| s.group.clone());
     let is_head = |(_, e): &(&Arc<str>, &EndingGroup)| e.head.as_ref() == Some(id);
--- a/src/logic/direct/plan/sent_order.rs
+++ b/src/logic/direct/plan/sent_order.rs
@@ -8,6 +8,8 @@
     pub endpoint: InstanceId,
     /// Its purpose.
     pub purpose: OrderUse,
+    /// Number of orders that the endpoint must have begun before it, if it depends on that.
+    pub expected: Option<u64>,
     /// When it was sent.
     pub sent_at: Millis,
 }
--- a/src/logic/direct/plan/survey.rs
+++ b/src/logic/direct/plan/survey.rs
@@ -19,6 +19,11 @@
 /// A service and one of its fabric domains.
 pub(super) type Place = (Arc<str>, Arc<str>);
 
+/// The place of an endpoint.
+pub(super) fn place_of(view: &EndpointView) -> Place {
+    (view.entry.service.clone(), view.entry.domain.clone())
+}
+
 /// All groups in which an endpoint that isn't lost has a seat, without those that have
 /// ended and those of single spares.
 pub(super) fn groups(state: &DirectState) -> BTreeMap<Arc<str>, GroupView> {
@@ -60,7 +65,7 @@
     let mut stale = Vec::new();
     for (id, view) in &state.endpoints {
         if is_usable(state, id, view) && !forming.contains(id) && !is_seated(state, view) {
-            let place = (view.entry.service.clone(), view.entry.domain.clone());
+            let place = place_of(view);
             let since = state.plan.planner_since;
             if view.heartbeat_at <= since && state.ticked_at < since + LAG_LIMIT_MS {
                 stale.push((place, id));
@@ -89,7 +94,7 @@
             continue;
         };
         let group = groups.entry(&seat.group).or_insert_with(|| ListedGroup {
-            place: (view.entry.service.clone(), view.entry.domain.clone()),
+            place: place_of(view),
             model: None,
             ranks: BTreeSet::new(),
         });
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -196,4 +196,5 @@
     AnswerForeign = 676 Warn "answer belongs to another request: it is not used and its connection is closed";
     RunDropped = 677 Info "a run of a moved stream has failed: another one may go on";
     EndingCalledOff = 678 Info "group goes on: its head was found again";
+    SeatReported = 679 Warn "endpoint serves in a group that the list doesn't show";
 }
--- a/testkit/standin/replica.rs
+++ b/testkit/standin/replica.rs
@@ -39,6 +39,8 @@
     pub(super) epoch: u64,
     /// Highest fence of an order.
     pub(super) fence: u64,
+    /// Number of orders that it has begun since it last started.
+    pub(super) orders: u64,
     /// Since when its open group has lacked a member.
     pub(super) stalled_since: Option<Instant>,
     /// Rate limit that its answers name, in requests a second.
@@ -110,6 +112,21 @@
         1 + unix_ms().saturating_sub(self.started_ms) / HEARTBEAT_MS
     }
 
+    /// Its report.
+    pub(super) fn report(&self) -> Value {
+        json!({"pace": 1.0, "Seq": self.orders, "Models": self.models(), "group": self.group()})
+    }
+
+    fn models(&self) -> Vec<Value> {
+        let models = self.last_model.iter();
+        models.map(|m| json!({"Name": m, "Version": 1})).collect()
+    }
+
+    fn group(&self) -> Value {
+        let describe = |s: &Seat| json!({"Name": s.group, "epoch": s.epoch, "rank": s.rank, "State": s.state()});
+        self.seat.as_ref().map_or(Value::Null, describe)
+    }
+
     /// Its entry of the endpoint list, as JSON.
     pub(super) fn entry(&self) -> String {
         let mut entry = json!({"Service": self.service, "Address": self.listed_addr.unwrap_or(self.addr).to_string(),
@@ -118,15 +135,8 @@
         if self.service == "pool" {
             entry["Domain"] = json!("d1");
             entry["Staged"] = json!(self.staged.iter().collect::<Vec<_>>());
-            let models = self
-                .last_model
-                .iter()
-                .map(|m| json!({"Name": m, "Version": 1}));
-            entry["Models"] = models.collect::<Vec<_>>().into();
-            entry["group"] = self.seat.as_ref().map_or(
-                Value::Null,
-                |s| json!({"Name": s.group, "epoch": s.epoch, "rank": s.rank, "State": s.state()}),
-            );
+            entry["Models"] = self.models().into();
+            entry["group"] = self.group();
         }
         entry.to_string()
     }
--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -132,7 +132,11 @@
         return json_response(StatusCode::MISDIRECTED_REQUEST, &Value::Null);
     }
     if path == "/runrail/report" {
-        return json_response(StatusCode::OK, &json!({"pace": 1.0}));
+        let world = world.lock().expect("state lock");
+        let Some(replica) = world.replicas.get(&own_id) else {
+            return json_response(StatusCode::MISDIRECTED_REQUEST, &Value::Null);
+        };
+        return json_response(StatusCode::OK, &replica.report());
     }
     if path == "/runrail/order" {
         let body = request
--- a/testkit/standin/standin.rs
+++ b/testkit/standin/standin.rs
@@ -82,6 +82,7 @@
             seat: None,
             epoch: 0,
             fence: 0,
+            orders: 0,
             stalled_since: None,
             limit: None,
             hold_off: None,
@@ -115,6 +116,7 @@
             replica.seat = None;
             replica.epoch = 0;
             replica.fence = 0;
+            replica.orders = 0;
             replica.stalled_since = None;
             replica.hold_off = None;
             replica.leaving = false;
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -373,8 +373,16 @@
         if fence < replica.fence || (operation == "join" && epoch < replica.epoch) {
             return StatusCode::PRECONDITION_FAILED;
         }
+        let is_expected = |n: u64| n == replica.orders;
+        if !body["ExpectedRev"].as_u64().is_none_or(is_expected) {
+            return StatusCode::CONFLICT;
+        }
         replica.fence = fence;
-        replica.on_order(&operation, group, epoch, body)
+        let before = replica.seat.as_ref().map(|s| (s.group.clone(), s.open_at));
+        let status = replica.on_order(&operation, group, epoch, body);
+        let after = replica.seat.as_ref().map(|s| (s.group.clone(), s.open_at));
+        replica.orders += u64::from(before != after || status == StatusCode::ACCEPTED);
+        status
     }
 
     /// Audits rule TWO: a member doesn't join another group while the head of its own is open,
--- a/tests/direct/adapter.rs
+++ b/tests/direct/adapter.rs
@@ -301,6 +301,7 @@
             members: vec![InstanceId::new("i-1"), InstanceId::new("i-2")],
         },
         fence: 9,
+        expected: Some(4),
     };
     let request = (adapter().build_order)(&InstanceId::new("i-1"), "10.0.0.1:80", &order);
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -314,6 +315,7 @@
     assert_eq!(body["Operation"], "join");
     assert_eq!(body["Members"][0], "i-1");
     assert_eq!(body["Fence"], 9);
+    assert_eq!(body["ExpectedRev"], 4);
     let read = |status| (adapter().parse_order)(StatusCode::from_u16(status).expect("a status"));
     assert_eq!(read(202), OrderResult::Begun);
     assert_eq!(read(200), OrderResult::Done);
--- a/tests/direct/capacity.rs
+++ b/tests/direct/capacity.rs
@@ -8,8 +8,8 @@
 };
 use runrail::logic::direct::plan::StagedLoad;
 use runrail::logic::direct::{
-    Digest, DirectEffect, DirectEvent, EndpointView, FeatureMode, GroupStep, HoldOffPhase,
-    Mechanism, OrderResult, PeerMessage, ProbeResult,
+    Digest, DirectEffect, DirectEvent, EndpointReport, EndpointView, FeatureMode, GroupStep,
+    HoldOffPhase, Mechanism, OrderResult, PeerMessage, ProbeResult,
 };
 use runrail::logic::{Effect, LogCode};
 use runrail::types::{EndpointEntry, GroupSeat, InstanceId, SeatState};
@@ -659,11 +659,7 @@
         router.advance_ms(20);
         for effect in router.take_effects() {
             if let DirectEffect::Probe { id, .. } = &effect {
-                let alive = ProbeResult::Alive {
-                    started_ms: None,
-                    seat: None,
-                    slowness: 1_000,
-                };
+                let alive = ProbeResult::Alive(EndpointReport::default());
                 let answers = answering.contains(&id.as_str());
                 let result = if answers { alive } else { ProbeResult::Silent };
                 router.answer_probe(id.as_str(), result);
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -7,8 +7,8 @@
     Crash, CrashRecord, CrashReport, CrashTable, RecentlyServed, Verdict,
 };
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, DirectRequest, Fingerprint, PeerMessage, ProbeResult, Problem,
-    RunPart,
+    DirectEffect, DirectEvent, DirectRequest, EndpointReport, Fingerprint, PeerMessage,
+    ProbeResult, Problem, RunPart,
 };
 use runrail::logic::router::{StoreCall, StoreChange, StoreEntry};
 use runrail::logic::{Effect, Event};
@@ -156,11 +156,7 @@
     for id in 0..2 * BLOCKING_CRASHES as u64 {
         let sent = router.ask_for(fatal(id));
         router.part(run(&sent).run, RunPart::Broken);
-        let alive = ProbeResult::Alive {
-            started_ms: None,
-            seat: None,
-            slowness: 1_000,
-        };
+        let alive = ProbeResult::Alive(EndpointReport::default());
         router.answer_probe(run(&sent).to.as_str(), alive);
         router.advance_ms(2_000);
     }
@@ -176,11 +172,10 @@
     let mut router = Router::new(entries);
     let sent = router.ask_for(fatal(1));
     router.part(run(&sent).run, RunPart::Broken);
-    let alive = ProbeResult::Alive {
+    let alive = ProbeResult::Alive(EndpointReport {
         started_ms: Some(200),
-        seat: None,
-        slowness: 1_000,
-    };
+        ..EndpointReport::default()
+    });
     router.answer_probe(run(&sent).to.as_str(), alive);
     let table = &router.state().crashes.table;
     assert_eq!(
--- a/tests/direct/ending.rs
+++ b/tests/direct/ending.rs
@@ -1,8 +1,8 @@
 //! How groups end: what their heads have begun is finished first, as long as they can finish it.
 
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, GroupStep, Observation, OrderResult, PeerMessage, ProbeResult,
-    RunPart,
+    DirectEffect, DirectEvent, EndpointReport, GroupStep, Observation, OrderResult, PeerMessage,
+    ProbeResult, RunPart,
 };
 use runrail::types::{EndpointEntry, InstanceId, SeatState};
 
@@ -21,11 +21,7 @@
 }
 
 fn alive() -> ProbeResult {
-    ProbeResult::Alive {
-        started_ms: None,
-        seat: None,
-        slowness: 1_000,
-    }
+    ProbeResult::Alive(EndpointReport::default())
 }
 
 /// Endpoints that were ordered to close their group.
--- a/tests/direct/hold_off.rs
+++ b/tests/direct/hold_off.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, GroupStep, ProbeResult, Problem, RunPart, RunRequest,
+    DirectEffect, DirectEvent, EndpointReport, GroupStep, ProbeResult, Problem, RunPart, RunRequest,
 };
 use runrail::types::{EndpointEntry, InstanceId, SeatState};
 
@@ -361,11 +361,7 @@
     hold_off(&mut router, "e0", Some(1), HOLD_MS);
     assert_eq!(probes(&mut router), ["e0", "e1", "e2"]);
     for id in ["e0", "e1", "e2"] {
-        let alive = ProbeResult::Alive {
-            started_ms: None,
-            seat: None,
-            slowness: 1_000,
-        };
+        let alive = ProbeResult::Alive(EndpointReport::default());
         router.answer_probe(id, alive);
     }
     router.advance_ms(500);
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -54,5 +54,6 @@
 mod staging;
 mod stopping;
 mod suspension;
+mod takeover;
 mod unknown_names;
 mod wire;
--- a/tests/direct/repair.rs
+++ b/tests/direct/repair.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use runrail::logic::direct::{
-    DirectEffect, DirectEvent, GroupStep, Observation, OrderResult, PeerMessage, ProbeResult,
-    RunPart, RunRequest,
+    DirectEffect, DirectEvent, EndpointReport, GroupStep, Observation, OrderResult, PeerMessage,
+    ProbeResult, RunPart, RunRequest,
 };
 use runrail::types::{EndpointEntry, InstanceId, Routing, SeatState};
 
@@ -26,11 +26,7 @@
 }
 
 fn alive() -> ProbeResult {
-    ProbeResult::Alive {
-        started_ms: None,
-        seat: None,
-        slowness: 1_000,
-    }
+    ProbeResult::Alive(EndpointReport::default())
 }
 
 /// Numbers of the orders to leave a group, by endpoint.
@@ -507,11 +503,10 @@
     // The list shows the third member as it was before it joined.
     router.change("e3", Some(engine(3, None).1));
     let reported = seat("g", 2, SeatState::Ready);
-    let reported = ProbeResult::Alive {
-        started_ms: None,
+    let reported = ProbeResult::Alive(EndpointReport {
         seat: reported,
-        slowness: 1_000,
-    };
+        ..EndpointReport::default()
+    });
     router.answer_probe("e3", reported);
     router.take_effects();
     router.change("e1", Some(engine(1, seat("g", 0, SeatState::Open)).1));
--- a/tests/direct/restarts.rs
+++ b/tests/direct/restarts.rs
@@ -1,6 +1,8 @@
 //! Endpoints that restart under their ids, and entries older than what is known.
 
-use runrail::logic::direct::{Digest, DirectEffect, EndpointUpdate, GroupStep, ProbeResult};
+use runrail::logic::direct::{
+    Digest, DirectEffect, EndpointReport, EndpointUpdate, GroupStep, ProbeResult,
+};
 use runrail::types::{EndpointEntry, InstanceId};
 
 use crate::fixture::{
@@ -118,11 +120,10 @@
 fn a_report_after_a_restart_overrides_the_list() {
     let mut router = Router::planner(fleet(1));
     router.advance_ms(100);
-    let alive = ProbeResult::Alive {
+    let alive = ProbeResult::Alive(EndpointReport {
         started_ms: Some(STARTED_MS + 30_000),
-        seat: None,
-        slowness: 1_000,
-    };
+        ..EndpointReport::default()
+    });
     router.answer_probe("e1", alive);
     let view = &router.state().endpoints[&InstanceId::new("e1")];
     assert_eq!((view.entry.seat.clone(), view.entry.beats), (None, 0));
@@ -159,11 +160,10 @@
 fn a_start_time_in_a_report_alone_is_no_restart() {
     let mut router = Router::planner(open_group("g", [1, 2, 3]));
     router.advance_ms(100);
-    let alive = ProbeResult::Alive {
+    let alive = ProbeResult::Alive(EndpointReport {
         started_ms: Some(STARTED_MS),
-        seat: None,
-        slowness: 1_000,
-    };
+        ..EndpointReport::default()
+    });
     router.answer_probe("e1", alive);
     let view = &router.state().endpoints[&InstanceId::new("e1")];
     assert!(view.is_open_head());
