--- a/src/logic/direct/plan/confirmation.rs
+++ b/src/logic/direct/plan/confirmation.rs
@@ -109,14 +109,18 @@
     }
 }
 
-/// Whether all endpoints that an order concerns may be ordered to join a group. Where no router has
+/// Whether an endpoint has yet to report before it may be ordered to join a group. Where no router has
 /// planned before, all are free.
+pub(super) fn is_awaited(state: &DirectState, id: &InstanceId) -> bool {
+    !state.plan.lease.is_first && !state.plan.confirmed.contains_key(id)
+}
+
+/// Whether the endpoints that an order concerns may be ordered to join a group.
 pub(super) fn is_confirmed(state: &DirectState, step: &GroupStep) -> bool {
-    let GroupStep::Join { members, .. } = step else {
-        return true;
-    };
-    let plan = &state.plan;
-    plan.lease.is_first || members.iter().all(|id| plan.confirmed.contains_key(id))
+    match step {
+        GroupStep::Join { members, .. } => !members.iter().any(|id| is_awaited(state, id)),
+        _ => true,
+    }
 }
 
 /// Number of orders that an endpoint must have begun for an order to join to be carried out; none if
@@ -134,13 +138,16 @@
 /// Probes the endpoints whose reports orders wait for, and those that may be further members of a group
 /// that the list doesn't show.
 pub(super) fn on_tick(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let endpoints = &state.endpoints;
+    let confirmed = &mut state.plan.confirmed;
+    confirmed.retain(|id, _| endpoints.contains_key(id));
     let plan = &state.plan;
     let waiting = plan.order_queue.iter().filter_map(|o| match &o.what {
         step @ GroupStep::Join { members, .. } if !is_confirmed(state, step) => Some(members),
         _ => None,
     });
-    let is_due = |id: &&InstanceId| !plan.confirmed.contains_key(*id);
-    let mut due: BTreeSet<InstanceId> = waiting.flatten().filter(is_due).cloned().collect();
+    let waiting = waiting.flatten().filter(|id| is_awaited(state, id));
+    let mut due: BTreeSet<InstanceId> = waiting.cloned().collect();
     let places: BTreeSet<Place> = plan
         .confirmed
         .iter()
@@ -173,7 +180,6 @@
 ) -> impl Iterator<Item = &'a InstanceId> {
     let endpoints = state.endpoints.iter();
     let there = endpoints.filter(|(_, v)| survey::place_of(v) == *place);
-    there
-        .map(|(id, _)| id)
-        .filter(|id| !state.plan.confirmed.contains_key(*id) && !state.plan.lost.contains_key(*id))
+    let ids = there.map(|(id, _)| id);
+    ids.filter(|id| is_awaited(state, id) && !state.plan.lost.contains_key(*id))
 }
--- a/src/logic/direct/plan/probe.rs
+++ b/src/logic/direct/plan/probe.rs
@@ -132,10 +132,12 @@
         return;
     }
     state.plan.probes_pending += 1;
+    // On a connection of its own a report can't be one that comes twice.
+    let confirms = confirmation::is_awaited(state, id);
     let probe = state.plan.probes.entry(id.clone()).or_default();
     probe.pending = true;
     probe.sent_at = now;
-    let fresh = probe.misses > 0;
+    let fresh = probe.misses > 0 || confirms;
     out.push(Effect::Direct(DirectEffect::Probe {
         id: id.clone(),
         addr,
--- a/tests/direct/takeover.rs
+++ b/tests/direct/takeover.rs
@@ -109,6 +109,8 @@
     let later = router.take_effects();
     assert_eq!(joins(&later), []);
     answer_loads(&mut router, &later);
+    let is_reused = |e: &DirectEffect| matches!(e, DirectEffect::Probe { fresh: false, .. });
+    assert!(!effects.iter().any(is_reused), "a report may come twice");
     report(&mut router, &effects, |_| free(3));
     router.advance_ms(20);
     let ordered = expected(&router.take_effects());
