--- a/testkit/src/soak/judge.rs
+++ b/testkit/src/soak/judge.rs
@@ -42,7 +42,7 @@
 /// rate at which its log grows.
 const MAX_MEMORY_KB: u64 = 200 * 1_024;
 
-const MAX_DESCRIPTORS: u64 = 1_000;
+pub(super) const MAX_DESCRIPTORS: u64 = 1_000;
 
 const MAX_LOG_BYTES_PER_S: u64 = 1_000_000;
 
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -17,6 +17,7 @@
 mod record;
 mod report;
 mod run;
+mod sockets;
 
 pub use fault::Fault;
 pub use finding::Finding;
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -36,6 +36,8 @@
     pub memory_kb: u64,
     /// Largest number of open descriptors.
     pub descriptors: u64,
+    /// What its sockets were when it first had more than it may have.
+    pub sockets: Option<String>,
     /// Size of its log, in bytes.
     pub log_bytes: u64,
 }
--- a/testkit/src/soak/run.rs
+++ b/testkit/src/soak/run.rs
@@ -7,7 +7,8 @@
 
 use super::client::Connection;
 use super::driver::{lock, Driver, RouterSlot};
-use super::{Outcome, Plan, ProcessFigures, Received, Record, SoakSettings};
+use super::judge::MAX_DESCRIPTORS;
+use super::{sockets, Outcome, Plan, ProcessFigures, Received, Record, SoakSettings};
 use crate::direct::{served, start_routers_with, Standin, World};
 use crate::Relay;
 
@@ -203,6 +204,9 @@
     let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
     usage.memory_kb = usage.memory_kb.max(memory.unwrap_or(0));
     usage.descriptors = usage.descriptors.max(descriptors as u64);
+    if usage.descriptors > MAX_DESCRIPTORS {
+        usage.sockets.get_or_insert_with(|| sockets::summary(pid));
+    }
 }
 
 /// Waits until all routers have the newest configuration in force and serve streams; returns the
