--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -131,9 +131,9 @@
 
 /// Ends all requests whose answer hasn't begun, as the process exits: their connections would just
 /// close.
-pub(super) fn end_unbegun(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
-    let unbegun = state.in_flight.iter().filter(|(_, f)| !f.head_sent);
-    let ids: Vec<u64> = unbegun.map(|(id, _)| *id).collect();
+pub(super) fn end_unanswered(state: &mut DirectState, now: Millis, out: &mut Vec<Effect>) {
+    let unanswered = state.in_flight.iter().filter(|(_, f)| !f.head_sent);
+    let ids: Vec<u64> = unanswered.map(|(id, _)| *id).collect();
     for id in ids {
         give_up(state, now, id, "the router exits", out);
     }
--- a/src/logic/direct/observation.rs
+++ b/src/logic/direct/observation.rs
@@ -13,6 +13,7 @@
     Refuses,
     /// Its address refuses connections and a run there has just broken off though it wasn't leaving: it
     /// has crashed, or it is cut off by a fault that resets connections.
+    // Earlier versions call it `Gone`.
     #[serde(rename = "Gone")]
     RunBroke,
     /// Another endpoint has its address: its process has ended.
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -227,7 +227,7 @@
         }
         ShutdownStage::Draining if answered || exit_by(state).is_some_and(|by| now >= by) => {
             state.shutdown = ShutdownStage::Done;
-            finish::end_unbegun(state, now, out);
+            finish::end_unanswered(state, now, out);
             out.push(Effect::Exit);
         }
         _ => {}
