Logs: what a refusal follows from, and refusals by form or size

The log couldn't tell the hypotheses apart: E643 at the arrival of a request named neither the cause that it was refused for nor how old the routing was, and refusals by head or body wrote no line at all.

- E643 names the host, whether there is a key, the routing's version and its age; or the causes with their crashes, trials and age.
- E646 says whether the crash was one of a trial, E647, E661 and E674 whether the cause is a segment.
- E680 is new: a request that is refused by its form or its size.

No decision changes.

--- a/src/link/callers.rs
+++ b/src/link/callers.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -18,8 +19,10 @@
 
 use super::answer_body::{AnswerBody, DisconnectGuard};
 use super::link_event::{LinkEvent, ReceivedRequest};
+use super::run_direct::log_event;
 use super::shared::Shared;
 use crate::logic::direct::DirectEvent;
+use crate::logic::LogCode;
 
 /// Smallest read buffer of a connection, which limits the heads of its requests.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -64,7 +67,7 @@
     loop {
         tokio::select! {
             // A disconnect drops the requests of this connection; their guards report it.
-            _ = &mut served => return,
+            ended = &mut served => return log_unread(&ended),
             () = shared.close_listener.notified() => served.as_mut().graceful_shutdown(),
         }
     }
@@ -80,18 +83,26 @@
     let is_ambiguous =
         head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING);
     if is_ambiguous {
-        return refusal(StatusCode::BAD_REQUEST);
+        return malformed(
+            &shared,
+            &head,
+            StatusCode::BAD_REQUEST,
+            "two lengths of the body",
+        );
     }
     let limit = shared.limits.get().body_bytes;
+    let too_large = StatusCode::PAYLOAD_TOO_LARGE;
     if body.size_hint().lower() > limit as u64 {
-        return refusal(StatusCode::PAYLOAD_TOO_LARGE);
+        let why = format!("its body has more than {limit} bytes");
+        return malformed(&shared, &head, too_large, &why);
     }
     let body = match Limited::new(body, limit).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) if e.is::<http_body_util::LengthLimitError>() => {
-            return refusal(StatusCode::PAYLOAD_TOO_LARGE)
+            let why = format!("its body has more than {limit} bytes");
+            return malformed(&shared, &head, too_large, &why);
         }
-        Err(_) => return refusal(StatusCode::BAD_REQUEST),
+        Err(e) => return malformed(&shared, &head, StatusCode::BAD_REQUEST, &e.to_string()),
     };
     let id = next_id.get();
     next_id.set(id + 1);
@@ -103,6 +114,24 @@
     response
 }
 
+/// Logs a head that can't be read, to which the server has answered 400, 414 or 431 by itself. Other ends
+/// of connections leave no request without an answer of the reducer.
+fn log_unread(ended: &hyper::Result<()>) {
+    if let Err(e) = ended {
+        if e.is_parse() {
+            log_event(LogCode::RequestMalformed, &format!("its head: {e}"));
+        }
+    }
+}
+
+/// Refuses a request whose head or body can't be taken, and logs it.
+fn malformed(shared: &Shared, head: &Parts, status: StatusCode, why: &str) -> Response<AnswerBody> {
+    let label = (shared.adapter.parse_request)(head, &[]).label;
+    let why = format!("request {label:?} answered {}: {why}", status.as_u16());
+    log_event(LogCode::RequestMalformed, &why);
+    refusal(status)
+}
+
 /// An empty answer with an error status, after which the connection closes.
 fn refusal(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::Whole(Some(Bytes::new())));
--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -4,8 +4,8 @@
 
 use super::admission::queue;
 use super::{
-    crashes, demand, finish, peers, returns, send, step, DirectRequest, DirectState,
-    InFlightRequest, Precedence, Problem,
+    crashes, demand, digests, finish, peers, returns, send, step, DirectRequest, DirectState,
+    InFlightRequest, Precedence, Problem, Refusal,
 };
 use crate::logic::Effect;
 use crate::types::{Millis, RouteSpec, Routing};
@@ -23,13 +23,8 @@
 ) {
     if !step::accepts_callers(state, now) {
         let problem = Problem::NotRun(state.params.again_ms / 4);
-        return finish::refuse(
-            request.id,
-            &request.label,
-            problem,
-            "the router is shutting down",
-            out,
-        );
+        let refusal = Refusal::new(problem, "the router is shutting down");
+        return finish::refuse(&request, refusal, out);
     }
     let ready = state.routing.is_some() && state.listed && state.pause.waiting_since.is_none();
     if ready || !queue::hold(state, now, &request) {
@@ -46,7 +41,7 @@
 ) {
     let problem = finish::not_yet_problem(state, request.wait_ms);
     let why = "the routing or the endpoint list is not known, or is being checked after a pause";
-    finish::refuse(request.id, &request.label, problem, why, out);
+    finish::refuse(request, Refusal::new(problem, why), out);
 }
 
 /// Admits a request that arrived at `arrived_at`, and sends it, enqueues it or refuses it.
@@ -61,38 +56,25 @@
         return refuse_not_ready(state, &request, out);
     };
     let Some(route) = routing.route(&request.host, &request.path).cloned() else {
-        return finish::refuse(
-            request.id,
-            &request.label,
-            Problem::NoRoute,
-            "no such route",
-            out,
-        );
+        let refusal = Refusal::new(Problem::NoRoute, "no such route").with("host", &request.host);
+        return finish::refuse(&request, by_routing(state, now, refusal), out);
     };
     let Ok((account, priority)) = account(&routing, &route, request.key.as_deref()) else {
-        return finish::refuse(
-            request.id,
-            &request.label,
-            Problem::NoAccount,
-            "missing or unknown API key",
-            out,
-        );
+        let refusal = Refusal::new(Problem::NoAccount, "missing or unknown API key")
+            .with("has_key", request.key.is_some());
+        return finish::refuse(&request, by_routing(state, now, refusal), out);
     };
     let fingerprint = request.fingerprint.for_account(account.as_deref());
     let segments = &request.segments;
     let refusal = crashes::refusal(state, now, request.id, &fingerprint, segments, out);
-    if let Some((problem, why)) = refusal {
-        return finish::refuse(request.id, &request.label, problem, why, out);
+    if let Some(refusal) = refusal {
+        return finish::refuse(&request, refusal, out);
     }
     let random = state.random_below(u64::MAX);
     let Some(service) = route.service(random).cloned() else {
-        return finish::refuse(
-            request.id,
-            &request.label,
-            Problem::NoRoute,
-            "the route has no service",
-            out,
-        );
+        let refusal =
+            Refusal::new(Problem::NoRoute, "the route has no service").with("route", &route.name);
+        return finish::refuse(&request, by_routing(state, now, refusal), out);
     };
     let (window, id) = (state.params.retry_window, request.id);
     state
@@ -147,6 +129,13 @@
     send::send_or_wait(state, now, id, out);
 }
 
+/// Adds to a refusal which routing it follows from, and how long ago that was known to be current.
+fn by_routing(state: &DirectState, now: Millis, refusal: Refusal) -> Refusal {
+    let version = state.routing.as_ref().map_or(0, |r| r.version);
+    let age = now.saturating_sub(digests::routing_checked_at(state));
+    refusal.with("version", version).with("routing_age", age)
+}
+
 /// Client account and priority of a request; an error if its key is unknown.
 fn account(
     routing: &Routing,
--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -56,6 +56,20 @@
         self.get(cause).is_some_and(|r| r.is_segment)
     }
 
+    /// Whether a cause is a request or a segment of prompts, for the log.
+    pub fn kind(&self, cause: &Fingerprint) -> &'static str {
+        match self.is_segment(cause) {
+            true => "segment",
+            false => "request",
+        }
+    }
+
+    /// Time since a merge last changed the record of a cause; 0 if there is none.
+    pub fn age(&self, now: Millis, cause: &Fingerprint) -> Millis {
+        let entry = self.records.get(cause);
+        entry.map_or(0, |e| now.saturating_sub(e.updated_at))
+    }
+
     /// Whether routers don't send requests with a cause, unless another one explains its crashes or it
     /// is tried.
     pub fn is_blocked(&self, cause: &Fingerprint) -> bool {
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -6,7 +6,7 @@
 };
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{
-    finish, DirectEffect, DirectState, Fingerprint, InFlightRequest, ProbeResult, Problem,
+    finish, DirectEffect, DirectState, Fingerprint, InFlightRequest, ProbeResult, Problem, Refusal,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
@@ -155,6 +155,7 @@
             .with("kind", if is_segment { "segment" } else { "request" })
             .with("endpoint", id)
             .with("born", crash.born.unwrap_or(0))
+            .with("alone", record.alone.len())
             .with("crashes", state.crashes.table.counted_crashes(&cause));
         out.push(Effect::Log(event));
     }
@@ -207,6 +208,8 @@
     let ids: Vec<_> = ids.map(|c| c.endpoint.to_string()).collect();
     let event = LogEvent::new(LogCode::RequestBlocked)
         .with("fingerprint", cause)
+        .with("kind", state.crashes.table.kind(&cause))
+        .with("trials", state.crashes.table.alone_crashes(&cause))
         .with("endpoints", ids.join(","));
     out.push(Effect::Log(event));
     let has_event = |f: &InFlightRequest| f.all_runs().any(|r| r.has_event);
@@ -227,15 +230,18 @@
     request: &Fingerprint,
     segments: &[Fingerprint],
     out: &mut Vec<Effect>,
-) -> Option<(Problem, &'static str)> {
+) -> Option<Refusal> {
     let retry = Problem::NotRun(state.params.again_ms);
     let table = &state.crashes.table;
     let causes = || std::iter::once(request).chain(segments);
     let verdicts: Vec<_> = causes().map(|c| (*c, table.verdict(now, c))).collect();
     let has = |wanted: Verdict| verdicts.iter().any(|(_, verdict)| *verdict == wanted);
     if has(Verdict::Refused) {
+        let refused = verdicts.iter().filter(|(_, v)| *v == Verdict::Refused);
+        let refused: Vec<_> = refused.map(|(cause, _)| *cause).collect();
         state.crashes.refusals += 1;
-        return Some((Problem::CrashesEndpoints, WHY_CRASHES));
+        let refusal = Refusal::new(Problem::CrashesEndpoints, WHY_CRASHES);
+        return Some(by_crashes(state, now, &refused, refusal));
     }
     let held = verdicts.iter().filter(|(_, v)| *v == Verdict::Held);
     let held: Vec<_> = held.map(|(cause, _)| *cause).collect();
@@ -248,14 +254,37 @@
             true => "already in flight, and endpoints crashed while running it",
             false => trials::WHY_HELD,
         };
-        return Some((retry, why));
+        let causes: Vec<_> = causes().copied().collect();
+        return Some(by_crashes(state, now, &causes, Refusal::new(retry, why)));
     }
-    if !held.is_empty() && !trials::begin(state, now, id, held, out) {
-        return Some((retry, trials::WHY_HELD));
+    if !held.is_empty() && !trials::begin(state, now, id, &held, out) {
+        let refusal = Refusal::new(retry, trials::WHY_HELD);
+        return Some(by_crashes(state, now, &held, refusal));
     }
     None
 }
 
+/// Adds to a refusal the causes that it follows from, with their crashes, how many of these were trials
+/// and how long ago the last one was learnt of.
+fn by_crashes(
+    state: &DirectState,
+    now: Millis,
+    causes: &[Fingerprint],
+    refusal: Refusal,
+) -> Refusal {
+    let table = &state.crashes.table;
+    let known: Vec<_> = causes.iter().filter(|c| table.get(c).is_some()).collect();
+    let join = |value: &dyn Fn(&Fingerprint) -> String| {
+        let values: Vec<_> = known.iter().map(|cause| value(cause)).collect();
+        values.join(",")
+    };
+    refusal
+        .with("causes", join(&|c| c.to_string()))
+        .with("crashes", join(&|c| table.counted_crashes(c).to_string()))
+        .with("trials", join(&|c| table.alone_crashes(c).to_string()))
+        .with("age", join(&|c| table.age(now, c).to_string()))
+}
+
 /// Whether a request or a segment of its prompt is risky, counting also the crashes that it is
 /// suspected of while the endpoints are still being probed.
 pub(in crate::logic::direct) fn is_risky(state: &DirectState, flight: &InFlightRequest) -> bool {
--- a/src/logic/direct/crashes/trials.rs
+++ b/src/logic/direct/crashes/trials.rs
@@ -29,6 +29,7 @@
     if state.crashes.held.insert(cause) {
         let event = LogEvent::new(LogCode::SuspectHeld)
             .with("fingerprint", cause)
+            .with("kind", state.crashes.table.kind(&cause))
             .with("crashes", state.crashes.table.counted_crashes(&cause));
         out.push(Effect::Log(event));
     }
@@ -76,7 +77,7 @@
     state: &mut DirectState,
     now: Millis,
     id: u64,
-    held: Vec<Fingerprint>,
+    held: &[Fingerprint],
     out: &mut Vec<Effect>,
 ) -> bool {
     let table = &state.crashes.table;
@@ -86,15 +87,16 @@
     if segments.count() > 1 || is_busy || !state.plan.lease.holds(now) {
         return false;
     }
-    for cause in &held {
+    for cause in held {
         let event = LogEvent::new(LogCode::SuspectTried)
             .with("fingerprint", cause)
+            .with("kind", table.kind(cause))
             .with("crashes", table.counted_crashes(cause));
         out.push(Effect::Log(event));
     }
     state.crashes.trial = Some(Trial {
         request: id,
-        causes: held,
+        causes: held.to_vec(),
     });
     true
 }
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -240,6 +240,14 @@
     }
 }
 
+/// When the routing in force was last known to be the newest one, by this router's own reading or by
+/// the planner's.
+pub(super) fn routing_checked_at(state: &DirectState) -> Millis {
+    let digests = &state.digests;
+    let told_at = digests.routing_until.saturating_sub(VALID_MS);
+    digests.routing_at.max(told_at)
+}
+
 fn routing_version(state: &DirectState) -> u64 {
     state.routing.as_ref().map_or(0, |r| r.version)
 }
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -2,8 +2,8 @@
 
 use super::admission::{pool, queue};
 use super::{
-    accept, choose, crashes, demand, endpoints, moves, returns, DirectEffect, DirectState,
-    InFlightRequest, Problem,
+    accept, choose, crashes, demand, endpoints, moves, returns, DirectEffect, DirectRequest,
+    DirectState, InFlightRequest, Problem, Refusal,
 };
 use crate::logic::router::Metric;
 use crate::logic::{Effect, LogCode, LogEvent};
@@ -216,18 +216,15 @@
 }
 
 /// Refuses a request that was not admitted.
-pub(super) fn refuse(
-    request: u64,
-    label: &str,
-    problem: Problem,
-    why: &'static str,
-    out: &mut Vec<Effect>,
-) {
-    let event = LogEvent::new(LogCode::RequestRefused)
-        .with("request", label)
+pub(super) fn refuse(request: &DirectRequest, refusal: Refusal, out: &mut Vec<Effect>) {
+    let problem = refusal.problem;
+    let mut event = LogEvent::new(LogCode::RequestRefused)
+        .with("request", &request.label)
         .with("problem", problem.name())
-        .with("why", why);
+        .with("why", refusal.why);
+    event.fields.extend(refusal.facts);
     out.push(Effect::Log(event));
+    let request = request.id;
     out.push(Effect::Direct(DirectEffect::Refuse { request, problem }));
 }
 
