Failing tests: proper requests that are refused for good by what a router can't know

- Five of the reducer for crashes: a trial beside other failures, a single trial, endpoints that failed together, crashes one by one, requests in flight.
- Four of the reducer for the routing: 404 and 401 by one that was read long ago, is known to be replaced or couldn't be read after a pause; 404 for a route without a service.

--- a/testkit/standin/replica_calls.rs
+++ b/testkit/standin/replica_calls.rs
@@ -184,8 +184,9 @@
     let body = request.into_body().collect().await;
     let fatal_body = body.is_ok_and(|b| b.to_bytes() == FATAL.as_bytes());
     let fatal_segment = segments.split([',', ':']).any(|id| id == FATAL_SEGMENT);
-    let fatal = fatal_body || fatal_segment;
     let can_run = !pool || world.lock().expect("state lock").is_open_head(&own_id);
+    let by_chance = can_run && crashes_by_chance(&world, &attempt);
+    let fatal = fatal_body || fatal_segment || by_chance;
     if can_run {
         let mut world = world.lock().expect("state lock");
         *world.ran.entry(attempt.clone()).or_default() += 1;
@@ -260,6 +261,15 @@
     }
 }
 
+/// Whether the replica crashes while it runs an attempt, which hasn't caused it.
+fn crashes_by_chance(world: &Arc<Mutex<World>>, attempt: &str) -> bool {
+    let mut world = world.lock().expect("state lock");
+    let prefix = world.crash_under;
+    let is_due = prefix.is_some_and(|prefix| attempt.starts_with(prefix));
+    world.crash_under = prefix.filter(|_| !is_due);
+    is_due
+}
+
 /// Crashes the replica after [`CRASH_DELAY`].
 fn crash_later(world: &Arc<Mutex<World>>, own_id: &str) {
     let (world, own_id) = (world.clone(), own_id.to_string());
--- a/testkit/standin/world.rs
+++ b/testkit/standin/world.rs
@@ -53,6 +53,8 @@
     pub ran: HashMap<String, u32>,
     /// Times at which a run of a request with the fatal body began.
     pub fatal: Vec<Instant>,
+    /// Prefix of attempt ids: the replica that runs the next such request crashes, by chance.
+    pub crash_under: Option<&'static str>,
     /// Times at which a run of a request with the fatal segment began.
     pub fatal_segment: Vec<Instant>,
     /// Violations that the audit has found.
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -37,6 +37,7 @@
 mod pauses;
 mod placing;
 mod planner_lease;
+mod proper_requests;
 mod queue;
 mod rates;
 mod repair;
--- /dev/null
+++ b/tests/direct/proper_requests.rs
@@ -0,0 +1,307 @@
+//! What a router can't know: requests that may be proper are asked to come back, not refused for good.
+
+use std::time::Duration;
+
+use runrail::logic::direct::crashes::{Crash, CrashRecord, CrashReport};
+use runrail::logic::direct::{
+    DirectEffect, DirectEvent, DirectRequest, Fingerprint, PeerMessage, ProbeResult, RunPart,
+};
+use runrail::platform::adapter;
+use runrail::types::{EndpointEntry, InstanceId};
+use testkit::direct::{exchange, fleet, logs, until, Answer, CallerRequest, FATAL_SEGMENT};
+
+use crate::fixture::{
+    addr, at, empty_digest, open_group, piece, problem, receive_digest, request, run, Router,
+};
+
+/// Status of the refusal among some effects.
+fn status(effects: &[DirectEffect]) -> Option<u16> {
+    let answer = (adapter().build_problem)(problem(effects)?);
+    Some(answer.status().as_u16())
+}
+
+/// Whether a caller is asked to come back after some time.
+fn comes_back(effects: &[DirectEffect]) -> bool {
+    let answer = problem(effects).map(adapter().build_problem);
+    answer.is_some_and(|a| a.status() == 503 && a.headers().contains_key("retry-after"))
+}
+
+fn open_groups() -> Vec<(InstanceId, EndpointEntry)> {
+    let group = |n: u16| open_group(&format!("g{n}"), [10 * n, 10 * n + 1, 10 * n + 2]);
+    (0..20).flat_map(group).collect()
+}
+
+/// A request of its own, whose prompt has a segment that many requests share.
+fn sharing(id: u64) -> DirectRequest {
+    DirectRequest {
+        segments: vec![Fingerprint::of_segment("shared")],
+        ..request(id, "/stream/x")
+    }
+}
+
+/// Another copy of one request.
+fn copy(id: u64) -> DirectRequest {
+    DirectRequest {
+        fingerprint: Fingerprint::of(&[b"copies"]),
+        ..request(id, "/stream/x")
+    }
+}
+
+fn copies() -> Fingerprint {
+    copy(0).fingerprint.for_account(Some("ann"))
+}
+
+fn crash_at(n: u64) -> Crash {
+    Crash {
+        endpoint: InstanceId::new(&format!("gone-{n}")),
+        born: None,
+    }
+}
+
+/// What another router reports of a cause that was at some crashes.
+fn report(cause: Fingerprint, crashes: &[u64], is_segment: bool) -> CrashReport {
+    let mut record = CrashRecord::default();
+    for n in crashes {
+        record.merge(&CrashRecord::of_run(crash_at(*n), 20, false));
+    }
+    record.is_segment = is_segment;
+    CrashReport { cause, record }
+}
+
+fn receive(router: &mut Router, reports: Vec<CrashReport>) {
+    router.tell(DirectEvent::PeerMessage {
+        from: addr(2_001),
+        message: PeerMessage::Crashes(reports),
+    });
+}
+
+/// Answers a request in full.
+fn serve(router: &mut Router, run: u64) {
+    router.part(run, RunPart::Head);
+    router.part(run, piece(1));
+    router.part(run, RunPart::End);
+}
+
+/// Asks until a request is sent, for at most `limit_ms`; the others are asked to come back. Returns its
+/// run and its endpoint.
+fn ask_until_sent(
+    router: &mut Router,
+    make: fn(u64) -> DirectRequest,
+    limit_ms: u64,
+) -> (u64, InstanceId) {
+    let begin = router.now;
+    let mut id = begin * 1_000;
+    loop {
+        id += 1;
+        let effects = router.ask_for(make(id));
+        let sent = effects.iter().find_map(|e| match e {
+            DirectEffect::Run(run) => Some((run.run, run.to.clone())),
+            _ => None,
+        });
+        if let Some(sent) = sent {
+            return sent;
+        }
+        assert!(comes_back(&effects), "{effects:?}");
+        assert!(router.now < begin + limit_ms, "none is sent");
+        router.advance_ms(200);
+    }
+}
+
+/// The endpoint of a run ends before the first event of its answer.
+fn crash(router: &mut Router, run: u64, endpoint: &InstanceId) {
+    router.part(run, RunPart::Broken);
+    router.answer_probe(endpoint.as_str(), ProbeResult::Refused);
+}
+
+/// Guards against 400 for all requests with a segment that many share, for ten minutes: one of them was
+/// tried, and its endpoint ended for another reason.
+#[test]
+fn a_segment_whose_trial_met_another_failure_is_not_refused_for_good() {
+    let mut router = Router::planner(open_groups());
+    let shared = Fingerprint::of_segment("shared");
+    receive(&mut router, vec![report(shared, &[1, 2, 3], true)]);
+    let (tried, endpoint) = ask_until_sent(&mut router, sharing, 0);
+    // Two endpoints fail at which nothing with the segment was.
+    let other = Fingerprint::of(&[b"other"]);
+    receive(&mut router, vec![report(other, &[4, 5], false)]);
+    crash(&mut router, tried, &endpoint);
+    let (again, _) = ask_until_sent(&mut router, sharing, 4_000);
+    serve(&mut router, again);
+    run(&router.ask_for(sharing(1)));
+}
+
+/// Guards against the same where nothing else is known to have failed: a single trial is no proof.
+#[test]
+fn a_segment_whose_trial_crashed_an_endpoint_is_tried_again() {
+    let mut router = Router::planner(open_groups());
+    let shared = Fingerprint::of_segment("shared");
+    receive(&mut router, vec![report(shared, &[1, 2, 3], true)]);
+    let (tried, endpoint) = ask_until_sent(&mut router, sharing, 0);
+    crash(&mut router, tried, &endpoint);
+    let (again, _) = ask_until_sent(&mut router, sharing, 30_000);
+    serve(&mut router, again);
+    run(&router.ask_for(sharing(1)));
+}
+
+/// Guards against 400 for a request that was at endpoints which failed together, as in a failure of power:
+/// no other request was at two of them.
+#[test]
+fn a_request_at_endpoints_that_failed_together_is_tried_and_not_refused_for_good() {
+    let mut router = Router::planner(open_groups());
+    receive(&mut router, vec![report(copies(), &[1, 2, 3], false)]);
+    let (tried, _) = ask_until_sent(&mut router, copy, 2_000);
+    serve(&mut router, tried);
+    run(&router.ask_for(copy(1)));
+}
+
+/// Guards against 400 for good even where the crashes came one by one: nothing has shown that the request
+/// caused them.
+#[test]
+fn a_request_at_three_crashes_is_asked_to_come_back_and_tried_later() {
+    let mut router = Router::planner(open_groups());
+    for n in 1..=3 {
+        receive(&mut router, vec![report(copies(), &[n], false)]);
+        router.advance_ms(5_000);
+    }
+    let effects = router.ask_for(copy(1));
+    assert!(comes_back(&effects), "{effects:?}");
+    let (tried, _) = ask_until_sent(&mut router, copy, 120_000);
+    serve(&mut router, tried);
+    run(&router.ask_for(copy(2)));
+}
+
+/// Guards against requests that wait or run when their cause is blocked and get 400.
+#[test]
+fn a_request_in_flight_whose_cause_is_blocked_is_not_refused_for_good() {
+    let mut router = Router::new(open_groups());
+    run(&router.ask_for(copy(1)));
+    router.take_effects();
+    for n in 1..=3 {
+        receive(&mut router, vec![report(copies(), &[n], false)]);
+        router.advance_ms(2_000);
+    }
+    let answer = status(&router.take_effects());
+    assert!(answer.is_none_or(|s| s >= 500), "{answer:?}");
+}
+
+/// The status of a request for a path, and of one with a key, that the routing doesn't have.
+fn unknown(router: &mut Router) -> [Option<u16>; 2] {
+    let path = status(&router.ask(1, "/unknown/x"));
+    let stranger = DirectRequest {
+        key: Some("unknown".to_string()),
+        ..request(2, "/stream/x")
+    };
+    [path, status(&router.ask_for(stranger))]
+}
+
+const NOT_KNOWN: [Option<u16>; 2] = [Some(503); 2];
+const WRONG: [Option<u16>; 2] = [Some(404), Some(401)];
+
+/// Guards against 404 and 401 by a routing that may have been replaced: the store is silent, and no other
+/// router tells of it.
+#[test]
+fn a_route_or_key_is_only_missing_in_a_routing_that_was_read_lately() {
+    let mut router = Router::new(open_groups());
+    router.tell(DirectEvent::RoutingRead);
+    assert_eq!(unknown(&mut router), WRONG);
+    router.advance_ms(2_000);
+    assert_eq!(unknown(&mut router), WRONG);
+    router.advance_ms(1_000);
+    assert_eq!(unknown(&mut router), NOT_KNOWN);
+    assert!(comes_back(&router.ask(3, "/unknown/x")));
+    run(&router.ask(4, "/stream/x"));
+    router.tell(DirectEvent::RoutingRead);
+    assert_eq!(unknown(&mut router), WRONG);
+}
+
+/// Guards against 404 and 401 by a routing that the planner knows to be replaced, and against 503 where the
+/// planner has read the same one lately.
+#[test]
+fn a_digest_tells_whether_a_route_or_key_is_missing() {
+    let mut router = Router::new(open_groups());
+    router.advance_ms(10_000);
+    assert_eq!(unknown(&mut router), NOT_KNOWN);
+    receive_digest(&mut router, empty_digest(1, at(7)));
+    assert_eq!(unknown(&mut router), WRONG);
+    let mut digest = empty_digest(2, at(7));
+    digest.routing = 2;
+    receive_digest(&mut router, digest);
+    assert_eq!(unknown(&mut router), NOT_KNOWN);
+}
+
+/// Guards against 404 and 401 after a pause in which the routing may have been replaced.
+#[test]
+fn after_a_pause_a_route_or_key_is_missing_only_once_the_routing_was_read() {
+    let mut router = Router::new(open_groups());
+    router.tell(DirectEvent::RoutingRead);
+    router.checks = false;
+    router.now += 2_000;
+    assert_eq!(unknown(&mut router), [None; 2], "they are held");
+    router.advance_ms(1_100);
+    let effects = router.take_effects();
+    let answers = effects.iter().map(|e| status(std::slice::from_ref(e)));
+    let answers: Vec<_> = answers.flatten().collect();
+    assert_eq!(answers, [503, 503], "the store hasn't answered");
+}
+
+/// Guards against 404 for a path whose route is there, while operators give it no service.
+#[test]
+fn a_route_without_a_service_asks_callers_to_come_back() {
+    let mut router = Router::new(open_groups());
+    let mut routing = crate::fixture::routing(2);
+    let route = routing.route("a.example", "/stream/x").expect("a route");
+    let mut longer = (**route).clone();
+    longer.prefix = "/stream/none/".into();
+    longer.split = vec![("pool".into(), 0)];
+    routing.add_route("a.example", longer);
+    router.tell(DirectEvent::Routing(routing.into()));
+    assert!(comes_back(&router.ask(1, "/stream/none/x")));
+}
+
+/// Sends a stream request of its own with a shared segment, and perhaps the fatal one.
+fn send(router: &testkit::direct::Router, attempt: &str, is_fatal: bool) -> Option<Answer> {
+    let fatal = if is_fatal { FATAL_SEGMENT } else { "50f7" };
+    let segments = format!("5a5e:5,{fatal}:3,0e:2");
+    let request = CallerRequest {
+        attempt,
+        segments: &segments,
+        body: attempt,
+        ..CallerRequest::default()
+    };
+    exchange(router.callers, &request)
+}
+
+/// Guards against 400 for all sound requests with a segment, at real processes: it was in the prompts of
+/// requests that crashed endpoints, and another endpoint failed by chance while it was tried.
+#[test]
+fn processes_refuse_no_sound_request_for_good_after_a_failure_by_chance() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (standin, routers) = fleet(30, dir.path());
+    for n in 0..3 {
+        send(&routers[n % 2], &format!("fatal-{n}"), true);
+    }
+    standin.world().crash_under = Some("sound-");
+    let mut sent = 0;
+    let mut send_sound = || {
+        sent += 1;
+        let answer = send(&routers[sent % 2], &format!("sound-{sent}"), false);
+        std::thread::sleep(Duration::from_millis(50));
+        answer.map_or(0, |a| a.status)
+    };
+    let mut statuses = Vec::new();
+    until(
+        "an endpoint fails by chance",
+        Duration::from_secs(30),
+        || {
+            statuses.push(send_sound());
+            standin.world().crash_under.is_none()
+        },
+    );
+    statuses.extend((0..60).map(|_| send_sound()));
+    let is_final = |status: &&u16| (300..500).contains(*status);
+    let refused = statuses.iter().filter(is_final).count();
+    assert_eq!(refused, 0, "{statuses:?}\n{}", logs(dir.path()));
+    until("sound requests are served", Duration::from_secs(60), || {
+        (0..4).all(|_| send_sound() == 200)
+    });
+}
