Soak: several engines that fail at once, connections that are reset, sound requests beside fatal ones

Any 3xx or 4xx but those that tell callers to come back now counts as a refusal for good, not only 400 and 422.

--- a/testkit/src/soak/fault.rs
+++ b/testkit/src/soak/fault.rs
@@ -43,6 +43,10 @@
     /// Requests that share one segment of their prompts, which crashes every endpoint that runs them,
     /// are sent some times; no two are alike.
     FatalSegment(u32),
+    /// A percentage of the engines is killed at once, as in a failure of power, and as many are added.
+    CrashWave(usize),
+    /// The connections of some engines are reset and refused for some milliseconds, while they go on.
+    ResetEngines(usize, u64),
     /// Endpoints answer with neither a length nor chunks for some milliseconds, and break off two
     /// streams by closing the connection without an error.
     Unframed(u64),
@@ -90,6 +94,8 @@
             Fault::Configure => "configure",
             Fault::FatalRequest(_) => "fatal-request",
             Fault::FatalSegment(_) => "fatal-segment",
+            Fault::CrashWave(_) => "crash-wave",
+            Fault::ResetEngines(..) => "reset-engines",
             Fault::Unframed(_) => "unframed",
             Fault::Concentrate(..) => "concentrate",
             Fault::LimitEndpoint(..) => "limit-endpoint",
--- a/testkit/src/soak/outcome.rs
+++ b/testkit/src/soak/outcome.rs
@@ -5,7 +5,7 @@
     Whole,
     /// The answer reports that the request has not run.
     NotRun,
-    /// The answer refuses the request permanently.
+    /// The answer refuses the request permanently: any 3xx or 4xx but those that tell callers to come back.
     Refused,
     /// Another answer arrived.
     Failed,
@@ -32,8 +32,8 @@
 pub struct Sample {
     /// Attempt id.
     pub attempt: String,
-    /// Kind of request: its route, `flood`, or what in it crashes endpoints: `fatal` (its body) or
-    /// `segment`.
+    /// Kind of request: its route, `flood`, what in it crashes endpoints: `fatal` (its body) or
+    /// `segment`, or `beside`: a sound one that shares its other segments with these.
     pub kind: &'static str,
     /// Index of the router that it was sent to.
     pub router: usize,
--- a/testkit/src/soak/plan.rs
+++ b/testkit/src/soak/plan.rs
@@ -75,6 +75,7 @@
         faults.extend(draw_floods(settings));
         faults.extend(draw_prompts_and_connections(settings));
         faults.extend(draw_cuts_and_copies(settings));
+        faults.extend(draw_waves(settings, &faults));
         faults.sort_by_key(|planned| planned.at_ms);
         Self {
             faults,
@@ -155,6 +156,36 @@
     }
 }
 
+/// Draws failures of several engines at once: by themselves, and beside requests that crash endpoints.
+fn draw_waves(settings: &SoakSettings, others: &[PlannedFault]) -> Vec<PlannedFault> {
+    let mut rng = fastrand::Rng::with_seed(settings.seed.rotate_left(48));
+    let end_ms = settings.seconds * 1_000 - MARGIN_MS;
+    let mut times = Vec::new();
+    let mut at_ms = MARGIN_MS + rng.u64(2_000..6_000);
+    while at_ms < end_ms {
+        times.push(at_ms);
+        at_ms += rng.u64(4_000..9_000);
+    }
+    let is_fatal = |f: &Fault| matches!(f, Fault::FatalRequest(_) | Fault::FatalSegment(_));
+    for fatal in others.iter().filter(|p| is_fatal(&p.fault)) {
+        if rng.bool() {
+            times.push(fatal.at_ms + rng.u64(100..1_500));
+        }
+    }
+    let mut draw = |at_ms: u64| {
+        let fault = match rng.bool() {
+            true => Fault::ResetEngines(rng.usize(1..4), rng.u64(300..1_500)),
+            false => Fault::CrashWave(rng.usize(20..50)),
+        };
+        PlannedFault { at_ms, fault }
+    };
+    times
+        .into_iter()
+        .filter(|at| *at < end_ms)
+        .map(draw)
+        .collect()
+}
+
 /// Draws what endpoints ask for, and further faults of the store. They are drawn by themselves, so
 /// that the other faults of a seed stay what they were.
 fn draw_further(settings: &SoakSettings) -> Vec<PlannedFault> {
--- a/testkit/standin/standin.rs
+++ b/testkit/standin/standin.rs
@@ -125,6 +125,38 @@
         world.update_list();
     }
 
+    /// Resets all connections of a replica and refuses new ones, while it goes on.
+    pub fn disconnect(&self, id: &str) {
+        let mut world = self.world();
+        let runtime = world.replicas.get_mut(id).and_then(|r| r.runtime.take());
+        drop(world);
+        if let Some(runtime) = runtime {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Lets a replica that was disconnected take connections again, unless it was killed or restarted.
+    pub fn reconnect(&self, id: &str) {
+        let is_cut = |r: &Replica| r.alive && r.runtime.is_none();
+        let replica = self
+            .world()
+            .replicas
+            .get(id)
+            .filter(|r| is_cut(r))
+            .map(|r| r.addr);
+        let Some(addr) = replica else {
+            return;
+        };
+        let runtime = runtime();
+        let (shared, own_id) = (self.world.clone(), id.to_string());
+        serve_at(addr, &runtime, move |request| {
+            on_replica_call(shared.clone(), own_id.clone(), request)
+        });
+        if let Some(replica) = self.world().replicas.get_mut(id) {
+            replica.runtime = Some(runtime);
+        }
+    }
+
     /// Ids of all replicas that run.
     pub fn alive(&self) -> Vec<String> {
         let world = self.world();
--- a/tests/direct/soak_checks.rs
+++ b/tests/direct/soak_checks.rs
@@ -484,6 +484,8 @@
     assert!(count(|f| matches!(f, Fault::Flood(_))) > 10);
     assert!(count(|f| matches!(f, Fault::CutHead(_))) > 10);
     assert!(count(|f| matches!(f, Fault::RepeatRefusals(_))) > 10);
+    assert!(count(|f| matches!(f, Fault::CrashWave(_))) > 10);
+    assert!(count(|f| matches!(f, Fault::ResetEngines(..))) > 10);
     for feature in FEATURES {
         let on = plans.iter().filter(|plan| plan.features.contains(&feature));
         assert!((3..=7).contains(&on.count()), "{feature}");
