--- a/testkit/src/soak/plan.rs
+++ b/testkit/src/soak/plan.rs
@@ -172,7 +172,7 @@
             times.push(fatal.at_ms + rng.u64(100..1_500));
         }
     }
-    let mut draw = |at_ms: u64| {
+    let draw = |at_ms: u64| {
         let fault = match rng.bool() {
             true => Fault::ResetEngines(rng.usize(1..4), rng.u64(300..1_500)),
             false => Fault::CrashWave(rng.usize(20..50)),
