Requests that endpoints crashed under are asked to come back, and tried again

Cause: a verdict for good drawn from a coincidence. A segment of prompts was refused after one crash under a trial that was alone only as far as the planner saw: the endpoint runs the requests of other routers and may end for reasons of its own. A whole request was refused by three crashes without any trial. Nothing with such a cause was sent again, so that nothing could clear it.

What changed: - A crash is no proof that a request is wrong, so that the answer is 503 with a time to come back, within the time that the caller has. Callers of requests that were sent and may have run get 502 as before, and a request that mustn't be repeated isn't broken off. - Each blocked cause is tried again by the planner: 20 s, 240 s, then 480 s after a trial that crashed an endpoint; after 3 s first where chance may explain it (two or more endpoints crashed near it that the cause wasn't at, or another suspect was at the trial). A whole request is first tried a minute after its third crash, after 10 s if they came together, at once if others failed beside it. - Requests with several held segments are tried after two seconds instead of never. - What ran at an endpoint that had said that it is leaving isn't blamed for its end.

Tests that asked for the old answer now ask for the new one: Problem::CrashesEndpoints has a time, which has to be above 0, and its status 503 with Retry-After is checked in the adapter's tests. The numbers of crashes that they allow are unchanged. processes_stop_sending_requests_with_a_segment... asks for 503 with crashes-endpoints in place of 400.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -65,8 +65,7 @@
         return finish::refuse(&request, by_routing(state, now, refusal), out);
     };
     let fingerprint = request.fingerprint.for_account(account.as_deref());
-    let segments = &request.segments;
-    let refusal = crashes::refusal(state, now, request.id, &fingerprint, segments, out);
+    let refusal = crashes::refusal(state, now, &request, &fingerprint, out);
     if let Some(refusal) = refusal {
         return finish::refuse(&request, refusal, out);
     }
--- a/src/logic/direct/crashes/broadcast.rs
+++ b/src/logic/direct/crashes/broadcast.rs
@@ -1,6 +1,6 @@
 //! Exchanges crash records with the other routers.
 
-use super::{clearing, trials, CrashReport, MIN_RISKY_CRASHES};
+use super::{clearing, trials, CrashRecord, CrashReport, CrashTable, MIN_RISKY_CRASHES};
 use crate::logic::direct::{DirectEffect, DirectState, Fingerprint, PeerMessage};
 use crate::logic::Effect;
 use crate::types::Millis;
@@ -90,7 +90,7 @@
 ) {
     let alone_before = |r: &CrashReport| state.crashes.table.alone_crashes(&r.cause);
     let alone_before: Vec<_> = reports.iter().map(alone_before).collect();
-    let blocked = newly_blocked(state, now, reports, out);
+    let blocked = newly_blocked(state, now, reports, CrashTable::merge, out);
     for (report, before) in reports.iter().zip(alone_before) {
         if state.crashes.table.alone_crashes(&report.cause) > before {
             let delay = WRITE_DELAY_MS + state.random_below(WRITE_DELAY_MS);
@@ -99,7 +99,7 @@
         }
     }
     for report in blocked {
-        trials::on_blocked(state, now, report.cause, out);
+        trials::review(state, now, report.cause, out);
         let combined = !report.record.is_blocked();
         let delay = if combined {
             0
@@ -120,24 +120,26 @@
     report: &CrashReport,
     out: &mut Vec<Effect>,
 ) {
-    for report in newly_blocked(state, now, std::slice::from_ref(report), out) {
-        trials::on_blocked(state, now, report.cause, out);
+    let reports = std::slice::from_ref(report);
+    for report in newly_blocked(state, now, reports, CrashTable::merge_stored, out) {
+        trials::review(state, now, report.cause, out);
     }
 }
 
-/// Merges all reports, and clears the segments that this router has seen answered recently; returns
+/// Merges all reports by `merge`, and clears the segments that this router has seen answered recently; returns
 /// those of causes that are blocked from now on and were not before.
 fn newly_blocked<'a>(
     state: &mut DirectState,
     now: Millis,
     reports: &'a [CrashReport],
+    merge: fn(&mut CrashTable, Millis, Fingerprint, &CrashRecord) -> bool,
     out: &mut Vec<Effect>,
 ) -> Vec<&'a CrashReport> {
     let table = &mut state.crashes.table;
     let was_blocked = |r: &CrashReport| table.is_blocked(&r.cause);
     let before: Vec<_> = reports.iter().map(was_blocked).collect();
     for report in reports {
-        table.merge(now, report.cause, &report.record);
+        merge(table, now, report.cause, &report.record);
     }
     clearing::clear_trusted(state, now, reports, out);
     let table = &state.crashes.table;
--- a/src/logic/direct/crashes/crash_record.rs
+++ b/src/logic/direct/crashes/crash_record.rs
@@ -61,7 +61,7 @@
         self.counted().count()
     }
 
-    /// Whether the request was refused, also if it has been cleared since.
+    /// Whether the request was blocked, also if it has been cleared since.
     pub fn was_blocked(&self) -> bool {
         self.crashes.len() >= MIN_BLOCKING_CRASHES
     }
@@ -99,9 +99,14 @@
         ages.map(|age| age.copied().map(u64::from)).sum()
     }
 
+    /// The counted crashes at which the request was tried alone.
+    pub fn trials(&self) -> impl Iterator<Item = &Crash> {
+        self.alone.difference(&self.cleared)
+    }
+
     /// Whether an endpoint has crashed when the request was tried alone.
     pub fn has_crashed_alone(&self) -> bool {
-        self.alone.difference(&self.cleared).next().is_some()
+        self.trials().next().is_some()
     }
 
     /// Whether routers don't send the request.
--- a/src/logic/direct/crashes/crash_state.rs
+++ b/src/logic/direct/crashes/crash_state.rs
@@ -1,6 +1,6 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-use super::{CrashTable, RecentlyServed, SuspectedCrash, Trial};
+use super::{CrashTable, RecentlyServed, SuspectedCrash, Trial, Verdict};
 use crate::logic::direct::Fingerprint;
 use crate::logic::router::CallId;
 use crate::types::{InstanceId, Millis};
@@ -12,9 +12,11 @@
     pub table: CrashTable,
     /// Endpoints that may have crashed and are probed.
     pub suspected_crashes: BTreeMap<InstanceId, SuspectedCrash>,
-    /// Requests and segments that aren't sent and not refused for good either.
-    pub held: BTreeSet<Fingerprint>,
-    /// The held request that was last tried alone.
+    /// Requests and segments that aren't sent, with what last followed for them.
+    pub withheld: BTreeMap<Fingerprint, Verdict>,
+    /// Time at which these are reviewed next.
+    pub review_at: Millis,
+    /// The request that was last tried alone.
     pub trial: Option<Trial>,
     /// Requests that were answered in full recently, and are not suspected of crashes.
     pub served: RecentlyServed,
@@ -25,7 +27,7 @@
     pub pending_reports: BTreeMap<Fingerprint, (Millis, u32)>,
     /// Writes to the key-value service.
     pub store: CrashStore,
-    /// Number of requests that were refused as blocked since the process started.
+    /// Number of requests that were turned away as blocked since the process started.
     pub refusals: u64,
 }
 
--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
-use super::{CrashRecord, Verdict, MIN_RISKY_CRASHES};
+use super::trial_delay::TrialDelay;
+use super::{Crash, CrashRecord, Verdict, MIN_BLOCKING_CRASHES, MIN_RISKY_CRASHES};
 use crate::logic::direct::Fingerprint;
 use crate::types::Millis;
 
@@ -8,9 +9,11 @@
 /// so that many suspected requests don't evict one that is blocked.
 const MAX_RECORDS: usize = 1_024;
 
+/// Largest number of crashes whose times are kept.
+const MAX_LEARNT: usize = 4_096;
+
 /// Time for which a record is kept after the last merge that changed it; clearing doesn't extend
-/// it. A blocked request is never sent, so it can't show that it has become harmless, say with a
-/// new version of the service: once its record has expired, it is sent again.
+/// it. Once its record has expired, a request is sent again.
 pub(super) const RETENTION_MS: Millis = 600_000;
 
 /// Crashes that two causes at the same crashes needn't share: a router that ends loses what it
@@ -18,14 +21,31 @@
 const MAX_UNSHARED: usize = 1;
 
 /// Time that other routers get to report the last crash of a request, three sends of a report
-/// included. Within it a request that shares all other crashes with one of stronger evidence isn't
-/// refused for good.
+/// included. Within it a request that shares all other crashes with one of stronger evidence is neither
+/// tried nor blocked.
 const SETTLING_MS: Millis = 1_000;
 
+/// Crashes of endpoints that this router learns of within this time may have one cause, such as a
+/// failure of power.
+const TOGETHER_MS: Millis = 1_000;
+
+/// Time around the crashes under a cause within which others show that endpoints fail without it.
+const NEAR_MS: Millis = 2_000;
+
+/// Number of such other crashes from which on those under a cause may have come about by chance.
+const MIN_OTHER_CRASHES: usize = MAX_UNSHARED + 1;
+
+/// Time for which requests with several held segments aren't tried: meanwhile one with a single one of
+/// them may show which is harmless, which the crash of a trial with all of them wouldn't.
+const SINGLE_TRIALS_MS: Millis = 2_000;
+
 /// The crash records of requests and of prompt segments.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct CrashTable {
     records: BTreeMap<Fingerprint, TableEntry>,
+    /// When this router learnt of each crash; absent for those that it has read from the key-value
+    /// service, and after the retention time.
+    learnt: BTreeMap<Crash, Millis>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -110,12 +130,12 @@
         if self.is_explained(cause, record) {
             return Verdict::Sent;
         }
-        // Segments are shared by many requests, so that crashes alone don't have them refused.
-        if record.is_segment {
-            return match record.has_crashed_alone() {
-                true => Verdict::Refused,
-                false => Verdict::Held,
-            };
+        let by_trials = match now < self.trial_at(cause) {
+            true => Verdict::Blocked,
+            false => Verdict::Held,
+        };
+        if record.is_segment || record.has_crashed_alone() {
+            return by_trials;
         }
         let is_settling = now < entry.updated_at + SETTLING_MS;
         let is_suspected_more = |name: &Fingerprint, other: &CrashRecord| {
@@ -127,7 +147,7 @@
                     || record.is_weaker_than(other, &shared)
                     || (name < cause && record.is_tied_with(other, &shared)));
             // Reports may still show that the other one was at the rest of these crashes.
-            let may_be_weaker = !shared.is_empty() && unshared > 0 && !record.has_crashed_alone();
+            let may_be_weaker = !shared.is_empty() && unshared > 0;
             match is_settling {
                 true => is_weaker || may_be_weaker,
                 false => is_weaker && other.is_blocked(),
@@ -135,12 +155,70 @@
         };
         let mut others = self.records.iter().filter(|(other, _)| *other != cause);
         match others.any(|(name, e)| is_suspected_more(name, &e.record)) {
-            false => Verdict::Refused,
+            false => by_trials,
             true if is_settling => Verdict::Unsettled,
             true => Verdict::Held,
         }
     }
 
+    /// Time at which a cause may be tried, if it isn't sent otherwise.
+    pub fn trial_at(&self, cause: &Fingerprint) -> Millis {
+        let Some(entry) = self.records.get(cause) else {
+            return 0;
+        };
+        let record = &entry.record;
+        let delay = TrialDelay {
+            trials: record.trials().count(),
+            is_segment: record.is_segment,
+            came_together: self.separate_times(record) < MIN_BLOCKING_CRASHES,
+            by_chance: self.other_crashes(record) >= MIN_OTHER_CRASHES
+                || self.shares_trial(cause, record),
+        };
+        entry.updated_at + delay.ms()
+    }
+
+    /// Time at which a request with several held segments may be tried.
+    pub fn joint_trial_at(&self, cause: &Fingerprint) -> Millis {
+        let updated_at = self.records.get(cause).map_or(0, |e| e.updated_at);
+        updated_at + SINGLE_TRIALS_MS
+    }
+
+    /// At how many different times the counted crashes of a record came. Those whose times aren't known
+    /// count as different.
+    fn separate_times(&self, record: &CrashRecord) -> usize {
+        let times = record.counted().filter_map(|c| self.learnt.get(c));
+        let mut times: Vec<_> = times.copied().collect();
+        let unknown = record.counted_crashes() - times.len();
+        times.sort_unstable();
+        let is_new = |pair: &&[Millis]| pair[1] - pair[0] > TOGETHER_MS;
+        let later = times.windows(2).filter(is_new).count();
+        unknown + later + usize::from(!times.is_empty())
+    }
+
+    /// Number of crashes that aren't in a record and came at about the same time as one that is.
+    fn other_crashes(&self, record: &CrashRecord) -> usize {
+        let own: Vec<_> = record
+            .counted()
+            .filter_map(|c| self.learnt.get(c))
+            .collect();
+        let is_near = |at: &Millis| own.iter().any(|o| o.abs_diff(*at) <= NEAR_MS);
+        let others = self
+            .learnt
+            .iter()
+            .filter(|(c, _)| !record.crashes.contains(*c));
+        others.filter(|(_, at)| is_near(at)).count()
+    }
+
+    /// Whether another risky cause was at a trial of the one that has this record.
+    fn shares_trial(&self, cause: &Fingerprint, record: &CrashRecord) -> bool {
+        let is_there = |other: &CrashRecord| {
+            let mut trials = record.trials();
+            trials.any(|c| other.crashes.contains(c) && !other.cleared.contains(c))
+        };
+        let mut others = self.records.iter().filter(|(other, _)| *other != cause);
+        others.any(|(other, e)| is_there(&e.record) && self.is_risky(other))
+    }
+
     /// Other causes that were at crashes which count against a cause, and are risky themselves.
     pub fn sharing(&self, cause: &Fingerprint) -> Vec<Fingerprint> {
         let Some(record) = self.get(cause) else {
@@ -177,12 +255,23 @@
         self.records.is_empty()
     }
 
-    /// Adds the crashes and the cleared crashes of a record to that of a cause; returns whether
-    /// it has changed.
+    /// Adds the crashes and the cleared crashes of a record, of which this router learns now, to that of
+    /// a cause; returns whether it has changed.
     pub fn merge(&mut self, now: Millis, cause: Fingerprint, record: &CrashRecord) -> bool {
+        for crash in &record.crashes {
+            if self.learnt.len() < MAX_LEARNT {
+                self.learnt.entry(crash.clone()).or_insert(now);
+            }
+        }
+        self.merge_stored(now, cause, record)
+    }
+
+    /// The same for a record that was stored at a time which isn't known.
+    pub fn merge_stored(&mut self, now: Millis, cause: Fingerprint, record: &CrashRecord) -> bool {
         let entry = self.records.entry(cause).or_default();
         let changed = entry.record.merge(record);
-        if changed {
+        // A trial counts also if the record has no room for its crash.
+        if changed || !record.alone.is_subset(&entry.record.alone) {
             entry.updated_at = now;
         }
         if entry.record.crashes.is_empty() {
@@ -202,6 +291,7 @@
     pub fn remove_expired(&mut self, now: Millis) {
         self.records
             .retain(|_, e| now < e.updated_at + RETENTION_MS);
+        self.learnt.retain(|_, at| now < *at + RETENTION_MS);
     }
 
     fn evict_least(&mut self) {
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -6,7 +6,8 @@
 };
 use crate::logic::direct::limits::hold_off;
 use crate::logic::direct::{
-    finish, DirectEffect, DirectState, Fingerprint, InFlightRequest, ProbeResult, Problem, Refusal,
+    finish, DirectEffect, DirectRequest, DirectState, Fingerprint, InFlightRequest, ProbeResult,
+    Problem, Refusal,
 };
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::{InstanceId, Millis};
@@ -32,7 +33,9 @@
     let Some(run) = flight.run.as_ref().filter(|r| !r.has_event) else {
         return;
     };
-    let Some(view) = state.endpoints.get(&run.endpoint) else {
+    // An endpoint that is leaving ends its runs by itself.
+    let view = state.endpoints.get(&run.endpoint);
+    let Some(view) = view.filter(|v| !v.is_leaving()) else {
         return;
     };
     let request = Some(flight.fingerprint).filter(|r| !clearing::is_trusted(state, now, r));
@@ -160,7 +163,7 @@
         out.push(Effect::Log(event));
     }
     for cause in blocked {
-        trials::on_blocked(state, now, cause, out);
+        trials::review(state, now, cause, out);
     }
     broadcast::send_due(state, now, out);
 }
@@ -179,7 +182,7 @@
 }
 
 /// Counts a crash against a cause, and schedules it for sending to the other routers; returns
-/// whether the cause is blocked from now on and was not before.
+/// whether what follows for the cause may have changed.
 fn count_crash(
     state: &mut DirectState,
     now: Millis,
@@ -194,15 +197,21 @@
     broadcast::schedule_broadcast(state, now, cause);
     let newly_blocked = !before && state.crashes.table.is_blocked(&cause);
     // Routers that start later would try a cause again that has crashed an endpoint alone.
-    if newly_blocked || state.crashes.table.alone_crashes(&cause) > alone_before {
+    let has_changed = newly_blocked || state.crashes.table.alone_crashes(&cause) > alone_before;
+    if has_changed {
         state.crashes.store.queue.insert(cause, now);
     }
-    newly_blocked
+    has_changed
 }
 
-/// Ends the in-flight requests with a cause that is refused from now on, except those
-/// whose run has had an event.
-pub(super) fn end_in_flight(state: &mut DirectState, cause: Fingerprint, out: &mut Vec<Effect>) {
+/// Ends the in-flight requests with a cause that is blocked from now on, except those whose run has had
+/// an event, and those that may have run and mustn't be repeated: for these an answer may still come.
+pub(super) fn end_in_flight(
+    state: &mut DirectState,
+    now: Millis,
+    cause: Fingerprint,
+    out: &mut Vec<Effect>,
+) {
     let record = state.crashes.table.get(&cause);
     let ids = record.into_iter().flat_map(|r| r.crashes.iter());
     let ids: Vec<_> = ids.map(|c| c.endpoint.to_string()).collect();
@@ -213,35 +222,46 @@
         .with("endpoints", ids.join(","));
     out.push(Effect::Log(event));
     let has_event = |f: &InFlightRequest| f.all_runs().any(|r| r.has_event);
+    let may_end = |f: &InFlightRequest| f.has_not_run() || f.route.repeatable();
     let in_flight = state.in_flight.iter();
-    let ended = in_flight.filter(|(_, f)| f.has_cause(&cause) && !has_event(f));
-    for id in ended.map(|(id, _)| *id).collect::<Vec<_>>() {
+    let ended = in_flight.filter(|(_, f)| f.has_cause(&cause) && !has_event(f) && may_end(f));
+    let ended: Vec<_> = ended.map(|(id, _)| *id).collect();
+    let wait = wait_for_trial(state, now, &[cause]);
+    for id in ended {
         state.crashes.refusals += 1;
-        finish::refuse_blocked(state, id, out);
+        finish::end_blocked(state, now, id, wait, out);
     }
 }
 
-/// Why a request that has just arrived is refused, if it is: it or a segment of its prompt is blocked,
-/// or is risky and another request with it is in flight.
+/// Time until requests with some blocked causes may be tried.
+fn wait_for_trial(state: &DirectState, now: Millis, causes: &[Fingerprint]) -> Millis {
+    let table = &state.crashes.table;
+    let trial_at = causes.iter().map(|cause| table.trial_at(cause)).max();
+    trial_at.map_or(0, |at| at.saturating_sub(now))
+}
+
+/// Why a request that has just arrived isn't sent, if it isn't: it or a segment of its prompt is blocked or
+/// held, or is risky and another request with it is in flight. Its caller is told to come back.
 pub(in crate::logic::direct) fn refusal(
     state: &mut DirectState,
     now: Millis,
-    id: u64,
-    request: &Fingerprint,
-    segments: &[Fingerprint],
+    request: &DirectRequest,
+    fingerprint: &Fingerprint,
     out: &mut Vec<Effect>,
 ) -> Option<Refusal> {
     let retry = Problem::NotRun(state.params.again_ms);
     let table = &state.crashes.table;
-    let causes = || std::iter::once(request).chain(segments);
+    let causes = || std::iter::once(fingerprint).chain(&request.segments);
     let verdicts: Vec<_> = causes().map(|c| (*c, table.verdict(now, c))).collect();
     let has = |wanted: Verdict| verdicts.iter().any(|(_, verdict)| *verdict == wanted);
-    if has(Verdict::Refused) {
-        let refused = verdicts.iter().filter(|(_, v)| *v == Verdict::Refused);
-        let refused: Vec<_> = refused.map(|(cause, _)| *cause).collect();
+    if has(Verdict::Blocked) {
+        let blocked = verdicts.iter().filter(|(_, v)| *v == Verdict::Blocked);
+        let blocked: Vec<_> = blocked.map(|(cause, _)| *cause).collect();
         state.crashes.refusals += 1;
-        let refusal = Refusal::new(Problem::CrashesEndpoints, WHY_CRASHES);
-        return Some(by_crashes(state, now, &refused, refusal));
+        let wait = wait_for_trial(state, now, &blocked);
+        let problem = finish::blocked_problem(state, wait, request.wait_ms);
+        let refusal = Refusal::new(problem, WHY_CRASHES);
+        return Some(by_crashes(state, now, &blocked, refusal));
     }
     let held = verdicts.iter().filter(|(_, v)| *v == Verdict::Held);
     let held: Vec<_> = held.map(|(cause, _)| *cause).collect();
@@ -257,7 +277,7 @@
         let causes: Vec<_> = causes().copied().collect();
         return Some(by_crashes(state, now, &causes, Refusal::new(retry, why)));
     }
-    if !held.is_empty() && !trials::begin(state, now, id, &held, out) {
+    if !held.is_empty() && !trials::begin(state, now, request.id, &held, out) {
         let refusal = Refusal::new(retry, trials::WHY_HELD);
         return Some(by_crashes(state, now, &held, refusal));
     }
--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -2,17 +2,20 @@
 //!
 //! A run that breaks off before its first event makes its request a suspect, and its
 //! endpoint is probed. If that has crashed, the crash is counted against the request, at all
-//! routers. A request with `MIN_BLOCKING_CRASHES` crashes is refused.
+//! routers. A request with `MIN_BLOCKING_CRASHES` crashes isn't sent.
 //!
 //! A crash breaks off all runs of the endpoint, so that other requests are suspected as well.
 //! They are unlikely to run at the endpoint of the next crash too, and are cleared once they
-//! are answered in full. One that was at the same three crashes as another with stronger evidence is
-//! held: callers are told to come back, and the planner tries one alone.
+//! are answered in full.
+//!
+//! Crashes show what was there, not what caused them, so that no request is refused for good: callers are
+//! told to come back, and the planner tries one alone. An answer clears it. After a crash
+//! the next trial waits longer each time, and less where chance may explain the crashes: other endpoints
+//! failed at about the same times, or another suspect was at the trial.
 //!
 //! Requests that share a segment of their prompts may crash endpoints though no two are alike, so that
-//! crashes count against the segments as well: a *cause* is a request or a segment. A segment is held after `MIN_BLOCKING_CRASHES` crashes,
-//! and refused if an endpoint crashes when a request with it is tried alone. It is cleared by any
-//! answer to a request with it that begins.
+//! crashes count against the segments as well: a *cause* is a request or a segment. A segment is cleared
+//! by any answer to a request with it that begins.
 
 mod broadcast;
 mod clearing;
@@ -26,6 +29,7 @@
 mod recently_served;
 mod suspected_crash;
 mod trial;
+mod trial_delay;
 mod trials;
 mod verdict;
 
@@ -47,12 +51,12 @@
 pub(super) use detect::{is_risky, on_probe_result, on_run_broken, on_tick, refusal};
 pub(super) use trials::{is_withheld, WHY_HELD};
 
-/// Why a request is refused, or not sent again, under which endpoints have crashed.
+/// Why a request isn't sent, or not again, under which endpoints have crashed.
 pub(super) const WHY_CRASHES: &str = "endpoints crashed while running it";
 
 /// Number of crashes from which on a request is risky: only one of its kind is in flight at a
 /// time, and no router retries it after a run that may have begun.
 const MIN_RISKY_CRASHES: usize = 2;
 
-/// Number of crashes from which on a request is refused.
+/// Number of crashes from which on a request is only sent as a trial.
 pub(super) const MIN_BLOCKING_CRASHES: usize = 3;
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -142,10 +142,35 @@
     }
 }
 
-/// Ends a request that has been blocked because it crashes endpoints.
-pub(super) fn refuse_blocked(state: &mut DirectState, id: u64, out: &mut Vec<Effect>) {
-    let why = crashes::WHY_CRASHES;
-    finish(state, id, Problem::CrashesEndpoints, why, out);
+/// Refusal of a request under which endpoints have crashed and which may be tried after `wait`
+/// milliseconds; its caller waits for `left`. It is asked to come back while it still waits: an answer to
+/// another request may show sooner that this one is harmless.
+pub(super) fn blocked_problem(
+    state: &mut DirectState,
+    wait: Millis,
+    left: Option<Millis>,
+) -> Problem {
+    let again = state.params.again_ms;
+    let spread = state.random_below(again.max(1));
+    let max = left.map_or(Millis::MAX, |left| left / RETRY_AFTER_DIVISOR);
+    Problem::CrashesEndpoints(wait.max(again).saturating_add(spread).min(max).max(1))
+}
+
+/// Ends a request that isn't to be sent as endpoints have crashed under it; it may be tried after `wait`
+/// milliseconds.
+pub(super) fn end_blocked(
+    state: &mut DirectState,
+    now: Millis,
+    id: u64,
+    wait: Millis,
+    out: &mut Vec<Effect>,
+) {
+    let unsent = state.in_flight.get(&id).filter(|f| f.has_not_run());
+    let problem = match unsent.map(|f| f.deadline.saturating_sub(now)) {
+        Some(left) => blocked_problem(state, wait, Some(left)),
+        None => Problem::Unknown,
+    };
+    fail(state, now, id, problem, crashes::WHY_CRASHES, out);
 }
 
 /// Ends a request that has no answer: its caller gets the failure of an endpoint if one is kept, and that
@@ -184,7 +209,7 @@
         return;
     };
     let metric = match problem {
-        Problem::NotRun(_) | Problem::NotYet(_) if !flight.head_sent => Metric::NotRun,
+        problem if problem.retry_after().is_some() && !flight.head_sent => Metric::NotRun,
         _ => Metric::Unknown,
     };
     record_metric(&flight, metric, 1, out);
--- a/src/logic/direct/problem.rs
+++ b/src/logic/direct/problem.rs
@@ -13,8 +13,9 @@
     /// The request has not run and won't run; the caller should come back after this time in
     /// milliseconds.
     NotRun(Millis),
-    /// Endpoints crash when they run the request; it should not be sent again.
-    CrashesEndpoints,
+    /// Endpoints have crashed while they ran the request, or one like it. It has not run and won't run;
+    /// the caller should come back after this time in milliseconds.
+    CrashesEndpoints(Millis),
     /// The request may have run and its answer is lost.
     Unknown,
     /// The request may have run and no answer came in time.
@@ -22,6 +23,15 @@
 }
 
 impl Problem {
+    /// Time after which the caller should come back, in milliseconds. With one, the request has not run
+    /// and won't run.
+    pub fn retry_after(&self) -> Option<Millis> {
+        match self {
+            Problem::NotYet(ms) | Problem::NotRun(ms) | Problem::CrashesEndpoints(ms) => Some(*ms),
+            Problem::NoRoute | Problem::NoAccount | Problem::Unknown | Problem::TimedOut => None,
+        }
+    }
+
     /// Short name, for logs and response bodies.
     pub fn name(&self) -> &'static str {
         match self {
@@ -29,7 +39,7 @@
             Problem::NoRoute => "no-route",
             Problem::NoAccount => "no-account",
             Problem::NotRun(_) => "not-run",
-            Problem::CrashesEndpoints => "crashes-endpoints",
+            Problem::CrashesEndpoints(_) => "crashes-endpoints",
             Problem::Unknown => "unknown",
             Problem::TimedOut => "timed-out",
         }
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -165,7 +165,7 @@
     StreamAborted = 644 Warn "stream aborted";
     CallerLeft = 645 Info "caller left";
     CrashCounted = 646 Warn "endpoint crashed while a request had just begun there";
-    RequestBlocked = 647 Error "request or segment refused from now on: endpoints crash under it";
+    RequestBlocked = 647 Warn "request or segment not sent until it is tried again: endpoints crashed under it";
     CrashesCleared = 648 Info "request or segment cleared of crashes: it was answered";
     CrashesUnread = 649 Error "record of a request that crashes endpoints can't be read or written";
     EndpointLimited = 650 Warn "endpoint reports a request rate limit";
--- a/tests/direct/fixture.rs
+++ b/tests/direct/fixture.rs
@@ -309,6 +309,11 @@
     })
 }
 
+/// Whether a caller is asked to come back as endpoints have crashed under its request.
+pub fn is_blocked(problem: Option<Problem>) -> bool {
+    matches!(problem, Some(Problem::CrashesEndpoints(ms)) if ms > 0)
+}
+
 /// Begins stream 1, whose caller gets one event.
 pub fn begin_stream(router: &mut Router) -> RunRequest {
     let first = run(&router.ask(1, "/stream/x"));
