--- a/testkit/src/bin/soak.rs
+++ b/testkit/src/bin/soak.rs
@@ -12,7 +12,8 @@
 use testkit::soak::{judge, soak, write_report, Plan, SoakSettings};
 
 const HELP: &str = "soak [--seed N] [--seeds N] [--seconds S | --minutes M] [--routers R] \
-                    [--engines E] [--dir DIR]\n\
+                    [--engines E] [--faults NAME,...] [--dir DIR]\n\
+                    --faults injects only the faults of the plan with these names, as in the report; \
                     --seeds runs that many seeds, beginning with --seed; the report, plots and \
                     logs of each are written to a folder of its own in DIR";
 
@@ -52,6 +53,7 @@
         dir: dir.clone(),
         ..defaults
     };
+    let only: Option<String> = args.opt_value_from_str("--faults")?;
     let rest = args.finish();
     if !rest.is_empty() {
         return Err(format!("unknown arguments: {rest:?}\n{HELP}").into());
@@ -63,14 +65,19 @@
             dir: dir.join(format!("seed-{seed}")),
             ..settings.clone()
         };
-        passed &= run_seed(&settings)?;
+        passed &= run_seed(&settings, only.as_deref())?;
     }
     Ok(passed)
 }
 
-/// Runs one seed and writes its report; returns whether it passed all checks.
-fn run_seed(settings: &SoakSettings) -> std::io::Result<bool> {
-    let plan = Plan::draw(settings);
+/// Runs one seed, with all faults of its plan or those with some names, and writes its report; returns
+/// whether it passed all checks.
+fn run_seed(settings: &SoakSettings, only: Option<&str>) -> std::io::Result<bool> {
+    let mut plan = Plan::draw(settings);
+    if let Some(names) = only {
+        let is_kept = |name: &str| names.split(',').any(|kept| kept == name);
+        plan.faults.retain(|planned| is_kept(planned.fault.name()));
+    }
     println!("seed {}:\n{plan}", settings.seed);
     let record = soak(settings, &plan, |line| println!("{line}"));
     let findings = judge(&record);
