A route or a key is only missing in a routing that is known to be the newest

Cause: a verdict for good drawn from a belief of any age. The routing in force was taken for the newest one however long ago it was read.

Otherwise, and for a route without a service, its caller gets 503 with a time to come back. Requests that the routing has a route and a key for are served as before.

--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -4,7 +4,7 @@
 
 use super::admission::queue;
 use super::{
-    crashes, demand, digests, finish, peers, returns, send, step, DirectRequest, DirectState,
+    crashes, demand, finish, peers, returns, routing_age, send, step, DirectRequest, DirectState,
     InFlightRequest, Precedence, Problem, Refusal,
 };
 use crate::logic::Effect;
@@ -57,12 +57,12 @@
     };
     let Some(route) = routing.route(&request.host, &request.path).cloned() else {
         let refusal = Refusal::new(Problem::NoRoute, "no such route").with("host", &request.host);
-        return finish::refuse(&request, by_routing(state, now, refusal), out);
+        return routing_age::refuse(state, now, &request, refusal, out);
     };
     let Ok((account, priority)) = account(&routing, &route, request.key.as_deref()) else {
         let refusal = Refusal::new(Problem::NoAccount, "missing or unknown API key")
             .with("has_key", request.key.is_some());
-        return finish::refuse(&request, by_routing(state, now, refusal), out);
+        return routing_age::refuse(state, now, &request, refusal, out);
     };
     let fingerprint = request.fingerprint.for_account(account.as_deref());
     let refusal = crashes::refusal(state, now, &request, &fingerprint, out);
@@ -71,9 +71,9 @@
     }
     let random = state.random_below(u64::MAX);
     let Some(service) = route.service(random).cloned() else {
-        let refusal =
-            Refusal::new(Problem::NoRoute, "the route has no service").with("route", &route.name);
-        return finish::refuse(&request, by_routing(state, now, refusal), out);
+        let problem = finish::not_yet_problem(state, request.wait_ms);
+        let refusal = Refusal::new(problem, "the route has no service");
+        return finish::refuse(&request, refusal.with("route", &route.name), out);
     };
     let (window, id) = (state.params.retry_window, request.id);
     state
@@ -128,13 +128,6 @@
     send::send_or_wait(state, now, id, out);
 }
 
-/// Adds to a refusal which routing it follows from, and how long ago that was known to be current.
-fn by_routing(state: &DirectState, now: Millis, refusal: Refusal) -> Refusal {
-    let version = state.routing.as_ref().map_or(0, |r| r.version);
-    let age = now.saturating_sub(digests::routing_checked_at(state));
-    refusal.with("version", version).with("routing_age", age)
-}
-
 /// Client account and priority of a request; an error if its key is unknown.
 fn account(
     routing: &Routing,
--- a/src/logic/direct/digest_state.rs
+++ b/src/logic/direct/digest_state.rs
@@ -35,6 +35,8 @@
     pub list_until: Millis,
     /// Until when they make reading the routing unnecessary.
     pub routing_until: Millis,
+    /// Version of the planner's routing, by the last digest.
+    pub planner_version: u64,
     /// Position of the store at which operators' keys are newer than this router's, if the last digest
     /// told of that.
     pub newer_keys: Option<StorePosition>,
--- a/src/logic/direct/digests.rs
+++ b/src/logic/direct/digests.rs
@@ -28,7 +28,7 @@
 /// shortest bound that operators publish for applying a new routing or an endpoint's leaving
 /// is 2 s, and a router's own reading has to fit in after this time. A slow answer of the
 /// store makes a reading look more recent than it is, which uses up some of the rest.
-const VALID_MS: Millis = 1_200;
+pub(super) const VALID_MS: Millis = 1_200;
 
 /// Adds an endpoint update to those that have no store position yet.
 pub(super) fn add_update(state: &mut DirectState, update: EndpointUpdate) {
@@ -240,14 +240,6 @@
     }
 }
 
-/// When the routing in force was last known to be the newest one, by this router's own reading or by
-/// the planner's.
-pub(super) fn routing_checked_at(state: &DirectState) -> Millis {
-    let digests = &state.digests;
-    let told_at = digests.routing_until.saturating_sub(VALID_MS);
-    digests.routing_at.max(told_at)
-}
-
 fn routing_version(state: &DirectState) -> u64 {
     state.routing.as_ref().map_or(0, |r| r.version)
 }
@@ -324,6 +316,7 @@
         let until = (now + VALID_MS).saturating_sub(digest.list_age);
         state.digests.list_until = state.digests.list_until.max(until);
     }
+    state.digests.planner_version = digest.routing;
     let is_newer = digest.routing > routing_version(state);
     state.digests.newer_keys = is_newer.then_some(digest.halls_at);
     state.digests.routing_until = if is_newer {
--- a/src/logic/direct/direct_params.rs
+++ b/src/logic/direct/direct_params.rs
@@ -32,6 +32,8 @@
     pub cold_slack: u64,
     /// Time from the order to shut down until the process must have ended.
     pub grace_ms: Millis,
+    /// Longest time for which the store holds a watch of the routing without changes, in milliseconds.
+    pub routing_ms: Millis,
     /// Usual shortest time after which a refused caller is told to come back.
     pub again_ms: Millis,
     /// Optional parts of the policy.
@@ -74,6 +76,7 @@
             cold_overage: 1_000,
             cold_slack: 1_000,
             grace_ms: 8_000,
+            routing_ms: 2_000,
             again_ms: 400,
             features: Features::default(),
             disabled: BTreeSet::new(),
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -71,6 +71,7 @@
 mod resume;
 mod retry_bounds;
 mod retry_window;
+mod routing_age;
 mod run_part;
 mod run_request;
 mod send;
--- a/src/logic/direct/problem.rs
+++ b/src/logic/direct/problem.rs
@@ -3,8 +3,8 @@
 /// Why a router answers a request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Problem {
-    /// The routing or the endpoint list is not known yet; the caller should come back after
-    /// this time in milliseconds.
+    /// The routing or the endpoint list is not known yet, or there may be a newer routing; the caller
+    /// should come back after this time in milliseconds.
     NotYet(Millis),
     /// No route or service matches the request.
     NoRoute,
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -103,6 +103,9 @@
         let mut ini = IniReader::open(path)?;
         let d = Self::default();
         let address = "an IP address and a port";
+        let watch_ms = ini
+            .scaled_number("direct", "watch_ms", d.watch_ms, 1, "milliseconds")
+            .clamp(MIN_WATCH_MS, MAX_WATCH_MS);
         let settings = Self {
             id: ini.required("instance", "id", "the instance's name"),
             hall: ini.required("instance", "hall", "the name of the data hall"),
@@ -112,13 +115,14 @@
             peers: ini.optional("listen", "peers", address),
             store: ini.parsed("direct", "store", d.store, address),
             first_start: ini.parsed("direct", "first_start", false, "true or false"),
-            watch_ms: ini
-                .scaled_number("direct", "watch_ms", d.watch_ms, 1, "milliseconds")
-                .clamp(MIN_WATCH_MS, MAX_WATCH_MS),
+            watch_ms,
             list_ms: ini.number("direct", "list_ms", d.list_ms, 0..=10_000, "milliseconds"),
             drain_ms: ini.scaled_number("direct", "drain_ms", d.drain_ms, 1, "milliseconds"),
             reads_per_s: ini.scaled_number("direct", "reads_per_s", d.reads_per_s, 1, "calls"),
-            params: read_params(&mut ini),
+            params: DirectParams {
+                routing_ms: watch_ms,
+                ..read_params(&mut ini)
+            },
             missing_values: ini.missing_values().to_vec(),
         };
         ini.finish()?;
@@ -190,6 +194,7 @@
         grace_ms: ini.scaled_number("stop", "grace_s", d.grace_ms, 1_000, "seconds"),
         features: read_features(ini),
         disabled: read_disabled(ini),
+        ..d
     }
 }
 
