--- a/src/logic/direct/answer.rs
+++ b/src/logic/direct/answer.rs
@@ -36,7 +36,10 @@
     match part {
         RunPart::Head => on_head(state, now, id, run, out),
         RunPart::Event { id: event, bytes } => on_stream_event(state, now, id, event, bytes, out),
-        RunPart::End => finish::complete(state, now, id, DirectEffect::EndStream(id), out),
+        RunPart::End => {
+            let end = DirectEffect::EndStream(id);
+            finish::complete(state, now, id, true, end, out)
+        }
         RunPart::Complete { status, not_run } => {
             on_whole_answer(state, now, id, run, status, not_run, out)
         }
@@ -170,5 +173,5 @@
     hold_off::on_run_begun(state, id);
     pool::learn_start(state, now, id);
     let pass = DirectEffect::PassAnswer { request: id, run };
-    finish::complete(state, now, id, pass, out);
+    finish::complete(state, now, id, status < MIN_SERVER_ERROR, pass, out);
 }
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -10,11 +10,13 @@
 use crate::types::Millis;
 
 /// Ends a request whose endpoint has answered in full; `last` passes the end of the answer
-/// on to the caller.
+/// on to the caller. An endpoint that has failed may not have begun it: only a request that `is_served`
+/// is no suspect of crashes any more.
 pub(super) fn complete(
     state: &mut DirectState,
     now: Millis,
     id: u64,
+    is_served: bool,
     last: DirectEffect,
     out: &mut Vec<Effect>,
 ) {
@@ -25,7 +27,9 @@
     let Some(flight) = state.in_flight.remove(&id) else {
         return;
     };
-    crashes::on_answered(state, now, flight.fingerprint, &flight.segments, out);
+    if is_served {
+        crashes::on_answered(state, now, flight.fingerprint, &flight.segments, out);
+    }
     out.push(Effect::Direct(last));
     record_completion(&flight, now, out);
 }
--- a/tests/direct/crashes.rs
+++ b/tests/direct/crashes.rs
@@ -591,6 +591,34 @@
     assert!(is_blocked(refused(&mut router, fatal(7))));
 }
 
+/// Guards against a request that is cleared, and isn't suspected for a minute, by the failure of an endpoint
+/// that may not have begun it: it would go on crashing others.
+#[test]
+fn a_failure_of_an_endpoint_clears_no_request() {
+    let deadly = names().0;
+    for (status, is_cleared) in [(500, false), (504, false), (404, true), (200, true)] {
+        let mut router = Router::new(open_groups());
+        receive(&mut router, vec![report_of(deadly, &[1, 2], 20)]);
+        let (mut sent, _) = run_of(&mut router, fatal(1));
+        // A failure is passed on once no retry is left.
+        loop {
+            let not_run = false;
+            let effects = router.part(sent, RunPart::Complete { status, not_run });
+            let again = effects.iter().find_map(|e| match e {
+                DirectEffect::Run(run) => Some(run.run),
+                _ => None,
+            });
+            let Some(again) = again else {
+                break;
+            };
+            sent = again;
+        }
+        let table = &router.state().crashes.table;
+        let crashes = table.counted_crashes(&deadly);
+        assert_eq!(crashes == 0, is_cleared, "{status}: {crashes}");
+    }
+}
+
 fn crash_at(n: u64) -> Crash {
     Crash {
         endpoint: InstanceId::new(&format!("e{n}")),
