Any router may try a held request, by the planner's leave

Cause: a trial was tied to the router that plans, as trials by each would be as many crashes.

The first request is refused with the usual time to come back; the next one at that router is the trial. A planner that takes over doesn't know of a grant: at most one trial more.

--- a/src/logic/direct/crashes/crash_state.rs
+++ b/src/logic/direct/crashes/crash_state.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::{CrashTable, RecentlyServed, SuspectedCrash, Trial, Verdict};
+use super::{CrashTable, RecentlyServed, SuspectedCrash, Trial, TrialGrants, Verdict};
 use crate::logic::direct::Fingerprint;
 use crate::logic::router::CallId;
 use crate::types::{InstanceId, Millis};
@@ -18,6 +18,8 @@
     pub review_at: Millis,
     /// The request that was last tried alone.
     pub trial: Option<Trial>,
+    /// Trials that were granted to this router, and by it.
+    pub grants: TrialGrants,
     /// Requests that were answered in full recently, and are not suspected of crashes.
     pub served: RecentlyServed,
     /// Segments of requests whose answers began recently.
--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -9,7 +9,7 @@
 //! are answered in full.
 //!
 //! Crashes show what was there, not what caused them, so that no request is refused for good: callers are
-//! told to come back, and the planner tries one alone. An answer clears it. After a crash
+//! told to come back, and one at a time is tried alone, by the planner's leave. An answer clears it. After a crash
 //! the next trial waits longer each time, and less where chance may explain the crashes: other endpoints
 //! failed at about the same times, or another suspect was at the trial.
 //!
@@ -30,6 +30,7 @@
 mod suspected_crash;
 mod trial;
 mod trial_delay;
+mod trial_grants;
 mod trials;
 mod verdict;
 
@@ -41,6 +42,7 @@
 pub use recently_served::RecentlyServed;
 pub use suspected_crash::SuspectedCrash;
 pub use trial::Trial;
+pub use trial_grants::TrialGrants;
 pub use verdict::Verdict;
 
 pub(super) use broadcast::on_crash_reports;
@@ -49,6 +51,7 @@
     on_store_entries, on_store_reply, on_store_restored, on_watch_changes,
 };
 pub(super) use detect::{is_risky, on_probe_result, on_run_broken, on_tick, refusal};
+pub(super) use trial_grants::{on_trial_asked, on_trial_granted};
 pub(super) use trials::{is_withheld, WHY_HELD};
 
 /// Why a request isn't sent, or not again, under which endpoints have crashed.
--- a/src/logic/direct/crashes/trials.rs
+++ b/src/logic/direct/crashes/trials.rs
@@ -1,10 +1,10 @@
 //! Trials of requests and segments of prompts that were at several crashes.
 //!
-//! The planner sends one of them at a time, alone of its kind. If it is answered it is cleared; if an
+//! One of them at a time is sent, alone of its kind. If it is answered it is cleared; if an
 //! endpoint crashes under it, it is blocked until the next trial. Other requests run at that endpoint,
 //! and it may fail by itself, so that no number of trials proves a request wrong.
 
-use super::{detect, Trial, Verdict};
+use super::{detect, trial_grants, Trial, Verdict};
 use crate::logic::direct::{finish, DirectState, Fingerprint, InFlightRequest};
 use crate::logic::{Effect, LogCode, LogEvent};
 use crate::types::Millis;
@@ -83,12 +83,23 @@
     !is_tried && !flight.is_partly_delivered() && !flight.causes().all(is_sent)
 }
 
-/// Begins a trial of a held request, if this router is the planner and no other trial is in flight;
-/// returns whether it has. `held` are its fingerprint and its segments, as far as they are held.
-///
-/// Only the planner does: a trial by each router would be as many crashes. A request with several held
-/// segments is tried only after some time: a crash wouldn't tell them apart, and requests
-/// with one of them alone may show that it is harmless.
+/// Whether a request with some held causes may be tried now, as far as this router knows: no trial of its
+/// own is in flight. A request with several held segments is tried only after some time: a crash wouldn't
+/// tell them apart, and requests with one of them alone may show that it is harmless.
+pub(super) fn is_due(state: &DirectState, now: Millis, held: &[Fingerprint]) -> bool {
+    let table = &state.crashes.table;
+    let segments: Vec<_> = held.iter().filter(|c| table.is_segment(c)).collect();
+    let is_early = |cause: &&Fingerprint| now < table.joint_trial_at(cause);
+    if segments.len() > 1 && segments.iter().any(is_early) {
+        return false;
+    }
+    let is_sent = |cause: &Fingerprint| table.verdict(now, cause) == Verdict::Sent;
+    let is_trial = |f: &InFlightRequest| !f.is_partly_delivered() && !f.causes().all(is_sent);
+    !state.in_flight.values().any(is_trial)
+}
+
+/// Begins a trial of a held request if one is due and the planner allows it: a trial by each router would
+/// be as many crashes. `held` are its fingerprint and its segments, as far as they are held.
 pub(super) fn begin(
     state: &mut DirectState,
     now: Millis,
@@ -96,17 +107,10 @@
     held: &[Fingerprint],
     out: &mut Vec<Effect>,
 ) -> bool {
-    let table = &state.crashes.table;
-    let segments: Vec<_> = held.iter().filter(|c| table.is_segment(c)).collect();
-    let is_early = |cause: &&Fingerprint| now < table.joint_trial_at(cause);
-    let is_joint = segments.len() > 1;
-    let is_sent = |cause: &Fingerprint| table.verdict(now, cause) == Verdict::Sent;
-    let is_trial = |f: &InFlightRequest| !f.is_partly_delivered() && !f.causes().all(is_sent);
-    let is_busy = state.in_flight.values().any(is_trial);
-    let is_early = is_joint && segments.into_iter().any(|cause| is_early(&cause));
-    if is_early || is_busy || !state.plan.lease.holds(now) {
+    if !is_due(state, now, held) || !trial_grants::may_begin(state, now, held, out) {
         return false;
     }
+    let table = &state.crashes.table;
     for cause in held {
         let event = LogEvent::new(LogCode::SuspectTried)
             .with("fingerprint", cause)
--- a/src/logic/direct/peer_message.rs
+++ b/src/logic/direct/peer_message.rs
@@ -4,7 +4,7 @@
 
 use super::capacity::ModelTrend;
 use super::crashes::CrashReport;
-use super::{AccountUse, Digest, ModelDemand, Observation};
+use super::{AccountUse, Digest, Fingerprint, ModelDemand, Observation};
 use crate::types::{InstanceId, RequestRate};
 
 /// Messages between routers with direct links, each in one datagram.
@@ -60,6 +60,10 @@
     },
     /// Requests during which endpoints have crashed.
     Crashes(Vec<CrashReport>),
+    /// The sender has a request with these causes of crashes, which are held. Sent to the planner.
+    TrialAsked(Vec<Fingerprint>),
+    /// The receiver may try one request with these causes. Sent by the planner.
+    TrialGranted(Vec<Fingerprint>),
     /// The observation that was asked for.
     Seen {
         /// Number of the request.
--- a/src/logic/direct/peers.rs
+++ b/src/logic/direct/peers.rs
@@ -265,6 +265,8 @@
         PeerMessage::Rate { id, rate } => rate_limit::on_peer_rate(state, now, &id, rate, out),
         PeerMessage::Leaving { id, born } => leaving::on_peer_leaving(state, now, &id, born, out),
         PeerMessage::Crashes(reports) => crashes::on_crash_reports(state, now, &reports, out),
+        PeerMessage::TrialAsked(causes) => crashes::on_trial_asked(state, now, from, causes, out),
+        PeerMessage::TrialGranted(causes) => crashes::on_trial_granted(state, now, causes),
         PeerMessage::Seen { number, sight } => plan::on_observation(state, number, sight),
     }
 }
--- a/tests/direct/segments.rs
+++ b/tests/direct/segments.rs
@@ -7,6 +7,7 @@
     DirectEffect, DirectEvent, DirectRequest, Fingerprint, PeerMessage, Problem, RunPart,
 };
 use runrail::logic::router::StoreEntry;
+use runrail::logic::Effect;
 use runrail::types::{EndpointEntry, InstanceId};
 
 use crate::fixture::{addr, is_blocked, open_group, piece, problem, request, run, Router};
@@ -223,6 +224,82 @@
     assert_eq!(refused(&mut planner, fatal(2)), HELD);
 }
 
+/// Delivers what one router has sent to another at the address `from`, and returns how many messages about
+/// trials there were.
+fn pass_trials(from: &mut Router, to: &mut Router, port: u16) -> usize {
+    let is_trial =
+        |m: &PeerMessage| matches!(m, PeerMessage::TrialAsked(_) | PeerMessage::TrialGranted(_));
+    let messages = from.sent_messages();
+    let messages: Vec<_> = messages.into_iter().filter(|(_, m)| is_trial(m)).collect();
+    let count = messages.len();
+    for (_, message) in messages {
+        let from = addr(port);
+        to.tell(DirectEvent::PeerMessage { from, message });
+    }
+    count
+}
+
+/// Guards against a segment that stays held because the planner gets no request with it, and against
+/// trials at two routers at a time.
+#[test]
+fn another_router_tries_a_held_segment_by_the_leave_of_the_planner() {
+    let names = ["r1", "r2", "r3"].map(InstanceId::new);
+    let mut planner = Router::planner(open_groups());
+    let mut others = ["r2", "r3"].map(|name| Router::named(name, &names, open_groups()));
+    for router in others.iter_mut().chain([&mut planner]) {
+        receive(router, &[report("shared", &[1, 2, 3], false)]);
+        router.take_effects();
+    }
+    let shared = |id| with_segments(id, &["shared"]);
+    for (n, router) in others.iter_mut().enumerate() {
+        revoke_lease(router);
+        assert_eq!(problem(&asked(router, shared(1))), HELD);
+        assert_eq!(pass_trials(router, &mut planner, n as u16), 1, "asked");
+        let granted = pass_trials(&mut planner, router, 900);
+        assert_eq!(granted, usize::from(n == 0), "one at a time");
+    }
+    assert_eq!(refused(&mut planner, shared(2)), HELD, "it has granted one");
+    let [first, second] = &mut others;
+    let tried = run(&first.ask_for(shared(3)));
+    assert_eq!(refused(first, shared(4)), HELD, "one request");
+    assert_eq!(refused(second, shared(4)), HELD);
+    first.part(tried.run, RunPart::Head);
+    first.part(tried.run, piece(1));
+    assert_eq!(refused(first, shared(5)), None, "cleared");
+}
+
+/// Guards against a trial that begins long after it was granted, beside that of another router.
+#[test]
+fn a_granted_trial_has_to_begin_soon() {
+    let names = ["r1", "r2"].map(InstanceId::new);
+    let mut router = Router::named("r2", &names, open_groups());
+    receive(&mut router, &[report("shared", &[1, 2, 3], false)]);
+    revoke_lease(&mut router);
+    let causes = vec![Fingerprint::of_segment("shared")];
+    let grant = |causes| DirectEvent::PeerMessage {
+        from: addr(2_000),
+        message: PeerMessage::TrialGranted(causes),
+    };
+    router.tell(grant(causes.clone()));
+    router.advance_ms(600);
+    let shared = |id| with_segments(id, &["shared"]);
+    assert_eq!(refused(&mut router, shared(1)), HELD);
+    router.tell(grant(vec![Fingerprint::of_segment("another")]));
+    assert_eq!(refused(&mut router, shared(2)), HELD);
+    router.tell(grant(causes));
+    assert_eq!(refused(&mut router, shared(3)), None);
+}
+
+/// Sends a request, and returns its effects without taking those that are sent to other routers.
+fn asked(router: &mut Router, request: DirectRequest) -> Vec<DirectEffect> {
+    router.tell(DirectEvent::Request(Box::new(request)));
+    let effects = router.effects.iter().filter_map(|e| match e {
+        Effect::Direct(effect) => Some(effect.clone()),
+        _ => None,
+    });
+    effects.collect()
+}
+
 /// Guards against sending a request on after its segment was held, as the endpoint that had it didn't
 /// run it.
 #[test]
