--- a/src/link/callers.rs
+++ b/src/link/callers.rs
@@ -99,19 +99,15 @@
     let is_ambiguous =
         head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING);
     if is_ambiguous {
-        return malformed(
-            &shared,
-            &head,
-            StatusCode::BAD_REQUEST,
-            "two lengths of the body",
-        );
+        return malformed(&shared, &head, "two lengths of the body");
     }
     let (body, excess) = match read_body(&shared, &head, body).await {
         Ok(read) => read,
         Err(e) if is_malformed(&*e) => {
-            return malformed(&shared, &head, StatusCode::BAD_REQUEST, &e.to_string());
+            return malformed(&shared, &head, &e.to_string());
         }
-        Err(_) => {
+        Err(e) => {
+            log_malformed(&shared, &head, &format!("its body broke off: {e}"));
             let response = (shared.adapter.build_problem)(Problem::NotRun(BROKEN_BODY_MS));
             return closing(response.map(|bytes| AnswerBody::Whole(Some(bytes))));
         }
@@ -179,12 +175,18 @@
     }
 }
 
-/// Refuses a request whose head or body can't be taken, and logs it.
-fn malformed(shared: &Shared, head: &Parts, status: StatusCode, why: &str) -> Response<AnswerBody> {
+/// Refuses a request whose bytes are wrong, and logs it.
+fn malformed(shared: &Shared, head: &Parts, why: &str) -> Response<AnswerBody> {
+    log_malformed(shared, head, why);
+    refusal(StatusCode::BAD_REQUEST)
+}
+
+fn log_malformed(shared: &Shared, head: &Parts, why: &str) {
     let label = (shared.adapter.parse_request)(head, &[]).label;
-    let why = format!("request {label:?} answered {}: {why}", status.as_u16());
-    log_event(LogCode::RequestMalformed, &why);
-    refusal(status)
+    log_event(
+        LogCode::RequestMalformed,
+        &format!("request {label:?}: {why}"),
+    );
 }
 
 /// An empty answer with an error status, after which the connection closes.
