A trial counts also if its endpoint has crashed under the cause before

Found by a new test, trials_of_a_fatal_cause_crash_few_endpoints_however_long_its_requests_come: ten minutes of requests that crash each endpoint, with and without others that crash beside them. Where endpoints start again under their ids and the platform doesn't tell when, the crash of a trial was one that the record had already; it didn't put off the next trial, so that the cause crashed one endpoint after the other (nine in five minutes, and each request of a run that waited long enough).

What changed: such a trial is counted beside the record.

--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -53,6 +53,8 @@
     record: CrashRecord,
     /// When a merge last changed the record.
     updated_at: Millis,
+    /// Trials here whose crash the record had already.
+    known_trials: usize,
 }
 
 impl CrashTable {
@@ -168,7 +170,7 @@
         };
         let record = &entry.record;
         let delay = TrialDelay {
-            trials: record.trials().count(),
+            trials: record.trials().count() + entry.known_trials,
             is_segment: record.is_segment,
             came_together: self.separate_times(record) < MIN_BLOCKING_CRASHES,
             by_chance: self.other_crashes(record) >= MIN_OTHER_CRASHES
@@ -284,7 +286,19 @@
     /// Marks all crashes of a cause as cleared; returns whether one of them still counted.
     pub fn clear(&mut self, cause: &Fingerprint) -> bool {
         let entry = self.records.get_mut(cause);
-        entry.is_some_and(|e| e.record.clear())
+        entry.is_some_and(|e| {
+            e.known_trials = 0;
+            e.record.clear()
+        })
+    }
+
+    /// Counts a trial whose crash is known already: its endpoint has crashed before, and the platform
+    /// doesn't tell when it started.
+    pub fn count_known_trial(&mut self, now: Millis, cause: &Fingerprint) {
+        if let Some(entry) = self.records.get_mut(cause) {
+            entry.updated_at = now;
+            entry.known_trials += 1;
+        }
     }
 
     /// Removes the records that no merge has changed for the retention time.
--- a/src/logic/direct/crashes/detect.rs
+++ b/src/logic/direct/crashes/detect.rs
@@ -192,7 +192,11 @@
     let before = state.crashes.table.is_blocked(&cause);
     let alone_before = state.crashes.table.alone_crashes(&cause);
     if !state.crashes.table.merge(now, cause, record) {
-        return false;
+        let is_trial = !record.alone.is_empty();
+        if is_trial {
+            state.crashes.table.count_known_trial(now, &cause);
+        }
+        return is_trial;
     }
     broadcast::schedule_broadcast(state, now, cause);
     let newly_blocked = !before && state.crashes.table.is_blocked(&cause);
--- a/tests/direct/proper_requests.rs
+++ b/tests/direct/proper_requests.rs
@@ -227,6 +227,70 @@
     assert_eq!(router.state().crashes.table.counted_crashes(&copies()), 0);
 }
 
+/// Time within which all routers have to know of a crash.
+const CONTACT_MS: u64 = 3_000;
+
+/// Most requests with a cause that may reach endpoints later than [`CONTACT_MS`] after the decisive crash:
+/// the third under a request, the fifth under a segment.
+const MAX_LATE: usize = 3;
+
+/// Sends a request five times a second for ten minutes, which crashes each endpoint that begins it, while
+/// `others` endpoints crash beside each run. The endpoints start again under their ids unless each
+/// `is_replaced`. Returns when its crashes came.
+fn crashes_in_ten_minutes(
+    make: fn(u64) -> DirectRequest,
+    others: u64,
+    is_replaced: bool,
+) -> Vec<u64> {
+    let mut router = Router::planner(open_groups());
+    let mut crashes = Vec::new();
+    for id in 0..3_000 {
+        router.take_effects();
+        router.tell(DirectEvent::Request(Box::new(make(id))));
+        loop {
+            let effects = router.take_effects();
+            let sent = effects.iter().find_map(|e| match e {
+                DirectEffect::Run(run) => Some((run.run, run.to.clone())),
+                _ => None,
+            });
+            let Some((run, to)) = sent else {
+                break;
+            };
+            crashes.push(router.now);
+            let other = Fingerprint::of(&[b"other", &id.to_be_bytes()]);
+            let near: Vec<_> = (0..others).map(|n| 1_000 + 10 * id + n).collect();
+            receive(&mut router, vec![report(other, &near, false)]);
+            router.tell(DirectEvent::RunPart {
+                run,
+                part: RunPart::Broken,
+            });
+            router.answer_crash_probes();
+            if is_replaced {
+                router.change(to.as_str(), None);
+            }
+        }
+        router.advance_ms(200);
+    }
+    crashes
+}
+
+/// Guards against trials that crash one endpoint after the other: what isn't refused for good any more may
+/// not reach more of them than before.
+#[test]
+fn trials_of_a_fatal_cause_crash_few_endpoints_however_long_its_requests_come() {
+    let makes: [fn(u64) -> DirectRequest; 2] = [copy, sharing];
+    for (make, (kind, decisive)) in makes.into_iter().zip([("request", 3), ("segment", 5)]) {
+        for (others, is_replaced) in [(0, true), (1, true), (2, true), (0, false)] {
+            let crashes = crashes_in_ten_minutes(make, others, is_replaced);
+            assert!(crashes.len() >= decisive, "{kind}: {crashes:?}");
+            let known = crashes[decisive - 1] + CONTACT_MS;
+            let late = crashes.iter().filter(|at| **at > known).count();
+            let case = format!("{kind}, {others} others, replaced: {is_replaced}");
+            assert!(late <= MAX_LATE, "{case}: {crashes:?}");
+        }
+    }
+}
+
 /// The status of a request for a path, and of one with a key, that the routing doesn't have.
 fn unknown(router: &mut Router) -> [Option<u16>; 2] {
     let path = status(&router.ask(1, "/unknown/x"));
