A routing from another router isn't known to be the newest

Callers could get 404 or 401 by a routing older than the bound for that: keys that another router passed on counted as read just now, although that router may have read them some time ago.

A relayed routing takes force as before, and refuses nothing until the planner's next digest or an own reading shows that it is the newest; until then callers get 503 with a time to come back.

a_route_or_key_is_not_missing_in_a_routing_that_another_router_has_read failed with the event handled as one from the store (404, 401), and passes now.

--- a/src/link/operator_watch.rs
+++ b/src/link/operator_watch.rs
@@ -7,7 +7,7 @@
 use super::run_direct::log_event;
 use super::shared::Shared;
 use super::store::PrefixEntries;
-use super::watches::{self, WatchPace};
+use super::watches::{self, ReadFrom, WatchPace};
 use super::OperatorKey;
 use crate::logic::direct::{DirectEvent, HallChange};
 use crate::logic::router::StoreChange;
@@ -25,7 +25,7 @@
         shared.clone(),
         shared.adapter.operator_prefix,
         pace,
-        |read| reader.on_entries(read),
+        |read, from| reader.on_entries(read, from),
         |at, changes| reader.on_changes(at, changes),
     )
     .await;
@@ -40,7 +40,7 @@
 impl Reader {
     /// Handles all keys. Evacuations come first, so that no request is sent by the first routing
     /// without them.
-    fn on_entries(&self, read: PrefixEntries) {
+    fn on_entries(&self, read: PrefixEntries, from: ReadFrom) {
         operator_keys::keep(&self.shared, &read);
         let at = read.position;
         let mut routing = None;
@@ -55,7 +55,7 @@
         self.shared
             .send_direct(DirectEvent::HallsRead { at, halls });
         if let Some(value) = routing {
-            self.apply_routing(&value);
+            self.apply_routing(&value, from);
         }
     }
 
@@ -78,14 +78,14 @@
         self.shared
             .send_direct(DirectEvent::HallChanges { at, changes: halls });
         if let Some(value) = routing {
-            self.apply_routing(&value);
+            self.apply_routing(&value, ReadFrom::Store);
         }
         if self.newest_valid.get() {
             self.shared.send_direct(DirectEvent::RoutingRead);
         }
     }
 
-    fn apply_routing(&self, value: &str) {
+    fn apply_routing(&self, value: &str, from: ReadFrom) {
         let routing = (self.shared.adapter.parse_routing)(value);
         self.newest_valid.set(routing.is_ok());
         match routing {
@@ -94,8 +94,11 @@
                 let unknown = &routing.unknown_fields;
                 self.shared.unknown.record(place, unknown, "operators");
                 self.shared.limits.set(routing.limits);
-                self.shared
-                    .send_direct(DirectEvent::Routing(routing.into()));
+                let routing = routing.into();
+                self.shared.send_direct(match from {
+                    ReadFrom::Store => DirectEvent::Routing(routing),
+                    ReadFrom::Router => DirectEvent::RoutingRelayed(routing),
+                });
             }
             Err(why) => log_event(LogCode::RoutingUnread, &why),
         }
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -190,7 +190,7 @@
             None
         }
     };
-    let on_entries = |list: PrefixEntries| {
+    let on_entries = |list: PrefixEntries, _| {
         let at = list.position;
         let entries = list.entries.iter().filter_map(read).collect();
         shared.send_direct(DirectEvent::ListRead { at, entries });
--- a/src/link/watches.rs
+++ b/src/link/watches.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// Where a complete reading of a prefix came from.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReadFrom {
+    /// The store, just now.
+    Store,
+    /// Another router, which may have read it some time ago.
+    Router,
+}
+
 /// Longest time that the store may hold watch calls of the planner. The planner sends what it
 /// has read to all other routers with its age, and each answer resets that age.
 const PLANNER_WAIT_MS: u64 = 500;
@@ -74,7 +83,7 @@
     shared: Rc<Shared>,
     prefix: &'static str,
     pace: WatchPace,
-    mut on_entries: impl FnMut(PrefixEntries),
+    mut on_entries: impl FnMut(PrefixEntries, ReadFrom),
     mut on_changes: impl FnMut(StorePosition, Vec<StoreChange>),
 ) {
     let is_list = matches!(pace.target, WatchTarget::List(_));
@@ -100,14 +109,14 @@
             at
         } else if let Some(keys) = fetched {
             let at = keys.position;
-            on_entries(keys);
+            on_entries(keys, ReadFrom::Router);
             at
         } else {
             let Some(read) = read_all(&shared, prefix).await else {
                 continue;
             };
             let at = read.position;
-            on_entries(read);
+            on_entries(read, ReadFrom::Store);
             send_routing_checked(&shared, pace, read_number);
             at
         };
--- a/src/logic/direct/direct_event.rs
+++ b/src/logic/direct/direct_event.rs
@@ -10,7 +10,7 @@
 /// An event for a router with direct links, beside ticks and replies of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum DirectEvent {
-    /// A version of the routing was read.
+    /// A version of the routing was read from the store.
     Routing(Arc<Routing>),
     /// All data halls that operators evacuate.
     HallsRead {
@@ -31,6 +31,8 @@
     /// The store's era was read for the first time, or has risen because the store was
     /// restored from a backup.
     StoreEra(u64),
+    /// The routing came from another router, which may have read it some time ago.
+    RoutingRelayed(Arc<Routing>),
     /// The store was asked for a new version of the routing. If there was one, its `Routing`
     /// event came before.
     RoutingRead,
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -67,6 +67,7 @@
             state.digests.routing_at = state.previous_tick;
             on_routing(state, routing, out);
         }
+        DirectEvent::RoutingRelayed(routing) => on_routing(state, routing, out),
         DirectEvent::HallsRead { at, halls } => {
             evacuation::on_halls_read(state, now, at, halls, out)
         }
--- a/tests/direct/proper_requests.rs
+++ b/tests/direct/proper_requests.rs
@@ -336,6 +336,20 @@
     assert_eq!(unknown(&mut router), NOT_KNOWN);
 }
 
+/// Guards against 404 and 401 by a routing from another router, which may have read it long ago.
+#[test]
+fn a_route_or_key_is_not_missing_in_a_routing_that_another_router_has_read() {
+    let mut router = Router::new(open_groups());
+    router.advance_ms(10_000);
+    let relayed = DirectEvent::RoutingRelayed(crate::fixture::routing(2).into());
+    router.tell(relayed);
+    assert_eq!(unknown(&mut router), NOT_KNOWN);
+    let mut digest = empty_digest(1, at(7));
+    digest.routing = 2;
+    receive_digest(&mut router, digest);
+    assert_eq!(unknown(&mut router), WRONG);
+}
+
 /// Guards against 404 and 401 after a pause in which the routing may have been replaced.
 #[test]
 fn after_a_pause_a_route_or_key_is_missing_only_once_the_routing_was_read() {
