A report is that of the endpoint that started last at its address

The planner probed an endpoint that was gone; its successor at the address answered with a report, which doesn't name its endpoint. The gone one became the head of the other's group; the 421 to its order to leave then ended that group.

A probe's result now counts for the endpoint that started last at its address, and proves for an earlier one that it has ended. Where the order of the starts isn't known it only shows that something answers.

a_report_is_that_of_the_endpoint_that_started_last_at_its_address failed without the attribution.

--- a/src/logic/direct/endpoint_view.rs
+++ b/src/logic/direct/endpoint_view.rs
@@ -19,6 +19,8 @@
     pub leaving: bool,
     /// Whether the list names it now.
     pub listed: bool,
+    /// When this router first knew of it, or of its last start.
+    pub known_since: Millis,
     /// When the entry's last heartbeat was seen, or when it left the list.
     pub heartbeat_at: Millis,
     /// When the endpoint last sent something here, or got its first run after having none;
@@ -69,6 +71,7 @@
             seen_start: false,
             leaving: false,
             listed: true,
+            known_since: now,
             heartbeat_at: now,
             active_at: now,
             responded_at: 0,
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -22,6 +22,7 @@
 mod accept;
 mod answer;
 mod arrivals;
+mod attribution;
 mod choose;
 mod demand;
 mod demand_shares;
--- a/src/logic/direct/step.rs
+++ b/src/logic/direct/step.rs
@@ -1,9 +1,9 @@
 use super::admission::{pool, queue};
 use super::limits::{cold, hold_off, rate_limit};
 use super::{
-    accept, answer, crashes, demand, digests, endpoints, evacuation, finish, leaving, list_log,
-    list_start, peers, plan, process_pause, returns, silence, store_restore, DirectEffect,
-    DirectEvent, DirectState, RunPart, ShutdownStage,
+    accept, answer, attribution, crashes, demand, digests, endpoints, evacuation, finish, leaving,
+    list_log, list_start, peers, plan, process_pause, returns, silence, store_restore,
+    DirectEffect, DirectEvent, DirectState, RunPart, ShutdownStage,
 };
 use crate::logic::{Effect, Event, LogCode, LogEvent};
 use crate::types::{Millis, Routing};
@@ -107,6 +107,7 @@
             rate_limit::on_answer_rate(state, now, &id, run, rate, out)
         }
         DirectEvent::Probed { id, result } => {
+            let result = attribution::attribute(state, &id, result);
             peers::on_probe_result(state, now, &id, &result, out);
             crashes::on_probe_result(state, now, &id, &result, out);
             plan::on_probe_result(state, now, &id, result, out);
--- a/tests/direct/takeover.rs
+++ b/tests/direct/takeover.rs
@@ -169,6 +169,42 @@
     }
 }
 
+/// Answers a probe of an endpoint with the report of a head that the list doesn't show. Returns the seat
+/// that the endpoint is then known to have, and whether it counts as lost.
+fn probe(router: &mut Router, id: &str) -> (Option<GroupSeat>, bool) {
+    let key = InstanceId::new(id);
+    let probes = &mut router.state().plan.probes;
+    probes.entry(key.clone()).or_default().pending = true;
+    router.answer_probe(id, ProbeResult::Alive(member(0)));
+    let state = router.state();
+    let seat = state.endpoints[&key].entry.seat.clone();
+    (seat, state.plan.lost.contains_key(&key))
+}
+
+/// Guards against an instance in two groups: the report of an endpoint that had started at the address of
+/// one that was gone was taken for that of the gone one. It became the head of the later one's group,
+/// which counted as ended once the gone one was ordered to leave and couldn't be found.
+#[test]
+fn a_report_is_that_of_the_endpoint_that_started_last_at_its_address() {
+    let reported = (member(0).seat, false);
+    let (mut router, _) = successor(spares(6));
+    let later = EndpointEntry {
+        addr: engine(1, None).1.addr,
+        ..engine(7, None).1
+    };
+    router.change("e7", Some(later.clone()));
+    assert_eq!(probe(&mut router, "e1"), (None, true));
+    assert_eq!(probe(&mut router, "e7"), reported);
+    // The first list that a router reads doesn't tell which of them started later.
+    let mut entries = spares(6);
+    entries.push((InstanceId::new("e7"), later));
+    let (mut router, _) = successor(entries);
+    assert_eq!(probe(&mut router, "e1"), (None, false));
+    assert_eq!(probe(&mut router, "e7"), (None, false));
+    router.change("e1", None);
+    assert_eq!(probe(&mut router, "e7"), reported);
+}
+
 /// Guards against a whole group that is ended by a new planner that knows of one member only.
 #[test]
 fn a_group_that_the_list_doesnt_show_is_whole_once_its_members_have_reported() {
