The last planner allows trials while no router holds the lease

Callers of a sound segment that was held got 503 for up to ten minutes while the store was silent: only a router that was certain to hold the planner lease began or granted trials, and nobody can renew it then.

Trials are as far apart as before.

--- a/src/logic/direct/crashes/trial_grants.rs
+++ b/src/logic/direct/crashes/trial_grants.rs
@@ -31,6 +31,12 @@
     busy_until: Millis,
 }
 
+/// Whether this router allows trials: it is the planner, or was the last one as far as it knows. While no
+/// router can renew the planner lease, requests and segments that are harmless would stay held.
+fn allows_trials(state: &DirectState) -> bool {
+    state.plan.lease.fence > 0
+}
+
 /// Whether this router may begin a trial of some held causes; asks the planner otherwise.
 pub(super) fn may_begin(
     state: &mut DirectState,
@@ -38,10 +44,10 @@
     held: &[Fingerprint],
     out: &mut Vec<Effect>,
 ) -> bool {
-    let grants = &mut state.crashes.grants;
-    if state.plan.lease.holds(now) {
-        return now >= grants.busy_until;
+    if allows_trials(state) {
+        return now >= state.crashes.grants.busy_until;
     }
+    let grants = &mut state.crashes.grants;
     let granted = grants.granted.take().filter(|(_, until)| now < *until);
     let is_granted = |cause| granted.as_ref().is_some_and(|(g, _)| g.contains(cause));
     if held.iter().all(is_granted) {
@@ -55,7 +61,7 @@
     false
 }
 
-/// Handles another router's question: grants a trial if this router plans, holds all the causes and no
+/// Handles another router's question: grants a trial if this router may, holds all the causes and no
 /// other trial is in progress.
 pub(in crate::logic::direct) fn on_trial_asked(
     state: &mut DirectState,
@@ -66,7 +72,7 @@
 ) {
     let table = &state.crashes.table;
     let is_held = |cause: &Fingerprint| table.verdict(now, cause) == Verdict::Held;
-    let is_free = state.plan.lease.holds(now) && now >= state.crashes.grants.busy_until;
+    let is_free = allows_trials(state) && now >= state.crashes.grants.busy_until;
     if !is_free || !causes.iter().all(is_held) || !trials::is_due(state, now, &causes) {
         return;
     }
--- a/tests/direct/segments.rs
+++ b/tests/direct/segments.rs
@@ -268,6 +268,30 @@
     assert_eq!(refused(first, shared(5)), None, "cleared");
 }
 
+/// Guards against a sound segment that stays held for as long as the store is silent: no router can renew
+/// the planner lease then, and nobody allowed trials.
+#[test]
+fn the_last_planner_allows_trials_while_no_router_can_hold_the_lease() {
+    let names = ["r1", "r2"].map(InstanceId::new);
+    let mut last = Router::planner(open_groups());
+    let mut other = Router::named("r2", &names, open_groups());
+    for router in [&mut last, &mut other] {
+        receive(router, &[report("shared", &[1, 2, 3], false)]);
+        router.take_effects();
+    }
+    last.state().plan.lease.valid_until = 0;
+    revoke_lease(&mut other);
+    let shared = |id| with_segments(id, &["shared"]);
+    assert_eq!(problem(&asked(&mut other, shared(1))), HELD);
+    assert_eq!(pass_trials(&mut other, &mut last, 0), 1, "asked");
+    assert_eq!(pass_trials(&mut last, &mut other, 900), 1, "granted");
+    run(&other.ask_for(shared(2)));
+    assert_eq!(refused(&mut last, shared(3)), HELD, "it has granted one");
+    last.advance_ms(2_500);
+    last.state().plan.lease.valid_until = 0;
+    assert_eq!(refused(&mut last, shared(4)), None, "its own");
+}
+
 /// Guards against a trial that begins long after it was granted, beside that of another router.
 #[test]
 fn a_granted_trial_has_to_begin_soon() {
