A request whose crashes came one by one is tried late

Two other endpoints that fail within two seconds of a crash counted as a sign of chance, which made the first trial due at once and the next 3 s later. A sound request is rarely at three endpoints that fail at three times; what fails together is another matter.

A request is tried soon only if its crashes all came together: at once if others failed beside them, otherwise after 10 s. One by one it is tried after 60 s. Only copies of that request wait. Segments, which many callers share, stay as they were.

--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use super::trial_delay::TrialDelay;
-use super::{Crash, CrashRecord, Verdict, MIN_BLOCKING_CRASHES, MIN_RISKY_CRASHES};
+use super::{Crash, CrashRecord, Verdict, MIN_RISKY_CRASHES};
 use crate::logic::direct::Fingerprint;
 use crate::types::Millis;
 
@@ -172,7 +172,7 @@
         let delay = TrialDelay {
             trials: record.trials().count() + entry.known_trials,
             is_segment: record.is_segment,
-            came_together: self.separate_times(record) < MIN_BLOCKING_CRASHES,
+            came_together: self.separate_times(record) == 1,
             by_chance: self.other_crashes(record) >= MIN_OTHER_CRASHES
                 || self.shares_trial(cause, record),
         };
--- a/src/logic/direct/crashes/trial_delay.rs
+++ b/src/logic/direct/crashes/trial_delay.rs
@@ -4,7 +4,7 @@
 /// aren't sent.
 const FIRST_MS: Millis = 60_000;
 
-/// The same if its crashes came together.
+/// The same if its crashes came together: they may have one cause, such as a failure of power.
 const FIRST_TOGETHER_MS: Millis = 10_000;
 
 /// Time from a trial that crashed an endpoint to the next one, by the number of such trials. The last one
@@ -12,7 +12,7 @@
 /// forgotten would crash several endpoints before it is held again.
 const NEXT_MS: [Millis; 3] = [20_000, 240_000, 480_000];
 
-/// The same where chance may explain the crashes.
+/// The same for a segment where chance may explain the crashes: many callers wait for it.
 const NEXT_BY_CHANCE_MS: [Millis; 4] = [3_000, 20_000, 240_000, 480_000];
 
 /// What decides when a request or a segment is tried.
@@ -22,7 +22,7 @@
     pub trials: usize,
     /// Whether it is a segment, which many requests share: its first trial is due at once.
     pub is_segment: bool,
-    /// Whether its crashes came together, so that they may have one cause.
+    /// Whether its crashes came together.
     pub came_together: bool,
     /// Whether endpoints failed without it, so that chance may explain its crashes.
     pub by_chance: bool,
@@ -34,7 +34,7 @@
         let Some(last) = self.trials.checked_sub(1) else {
             return self.first_ms();
         };
-        let delays: &[Millis] = match self.by_chance {
+        let delays: &[Millis] = match self.is_segment && self.by_chance {
             true => &NEXT_BY_CHANCE_MS,
             false => &NEXT_MS,
         };
@@ -42,12 +42,11 @@
     }
 
     fn first_ms(self) -> Millis {
-        if self.is_segment || self.by_chance {
-            0
-        } else if self.came_together {
-            FIRST_TOGETHER_MS
-        } else {
-            FIRST_MS
+        match (self.came_together, self.by_chance) {
+            _ if self.is_segment => 0,
+            (true, true) => 0,
+            (true, false) => FIRST_TOGETHER_MS,
+            (false, _) => FIRST_MS,
         }
     }
 }
