--- a/src/logic/direct/crashes/crash_table.rs
+++ b/src/logic/direct/crashes/crash_table.rs
@@ -172,7 +172,7 @@
         let delay = TrialDelay {
             trials: record.trials().count() + entry.known_trials,
             is_segment: record.is_segment,
-            came_together: self.separate_times(record) == 1,
+            came_together: self.came_together(record),
             by_chance: self.other_crashes(record) >= MIN_OTHER_CRASHES
                 || self.shares_trial(cause, record),
         };
@@ -185,16 +185,15 @@
         updated_at + SINGLE_TRIALS_MS
     }
 
-    /// At how many different times the counted crashes of a record came. Those whose times aren't known
-    /// count as different.
-    fn separate_times(&self, record: &CrashRecord) -> usize {
-        let times = record.counted().filter_map(|c| self.learnt.get(c));
-        let mut times: Vec<_> = times.copied().collect();
-        let unknown = record.counted_crashes() - times.len();
-        times.sort_unstable();
-        let is_new = |pair: &&[Millis]| pair[1] - pair[0] > TOGETHER_MS;
-        let later = times.windows(2).filter(is_new).count();
-        unknown + later + usize::from(!times.is_empty())
+    /// Whether all counted crashes of a record came together, as far as their times are known.
+    fn came_together(&self, record: &CrashRecord) -> bool {
+        let times: Vec<_> = record
+            .counted()
+            .filter_map(|c| self.learnt.get(c))
+            .collect();
+        let span = times.iter().max().zip(times.iter().min());
+        let is_short = span.is_some_and(|(last, first)| **last - **first <= TOGETHER_MS);
+        is_short && times.len() == record.counted_crashes()
     }
 
     /// Number of crashes that aren't in a record and came at about the same time as one that is.
--- a/tests/direct/proper_requests.rs
+++ b/tests/direct/proper_requests.rs
@@ -173,22 +173,24 @@
 /// fail as well doesn't explain crashes that come one by one under the same request.
 #[test]
 fn a_request_at_crashes_one_by_one_is_tried_late_though_others_failed_beside_them() {
-    let mut router = Router::planner(open_groups());
-    let other = Fingerprint::of(&[b"other"]);
-    for n in 1..=3 {
-        receive(&mut router, vec![report(copies(), &[n], false)]);
-        receive(
-            &mut router,
-            vec![report(other, &[10 * n, 10 * n + 1], false)],
-        );
-        router.advance_ms(1_500);
-    }
-    for id in 0..50 {
-        let effects = router.ask_for(copy(id));
-        assert!(comes_back(&effects), "{id}: {effects:?}");
-        router.advance_ms(1_000);
+    for pause in [800, 1_500] {
+        let mut router = Router::planner(open_groups());
+        let other = Fingerprint::of(&[b"other"]);
+        for n in 1..=3 {
+            receive(&mut router, vec![report(copies(), &[n], false)]);
+            receive(
+                &mut router,
+                vec![report(other, &[10 * n, 10 * n + 1], false)],
+            );
+            router.advance_ms(pause);
+        }
+        for id in 0..50 {
+            let effects = router.ask_for(copy(id));
+            assert!(comes_back(&effects), "{pause}, {id}: {effects:?}");
+            router.advance_ms(1_000);
+        }
+        ask_until_sent(&mut router, copy, 20_000);
     }
-    ask_until_sent(&mut router, copy, 20_000);
 }
 
 /// Guards against 400 for good even where the crashes came one by one: nothing has shown that the request
