--- a/src/logic/direct/crashes/mod.rs
+++ b/src/logic/direct/crashes/mod.rs
@@ -10,8 +10,9 @@
 //!
 //! Crashes show what was there, not what caused them, so that no request is refused for good: callers
 //! are told to come back, and one request at a time is tried alone, by the planner's leave. An answer
-//! clears it. After a crash the next trial waits longer each time, and less where chance may explain the
-//! crashes: other endpoints failed at about the same times, or another suspect was at the trial.
+//! clears it. After a crash the next trial waits longer each time. It waits less for a segment, and for a
+//! request whose crashes came together, where chance may explain them: other endpoints failed at about the
+//! same times, or another suspect was at the trial.
 //!
 //! Requests that share a segment of their prompts may crash endpoints though no two are alike, so that
 //! crashes count against the segments as well: a *cause* is a request or a segment. A segment is cleared
