--- a/src/logic/direct/attribution.rs
+++ b/src/logic/direct/attribution.rs
@@ -10,11 +10,16 @@
 
 /// The result of a probe, as far as it is about the endpoint that was probed. A report from an address at
 /// which another endpoint has started since shows that the probed one has ended. Where it isn't known which
-/// of them started later, it only shows that something answers there.
+/// of them started later, it only shows that something answers there. A report that agrees with what is known
+/// of the endpoint's group counts as its own.
 pub(super) fn attribute(state: &DirectState, id: &InstanceId, result: ProbeResult) -> ProbeResult {
     let (ProbeResult::Alive(report), Some(view)) = (&result, state.endpoints.get(id)) else {
         return result;
     };
+    // Looking at all endpoints for each report would cost a planner much of its processor time.
+    if report.seat.as_ref().map_or(0, |s| s.epoch) == view.epoch() {
+        return result;
+    }
     let others = state.endpoints.iter();
     let others = others.filter(|(other, v)| *other != id && v.entry.addr == view.entry.addr);
     let starts: Vec<_> = others.map(|(_, v)| compare_starts(v, view)).collect();
