--- a/src/logic/direct/crashes/trial_delay.rs
+++ b/src/logic/direct/crashes/trial_delay.rs
@@ -42,8 +42,10 @@
     }
 
     fn first_ms(self) -> Millis {
+        if self.is_segment {
+            return 0;
+        }
         match (self.came_together, self.by_chance) {
-            _ if self.is_segment => 0,
             (true, true) => 0,
             (true, false) => FIRST_TOGETHER_MS,
             (false, _) => FIRST_MS,
--- a/src/logic/direct/finish.rs
+++ b/src/logic/direct/finish.rs
@@ -77,9 +77,8 @@
 
 /// Refusal of a request that came before the routing and the endpoint list were known, or while there may
 /// be a newer routing, with the time after which the caller should come back; `left` is the time that it
-/// has left. Without a
-/// time to come back callers return at once, often to another router that has just started, and use
-/// up their tries.
+/// has left. Without a time to come back callers return at once, often to another router that has just
+/// started, and use up their tries.
 pub(super) fn not_yet_problem(state: &mut DirectState, left: Option<Millis>) -> Problem {
     let jitter = state.random_below(JITTER_STEPS);
     let max = left.map_or(STARTUP_MS, |left| {
