--- a/testkit/standin/call.rs
+++ b/testkit/standin/call.rs
@@ -2,7 +2,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use super::CallerRequest;
+use super::{CallerRequest, FATAL_SEGMENT};
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -35,6 +35,25 @@
     send(addr, method, path, attempt, "")
 }
 
+/// Sends a stream request of its own, whose prompt has a segment that others share and perhaps the one that
+/// crashes engines.
+pub fn send_sharing(
+    addr: SocketAddr,
+    shared: &str,
+    attempt: &str,
+    is_fatal: bool,
+) -> Option<Answer> {
+    let fatal = if is_fatal { FATAL_SEGMENT } else { "50f7" };
+    let segments = format!("{shared}:5,{fatal}:3,0e:2");
+    let request = CallerRequest {
+        attempt,
+        segments: &segments,
+        body: attempt,
+        ..CallerRequest::default()
+    };
+    exchange(addr, &request)
+}
+
 /// Sends a request on a new connection; `None` when no answer head arrives.
 pub fn send(
     addr: SocketAddr,
--- a/testkit/standin/mod.rs
+++ b/testkit/standin/mod.rs
@@ -19,7 +19,7 @@
 mod store_calls;
 mod world;
 
-pub use call::{call, exchange, send, send_as, Answer};
+pub use call::{call, exchange, send, send_as, send_sharing, Answer};
 pub use caller::Caller;
 pub use caller_request::CallerRequest;
 pub(crate) use config::FLOOD_KEY;
--- a/tests/direct/proper_requests.rs
+++ b/tests/direct/proper_requests.rs
@@ -11,7 +11,7 @@
 };
 use runrail::platform::adapter;
 use runrail::types::{EndpointEntry, InstanceId};
-use testkit::direct::{exchange, fleet, logs, until, Answer, CallerRequest, FATAL_SEGMENT};
+use testkit::direct::{fleet, logs, send_sharing, until, CallerRequest};
 
 use crate::fixture::{
     addr, at, empty_digest, open_group, piece, plain, problem, receive_digest, request, run, Router,
@@ -500,19 +500,6 @@
     );
 }
 
-/// Sends a stream request of its own with a shared segment, and perhaps the fatal one.
-fn send(router: &testkit::direct::Router, attempt: &str, is_fatal: bool) -> Option<Answer> {
-    let fatal = if is_fatal { FATAL_SEGMENT } else { "50f7" };
-    let segments = format!("5a5e:5,{fatal}:3,0e:2");
-    let request = CallerRequest {
-        attempt,
-        segments: &segments,
-        body: attempt,
-        ..CallerRequest::default()
-    };
-    exchange(router.callers, &request)
-}
-
 /// Guards against 400 for all sound requests with a segment, at real processes: it was in the prompts of
 /// requests that crashed endpoints, and another endpoint failed by chance while it was tried.
 #[test]
@@ -520,13 +507,14 @@
     let dir = tempfile::tempdir().expect("a folder");
     let (standin, routers) = fleet(30, dir.path());
     for n in 0..3 {
-        send(&routers[n % 2], &format!("fatal-{n}"), true);
+        send_sharing(routers[n % 2].callers, "5a5e", &format!("fatal-{n}"), true);
     }
     standin.world().crash_under = Some("sound-");
     let mut sent = 0;
     let mut send_sound = || {
         sent += 1;
-        let answer = send(&routers[sent % 2], &format!("sound-{sent}"), false);
+        let attempt = format!("sound-{sent}");
+        let answer = send_sharing(routers[sent % 2].callers, "5a5e", &attempt, false);
         std::thread::sleep(Duration::from_millis(50));
         answer.map_or(0, |a| a.status)
     };
--- a/tests/direct/segments.rs
+++ b/tests/direct/segments.rs
@@ -11,7 +11,7 @@
 use runrail::types::{EndpointEntry, InstanceId};
 
 use crate::fixture::{addr, is_blocked, open_group, piece, problem, request, run, Router};
-use testkit::direct::{exchange, fleet, logs, until, Answer, CallerRequest, EVENTS, FATAL_SEGMENT};
+use testkit::direct::{fleet, logs, send_sharing, until, Answer, EVENTS};
 
 /// Number of crashes under one segment after which at most three more requests with it may reach
 /// endpoints.
@@ -429,19 +429,6 @@
     assert_eq!(effects.iter().filter(is_refusal).count(), 2, "{effects:?}");
 }
 
-/// Sends a stream request of its own, with the common segment and perhaps the fatal one.
-fn send(router: &testkit::direct::Router, attempt: &str, is_fatal: bool) -> Option<Answer> {
-    let fatal = if is_fatal { FATAL_SEGMENT } else { "50f7" };
-    let segments = format!("c0de:5,{fatal}:3,0e:2");
-    let request = CallerRequest {
-        attempt,
-        segments: &segments,
-        body: attempt,
-        ..CallerRequest::default()
-    };
-    exchange(router.callers, &request)
-}
-
 fn is_whole(answer: &Option<Answer>) -> bool {
     let events = answer.as_ref().filter(|a| a.complete).map(Answer::events);
     events.is_some_and(|ids| ids.len() as u64 == EVENTS)
@@ -458,7 +445,8 @@
     let mut sent = 0;
     let mut attempt = |router: usize, is_fatal: bool| {
         sent += 1;
-        send(&routers[router], &format!("segment-{sent}"), is_fatal)
+        let attempt = format!("segment-{sent}");
+        send_sharing(routers[router].callers, "c0de", &attempt, is_fatal)
     };
     until("sound requests are served", Duration::from_secs(20), || {
         (0..2).all(|n| is_whole(&attempt(n, false)))
