--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -44,6 +44,7 @@
     binary: String,
     dir: TempDir,
     lease_ms: u64,
+    limits: ProcessLimits,
 }
 
 /// Size and parameters of a fleet.
@@ -59,6 +60,19 @@
     pub lease_ms: u64,
     /// Parameters of the engines.
     pub engine: EngineParams,
+    /// Limits of the processes.
+    pub limits: ProcessLimits,
+}
+
+/// Limits of the processes of a fleet.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProcessLimits {
+    /// Most files and sockets that a process has open; the system's own limit if none is given.
+    pub descriptors: Option<usize>,
+    /// Most requests of callers that a router has open; its default if none is given.
+    pub callers: Option<usize>,
+    /// Most sessions that other processes open with a process; its default if none is given.
+    pub sessions: Option<usize>,
 }
 
 impl Default for FleetPlan {
@@ -69,6 +83,7 @@
             service: false,
             lease_ms: 600,
             engine: EngineParams::default(),
+            limits: ProcessLimits::default(),
         }
     }
 }
@@ -124,6 +139,7 @@
             binary: binary.to_string(),
             dir,
             lease_ms: plan.lease_ms,
+            limits: plan.limits,
         };
         for i in 1..=plan.engines {
             let id = format!("i{i}");
@@ -162,10 +178,11 @@
         let lease = self.lease_ms;
         let text = format!(
             "[instance]\nid = {id}\n[fleet]\nkey_file = {}\n[listen]\npeers = 127.0.0.1:0\n\
-             [sessions]\nidle_ms = 300\nreport_ms = 50\n\
+             [sessions]\nidle_ms = 300\nreport_ms = 50\n{}\
              [endpoint]\naddr = {endpoint}\nkind = {kind}\nstatus_ms = 200\n\
              [group]\nlease_ms = {lease}\nmargin_ms = {}\nask_ms = {}\nleave_ms = 1500\nload_retry_ms = 200\n",
             self.dir.path().join("fleet.key").display(),
+            line("limit", self.limits.sessions),
             lease / 10,
             lease / 4,
         );
@@ -192,7 +209,8 @@
             "[instance]\nid = {id}\nhall = brno1\n[fleet]\nkey_file = {}\n\
              [listen]\npeers = 127.0.0.1:0\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\n\
              [operators]\nanna = {}\nben = {}\n\
-             [sessions]\nidle_ms = 300\n\
+             [sessions]\nidle_ms = 300\n{}\
+             [limits]\n{}\
              [platform]\nkv = {platform}\nlist = {platform}\nlist_ms = 100\ncall_ms = 500\n\
              [bundles]\nproof_ms = 2000\nprove_ms = 300\nask_ms = 400\n\
              [planner]\nlease_ms = 2000\nplan_ms = 50\npatience_ms = 1200\nwrites_per_min = 600\n\
@@ -200,6 +218,8 @@
             self.dir.path().join("fleet.key").display(),
             token("anna"),
             token("ben"),
+            line("limit", self.limits.sessions),
+            line("callers", self.limits.callers),
         );
         let process = self.start_process("router", id, &text);
         self.routers.insert(id.to_string(), process);
@@ -208,7 +228,14 @@
     fn start_process(&mut self, role: &str, id: &str, text: &str) -> Process {
         let settings = self.dir.path().join(format!("{id}.ini"));
         std::fs::write(&settings, text).expect("a settings file");
-        let process = Process::start(&self.binary, role, id, &settings, &self.log(id));
+        let process = Process::start(
+            &self.binary,
+            role,
+            id,
+            &settings,
+            &self.log(id),
+            self.limits.descriptors,
+        );
         match self.relays.get(id) {
             Some(relay) => relay.set_target(process.peers),
             None => {
@@ -370,6 +397,11 @@
     }
 }
 
+/// A line of a settings file; empty if there is no value.
+fn line(key: &str, value: Option<usize>) -> String {
+    value.map_or(String::new(), |v| format!("{key} = {v}\n"))
+}
+
 /// A chat request of a test.
 #[derive(Clone, Debug)]
 pub struct Chat {
--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -25,17 +25,25 @@
 }
 
 impl Process {
-    /// Starts the binary in a role and waits until it reports its addresses.
+    /// Starts the binary in a role and waits until it reports its addresses. It may have at most
+    /// `descriptors` files and sockets open, if a number is given.
     ///
     /// # Panics
     /// When it can't be started or ends before it reports its addresses.
-    pub fn start(binary: &str, role: &str, id: &str, settings: &Path, log: &Path) -> Self {
+    pub fn start(
+        binary: &str,
+        role: &str,
+        id: &str,
+        settings: &Path,
+        log: &Path,
+        descriptors: Option<usize>,
+    ) -> Self {
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(log)
             .expect("a log file");
-        let mut command = Command::new(binary);
+        let mut command = limited_command(binary, descriptors);
         command
             .args([role, "--settings"])
             .arg(settings)
@@ -102,6 +110,17 @@
     }
 }
 
+/// A command that runs a program which may have at most so many files and sockets open.
+pub fn limited_command(program: &str, descriptors: Option<usize>) -> Command {
+    let Some(limit) = descriptors else {
+        return Command::new(program);
+    };
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {limit} && exec \"$0\" \"$@\"");
+    command.args(["-c", &script, program]);
+    command
+}
+
 /// Copies the output of a process to its log in the background; returns its first line that begins
 /// with `ready`, or an empty text when it ends before.
 fn copy_output(stdout: impl Read + Send + 'static, mut log: File) -> String {
@@ -125,6 +144,42 @@
     }
 }
 
+/// Largest memory that a process has used so far, in KiB.
+///
+/// # Panics
+/// When the process has ended.
+pub fn peak_memory_kib(pid: u32) -> u64 {
+    let path = format!("/proc/{pid}/status");
+    let status = std::fs::read_to_string(path).expect("the process runs");
+    let mut lines = status.lines();
+    let line = lines.find_map(|l| l.strip_prefix("VmHWM:"));
+    let kib = line.and_then(|l| l.trim().strip_suffix(" kB"));
+    kib.and_then(|n| n.parse().ok())
+        .expect("the process has ended")
+}
+
+/// Number of files and sockets that a process has open.
+///
+/// # Panics
+/// When the process has ended.
+pub fn open_descriptors(pid: u32) -> usize {
+    let path = format!("/proc/{pid}/fd");
+    std::fs::read_dir(path).expect("the process runs").count()
+}
+
+/// Time that a process has used the processor, in ticks of the system (usually 10 ms).
+///
+/// # Panics
+/// When the process has ended.
+pub fn processor_ticks(pid: u32) -> u64 {
+    let path = format!("/proc/{pid}/stat");
+    let stat = std::fs::read_to_string(path).expect("the process runs");
+    // The name of the program, in brackets, may have spaces.
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = |n: usize| fields.split_whitespace().nth(n)?.parse::<u64>().ok();
+    ticks(11).zip(ticks(12)).map_or(0, |(user, sys)| user + sys)
+}
+
 /// Waits until a condition holds; false when it doesn't hold within `limit`.
 pub fn until(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
     let start = Instant::now();
--- a/testkit/standin/router.rs
+++ b/testkit/standin/router.rs
@@ -1,12 +1,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Stdio};
 
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 
 use super::call::call;
-use crate::{free_addr, spawn};
+use crate::{free_addr, limited_command, spawn};
 
 /// A router as a real process; killed when it is dropped.
 pub struct Router {
@@ -16,9 +16,12 @@
     pub callers: SocketAddr,
     /// Address of the readiness check and the metrics page.
     pub ready: SocketAddr,
+    /// Address for other routers.
+    pub peers: SocketAddr,
     /// Instance id.
     pub id: String,
     settings: PathBuf,
+    descriptors: Option<usize>,
 }
 
 impl Router {
@@ -35,6 +38,20 @@
     /// # Panics
     /// When the settings can't be written or the process can't be started.
     pub fn start_with(id: &str, store: SocketAddr, dir: &Path, further: &str) -> Self {
+        Self::start_limited(id, store, dir, further, None)
+    }
+
+    /// The same as a process that may have at most so many files and sockets open.
+    ///
+    /// # Panics
+    /// When the settings can't be written or the process can't be started.
+    pub fn start_limited(
+        id: &str,
+        store: SocketAddr,
+        dir: &Path,
+        further: &str,
+        descriptors: Option<usize>,
+    ) -> Self {
         let (callers, ready, peers) = (free_addr(), free_addr(), free_addr());
         let settings = dir.join(format!("{id}.ini"));
         let text = format!(
@@ -42,14 +59,16 @@
              [direct]\nstore = {store}\nfirst_start = true\n[stop]\ngrace_s = 4\n{further}"
         );
         std::fs::write(&settings, text).expect("settings");
-        let child = start_process(&settings);
+        let child = start_process(&settings, descriptors);
         let id = id.to_string();
         Self {
             child,
             callers,
             ready,
+            peers,
             id,
             settings,
+            descriptors,
         }
     }
 
@@ -63,7 +82,7 @@
     /// Kills the process and starts it again with the same settings.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = start_process(&self.settings);
+        self.child = start_process(&self.settings, self.descriptors);
     }
 
     /// Sends the process a signal.
@@ -121,8 +140,8 @@
         .expect("runrail is built: cargo build")
 }
 
-fn start_process(settings: &Path) -> Child {
-    let mut command = Command::new(binary());
+fn start_process(settings: &Path, descriptors: Option<usize>) -> Child {
+    let mut command = limited_command(&binary().display().to_string(), descriptors);
     command
         .args(["router", "--settings"])
         .arg(settings)
--- a/tests/direct/floods.rs
+++ b/tests/direct/floods.rs
@@ -10,6 +10,7 @@
     config, exchange, logs, served, start_routers, until, CallerRequest, Flood, Flooder, Router,
     Standin,
 };
+use testkit::peak_memory_kib;
 
 /// Published bound of a router's memory.
 const MAX_MEMORY_KIB: u64 = 128 * 1024;
@@ -68,19 +69,9 @@
     (answers.collect(), begin.elapsed())
 }
 
-/// Largest memory that a router has used so far.
-fn peak_memory_kib(router: &Router) -> u64 {
-    let path = format!("/proc/{}/status", router.child.id());
-    let status = std::fs::read_to_string(path).expect("a process");
-    let mut lines = status.lines();
-    let line = lines.find_map(|l| l.strip_prefix("VmHWM:"));
-    let kib = line.and_then(|l| l.trim().strip_suffix(" kB"));
-    kib.and_then(|n| n.parse().ok()).expect("a peak")
-}
-
 /// Checks that floods came, that the router has closed their connections, and its memory.
 fn check(what: &str, flooder: &Flooder, router: &Router) {
-    let peak = peak_memory_kib(router);
+    let peak = peak_memory_kib(router.child.id());
     let (floods, sent) = (flooder.floods(), flooder.bytes() / 1024);
     println!("{what}: {floods} floods, {sent} KiB sent, peak {peak} KiB");
     assert!(floods > 0, "{what}: nothing was flooded");
@@ -247,7 +238,7 @@
             served(&routers[0], "after")
         });
         for router in &routers {
-            let peak = peak_memory_kib(router);
+            let peak = peak_memory_kib(router.child.id());
             assert!(peak <= MAX_MEMORY_KIB, "{kind:?}: {peak} KiB");
         }
         println!("{kind:?} at reports: {} floods", flooder.floods());
