Bodies of callers' requests share one bound on memory, with direct links

What callers saw: 64 clients with bodies of legal size that stopped short of the end took 306 MB (636 MB in chunks of a byte) of a machine with 160 MB, for as long as they stayed.

Cause: each body was bounded, but not all together; no time ended one; and collect() kept each chunk as a part of its own, which pins the read buffer that it was cut from. A single body of 4 MiB in chunks of a byte took 170 MB.

Now one budget covers the requests of all callers, from the first byte until the last copy is dropped; what counts is what is allocated, and parts are copied together. Small bodies always find room. When it is full, the oldest request that sends nothing (or has come in for ten times as long) gives way; without one the new request is told to come back (503, nothing was sent to an endpoint). A body ends that has stalled for the idle time (408) or outlived its own deadline. A request whose head alone is refused (no route, no account) costs no body. The rest of a refused body is read for at most 1 s, so that the answer isn't lost in a reset.

[limits] memory_mb, request_bytes, hold_ms; E109; runrail_clients_limited_total, runrail_request_bytes.

Not done: the reducer doesn't see connections, so who gives way is decided in logic::intake, which is pure and used by the hosts.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod etcd;
 pub mod host;
 pub mod http;
+mod intake;
 pub mod link;
 pub mod logic;
 pub mod message;
--- a/src/link/callers.rs
+++ b/src/link/callers.rs
@@ -8,23 +8,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::request::Parts;
-use http::{HeaderValue, Request, Response, StatusCode, Version};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
 use super::answer_body::{AnswerBody, DisconnectGuard};
-use super::caller_stream::CallerStream;
 use super::link_event::{LinkEvent, ReceivedRequest};
 use super::run_direct::log_event;
 use super::shared::Shared;
-use crate::logic::direct::{DirectEvent, Excess, Problem};
+use crate::intake::{closing, read_body, BodyFault, BodyLimits, Connection, Place, ServedBody};
+use crate::logic::direct::{DirectEvent, DirectRequest, Excess, Problem};
 use crate::logic::LogCode;
 use crate::types::Millis;
 
@@ -48,113 +47,177 @@
 /// Time to come back for the caller of a request that broke off, if it still reads an answer.
 const BROKEN_BODY_MS: Millis = 100;
 
-/// Pause after a connection couldn't be accepted.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(10);
+/// Longest body that is read without asking first whether the request is refused by its head.
+const SMALL_BODY_BYTES: u64 = 8 * 1024;
+
+/// Longest time for a body whose caller doesn't say how long it waits, in multiples of the idle time.
+const MAX_IDLE_TIMES: u32 = 10;
 
 /// Accepts connections until the reducer closes the listener.
 pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     let next_id = Rc::new(Cell::new(1));
     while !shared.closed.get() {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, place) = tokio::select! {
+            accepted = shared.callers_gate.accept(&listener) => accepted,
             () = shared.close_listener.notified() => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let (shared, next_id) = (shared.clone(), next_id.clone());
-                tokio::task::spawn_local(serve_connection(shared, stream, next_id));
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
-        }
+        let (shared, next_id) = (shared.clone(), next_id.clone());
+        tokio::task::spawn_local(serve_connection(shared, stream, place, next_id));
     }
 }
 
-async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, next_id: Rc<Cell<u64>>) {
+async fn serve_connection(
+    shared: Rc<Shared>,
+    stream: TcpStream,
+    place: Place,
+    next_id: Rc<Cell<u64>>,
+) {
     let _open = shared.open_connections.clone();
     // An error is ignored: without TCP_NODELAY answers are only delayed.
     let _ = stream.set_nodelay(true);
     let limits = shared.limits.get();
-    let service_shared = shared.clone();
-    // Without chunks, only a reset tells a caller that its stream was broken off.
-    let (has_chunks, reset) = (Rc::new(Cell::new(true)), Rc::new(Cell::new(false)));
-    let stream = CallerStream::new(stream, reset.clone());
-    let service_chunks = has_chunks.clone();
+    let idle_time = Duration::from_millis(limits.idle_ms);
+    let connection = Connection::new(place);
+    let (service_shared, service_connection) = (shared.clone(), connection.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        service_chunks.set(request.version() > Version::HTTP_10);
-        let (shared, next_id) = (service_shared.clone(), next_id.clone());
-        async move { Ok::<_, Infallible>(on_request(shared, request, &next_id).await) }
+        // Without chunks, only a reset tells a caller that its stream was broken off.
+        let has_chunks = request.version() > Version::HTTP_10;
+        service_connection.is_reset.set(!has_chunks);
+        let (shared, connection) = (service_shared.clone(), service_connection.clone());
+        let next_id = next_id.clone();
+        Box::pin(async move {
+            Ok::<_, Infallible>(on_request(shared, &connection, request, &next_id).await)
+        })
     });
-    let served = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_ms))
+        .header_read_timeout(idle_time)
         .max_headers(MAX_HEADERS)
-        .max_buf_size((BUFFER_FACTOR * limits.header_bytes).max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut served = std::pin::pin!(served);
-    loop {
-        tokio::select! {
-            // A disconnect drops the requests of this connection; their guards report it.
-            ended = &mut served => {
-                let is_broken_off = ended.as_ref().is_err_and(hyper::Error::is_user);
-                reset.set(is_broken_off && !has_chunks.get());
-                return log_unread(&ended);
-            }
-            () = shared.close_listener.notified() => served.as_mut().graceful_shutdown(),
-        }
-    }
+        .max_buf_size((BUFFER_FACTOR * limits.header_bytes).max(MIN_BUFFER_BYTES));
+    let closing = &shared.close_listener;
+    // A disconnect drops the requests of this connection; their guards report it.
+    let ended = connection.serve(stream, &builder, service, idle_time, closing);
+    log_unread(&ended.await);
 }
 
 async fn on_request(
     shared: Rc<Shared>,
+    connection: &Connection,
     request: Request<Incoming>,
     next_id: &Cell<u64>,
-) -> Response<AnswerBody> {
+) -> Response<ServedBody<AnswerBody>> {
     let (head, body) = request.into_parts();
     // Both headers give the length of the body and may contradict each other.
     let is_ambiguous =
         head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING);
     if is_ambiguous {
-        return malformed(&shared, &head, "two lengths of the body");
+        let answer = malformed(&shared, &head, "two lengths of the body");
+        return answer.map(|body| ServedBody::new(body, None));
     }
-    let (body, excess) = match read_body(&shared, &head, body).await {
+    let (body, excess) = match read_request(&shared, connection, &head, body).await {
         Ok(read) => read,
-        Err(e) if is_malformed(&*e) => {
-            return malformed(&shared, &head, &e.to_string());
-        }
-        Err(e) => {
-            log_malformed(&shared, &head, &format!("its body broke off: {e}"));
-            let response = (shared.adapter.build_problem)(Problem::NotRun(BROKEN_BODY_MS));
-            return closing(response.map(|bytes| AnswerBody::Whole(Some(bytes))));
+        Err(fault) => {
+            if let Some(limit) = fault.limit() {
+                connection.place.count(limit);
+            }
+            let answer = refuse_body(&shared, connection, &head, fault);
+            return answer.map(|body| ServedBody::new(body, None));
         }
     };
     let id = next_id.get();
     next_id.set(id + 1);
+    let serving = connection.place.serve();
     let response = submit(&shared, id, head, body, excess).await;
-    match shared.stopping.get() || excess.is_some() {
+    let response = response.map(|body| ServedBody::new(body, Some(serving)));
+    let is_last = shared.stopping.get() || excess.is_some() || connection.is_unread.get();
+    match is_last {
         true => closing(response),
         false => response,
     }
 }
 
-/// Reads the body of a request, unless a part of the request is too large.
-async fn read_body(
+/// Reads the body of a request, unless the request is refused whatever its body is: a part of it is too
+/// large, or nobody may send it.
+///
+/// # Errors
+/// Returns a [`BodyFault`] if the body isn't complete within the limits.
+async fn read_request(
     shared: &Shared,
+    connection: &Connection,
     head: &Parts,
-    body: Incoming,
-) -> Result<(Bytes, Option<Excess>), Box<dyn Error + Send + Sync>> {
+    mut body: Incoming,
+) -> Result<(Bytes, Option<Excess>), BodyFault> {
     let limits = shared.limits.get();
+    let unread = |excess| {
+        connection.is_unread.set(!body.is_end_stream());
+        Ok((Bytes::new(), excess))
+    };
     if head_bytes(head) > limits.header_bytes {
-        return Ok((Bytes::new(), Some(Excess::Head(limits.header_bytes))));
+        return unread(Some(Excess::Head(limits.header_bytes)));
+    }
+    let idle_time = Duration::from_millis(limits.idle_ms);
+    let mut body_limits = BodyLimits {
+        max_bytes: limits.body_bytes,
+        idle_time,
+        wait_time: MAX_IDLE_TIMES * idle_time,
+    };
+    let length = body.size_hint().exact();
+    if length.is_none_or(|n| n > SMALL_BODY_BYTES) {
+        let call = (shared.adapter.parse_request)(head, &[]);
+        if let Some(ms) = call.wait_ms {
+            body_limits.wait_time = Duration::from_millis(ms);
+        }
+        if is_refused(shared, call).await {
+            return unread(None);
+        }
     }
-    let limit = limits.body_bytes;
-    let too_large = || Ok((Bytes::new(), Some(Excess::Body(limit))));
-    if body.size_hint().lower() > limit as u64 {
-        return too_large();
+    connection.reads_body.set(true);
+    let read = read_body(&connection.place, &mut body, body_limits).await;
+    connection.reads_body.set(false);
+    match read {
+        Ok(bytes) => Ok((bytes, None)),
+        Err(BodyFault::TooLong) => {
+            connection.place.count("body_bytes");
+            connection.is_unread.set(true);
+            Ok((Bytes::new(), Some(Excess::Body(limits.body_bytes))))
+        }
+        Err(fault) => Err(fault),
     }
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok((body.to_bytes(), None)),
-        Err(e) if e.is::<LengthLimitError>() => too_large(),
-        Err(e) => Err(e),
+}
+
+/// Whether the reducer refuses a request whatever its body is.
+async fn is_refused(shared: &Shared, call: DirectRequest) -> bool {
+    let (reply, is_refused) = oneshot::channel();
+    let call = Box::new(call);
+    shared.send(LinkEvent::Head { call, reply });
+    is_refused.await.unwrap_or(false)
+}
+
+/// The answer to a request whose body couldn't be read: it has not run.
+fn refuse_body(
+    shared: &Shared,
+    connection: &Connection,
+    head: &Parts,
+    fault: BodyFault,
+) -> Response<AnswerBody> {
+    let come_back = |ms| {
+        let response = (shared.adapter.build_problem)(Problem::NotRun(ms));
+        closing(response.map(|bytes| AnswerBody::Whole(Some(bytes))))
+    };
+    match fault {
+        BodyFault::Broken(e) if is_malformed(&*e) => malformed(shared, head, &e.to_string()),
+        BodyFault::Broken(e) => {
+            log_malformed(shared, head, &format!("its body broke off: {e}"));
+            come_back(BROKEN_BODY_MS)
+        }
+        BodyFault::NoRoom => {
+            connection.is_unread.set(true);
+            come_back(shared.hold_ms)
+        }
+        BodyFault::TooLong | BodyFault::Stalled | BodyFault::Late => {
+            refusal(StatusCode::REQUEST_TIMEOUT)
+        }
     }
 }
 
@@ -173,13 +236,6 @@
     matches!(kind, Some(ErrorKind::InvalidInput | ErrorKind::InvalidData))
 }
 
-/// An answer after which the connection closes.
-fn closing(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    response
-}
-
 /// Logs a head that can't be read, to which the server has answered 400, 414 or 431 by itself. Other ends
 /// of connections leave no request without an answer of the reducer.
 fn log_unread(ended: &hyper::Result<()>) {
--- a/src/link/direct_actor.rs
+++ b/src/link/direct_actor.rs
@@ -9,7 +9,7 @@
 use super::shared::{Caller, ListSource, Shared};
 use super::{endpoint_calls, peers, runs, snapshots, store};
 use crate::host::{Clock, SuspensionDetector};
-use crate::logic::direct::{snapshot, DirectEffect, DirectEvent, Problem};
+use crate::logic::direct::{is_refused_by_head, snapshot, DirectEffect, DirectEvent, Problem};
 use crate::logic::{step, Effect, Event, LogCode, LogEvent, Node};
 use crate::observe::{exposition, EventLog, LabelledCount, Metrics};
 use crate::types::Millis;
@@ -79,6 +79,15 @@
                 self.shared.callers.borrow_mut().insert(call.id, caller);
                 Event::Direct(DirectEvent::Request(call))
             }
+            LinkEvent::Head { call, reply } => {
+                let is_refused = match &self.node {
+                    Node::Direct(state) => is_refused_by_head(state, &call),
+                    _ => false,
+                };
+                // The caller may have disconnected.
+                let _ = reply.send(is_refused);
+                return;
+            }
             LinkEvent::Snapshot(reply) => {
                 let snapshot = match &self.node {
                     Node::Direct(state) => snapshot(state, self.clock.now()),
@@ -139,6 +148,9 @@
         let (names, occurrences) = self.shared.unknown.counts();
         gauges.extend([("unknown_names", names), ("unknown_seen", occurrences)]);
         gauges.push(("entries_refused", self.shared.refused.count()));
+        let callers = &self.shared.callers_gate;
+        gauges.push(("caller_connections", callers.connections() as u64));
+        gauges.push(("request_bytes", callers.used_bytes() as u64));
         let mut counts: Vec<_> = self
             .shared
             .calls
@@ -147,6 +159,7 @@
             .map(store_call_count)
             .collect();
         counts.extend(self.shared.pool.counts().into_iter().map(connection_count));
+        counts.extend(self.shared.limits_met.counts());
         if let Node::Direct(state) = &self.node {
             counts.extend(state.plan.order_counts());
         }
--- a/src/link/link_event.rs
+++ b/src/link/link_event.rs
@@ -21,6 +21,13 @@
         /// Receives the answer.
         reply: oneshot::Sender<Response<AnswerBody>>,
     },
+    /// The head of a caller's request, whose body hasn't been read.
+    Head {
+        /// The request without its body.
+        call: Box<DirectRequest>,
+        /// Receives whether the request is refused whatever its body is.
+        reply: oneshot::Sender<bool>,
+    },
     /// Another router asks for a snapshot of the endpoint list.
     Snapshot(oneshot::Sender<Option<ListSnapshot>>),
     /// A scrape of the metrics of this process.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -10,7 +10,6 @@
 mod backlog;
 mod call_fault;
 mod call_use;
-mod caller_stream;
 mod callers;
 mod carried;
 mod direct_actor;
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -2,6 +2,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use stakker::{actor, call, ret_nop, ActorOwn, Stakker};
@@ -24,6 +25,7 @@
 use super::watches::{self, WatchPace};
 use super::{callers, operator_watch, peers, ready, snapshots, PlatformAdapter};
 use crate::host::Clock;
+use crate::intake::{Gate, LimitCounts};
 use crate::logic::direct::{DirectEvent, DirectState, ListChange, ListPace};
 use crate::logic::router::StoreChange;
 use crate::logic::{Event, LogCode, LogEvent, Node};
@@ -62,6 +64,9 @@
 
 async fn serve(settings: &DirectSettings, adapter: PlatformAdapter) -> io::Result<()> {
     let clock = Clock::start();
+    let limits_met = Arc::<LimitCounts>::default();
+    let limits = settings.intake.callers();
+    let callers_gate = Gate::new("callers", limits, limits_met.clone());
     let shared = Rc::new(Shared {
         adapter,
         clock,
@@ -71,6 +76,9 @@
         pool: Pool::new(clock),
         endpoint_room: AnswerRoom::new(ENDPOINT_ROOM_BYTES),
         store_room: AnswerRoom::new(STORE_ROOM_BYTES),
+        callers_gate,
+        hold_ms: limits.hold_ms,
+        limits_met,
         callers: RefCell::new(HashMap::new()),
         runs: RefCell::new(HashMap::new()),
         limits: Cell::new(CallerLimits::default()),
--- a/src/link/shared.rs
+++ b/src/link/shared.rs
@@ -2,6 +2,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 use super::unknown_names::UnknownNames;
 use super::PlatformAdapter;
 use crate::host::Clock;
+use crate::intake::{Gate, LimitCounts};
 use crate::logic::direct::{DirectEvent, KeysSource, ListPace};
 use crate::logic::Event;
 use crate::types::{CallerLimits, Millis, StorePosition};
@@ -49,6 +51,12 @@
     pub endpoint_room: AnswerRoom,
     /// Memory for answers of the store and of other routers.
     pub store_room: AnswerRoom,
+    /// Admits callers' connections and the bytes of their requests.
+    pub callers_gate: Gate,
+    /// Time after which a caller whose request found no memory may come back, in milliseconds.
+    pub hold_ms: Millis,
+    /// How often clients met each limit.
+    pub limits_met: Arc<LimitCounts>,
     /// Callers that wait for an answer, by request.
     pub callers: RefCell<HashMap<u64, Caller>>,
     /// Runs that haven't ended, by number.
--- a/src/logic/direct/accept.rs
+++ b/src/logic/direct/accept.rs
@@ -133,6 +133,19 @@
     send::send_or_wait(state, now, id, out);
 }
 
+/// Whether a request is refused whatever its body is: no route leads anywhere, or its client account isn't
+/// known. What isn't known yet refuses nothing.
+pub(crate) fn is_refused_by_head(state: &DirectState, request: &DirectRequest) -> bool {
+    let waits = !state.listed || state.pause.waiting_since.is_some();
+    let Some(routing) = state.routing.as_ref().filter(|_| !waits) else {
+        return false;
+    };
+    let Some(route) = routing.route(&request.host, &request.path) else {
+        return true;
+    };
+    account(routing, route, request.key.as_deref()).is_err()
+}
+
 /// Refusal of a request that is too large. Its caller is asked to come back if the limit has been raised
 /// since the request was read.
 fn excess_refusal(
--- a/src/logic/direct/mod.rs
+++ b/src/logic/direct/mod.rs
@@ -87,6 +87,7 @@
 mod tree;
 mod update_batch;
 
+pub(crate) use accept::is_refused_by_head;
 pub use admission::{AccountUse, AdmissionState, Precedence, QueueKey, WaitQueue};
 pub use demand::Demand;
 pub use demand_shares::DemandShares;
--- a/src/logic/log_event.rs
+++ b/src/logic/log_event.rs
@@ -80,6 +80,7 @@
     Suspended = 106 Warn "machine was suspended";
     Paused = 107 Warn "process was stalled";
     CallersRefused = 108 Info "no more callers are accepted";
+    ClientLimited = 109 Warn "clients met a limit";
     SessionUp = 110 Debug "session opened";
     SessionDown = 111 Info "session closed";
     SessionRefused = 112 Warn "session refused";
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod agent;
 pub mod direct;
+pub mod intake;
 pub mod router;
 
 mod effect;
--- a/src/settings/direct_settings.rs
+++ b/src/settings/direct_settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::ini_reader::IniReader;
-use super::SettingsError;
+use super::{IntakeSettings, SettingsError};
 use crate::link::{WatchPace, WatchTarget};
 use crate::logic::direct::{DirectParams, Features, Mechanism};
 use crate::types::MissingValue;
@@ -37,6 +37,8 @@
     pub drain_ms: u64,
     /// Read calls that the store takes in a second from all routers; 0 where it isn't known.
     pub reads_per_s: u64,
+    /// Limits on callers and other clients.
+    pub intake: IntakeSettings,
     /// Parameters of the router's decisions.
     pub params: DirectParams,
     /// Values that the file leaves empty, with the defaults that are used in their place.
@@ -82,6 +84,7 @@
             list_ms: 150,
             drain_ms: 2_000,
             reads_per_s: 0,
+            intake: IntakeSettings::default(),
             params: DirectParams::default(),
             missing_values: Vec::new(),
         }
@@ -119,6 +122,7 @@
             list_ms: ini.number("direct", "list_ms", d.list_ms, 0..=10_000, "milliseconds"),
             drain_ms: ini.scaled_number("direct", "drain_ms", d.drain_ms, 1, "milliseconds"),
             reads_per_s: ini.scaled_number("direct", "reads_per_s", d.reads_per_s, 1, "calls"),
+            intake: IntakeSettings::read(&mut ini),
             params: DirectParams {
                 routing_ms: watch_ms,
                 ..read_params(&mut ini)
--- a/src/settings/ini_reader.rs
+++ b/src/settings/ini_reader.rs
@@ -131,6 +131,22 @@
         }
     }
 
+    /// The same; none where the key is absent.
+    pub fn optional_number<T>(
+        &mut self,
+        section: &str,
+        key: &str,
+        range: RangeInclusive<T>,
+        unit: &str,
+    ) -> Option<T>
+    where
+        T: FromStr + PartialOrd + Display + Copy,
+    {
+        self.read_value(section, key)?;
+        let least = *range.start();
+        Some(self.number(section, key, least, range, unit))
+    }
+
     /// Reads a number of at least 0 that may have a fraction, in units of `1 / scale`, rounded
     /// down; the default where the key is absent. For an empty value the default is used and
     /// recorded as a missing value, as the file was meant to give one.
--- a/tests/direct/settings.rs
+++ b/tests/direct/settings.rs
@@ -9,7 +9,7 @@
 use runrail::types::EngineSpec;
 
 /// Numbers that the platform fills into the template.
-const NUMBERS: [&str; 9] = [
+const NUMBERS: [&str; 10] = [
     "Platform.ReadsPerS",
     "Bounds.DrainMs",
     "Bounds.ConfigApplyMs",
@@ -19,6 +19,7 @@
     "Bounds.GraceS",
     "Bounds.ColdOverage",
     "Bounds.ColdSlack",
+    "Limits.MemoryMb",
 ];
 
 /// The template with all placeholders filled in, that of `field` with `value`.
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod fairness;
 mod fixture;
+mod intake;
 mod pausing;
 mod planning;
 mod remembering;
