Connections at each listener are bounded below the process's descriptors

What callers saw: 320 clients that connected and sent no complete request took all 128 descriptors of a router, at callers' address or at the ready or peers' one. No ordinary request was answered while they stayed, and the balancer's question got no answer.

Cause: no listener bounded its connections, those besides callers' had no time for a head either, and accept was repeated at once when it failed.

Now a listener has a bound: callers three eighths of the descriptors, each other one a sixteenth, of the smaller one of the published and the system's own limit. At the bound the connection that has rested longest without a complete request gives way once it has rested for 500 ms; connections whose requests are being answered don't. So each client has that long to send a request, and a crowd that connects again queues like everybody.

[limits] descriptors, connections, other_connections; E109 and runrail_clients_limited_total count.

--- a/src/link/ready.rs
+++ b/src/link/ready.rs
@@ -10,13 +10,14 @@
 use super::http_listener;
 use super::link_event::LinkEvent;
 use super::shared::Shared;
+use crate::intake::Gate;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
 /// Serves connections until the process ends.
-pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    http_listener::serve(listener, move |path| answer(shared.clone(), path)).await;
+pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener, gate: Gate) {
+    http_listener::serve(listener, gate, move |path| answer(shared.clone(), path)).await;
 }
 
 async fn answer(shared: Rc<Shared>, path: String) -> (StatusCode, Bytes) {
--- a/src/link/run_direct.rs
+++ b/src/link/run_direct.rs
@@ -67,6 +67,9 @@
     let limits_met = Arc::<LimitCounts>::default();
     let limits = settings.intake.callers();
     let callers_gate = Gate::new("callers", limits, limits_met.clone());
+    let others = |listener| Gate::new(listener, settings.intake.others(), limits_met.clone());
+    let (ready_gate, metrics_gate, peers_gate) =
+        (others("ready"), others("metrics"), others("peers"));
     let shared = Rc::new(Shared {
         adapter,
         clock,
@@ -118,12 +121,12 @@
         *shared.peers.borrow_mut() = Some(socket.clone());
         tokio::task::spawn_local(peers::receive(shared.clone(), socket));
         let listener = TcpListener::bind(listen).await?;
-        tokio::task::spawn_local(snapshots::serve(shared.clone(), listener));
+        tokio::task::spawn_local(snapshots::serve(shared.clone(), listener, peers_gate));
     }
-    tokio::task::spawn_local(ready::serve(shared.clone(), readiness));
+    tokio::task::spawn_local(ready::serve(shared.clone(), readiness, ready_gate));
     if let Some(listen) = settings.metrics {
         let listener = TcpListener::bind(listen).await?;
-        tokio::task::spawn_local(ready::serve(shared.clone(), listener));
+        tokio::task::spawn_local(ready::serve(shared.clone(), listener, metrics_gate));
     }
     tokio::task::spawn_local(callers::serve(shared.clone(), callers));
     tokio::task::spawn_local(send_ticks(shared.clone()));
--- a/src/link/snapshots.rs
+++ b/src/link/snapshots.rs
@@ -18,6 +18,7 @@
 use super::operator_keys;
 use super::pool::SendOptions;
 use super::shared::Shared;
+use crate::intake::Gate;
 use crate::logic::direct::{DirectEvent, ListSnapshot};
 
 /// Path of the snapshot.
@@ -34,8 +35,8 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Serves other routers until the process ends.
-pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    http_listener::serve(listener, move |path| answer(shared.clone(), path)).await;
+pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener, gate: Gate) {
+    http_listener::serve(listener, gate, move |path| answer(shared.clone(), path)).await;
 }
 
 async fn answer(shared: Rc<Shared>, path: String) -> (StatusCode, Bytes) {
--- a/tests/direct/settings.rs
+++ b/tests/direct/settings.rs
@@ -9,7 +9,7 @@
 use runrail::types::EngineSpec;
 
 /// Numbers that the platform fills into the template.
-const NUMBERS: [&str; 10] = [
+const NUMBERS: [&str; 11] = [
     "Platform.ReadsPerS",
     "Bounds.DrainMs",
     "Bounds.ConfigApplyMs",
@@ -20,6 +20,7 @@
     "Bounds.ColdOverage",
     "Bounds.ColdSlack",
     "Limits.MemoryMb",
+    "Limits.MaxFds",
 ];
 
 /// The template with all placeholders filled in, that of `field` with `value`.
