Memory of a refused body is free at once

What callers saw: of 160 bodies sent at once all were refused, although there is memory for some. Cause: a refused body's memory counted until its connection had closed, up to 1 s later, while the rest of it was read on. Now it counts until it is refused.

--- a/src/intake/place.rs
+++ b/src/intake/place.rs
@@ -42,6 +42,11 @@
         self.gate.update(|s, now| s.begin_request(self.id, now));
     }
 
+    /// The request is given up, and its memory is free.
+    pub(super) fn abandon_request(&self) {
+        self.gate.update(|s, now| s.begin_request(self.id, now));
+    }
+
     /// Takes memory for more bytes of the body; false if there is none.
     pub(super) fn take(&self, more: usize) -> bool {
         self.gate.take(self.id, more)
--- a/src/intake/request_body.rs
+++ b/src/intake/request_body.rs
@@ -42,7 +42,8 @@
         read = read_parts(place, body, limits) => read,
         () = place.displaced() => Err(BodyFault::NoRoom),
     };
-    let bytes = read?;
+    // The parts that were read are gone already: their memory is free for others.
+    let bytes = read.inspect_err(|_| place.abandon_request())?;
     let taken = place.complete();
     if bytes.is_empty() {
         return Ok(Bytes::new());
