Listeners for callers and operators take in no more than a router can bear

What callers saw, at a router that reaches endpoints through agents: one request that announced a body of 2^46 bytes ended the process. 160 bodies of 1 MiB that stopped short of the end took 136 MB (whole ones 298 MB). 32 stuck requests took all 32 places, and every other caller got 503 for as long as they stayed.

Cause: the server (tiny_http) has a thread for each connection and no time, no bound on connections, on a chunk's length or on all bodies; when a request is dropped, it makes room for all that was announced. None of that can be set.

Now the listeners are served by hyper, as callers are with direct links, within the same limits: connections, memory of requests, time of heads and bodies, time for an answer to be taken. A place of a request is taken only by one that is complete. Operators' tokens are checked before their body is read. The memory of a request counts once and is in use twice, so half of it is given out.

The router reads only the fields of a chat request that it needs, in place, instead of a copy of the whole document.

The crowd's requests now name a class, which they lacked; the crowd's size and the bounds are as they were.

--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -168,9 +168,9 @@
     router: &ProcessHandle,
     call: OperatorCall,
 ) -> Result<OperatorReply, Box<dyn Error>> {
-    let (reply, answer) = std::sync::mpsc::channel();
+    let (reply, answer) = tokio::sync::oneshot::channel();
     router.inbox().send(HostEvent::Operator { call, reply });
-    Ok(answer.recv_timeout(Duration::from_secs(10))?)
+    Ok(answer.blocking_recv()?)
 }
 
 fn chat_call() -> Call {
--- a/src/host/host_event.rs
+++ b/src/host/host_event.rs
@@ -1,4 +1,5 @@
-use std::sync::mpsc::Sender;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 
 use crate::logic::router::{AnswerPart, CallerRequest, OperatorCall, OperatorReply};
 use crate::logic::Event;
@@ -12,21 +13,21 @@
         /// The request.
         call: Box<CallerRequest>,
         /// Receives the parts of the answer.
-        reply: Sender<AnswerPart>,
+        reply: UnboundedSender<AnswerPart>,
     },
     /// An operator's call, with the channel for its reply.
     Operator {
         /// The call.
         call: OperatorCall,
         /// Receives the reply.
-        reply: Sender<OperatorReply>,
+        reply: oneshot::Sender<OperatorReply>,
     },
     /// A query about the process itself, with the channel for its result.
     Inspect {
         /// The query.
         what: Inspect,
         /// Receives the result.
-        reply: Sender<serde_json::Value>,
+        reply: oneshot::Sender<serde_json::Value>,
     },
     /// A session with another process was refused.
     SessionRefused {
--- a/src/host/node_actor.rs
+++ b/src/host/node_actor.rs
@@ -1,9 +1,11 @@
 use std::collections::HashMap;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use stakker::{actor, after, call, ret_nop, stop, ActorOwn, Stakker, CX};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 
 use super::{Clock, HostEvent, Inspect};
 use crate::endpoint::EndpointClient;
@@ -38,8 +40,8 @@
     node: Node,
     environment: Environment,
     log: EventLog,
-    answers: HashMap<RequestId, Sender<AnswerPart>>,
-    operator_replies: HashMap<u64, Sender<OperatorReply>>,
+    answers: HashMap<RequestId, UnboundedSender<AnswerPart>>,
+    operator_replies: HashMap<u64, oneshot::Sender<OperatorReply>>,
     next_job: u64,
 }
 
@@ -120,7 +122,7 @@
                     Inspect::Events(about) => serde_json::json!(self.log.about(&about)),
                     Inspect::Metrics => serde_json::json!(self.environment.metrics.rows()),
                 };
-                // Fails only if the querying thread has stopped waiting.
+                // Fails only if the operator has stopped waiting.
                 let _ = reply.send(answer);
             }
             HostEvent::SessionRefused { peer, reason } => {
@@ -225,7 +227,7 @@
             self.answers.get(&request).cloned()
         };
         if let Some(sender) = sender {
-            // Fails only for a caller that has disconnected, which its HTTP thread reports.
+            // Fails only for a caller that has disconnected, which its guard reports.
             let _ = sender.send(part);
         }
     }
--- a/src/host/run_router.rs
+++ b/src/host/run_router.rs
@@ -1,9 +1,12 @@
 use std::io;
+use std::sync::Arc;
 
 use super::node_actor::{self, Environment, Platform};
 use super::{Addresses, Clock, HostEvent, Inbox, ProcessHandle};
 use crate::etcd::{KvClient, ListClient, PlatformSettings, Watcher};
-use crate::http::{CallerApi, HttpServer, OperatorApi};
+use crate::http::{CallerApi, OperatorApi, ServerLimits};
+use crate::intake::LimitCounts;
+use crate::logic::intake::IntakeLimits;
 use crate::logic::router::{Keys, RouterState};
 use crate::logic::{Event, Node, PeerRole};
 use crate::observe::Metrics;
@@ -14,6 +17,9 @@
 /// Most calls of operators in flight.
 const MAX_OPERATOR_CALLS: usize = 32;
 
+/// Memory for the bundles that operators send at the same time.
+const MAX_OPERATOR_BYTES: usize = 4 * 1024 * 1024;
+
 /// Starts a router on threads of this process.
 ///
 /// # Errors
@@ -35,14 +41,17 @@
         identity.incarnation,
         settings.params.clone(),
     );
-    let api = CallerApi::new(inbox.clone(), identity.incarnation, settings.body_limit);
-    let callers = HttpServer::start(settings.callers, settings.caller_limit, move |r| {
-        api.serve(r)
-    })?;
-    let api = OperatorApi::new(inbox.clone(), &settings.operators);
-    let operators = HttpServer::start(settings.operator_listen, MAX_OPERATOR_CALLS, move |r| {
-        api.serve(r)
-    })?;
+    let limits_met = Arc::<LimitCounts>::default();
+    let callers = CallerApi::new(inbox.clone(), identity.incarnation).serve(
+        settings.callers,
+        caller_limits(&settings),
+        limits_met.clone(),
+    )?;
+    let operators = OperatorApi::new(inbox.clone(), &settings.operators).serve(
+        settings.operator_listen,
+        operator_limits(&settings),
+        limits_met,
+    )?;
     let addresses = Addresses {
         peers: net.addr(),
         callers: Some(callers.addr()),
@@ -66,6 +75,34 @@
     })
 }
 
+/// Limits on callers. The memory of a request counts once and is in use twice: as it was received, and for the
+/// agent.
+fn caller_limits(settings: &RouterSettings) -> ServerLimits {
+    let intake = settings.intake.callers();
+    ServerLimits {
+        listener: "callers",
+        open_requests: settings.caller_limit,
+        body_bytes: settings.body_limit,
+        intake: IntakeLimits {
+            request_bytes: (intake.request_bytes / 2).max(2 * settings.body_limit),
+            ..intake
+        },
+    }
+}
+
+fn operator_limits(settings: &RouterSettings) -> ServerLimits {
+    let intake = settings.intake.others();
+    ServerLimits {
+        listener: "operators",
+        open_requests: MAX_OPERATOR_CALLS,
+        intake: IntakeLimits {
+            request_bytes: MAX_OPERATOR_BYTES,
+            ..intake
+        },
+        ..ServerLimits::default()
+    }
+}
+
 /// Starts the sessions of a process with others; their events go to its inbox.
 ///
 /// # Errors
--- a/src/http/caller_api.rs
+++ b/src/http/caller_api.rs
@@ -1,16 +1,23 @@
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
+use std::time::Duration;
 
-use serde_json::{json, Value};
-use tiny_http::{Method, Request, Response};
+use bytes::Bytes;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Response};
+use serde::Deserialize;
+use serde_json::json;
+use serde_json::value::RawValue;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
-use super::body;
-use super::problem_json::{self, header};
-use super::sse_writer::SseWriter;
+use super::problem_json::{self, reply, with_request};
+use super::sse_body::SseBody;
+use super::{body, CallerGuard, Checked, HttpServer, ReplyBody, ServerLimits};
 use crate::host::{HostEvent, Inbox};
+use crate::intake::LimitCounts;
 use crate::logic::router::{AnswerPart, CallerRequest, Problem};
-use crate::logic::Event;
 use crate::types::{Millis, ModelKind, RequestId};
 
 /// Path of chat completions, at this router and at engines.
@@ -21,11 +28,21 @@
 const MAX_KEY_BYTES: usize = 256;
 
 /// The API for callers: chat completions and calls to plain services.
-pub struct CallerApi {
+pub(crate) struct CallerApi {
     inbox: Inbox,
     incarnation: u64,
     counter: AtomicU64,
-    body_limit: usize,
+}
+
+/// What the head of a request says.
+struct CallerHead {
+    id: RequestId,
+    key_sha256: String,
+    /// Path below the prefix of services; none for chat completions.
+    service: Option<String>,
+    class: Option<Arc<str>>,
+    deadline_ms: Option<Millis>,
+    idempotency_key: Option<String>,
 }
 
 /// A valid request.
@@ -35,101 +52,126 @@
 }
 
 impl CallerApi {
-    /// An API that passes requests to a router's inbox; `body_limit` is in bytes.
-    pub fn new(inbox: Inbox, incarnation: u64, body_limit: usize) -> Self {
+    /// An API that passes requests to a router's inbox.
+    pub fn new(inbox: Inbox, incarnation: u64) -> Self {
         Self {
             inbox,
             incarnation,
             counter: AtomicU64::new(0),
-            body_limit,
         }
     }
 
-    /// Serves one HTTP request and returns when it is answered.
-    pub fn serve(&self, mut request: Request) {
+    /// Listens for callers.
+    ///
+    /// # Errors
+    /// Returns the error of the listening socket or of the thread that serves requests.
+    pub fn serve(
+        self,
+        listen: SocketAddr,
+        limits: ServerLimits,
+        counts: Arc<LimitCounts>,
+    ) -> std::io::Result<HttpServer> {
+        let api = Arc::new(self);
+        let checking = api.clone();
+        let check = move |head: &Parts| checking.check(head);
+        let answer = move |head, body| {
+            let api = api.clone();
+            async move { api.answer(head, body).await }
+        };
+        HttpServer::start(listen, limits, counts, check, answer)
+    }
+
+    fn check(&self, head: &Parts) -> Result<Checked<CallerHead>, Box<Response<ReplyBody>>> {
         let id = RequestId {
             node: self.incarnation,
             number: self.counter.fetch_add(1, Ordering::Relaxed) + 1,
         };
-        match self.parse(&mut request, id) {
-            Ok(parsed) => self.answer(request, parsed),
-            Err(problem) => {
-                let response = problem_json::response(&problem, Some(&id.to_string()));
-                // If the caller has disconnected, nobody needs the response.
-                let _ = request.respond(response);
-            }
-        }
+        let checked = parse_head(head, id);
+        checked.map_err(|p| Box::new(problem_json::response(&p, Some(&id.to_string()))))
     }
 
-    fn parse(&self, request: &mut Request, id: RequestId) -> Result<ParsedRequest, Problem> {
-        let path = request
-            .url()
-            .split('?')
-            .next()
-            .unwrap_or_default()
-            .to_string();
-        let chat = path == CHAT_PATH;
-        let service = path.strip_prefix(SERVICES_PREFIX).map(str::to_string);
-        if !chat && service.is_none() {
-            let detail =
-                format!("found {path}, expected {CHAT_PATH} or {SERVICES_PREFIX}<name>/<path>");
-            return Err(Problem::not_run(404, detail));
-        }
-        if *request.method() != Method::Post {
-            let detail = format!("found {}, expected POST", request.method());
-            return Err(Problem::not_run(405, detail));
+    async fn answer(&self, head: CallerHead, body: Result<Bytes, Problem>) -> Response<ReplyBody> {
+        let id = head.id;
+        let parsed = body.and_then(|bytes| parse(head, &bytes));
+        match parsed {
+            Ok(parsed) => self.submit(parsed).await,
+            Err(problem) => problem_json::response(&problem, Some(&id.to_string())),
         }
-        let key_sha256 = match body::bearer_token(request) {
-            Some(key) => body::sha256_hex(key),
-            None => {
-                let detail = "the header `Authorization: Bearer <key>` is missing";
-                return Err(Problem::not_run(401, detail));
-            }
-        };
-        let class = body::header(request, "Runrail-Class").map(Arc::from);
-        let deadline_ms = parse_deadline(request)?;
-        let idempotency_key = idempotency_key(request)?;
-        let text = body::read(request, self.body_limit)?;
-        let target = match service {
-            Some(rest) => service_target(&rest)?,
-            None => chat_target(&text)?,
-        };
-        Ok(ParsedRequest {
-            stream: target.stream,
-            call: CallerRequest {
-                id,
-                key_sha256,
-                model: Arc::from(target.model),
-                kind: target.kind,
-                class,
-                path: Arc::from(target.path),
-                body: Arc::from(text),
-                deadline_ms,
-                idempotency_key,
-            },
-        })
     }
 
-    fn answer(&self, request: Request, parsed: ParsedRequest) {
-        let id = parsed.call.id;
+    async fn submit(&self, parsed: ParsedRequest) -> Response<ReplyBody> {
+        let (id, kind) = (parsed.call.id, parsed.call.kind);
         let model = parsed.call.model.clone();
-        let kind = parsed.call.kind;
-        let (reply, parts) = channel();
+        let (reply, parts) = unbounded_channel();
+        let guard = CallerGuard::new(self.inbox.clone(), id);
         self.inbox.send(HostEvent::Request {
             call: Box::new(parsed.call),
             reply,
         });
-        let sent = match kind {
-            ModelKind::Engine if parsed.stream => stream_answer(request, id, &model, &parts),
-            ModelKind::Engine => respond_chat(request, id, &model, &parts),
-            ModelKind::Service => respond_service(request, id, &parts),
-        };
-        if sent.is_err() {
-            self.inbox.send(HostEvent::Step(Event::CallerGone(id)));
+        let text = id.to_string();
+        match kind {
+            ModelKind::Engine if parsed.stream => stream_answer(&text, &model, parts, guard).await,
+            ModelKind::Engine => chat_answer(&text, &model, parts, guard).await,
+            ModelKind::Service => service_answer(&text, parts, guard).await,
         }
     }
 }
 
+fn parse_head(head: &Parts, id: RequestId) -> Result<Checked<CallerHead>, Problem> {
+    let path = head.uri.path();
+    let service = path.strip_prefix(SERVICES_PREFIX).map(str::to_string);
+    if path != CHAT_PATH && service.is_none() {
+        let detail =
+            format!("found {path}, expected {CHAT_PATH} or {SERVICES_PREFIX}<name>/<path>");
+        return Err(Problem::not_run(404, detail));
+    }
+    if head.method != Method::POST {
+        let detail = format!("found {}, expected POST", head.method);
+        return Err(Problem::not_run(405, detail));
+    }
+    let key_sha256 = match body::bearer_token(&head.headers) {
+        Some(key) => body::sha256_hex(key),
+        None => {
+            let detail = "the header `Authorization: Bearer <key>` is missing";
+            return Err(Problem::not_run(401, detail));
+        }
+    };
+    let deadline_ms = parse_deadline(&head.headers)?;
+    Ok(Checked {
+        wait: deadline_ms.map(Duration::from_millis),
+        head: CallerHead {
+            id,
+            key_sha256,
+            service,
+            class: body::header(&head.headers, "Runrail-Class").map(Arc::from),
+            deadline_ms,
+            idempotency_key: idempotency_key(&head.headers)?,
+        },
+    })
+}
+
+fn parse(head: CallerHead, bytes: &[u8]) -> Result<ParsedRequest, Problem> {
+    let text = body::text(bytes)?;
+    let target = match &head.service {
+        Some(rest) => service_target(rest)?,
+        None => chat_target(text)?,
+    };
+    Ok(ParsedRequest {
+        stream: target.stream,
+        call: CallerRequest {
+            id: head.id,
+            key_sha256: head.key_sha256,
+            model: Arc::from(target.model),
+            kind: target.kind,
+            class: head.class,
+            path: Arc::from(target.path),
+            body: Arc::from(text),
+            deadline_ms: head.deadline_ms,
+            idempotency_key: head.idempotency_key,
+        },
+    })
+}
+
 struct Target {
     model: String,
     kind: ModelKind,
@@ -137,20 +179,34 @@
     stream: bool,
 }
 
+/// The fields of a chat request that a router reads; the engine reads the others.
+#[derive(Deserialize)]
+struct ChatFields<'a> {
+    #[serde(borrow)]
+    model: Option<&'a RawValue>,
+    #[serde(borrow)]
+    messages: Option<&'a RawValue>,
+    #[serde(borrow)]
+    stream: Option<&'a RawValue>,
+}
+
 fn chat_target(text: &str) -> Result<Target, Problem> {
-    let value: Value = serde_json::from_str(text)
+    let value: &RawValue = serde_json::from_str(text)
         .map_err(|e| Problem::not_run(400, format!("the body isn't JSON: {e}")))?;
-    let Some(model) = value["model"].as_str() else {
+    let fields: ChatFields = serde_json::from_str(value.get())
+        .map_err(|e| Problem::not_run(400, format!("the body isn't a chat request: {e}")))?;
+    let model = fields.model.map(RawValue::get).map(serde_json::from_str);
+    let Some(Ok(model)) = model else {
         return Err(Problem::not_run(400, "`model`: expected a string"));
     };
-    if !value["messages"].is_array() {
+    if !fields.messages.is_some_and(|m| m.get().starts_with('[')) {
         return Err(Problem::not_run(400, "`messages`: expected an array"));
     }
     Ok(Target {
-        model: model.to_string(),
+        model,
         kind: ModelKind::Engine,
         path: CHAT_PATH.to_string(),
-        stream: value["stream"].as_bool().unwrap_or(false),
+        stream: fields.stream.is_some_and(|s| s.get() == "true"),
     })
 }
 
@@ -169,8 +225,8 @@
     })
 }
 
-fn parse_deadline(request: &Request) -> Result<Option<Millis>, Problem> {
-    let Some(text) = body::header(request, "Runrail-Deadline-Ms") else {
+fn parse_deadline(headers: &HeaderMap) -> Result<Option<Millis>, Problem> {
+    let Some(text) = body::header(headers, "Runrail-Deadline-Ms") else {
         return Ok(None);
     };
     match text.parse::<Millis>() {
@@ -183,8 +239,8 @@
     }
 }
 
-fn idempotency_key(request: &Request) -> Result<Option<String>, Problem> {
-    let key = body::header(request, "Idempotency-Key");
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+    let key = body::header(headers, "Idempotency-Key");
     match key {
         Some(key) if key.is_empty() || key.len() > MAX_KEY_BYTES => {
             let detail = format!(
@@ -197,59 +253,51 @@
     }
 }
 
-/// Problem of a request that is open when the router stops.
-fn router_stopped() -> Problem {
-    Problem::unknown(502, "the router stopped before the request was answered")
-}
-
-fn stream_answer(
-    request: Request,
-    id: RequestId,
+async fn stream_answer(
+    id: &str,
     model: &str,
-    parts: &Receiver<AnswerPart>,
-) -> std::io::Result<()> {
-    let id = id.to_string();
-    let first = parts
-        .recv()
-        .unwrap_or(AnswerPart::Problem(router_stopped()));
+    mut parts: UnboundedReceiver<AnswerPart>,
+    mut guard: CallerGuard,
+) -> Response<ReplyBody> {
+    let first = parts.recv().await;
+    let first = first.unwrap_or_else(|| AnswerPart::Problem(CallerGuard::router_stopped()));
     if let AnswerPart::Problem(problem) = &first {
-        return request.respond(problem_json::response(problem, Some(&id)));
-    }
-    let mut writer = SseWriter::begin(request.into_writer(), &id, model)?;
-    let mut part = first;
-    loop {
-        match part {
-            AnswerPart::Piece(text) => writer.write_piece(&text)?,
-            AnswerPart::End { .. } => return writer.write_end(),
-            AnswerPart::Problem(problem) => return writer.write_problem(&problem),
-        }
-        part = parts
-            .recv()
-            .unwrap_or(AnswerPart::Problem(router_stopped()));
+        guard.disarm();
+        return problem_json::response(problem, Some(id));
     }
+    let events = SseBody::new(id, model, first, parts, guard);
+    let mut response = Response::new(ReplyBody::stream(events));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    with_request(response, id)
 }
 
 /// Collects a whole answer: its status and text, or the problem that ended it.
-fn collect_answer(parts: &Receiver<AnswerPart>) -> Result<(u16, String), Problem> {
+async fn collect_answer(
+    mut parts: UnboundedReceiver<AnswerPart>,
+    mut guard: CallerGuard,
+) -> Result<(u16, String), Problem> {
     let mut text = String::new();
-    loop {
-        match parts.recv() {
-            Ok(AnswerPart::Piece(piece)) => text.push_str(&piece),
-            Ok(AnswerPart::End { status }) => return Ok((status, text)),
-            Ok(AnswerPart::Problem(problem)) => return Err(problem),
-            Err(_) => return Err(router_stopped()),
+    let answer = loop {
+        match parts.recv().await {
+            Some(AnswerPart::Piece(piece)) => text.push_str(&piece),
+            Some(AnswerPart::End { status }) => break Ok((status, text)),
+            Some(AnswerPart::Problem(problem)) => break Err(problem),
+            None => break Err(CallerGuard::router_stopped()),
         }
-    }
+    };
+    guard.disarm();
+    answer
 }
 
-fn respond_chat(
-    request: Request,
-    id: RequestId,
+async fn chat_answer(
+    id: &str,
     model: &str,
-    parts: &Receiver<AnswerPart>,
-) -> std::io::Result<()> {
-    let id = id.to_string();
-    match collect_answer(parts) {
+    parts: UnboundedReceiver<AnswerPart>,
+    guard: CallerGuard,
+) -> Response<ReplyBody> {
+    match collect_answer(parts, guard).await {
         Ok((status, text)) => {
             let body = json!({
                 "id": id,
@@ -261,28 +309,23 @@
                     "finish_reason": "stop",
                 }],
             });
-            respond_json(request, &id, status, body.to_string())
+            json_answer(id, status, body.to_string())
         }
-        Err(problem) => request.respond(problem_json::response(&problem, Some(&id))),
+        Err(problem) => problem_json::response(&problem, Some(id)),
     }
 }
 
-fn respond_service(
-    request: Request,
-    id: RequestId,
-    parts: &Receiver<AnswerPart>,
-) -> std::io::Result<()> {
-    let id = id.to_string();
-    match collect_answer(parts) {
-        Ok((status, text)) => respond_json(request, &id, status, text),
-        Err(problem) => request.respond(problem_json::response(&problem, Some(&id))),
+async fn service_answer(
+    id: &str,
+    parts: UnboundedReceiver<AnswerPart>,
+    guard: CallerGuard,
+) -> Response<ReplyBody> {
+    match collect_answer(parts, guard).await {
+        Ok((status, text)) => json_answer(id, status, text),
+        Err(problem) => problem_json::response(&problem, Some(id)),
     }
 }
 
-fn respond_json(request: Request, id: &str, status: u16, body: String) -> std::io::Result<()> {
-    let response = Response::from_data(body)
-        .with_status_code(status)
-        .with_header(header("Content-Type", "application/json"))
-        .with_header(header("Runrail-Request", id));
-    request.respond(response)
+fn json_answer(id: &str, status: u16, body: String) -> Response<ReplyBody> {
+    with_request(reply(status, "application/json", body), id)
 }
--- a/src/http/operator_api.rs
+++ b/src/http/operator_api.rs
@@ -1,14 +1,20 @@
 use std::collections::BTreeMap;
-use std::sync::mpsc::channel;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, Method, Response};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
-use tiny_http::{Method, Request, Response};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
-use super::body;
-use super::problem_json::{self, header};
+use super::problem_json::{self, reply};
+use super::{body, Checked, HttpServer, ReplyBody, ServerLimits};
 use crate::host::{HostEvent, Inbox, Inspect};
+use crate::intake::LimitCounts;
 use crate::logic::router::{OperatorCall, OperatorReply, Problem};
 use crate::types::{Approval, Bundle, BundleBody};
 
@@ -20,12 +26,21 @@
 const PATH_PREFIX: &str = "/operator/v1/";
 
 /// The API for operators: bundles, status, events and metrics.
-pub struct OperatorApi {
+pub(crate) struct OperatorApi {
     inbox: Inbox,
     /// Operators' names by the SHA-256 of their tokens.
     operators: BTreeMap<String, String>,
 }
 
+/// What the head of a call says.
+struct OperatorHead {
+    operator: String,
+    method: Method,
+    /// Path below the prefix.
+    path: String,
+    query: String,
+}
+
 /// A bundle as `runrail bundle status` lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BundleRow {
@@ -51,89 +66,123 @@
         }
     }
 
-    /// Serves one HTTP request and returns when it is answered.
-    pub fn serve(&self, mut request: Request) {
-        let response = match self.handle(&mut request) {
-            Ok(value) => Response::from_data(value.to_string())
-                .with_header(header("Content-Type", "application/json")),
-            Err(problem) => problem_json::response(&problem, None),
+    /// Listens for operators.
+    ///
+    /// # Errors
+    /// Returns the error of the listening socket or of the thread that serves calls.
+    pub fn serve(
+        self,
+        listen: SocketAddr,
+        limits: ServerLimits,
+        counts: Arc<LimitCounts>,
+    ) -> std::io::Result<HttpServer> {
+        let api = Arc::new(self);
+        let checking = api.clone();
+        let check = move |head: &Parts| checking.check(head);
+        let answer = move |head, body| {
+            let api = api.clone();
+            async move {
+                match api.handle(head, body).await {
+                    Ok(value) => reply(200, "application/json", value.to_string()),
+                    Err(problem) => problem_json::response(&problem, None),
+                }
+            }
         };
-        // If the operator has disconnected, nobody needs the response.
-        let _ = request.respond(response);
+        let limits = ServerLimits {
+            body_bytes: MAX_BUNDLE_BYTES,
+            ..limits
+        };
+        HttpServer::start(listen, limits, counts, check, answer)
+    }
+
+    fn check(&self, head: &Parts) -> Result<Checked<OperatorHead>, Box<Response<ReplyBody>>> {
+        let checked = self.parse_head(head);
+        checked.map_err(|p| Box::new(problem_json::response(&p, None)))
     }
 
-    fn handle(&self, request: &mut Request) -> Result<Value, Problem> {
-        let operator = self.operator(request)?;
-        let url = request.url().to_string();
-        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-        let Some(path) = path.strip_prefix(PATH_PREFIX) else {
-            return Err(Problem::not_run(
-                404,
-                format!("expected a path below {PATH_PREFIX}"),
-            ));
+    fn parse_head(&self, head: &Parts) -> Result<Checked<OperatorHead>, Problem> {
+        let operator = self.operator(&head.headers)?;
+        let Some(path) = head.uri.path().strip_prefix(PATH_PREFIX) else {
+            let detail = format!("expected a path below {PATH_PREFIX}");
+            return Err(Problem::not_run(404, detail));
         };
-        let parts: Vec<_> = path.split('/').collect();
-        let post = *request.method() == Method::Post;
-        match (post, parts.as_slice()) {
-            (false, ["status"]) => self.call(OperatorCall::Status),
-            (false, ["bundles"]) => self.call(OperatorCall::Bundles),
+        Ok(Checked {
+            wait: None,
+            head: OperatorHead {
+                operator,
+                method: head.method.clone(),
+                path: path.to_string(),
+                query: head.uri.query().unwrap_or_default().to_string(),
+            },
+        })
+    }
+
+    async fn handle(
+        &self,
+        head: OperatorHead,
+        body: Result<Bytes, Problem>,
+    ) -> Result<Value, Problem> {
+        let (body, operator) = (body?, head.operator);
+        let parts: Vec<_> = head.path.split('/').collect();
+        match (head.method == Method::POST, parts.as_slice()) {
+            (false, ["status"]) => self.call(OperatorCall::Status).await,
+            (false, ["bundles"]) => self.call(OperatorCall::Bundles).await,
             (false, ["events"]) => {
-                let about = query.strip_prefix("about=").unwrap_or("");
-                self.inspect(Inspect::Events(unescape_slashes(about)))
+                let about = head.query.strip_prefix("about=").unwrap_or("");
+                self.inspect(Inspect::Events(unescape_slashes(about))).await
             }
-            (false, ["metrics"]) => self.inspect(Inspect::Metrics),
+            (false, ["metrics"]) => self.inspect(Inspect::Metrics).await,
             (true, ["bundles"]) => {
-                let body = Box::new(read_bundle(request)?);
-                self.call(OperatorCall::Submit { by: operator, body })
+                let body = Box::new(read_bundle(&body)?);
+                self.call(OperatorCall::Submit { by: operator, body }).await
             }
             (true, ["bundles", number, verb @ ("approve" | "roll")]) => {
                 let number = number.parse().map_err(|_| {
                     Problem::not_run(400, format!("found bundle {number:?}, expected a number"))
                 })?;
-                self.call(match *verb {
-                    "approve" => OperatorCall::Approve {
-                        by: operator,
-                        number,
-                    },
-                    _ => OperatorCall::Roll {
-                        by: operator,
-                        number,
-                    },
-                })
+                let by = operator;
+                let call = match *verb {
+                    "approve" => OperatorCall::Approve { by, number },
+                    _ => OperatorCall::Roll { by, number },
+                };
+                self.call(call).await
             }
             _ => {
-                let detail = format!("no such resource: {} {path}", request.method());
+                let detail = format!("no such resource: {} {}", head.method, head.path);
                 Err(Problem::not_run(404, detail))
             }
         }
     }
 
-    fn operator(&self, request: &Request) -> Result<String, Problem> {
-        let token = body::bearer_token(request).map(body::sha256_hex);
+    fn operator(&self, headers: &HeaderMap) -> Result<String, Problem> {
+        let token = body::bearer_token(headers).map(body::sha256_hex);
         let name = token.and_then(|t| self.operators.get(&t).cloned());
         name.ok_or_else(|| Problem::not_run(401, "the token belongs to no operator"))
     }
 
-    fn call(&self, call: OperatorCall) -> Result<Value, Problem> {
-        let (reply, answer) = channel();
+    async fn call(&self, call: OperatorCall) -> Result<Value, Problem> {
+        let (reply, answer) = oneshot::channel();
         self.inbox.send(HostEvent::Operator { call, reply });
-        match answer.recv_timeout(CALL_TIMEOUT) {
-            Ok(reply) => reply_json(reply),
-            Err(_) => Err(Problem::unknown(504, "the router did not answer in time")),
-        }
+        reply_json(in_time(answer).await?)
     }
 
-    fn inspect(&self, what: Inspect) -> Result<Value, Problem> {
-        let (reply, answer) = channel();
+    async fn inspect(&self, what: Inspect) -> Result<Value, Problem> {
+        let (reply, answer) = oneshot::channel();
         self.inbox.send(HostEvent::Inspect { what, reply });
-        let answer = answer.recv_timeout(CALL_TIMEOUT);
-        answer.map_err(|_| Problem::unknown(504, "the router did not answer in time"))
+        in_time(answer).await
+    }
+}
+
+/// Waits for the answer of the actor.
+async fn in_time<T>(answer: oneshot::Receiver<T>) -> Result<T, Problem> {
+    match timeout(CALL_TIMEOUT, answer).await {
+        Ok(Ok(answer)) => Ok(answer),
+        _ => Err(Problem::unknown(504, "the router did not answer in time")),
     }
 }
 
-fn read_bundle(request: &mut Request) -> Result<BundleBody, Problem> {
-    let text = body::read(request, MAX_BUNDLE_BYTES)?;
-    serde_json::from_str(&text)
+fn read_bundle(bytes: &[u8]) -> Result<BundleBody, Problem> {
+    serde_json::from_str(body::text(bytes)?)
         .map_err(|e| Problem::not_run(422, format!("the bundle can't be parsed: {e}")))
 }
 
--- a/src/http/problem_json.rs
+++ b/src/http/problem_json.rs
@@ -1,8 +1,9 @@
-use std::io::Cursor;
-
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use tiny_http::{Header, Response};
 
+use super::ReplyBody;
 use crate::logic::router::Problem;
 
 /// Body of an error response, as in RFC 9457.
@@ -36,22 +37,40 @@
 }
 
 /// HTTP response for a problem.
-pub(super) fn response(problem: &Problem, request: Option<&str>) -> Response<Cursor<Vec<u8>>> {
+pub(super) fn response(problem: &Problem, request: Option<&str>) -> Response<ReplyBody> {
     let body = serde_json::to_vec(&problem_json(problem, request)).unwrap_or_default();
-    let mut response = Response::from_data(body)
-        .with_status_code(problem.status)
-        .with_header(header("Content-Type", "application/problem+json"));
+    let mut response = reply(problem.status, "application/problem+json", body);
     if let Some(ms) = problem.retry_ms {
-        let seconds = ms.div_ceil(1_000).max(1).to_string();
-        response = response.with_header(header("Retry-After", &seconds));
+        let seconds = ms.div_ceil(1_000).max(1);
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
-    if let Some(id) = request {
-        response = response.with_header(header("Runrail-Request", id));
+    match request {
+        Some(id) => with_request(response, id),
+        None => response,
     }
+}
+
+/// HTTP response with a complete body.
+pub(super) fn reply(
+    status: u16,
+    content_type: &'static str,
+    body: impl Into<Bytes>,
+) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::whole(body));
+    // Statuses come from here or were checked as an endpoint's.
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let content_type = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
     response
 }
 
-pub(super) fn header(name: &str, value: &str) -> Header {
-    // Invariant: callers pass only names and values in plain ASCII.
-    Header::from_bytes(name, value).expect("header is plain ASCII")
+/// Adds the id of the request to a response.
+pub(super) fn with_request<B>(mut response: Response<B>, id: &str) -> Response<B> {
+    // Ids are plain ASCII.
+    if let Ok(value) = HeaderValue::from_str(id) {
+        response.headers_mut().insert("runrail-request", value);
+    }
+    response
 }
--- a/src/settings/router_settings.rs
+++ b/src/settings/router_settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::ini_reader::IniReader;
-use super::SettingsError;
+use super::{IntakeSettings, SettingsError};
 use crate::etcd::PlatformSettings;
 use crate::logic::router::RouterParams;
 use crate::wire::NetSettings;
@@ -35,6 +35,8 @@
     pub body_limit: usize,
     /// Maximum number of callers' requests at the same time.
     pub caller_limit: usize,
+    /// Limits on connections and on the memory of requests.
+    pub intake: IntakeSettings,
     /// Address of the statsd receiver; none where metrics are only kept.
     pub statsd: Option<SocketAddr>,
     /// Parameters of the router's decisions.
@@ -55,6 +57,7 @@
             platform: PlatformSettings::default(),
             body_limit: 1024 * 1024,
             caller_limit: 1_024,
+            intake: IntakeSettings::default(),
             statsd: None,
             params: RouterParams::default(),
         }
@@ -69,6 +72,7 @@
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let mut ini = IniReader::open(path)?;
         let default = Self::default();
+        let intake = IntakeSettings::read(&mut ini);
         let settings = Self {
             id: ini.required("instance", "id", "the instance's name in the instance list"),
             hall: ini.required("instance", "hall", "the name of the data hall"),
@@ -102,6 +106,7 @@
                 1..=65_536,
                 "requests",
             ),
+            intake,
             statsd: ini.optional("metrics", "statsd", "an IP address and a port"),
             params: read_params(&mut ini),
         };
--- a/tests/clients/fleet.rs
+++ b/tests/clients/fleet.rs
@@ -32,7 +32,8 @@
 
 fn head() -> String {
     format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: runrail\r\nAuthorization: Bearer {DESK_KEY}\r\n"
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: runrail\r\nAuthorization: Bearer {DESK_KEY}\r\n\
+         Runrail-Class: urgent\r\n"
     )
 }
 
