Strangers take no sessions and little memory at the listener for peers

What callers saw: 64 strangers that sent a frame of 4 MiB but for its last byte took 276 MB of a router (agents have 128 MB). 320 that only connected, and again when they were closed, took all places of sessions or all descriptors: routers and agents didn't find each other again, and no request was answered.

Cause: the limit of messages held for frames of the handshake too, and a connection counted as a session before it had shown the fleet's key.

Now frames of the handshake have at most 4 KiB, and messages are allowed once the other side has shown the key. Until then a connection has one of the places for strangers (an eighth of the descriptors), which it loses to a newer one after 50 ms; a session is taken only after that. E112 is logged at most once a second for sessions that others dial.

[limits] strangers; E109, and clients_limited by limit and listener in statsd and runrail metrics.

--- a/src/host/node_actor.rs
+++ b/src/host/node_actor.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -10,9 +11,10 @@
 use super::{Clock, HostEvent, Inspect};
 use crate::endpoint::EndpointClient;
 use crate::etcd::{KvClient, ListClient, Watcher};
+use crate::intake::LimitCounts;
 use crate::logic::router::{AnswerPart, OperatorReply};
 use crate::logic::{step, Effect, Event, LogCode, LogEvent, Node};
-use crate::observe::{EventLog, Metrics};
+use crate::observe::{EventLog, HistogramRow, Metrics};
 use crate::types::RequestId;
 use crate::wire::Net;
 
@@ -26,6 +28,8 @@
     pub platform: Option<Platform>,
     pub endpoint: Option<EndpointClient>,
     pub metrics: Metrics,
+    /// How often clients met each limit.
+    pub limits_met: Arc<LimitCounts>,
 }
 
 /// A router's clients of the platform.
@@ -98,9 +102,19 @@
 
     fn tick(&mut self, cx: CX![]) {
         after!(Duration::from_millis(Event::TICK_MS), [cx], tick());
+        let counts = self.environment.limits_met.counts();
+        self.environment.metrics.publish(&counts);
         self.step(cx, Event::Tick);
     }
 
+    /// Rows of the histograms and counters, then of the limits that clients met, by limit and listener.
+    fn metric_rows(&self) -> Vec<HistogramRow> {
+        let mut rows = self.environment.metrics.rows();
+        let counts = self.environment.limits_met.counts();
+        rows.extend(counts.iter().map(HistogramRow::from));
+        rows
+    }
+
     fn handle(&mut self, cx: CX![], event: HostEvent) {
         match event {
             HostEvent::Step(event) => {
@@ -120,7 +134,7 @@
             HostEvent::Inspect { what, reply } => {
                 let answer = match what {
                     Inspect::Events(about) => serde_json::json!(self.log.about(&about)),
-                    Inspect::Metrics => serde_json::json!(self.environment.metrics.rows()),
+                    Inspect::Metrics => serde_json::json!(self.metric_rows()),
                 };
                 // Fails only if the operator has stopped waiting.
                 let _ = reply.send(answer);
--- a/src/host/run_agent.rs
+++ b/src/host/run_agent.rs
@@ -44,6 +44,7 @@
     let running_net = net.clone();
     let environment = Environment {
         clock,
+        limits_met: net.limits_met(),
         net,
         platform: None,
         endpoint: Some(endpoint),
--- a/src/host/run_router.rs
+++ b/src/host/run_router.rs
@@ -1,11 +1,9 @@
 use std::io;
-use std::sync::Arc;
 
 use super::node_actor::{self, Environment, Platform};
 use super::{Addresses, Clock, HostEvent, Inbox, ProcessHandle};
 use crate::etcd::{KvClient, ListClient, PlatformSettings, Watcher};
 use crate::http::{CallerApi, OperatorApi, ServerLimits};
-use crate::intake::LimitCounts;
 use crate::logic::intake::IntakeLimits;
 use crate::logic::router::{Keys, RouterState};
 use crate::logic::{Event, Node, PeerRole};
@@ -41,7 +39,7 @@
         identity.incarnation,
         settings.params.clone(),
     );
-    let limits_met = Arc::<LimitCounts>::default();
+    let limits_met = net.limits_met();
     let callers = CallerApi::new(inbox.clone(), identity.incarnation).serve(
         settings.callers,
         caller_limits(&settings),
@@ -50,7 +48,7 @@
     let operators = OperatorApi::new(inbox.clone(), &settings.operators).serve(
         settings.operator_listen,
         operator_limits(&settings),
-        limits_met,
+        limits_met.clone(),
     )?;
     let addresses = Addresses {
         peers: net.addr(),
@@ -64,6 +62,7 @@
         platform: Some(platform),
         endpoint: None,
         metrics: Metrics::new(settings.statsd)?,
+        limits_met,
     };
     let thread = node_actor::spawn(Node::Router(Box::new(state)), environment, events)?;
     Ok(ProcessHandle {
--- a/src/observe/histograms.rs
+++ b/src/observe/histograms.rs
@@ -4,6 +4,7 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
+use super::LabelledCount;
 use crate::logic::router::Metric;
 
 /// Upper bound of a histogram; longer durations are recorded as this one.
@@ -45,6 +46,22 @@
     pub p99: u64,
 }
 
+impl From<&LabelledCount> for HistogramRow {
+    /// A counter whose labels stand in place of the client account and the class.
+    fn from(counter: &LabelledCount) -> Self {
+        let [(_, account), (_, class)] = counter.labels;
+        Self {
+            metric: counter.name.to_string(),
+            account: account.to_string(),
+            class: class.to_string(),
+            count: counter.count,
+            p50: 0,
+            p95: 0,
+            p99: 0,
+        }
+    }
+}
+
 impl HistogramRow {
     /// Whether the row is of durations rather than a counter.
     pub fn is_duration(&self) -> bool {
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 
@@ -5,7 +6,7 @@
     Counted, CountedExt, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
 };
 
-use super::{HistogramRow, Histograms};
+use super::{HistogramRow, Histograms, LabelledCount};
 use crate::logic::router::Metric;
 
 /// Maximum number of values that wait to be sent to the statsd receiver.
@@ -17,8 +18,13 @@
 pub struct Metrics {
     client: StatsdClient,
     histograms: Histograms,
+    /// Values of the counters that were published last, by name and labels.
+    published: BTreeMap<(&'static str, Labels), u64>,
 }
 
+/// Names and values of a counter's labels.
+type Labels = [(&'static str, &'static str); 2];
+
 impl Metrics {
     /// Creates metrics that are sent to `receiver`, or only kept where there is none.
     ///
@@ -38,6 +44,7 @@
         Ok(Self {
             client,
             histograms: Histograms::default(),
+            published: BTreeMap::new(),
         })
     }
 
@@ -66,6 +73,20 @@
         let _ = self.client.incr(name);
     }
 
+    /// Sends by how much counters have risen since they were published last.
+    pub fn publish(&mut self, counters: &[LabelledCount]) {
+        for counter in counters {
+            let key = (counter.name, counter.labels);
+            let before = self.published.insert(key, counter.count).unwrap_or(0);
+            if counter.count > before {
+                let rise = (counter.count - before) as i64;
+                let [(name_a, a), (name_b, b)] = counter.labels;
+                let count = self.client.count_with_tags(counter.name, rise);
+                count.with_tag(name_a, a).with_tag(name_b, b).send();
+            }
+        }
+    }
+
     /// Rows of the histograms and counters.
     pub fn rows(&self) -> Vec<HistogramRow> {
         self.histograms.rows()
--- a/src/settings/agent_settings.rs
+++ b/src/settings/agent_settings.rs
@@ -5,7 +5,7 @@
 
 use super::ini_reader::IniReader;
 use super::router_settings::read_net;
-use super::SettingsError;
+use super::{IntakeSettings, SettingsError};
 use crate::endpoint::EndpointSettings;
 use crate::logic::agent::AgentParams;
 use crate::wire::NetSettings;
@@ -47,10 +47,11 @@
     /// Returns all faults of the file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let mut ini = IniReader::open(path)?;
+        let intake = IntakeSettings::read(&mut ini);
         let settings = Self {
             id: ini.required("instance", "id", "the instance's name in the instance list"),
             key: ini.fleet_key(),
-            net: read_net(&mut ini),
+            net: read_net(&mut ini, &intake),
             endpoint: read_endpoint(&mut ini),
             statsd: ini.optional("metrics", "statsd", "an IP address and a port"),
             params: read_params(&mut ini),
--- a/src/settings/intake_settings.rs
+++ b/src/settings/intake_settings.rs
@@ -7,6 +7,9 @@
 /// request comes in.
 const CONNECTIONS_PER_MB: usize = 10;
 
+/// Part of the hold time for a handshake, whose frames are short and come at once.
+const HANDSHAKE_DIVISOR: Millis = 10;
+
 /// Part of the instance's memory for requests that haven't been answered.
 const REQUESTS_DIVISOR: usize = 5;
 
@@ -21,6 +24,9 @@
     pub connections: Option<usize>,
     /// Most connections at each other listener; if none is set, it follows from the descriptors.
     pub others: Option<usize>,
+    /// Most connections of other processes that haven't shown yet that they hold the fleet's key; if none is set,
+    /// it follows from the descriptors.
+    pub strangers: Option<usize>,
     /// Memory for requests that haven't been answered, in bytes; if none is set, it follows from the memory.
     pub request_bytes: Option<usize>,
     /// Time for which a connection that sends nothing is kept although another one needs its place or its
@@ -35,6 +41,7 @@
             descriptors: 4_096,
             connections: None,
             others: None,
+            strangers: None,
             request_bytes: None,
             hold_ms: IntakeLimits::default().hold_ms,
         }
@@ -58,6 +65,7 @@
             descriptors: positive_or(descriptors, d.descriptors),
             connections: ini.optional_number("limits", "connections", 1..=65_536, "connections"),
             others: ini.optional_number("limits", "other_connections", 1..=65_536, "connections"),
+            strangers: ini.optional_number("limits", "strangers", 1..=65_536, "connections"),
             request_bytes: ini.optional_number(
                 "limits",
                 "request_bytes",
@@ -89,4 +97,14 @@
             ..self.callers()
         }
     }
+
+    /// Limits on other processes until they have shown that they hold the fleet's key.
+    pub(crate) fn strangers(&self) -> IntakeLimits {
+        let connections = process_descriptors(self.descriptors) / 8;
+        IntakeLimits {
+            connections: self.strangers.unwrap_or(connections).max(1),
+            hold_ms: (self.hold_ms / HANDSHAKE_DIVISOR).max(1),
+            ..self.callers()
+        }
+    }
 }
--- a/src/settings/router_settings.rs
+++ b/src/settings/router_settings.rs
@@ -77,7 +77,7 @@
             id: ini.required("instance", "id", "the instance's name in the instance list"),
             hall: ini.required("instance", "hall", "the name of the data hall"),
             key: ini.fleet_key(),
-            net: read_net(&mut ini),
+            net: read_net(&mut ini, &intake),
             callers: ini.parsed(
                 "listen",
                 "callers",
@@ -116,7 +116,7 @@
 }
 
 /// Reads the settings of sessions, which routers and agents share.
-pub(super) fn read_net(ini: &mut IniReader) -> NetSettings {
+pub(super) fn read_net(ini: &mut IniReader, intake: &IntakeSettings) -> NetSettings {
     let default = NetSettings::default();
     let ping_ms = default.ping_interval.as_millis() as u64;
     NetSettings {
@@ -140,6 +140,7 @@
             1..=65_536,
             "sessions",
         ),
+        strangers: intake.strangers(),
     }
 }
 
--- a/src/wire/net.rs
+++ b/src/wire/net.rs
@@ -10,6 +10,8 @@
 
 use super::session::{self, Socket};
 use super::{handshake, Challenge, Hello, Identity, NetEvent, Welcome};
+use crate::intake::{Gate, LimitCounts, Place};
+use crate::logic::intake::IntakeLimits;
 use crate::logic::Peer;
 use crate::message::Message;
 use crate::types::InstanceId;
@@ -21,6 +23,9 @@
 /// failed `accept`, the first value is the wait before the next one.
 const REDIAL_WAITS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
 
+/// Shortest time between two reports of refused sessions that others have dialled.
+const REFUSED_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Settings of the sessions of a process.
 #[derive(Clone, Debug)]
 pub struct NetSettings {
@@ -31,6 +36,8 @@
     pub ping_interval: Duration,
     /// Maximum number of open sessions that were dialled by other processes.
     pub max_sessions: usize,
+    /// Limits on connections that haven't shown that they hold the fleet's key.
+    pub strangers: IntakeLimits,
 }
 
 impl Default for NetSettings {
@@ -39,6 +46,7 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             ping_interval: Duration::from_secs(4),
             max_sessions: 4_096,
+            strangers: IntakeLimits::default(),
         }
     }
 }
@@ -66,6 +74,9 @@
     running: AtomicUsize,
     /// Whether the process is shutting down and dials no more sessions.
     closing: AtomicBool,
+    limits_met: Arc<LimitCounts>,
+    /// When a session of a stranger was last reported as refused.
+    refused_at: Mutex<Option<Instant>>,
     events: Box<dyn Fn(NetEvent) + Send + Sync>,
 }
 
@@ -106,6 +117,8 @@
             table: Mutex::default(),
             running: AtomicUsize::new(0),
             closing: AtomicBool::new(false),
+            limits_met: Arc::default(),
+            refused_at: Mutex::new(None),
             events: Box::new(events),
         });
         let handle = runtime.handle().clone();
@@ -125,6 +138,11 @@
         self.addr
     }
 
+    /// How often clients met limits; other listeners of the process count there too.
+    pub(crate) fn limits_met(&self) -> Arc<LimitCounts> {
+        self.shared.limits_met.clone()
+    }
+
     /// Queues a message for a peer; it is dropped if there is no session with it.
     ///
     /// If the queue is full, the session is closed.
@@ -203,21 +221,17 @@
 
 async fn accept_sessions(shared: Arc<Shared>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(shared.settings.max_sessions));
+    let strangers = shared.settings.strangers;
+    let gate = Gate::new("peers", strangers, shared.limits_met.clone());
     loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            tokio::time::sleep(REDIAL_WAITS[0]).await;
-            continue;
-        };
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
-            notify_refused(&shared, from.to_string(), "too many sessions".into());
-            continue;
-        };
-        let shared = shared.clone();
+        let (stream, place) = gate.accept(&listener).await;
+        let (shared, permits) = (shared.clone(), permits.clone());
         tokio::spawn(async move {
-            if let Err(reason) = accept_session(&shared, stream).await {
-                notify_refused(&shared, from.to_string(), reason);
+            let from = stream.peer_addr();
+            if let Err(reason) = accept_session(&shared, stream, place, &permits).await {
+                let from = from.map_or_else(|_| "unknown".to_string(), |a| a.to_string());
+                notify_stranger_refused(&shared, from, reason);
             }
-            drop(permit);
         });
     }
 }
@@ -226,10 +240,47 @@
     (shared.events)(NetEvent::SessionRefused { peer, reason });
 }
 
-async fn accept_session(shared: &Arc<Shared>, stream: TcpStream) -> Result<(), String> {
+/// Reports a refused session that another process has dialled, unless one was reported just before.
+fn notify_stranger_refused(shared: &Shared, peer: String, reason: String) {
+    shared.limits_met.record("handshake", "peers");
+    // Nothing panics while it is held.
+    let mut refused_at = shared.refused_at.lock().unwrap_or_else(|e| e.into_inner());
+    if refused_at.is_none_or(|at| at.elapsed() >= REFUSED_INTERVAL) {
+        *refused_at = Some(Instant::now());
+        drop(refused_at);
+        notify_refused(shared, peer, reason);
+    }
+}
+
+async fn accept_session(
+    shared: &Arc<Shared>,
+    stream: TcpStream,
+    place: Place,
+    permits: &Arc<Semaphore>,
+) -> Result<(), String> {
+    let accepted = tokio::select! {
+        accepted = authenticate(shared, stream) => accepted,
+        () = place.displaced() => Err("the connection gave way to another one".to_string()),
+    };
+    let (mut socket, peer, welcome) = accepted?;
+    // A stranger takes no session.
+    let _permit = permits
+        .try_acquire()
+        .map_err(|_| "too many sessions".to_string())?;
+    drop(place);
+    session::send_value(&mut socket, &welcome).await?;
+    run_session(shared, socket, peer, Direction::Accepted).await;
+    Ok(())
+}
+
+/// Opens a session up to its last frame, which is to be sent: the other process holds the fleet's key.
+async fn authenticate(
+    shared: &Shared,
+    stream: TcpStream,
+) -> Result<(Socket, Peer, Welcome), String> {
     let _ = stream.set_nodelay(true);
-    let upgrade =
-        tokio_tungstenite::accept_async_with_config(stream, Some(session::websocket_config()));
+    let config = session::handshake_config();
+    let upgrade = tokio_tungstenite::accept_async_with_config(stream, Some(config));
     let mut socket = tokio::time::timeout(session::HANDSHAKE_TIMEOUT, upgrade)
         .await
         .map_err(|_| "the handshake timed out".to_string())?
@@ -239,9 +290,7 @@
     let hello: Hello = session::receive_value(&mut socket).await?;
     let (peer, welcome) =
         handshake::check_hello(&shared.me, &challenge, &hello).map_err(|e| e.to_string())?;
-    session::send_value(&mut socket, &welcome).await?;
-    run_session(shared, socket, peer, Direction::Accepted).await;
-    Ok(())
+    Ok((session::allow_messages(socket).await, peer, welcome))
 }
 
 async fn keep_session(shared: Arc<Shared>, to: InstanceId, addr: SocketAddr) {
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{timeout, Instant};
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::{Role, WebSocketConfig};
 use tokio_tungstenite::tungstenite::Message as Frame;
 use tokio_tungstenite::WebSocketStream;
 
@@ -22,6 +22,23 @@
 /// Read buffer of a session; the library's default is 128 KiB.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
+/// Longest frame of a peer that hasn't shown yet that it holds the fleet's key.
+const MAX_HANDSHAKE_BYTES: usize = 4 * 1024;
+
+/// Limits of a WebSocket connection whose other side may be anybody.
+pub(super) fn handshake_config() -> WebSocketConfig {
+    websocket_config()
+        .max_message_size(Some(MAX_HANDSHAKE_BYTES))
+        .max_frame_size(Some(MAX_HANDSHAKE_BYTES))
+}
+
+/// Allows messages on an accepted connection. Its other side waits for the last frame of the handshake, so that
+/// none of its bytes is lost.
+pub(super) async fn allow_messages(socket: Socket) -> Socket {
+    let stream = socket.into_inner();
+    WebSocketStream::from_raw_socket(stream, Role::Server, Some(websocket_config())).await
+}
+
 /// Limits of a WebSocket connection.
 pub(super) fn websocket_config() -> WebSocketConfig {
     WebSocketConfig::default()
