An answer with a status that no final answer has counts as broken off

What callers saw: an endpoint's answer with a status of 600 or more was passed on as the answer, with its signature, in both ways of serving; RFC 9110 leaves its meaning open. 000, 099, 199, 1000 and statuses that aren't numbers were not passed on before either: the HTTP libraries refuse them.

Cause: only the form of a status was checked, not its range. Now anything but 200 to 599 is logged (E603 with direct links) and counts as broken off: what may be repeated goes elsewhere, and other callers get 502, as nothing is known of the run.

Tests: tests/direct/odd_statuses.rs (plain services, streams, whole answers of engines, each alone and after an interim answer) and tests/contract/endpoint.rs; both failed before at 600.

--- a/src/endpoint/endpoint_client.rs
+++ b/src/endpoint/endpoint_client.rs
@@ -9,7 +9,7 @@
 use crate::host::Clock;
 use crate::logic::{EndpointCall, EndpointEvent, LoadOrder, RunResult, StartOrder};
 use crate::message::RunId;
-use crate::types::ModelKind;
+use crate::types::{is_final_status, ModelKind};
 
 /// Stack size of a thread that executes one order.
 const STACK_BYTES: usize = 256 * 1024;
@@ -191,6 +191,10 @@
         if status == FENCED_STATUS {
             return RunResult::NotRun;
         }
+        if !is_final_status(status) {
+            log::warn!(target: "runrail", "the endpoint answered with status {status}: expected 200 to 599");
+            return RunResult::Broken;
+        }
         if order.kind == ModelKind::Engine {
             if status != 200 {
                 return RunResult::Complete(status);
--- a/src/link/runs.rs
+++ b/src/link/runs.rs
@@ -20,6 +20,7 @@
 use super::EventSplitter;
 use crate::logic::direct::{DirectEvent, RunPart, RunRequest};
 use crate::logic::{LogCode, LogEvent};
+use crate::types::is_final_status;
 
 /// Longest time for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -110,6 +111,12 @@
         endpoint_calls::log_invalid("an answer", run.to.as_str(), why);
         return Some(RunPart::Broken);
     }
+    let status = head.status.as_u16();
+    if !is_final_status(status) {
+        let why = format!("status {status}: expected 200 to 599");
+        endpoint_calls::log_invalid("an answer", run.to.as_str(), &why);
+        return Some(RunPart::Broken);
+    }
     endpoint_calls::send_notices(shared, &run.to, Some(run.run), head.status, &head.headers);
     let keep_alive = keep_alive(&head.headers);
     // An endpoint that crashes after the head may close the connection as if the answer had ended. Without
@@ -133,7 +140,6 @@
         return Some(RunPart::Broken);
     }
     shared.pool.give_back(connection, keep_alive);
-    let status = head.status.as_u16();
     store_head(shared, run.run, head);
     if let Some(active) = shared.runs.borrow_mut().get_mut(&run.run) {
         active.body = whole;
--- a/tests/contract/endpoint.rs
+++ b/tests/contract/endpoint.rs
@@ -1,6 +1,7 @@
 //! Behaviour that an agent expects of every endpoint.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
 use std::time::Duration;
@@ -166,3 +167,32 @@
     assert!(text.contains("licence"), "{text}");
     assert_eq!(service.runs()[0].path, "/renew");
 }
+
+/// A server that gives every call an answer with a status.
+fn serve_status(status: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut request = [0; 8192];
+            // A call comes in one piece; its client may have disconnected.
+            let _ = stream.read(&mut request);
+            let answer = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 2\r\n\r\n{{}}");
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    addr
+}
+
+/// Guards against a status that no HTTP answer has, which was passed on to the caller.
+#[test]
+fn an_answer_with_a_status_that_is_none_counts_as_broken_off() {
+    for status in ["000", "099", "600", "999", "1000", "20", "2x0"] {
+        for kind in [ModelKind::Engine, ModelKind::Service] {
+            let (client, events) = client(serve_status(status));
+            client.call(start(1, |order| order.kind = kind));
+            let got = outcome(&events);
+            assert_eq!(got, (String::new(), RunResult::Broken), "{status} {kind:?}");
+        }
+    }
+}
--- a/tests/direct/main.rs
+++ b/tests/direct/main.rs
@@ -41,6 +41,7 @@
 mod names;
 mod needs;
 mod odd_entries;
+mod odd_statuses;
 mod order_queue;
 mod pauses;
 mod placing;
