Answers at the addresses for routers and scrapers have a bound on memory

Now answers there share the listener's bound on memory until they have been written, further ones get 503 (a router then reads the store), and a client that takes nothing for 2 s is disconnected.

--- a/src/intake/place.rs
+++ b/src/intake/place.rs
@@ -1,3 +1,4 @@
+use bytes::Bytes;
 use tokio::sync::watch;
 
 use super::Gate;
@@ -21,6 +22,12 @@
     bytes: usize,
 }
 
+/// Bytes and their memory.
+struct Held<T> {
+    bytes: T,
+    _taken: TakenBytes,
+}
+
 impl Place {
     pub(super) fn new(gate: Gate, id: u64, displaced: watch::Receiver<bool>) -> Self {
         Self {
@@ -66,6 +73,14 @@
         }
     }
 
+    /// Keeps an answer in the memory of requests until it has been written; none if there is no room.
+    pub fn hold(&self, answer: Bytes) -> Option<Bytes> {
+        if !self.take(answer.len()) {
+            return None;
+        }
+        Some(self.complete().own(answer))
+    }
+
     /// Keeps the connection from giving way until the request has been answered.
     pub fn serve(&self) -> Serving {
         self.gate.update(|s, _| s.complete(self.id));
@@ -76,6 +91,22 @@
     }
 }
 
+impl TakenBytes {
+    /// Bytes that keep the memory until their last copy is dropped.
+    pub fn own<T: AsRef<[u8]> + Send + 'static>(self, bytes: T) -> Bytes {
+        Bytes::from_owner(Held {
+            bytes,
+            _taken: self,
+        })
+    }
+}
+
+impl<T: AsRef<[u8]>> AsRef<[u8]> for Held<T> {
+    fn as_ref(&self) -> &[u8] {
+        self.bytes.as_ref()
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.gate.close(self.id);
--- a/src/intake/request_body.rs
+++ b/src/intake/request_body.rs
@@ -5,24 +5,11 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{timeout, timeout_at, Instant};
 
-use super::place::TakenBytes;
 use super::{BodyFault, BodyLimits, Place};
 
 /// Least memory that a body grows by, in bytes.
 const MIN_GROWTH_BYTES: usize = 4 * 1024;
 
-/// A complete body and its memory.
-struct Held {
-    bytes: Vec<u8>,
-    _taken: TakenBytes,
-}
-
-impl AsRef<[u8]> for Held {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 /// Reads the body of a request. Its memory counts until the last copy of the returned bytes is dropped. The parts
 /// are copied together: each would keep the whole buffer that it was read with.
 ///
@@ -48,10 +35,7 @@
     if bytes.is_empty() {
         return Ok(Bytes::new());
     }
-    Ok(Bytes::from_owner(Held {
-        bytes,
-        _taken: taken,
-    }))
+    Ok(taken.own(bytes))
 }
 
 async fn read_parts(
--- a/src/link/http_listener.rs
+++ b/src/link/http_listener.rs
@@ -16,10 +16,12 @@
 
 use crate::intake::{Connection, Gate, ServedBody};
 
-/// Longest time between two requests of a connection, and for a part of an answer to be taken: scrapers ask
-/// every few seconds.
+/// Longest time between two requests of a connection: scrapers ask every few seconds.
 const IDLE_TIME: Duration = Duration::from_secs(60);
 
+/// Longest time for which a client may take no bytes of an answer.
+const WRITE_TIME: Duration = Duration::from_secs(2);
+
 /// Longest head of a call.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
@@ -41,9 +43,14 @@
         let calls = connection.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let answered = answer(request.uri().path().to_string());
-            let serving = calls.place.serve();
+            let calls = calls.clone();
             Box::pin(async move {
+                let serving = calls.place.serve();
                 let (status, body) = answered.await;
+                let (status, body) = match calls.place.hold(body) {
+                    Some(held) => (status, held),
+                    None => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+                };
                 let body = ServedBody::new(Full::new(body), Some(serving));
                 let mut response = Response::new(body);
                 *response.status_mut() = status;
@@ -53,7 +60,7 @@
         tokio::task::spawn_local(async move {
             // The listener is open until the process ends.
             let never = Notify::new();
-            let served = connection.serve(stream, &builder, service, IDLE_TIME, &never);
+            let served = connection.serve(stream, &builder, service, WRITE_TIME, &never);
             // An error of the connection is ignored: the client connects again.
             let _ = served.await;
         });
