Requests that wait at an agent have a bound on memory

Seen by reading: an agent's queue was bounded by 256 requests, of 1 MiB each by default, beside 128 MB of memory. One router holds far less at a time, many don't. Now waiting requests have 32 MiB together ([queue] request_bytes); more are refused as by a full queue, so that routers try another group, and a single one always finds room.

--- a/src/logic/agent/admission.rs
+++ b/src/logic/agent/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of attempts, and the reasons for refusing them.
 
-use super::{claims, estimate, runs, AgentState, ClaimEntry, ClaimStatus, Job};
+use super::{claims, estimate, full_queue, runs, AgentState, ClaimEntry, ClaimStatus, Job};
 use crate::logic::Effect;
 use crate::message::{Refusal, RunOrder};
 use crate::types::{InstanceId, Millis};
@@ -23,6 +23,9 @@
         return;
     }
     if let Some(refusal) = refusal(state, now, &order) {
+        if matches!(refusal, Refusal::Full(_)) && full_queue::is_full(state, &order) {
+            full_queue::on_refusal(state, now, out);
+        }
         claims::bar_refused(state, now, &order);
         runs::send_refusal(from, order.run, refusal, out);
         return;
@@ -99,7 +102,8 @@
     let class = state.brief.class(&order.class);
     let priority = class.map_or(LAST_PRIORITY, |c| c.priority);
     let wait = estimate::expected_wait(state, priority);
-    if state.queue.len() >= state.params.queue_limit as usize {
+    let is_long = state.queue.len() >= state.params.queue_limit as usize;
+    if is_long || full_queue::is_full(state, order) {
         return Some(Refusal::Full(wait.max(1)));
     }
     let end = wait + estimate::mean_time(state, priority);
--- a/src/logic/agent/agent_params.rs
+++ b/src/logic/agent/agent_params.rs
@@ -14,6 +14,8 @@
     pub slots: u32,
     /// Requests that may wait.
     pub queue_limit: u32,
+    /// Memory for the requests that wait, in bytes.
+    pub queue_bytes: u32,
     /// How long a group with a leaving member still accepts requests while a successor forms.
     pub leave_ms: Millis,
     /// Time after a failed load before it is ordered again.
@@ -37,6 +39,7 @@
             ask_ms: 1_000,
             slots: 8,
             queue_limit: 256,
+            queue_bytes: 32 * 1024 * 1024,
             leave_ms: 3_000,
             load_retry_ms: 5_000,
             report_ms: 1_000,
--- a/src/logic/agent/agent_state.rs
+++ b/src/logic/agent/agent_state.rs
@@ -1,6 +1,8 @@
 use std::collections::BTreeMap;
 
-use super::{AgentParams, ClaimMemory, EndpointLoad, Grant, JobQueue, LedGroup, RunningJob};
+use super::{
+    AgentParams, ClaimMemory, EndpointLoad, FullQueue, Grant, JobQueue, LedGroup, RunningJob,
+};
 use crate::logic::{Peer, PeerRole, Rules};
 use crate::message::{Report, RunId};
 use crate::types::{Brief, InstanceId, Millis};
@@ -30,6 +32,8 @@
     pub lead: Option<LedGroup>,
     /// Waiting requests.
     pub queue: JobQueue,
+    /// Requests that were refused as the memory for waiting ones was in use.
+    pub full_queue: FullQueue,
     /// Requests handed to the endpoint.
     pub running: BTreeMap<RunId, RunningJob>,
     /// Claimed requests, which may not be repeated.
@@ -59,6 +63,7 @@
             rules: Rules::default(),
             grants_from: now + wait,
             queue: JobQueue::default(),
+            full_queue: FullQueue::default(),
             params,
             own_id,
             incarnation,
--- a/src/settings/agent_settings.rs
+++ b/src/settings/agent_settings.rs
@@ -116,6 +116,13 @@
         ),
         slots: ini.number("endpoint", "slots", d.slots, 1..=65_536, "requests at once"),
         queue_limit: ini.number("queue", "limit", d.queue_limit, 0..=1_000_000, "requests"),
+        queue_bytes: ini.number(
+            "queue",
+            "request_bytes",
+            d.queue_bytes,
+            65_536..=1_073_741_824,
+            "bytes",
+        ),
         leave_ms: ini.number("group", "leave_ms", d.leave_ms, 0..=5_000, "milliseconds"),
         load_retry_ms: ini.number(
             "group",
--- a/tests/logic/fairness.rs
+++ b/tests/logic/fairness.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use runrail::logic::agent::AgentParams;
-use runrail::logic::RunResult;
+use runrail::logic::{Effect, LogCode, RunResult};
 use runrail::message::{AttemptEnd, Refusal};
 
 use crate::fixture::{ends, started, Agent};
@@ -95,3 +95,32 @@
         "{refused:?}"
     );
 }
+
+/// Guards against an agent that is out of memory: many routers send it large requests.
+#[test]
+fn waiting_requests_are_refused_beyond_their_memory_and_logged_together() {
+    let mut agent = Agent::open(AgentParams {
+        queue_bytes: 1_000,
+        ..slots(1)
+    });
+    let order = |agent: &mut Agent, n, bytes: usize| {
+        agent.order(n, "urgent", |o| o.body = "x".repeat(bytes).into())
+    };
+    order(&mut agent, 1, 10);
+    assert!(
+        ends(&order(&mut agent, 2, 2_000)).is_empty(),
+        "a single one waits"
+    );
+    let mut lines = 0;
+    for n in 3..8 {
+        let effects = order(&mut agent, n, 10);
+        let refused = ends(&effects);
+        assert!(
+            matches!(refused[..], [(_, AttemptEnd::Refused(Refusal::Full(_)))]),
+            "{refused:?}"
+        );
+        let is_line = |e: &&Effect| matches!(e, Effect::Log(l) if l.code == LogCode::ClientLimited);
+        lines += effects.iter().filter(is_line).count();
+    }
+    assert_eq!(lines, 1);
+}
