--- a/tests/clients/bodies.rs
+++ b/tests/clients/bodies.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::time::Duration;
 
 use testkit::CrowdClient;
 
@@ -12,6 +13,9 @@
 /// One client of this many sends its body to the end.
 const WHOLE_EVERY: usize = 4;
 
+/// Longest wait for an answer to a single client.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// How the bodies of a crowd are framed and sent.
 #[derive(Clone, Copy, Debug)]
 pub enum Sending {
@@ -60,6 +64,7 @@
 /// Sends what a client sends; returns the status of the answer, if one is received.
 pub fn status_of(addr: SocketAddr, client: &CrowdClient) -> Option<u16> {
     let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
     stream.write_all(client.head.as_bytes()).ok()?;
     stream.write_all(&client.body).ok()?;
     let mut line = String::new();
@@ -67,6 +72,16 @@
     line.split(' ').nth(1)?.parse().ok()
 }
 
+/// A client that announces a body and sends `sent` bytes of it.
+pub fn unfinished(head: &str, announced: usize, sent: usize) -> CrowdClient {
+    CrowdClient {
+        head: format!("{head}X-Attempt-Id: one\r\n{}\r\n", length(announced)),
+        awaits_answer: false,
+        body: Arc::from(vec![b'x'; sent]),
+        step: PIECE_BYTES,
+    }
+}
+
 /// Clients whose bodies are far longer than any limit: half announce it and the others just send.
 pub fn long_bodies(head: &str, clients: usize, bytes: usize) -> Vec<CrowdClient> {
     let announced = [length(1 << 46), length(bytes * 4)];
--- a/tests/clients/direct.rs
+++ b/tests/clients/direct.rs
@@ -4,10 +4,13 @@
 use std::path::Path;
 use std::time::Duration;
 
-use testkit::direct::{call, exchange, served, until, CallerRequest, Router, Standin};
+use serde_json::{json, Value};
+use testkit::direct::{call, config, exchange, served, until, CallerRequest, Router, Standin};
 use testkit::Crowd;
 
-use crate::bodies::{legal_bodies, long_bodies, status_of, stuck, whole_bodies, Sending};
+use crate::bodies::{
+    legal_bodies, long_bodies, status_of, stuck, unfinished, whole_bodies, Sending,
+};
 use crate::crowd::{alone, check_beside, check_bounds, Bounds};
 
 /// Published limit of a body.
@@ -158,3 +161,48 @@
 fn stuck_clients_at_the_address_for_other_routers_shut_nobody_out() {
     check_stuck(|router| router.peers);
 }
+
+/// Guards against refusals that clients don't see: a close with unread bytes resets the connection.
+#[test]
+fn a_client_whose_body_is_too_long_is_told_so() {
+    let _alone = alone();
+    let dir = tempfile::tempdir().expect("a folder");
+    let (_standin, router) = start(dir.path(), None);
+    let bytes = BODY_BYTES + BODY_BYTES / 4;
+    let announced = unfinished(HEAD, bytes, bytes);
+    let body = vec![b'x'; bytes];
+    let chunked = whole_bodies(HEAD, 1, &body, Sending::Chunks(64 * 1024)).remove(0);
+    for client in [announced, chunked] {
+        assert_eq!(status_of(router.callers, &client), Some(413));
+    }
+}
+
+/// Guards against strangers that cost a body each.
+#[test]
+fn a_request_that_is_refused_by_its_head_costs_no_body() {
+    let _alone = alone();
+    let dir = tempfile::tempdir().expect("a folder");
+    let (_standin, router) = start(dir.path(), None);
+    for (from, to, status) in [("Bearer k1", "Bearer none", 401), ("/safe/", "/none/", 404)] {
+        let client = unfinished(&HEAD.replace(from, to), BODY_BYTES, 0);
+        assert_eq!(status_of(router.callers, &client), Some(status), "{to}");
+    }
+}
+
+/// Guards against bodies that are waited for without end.
+#[test]
+fn a_body_that_stalls_or_outlives_its_deadline_is_ended() {
+    let _alone = alone();
+    let dir = tempfile::tempdir().expect("a folder");
+    let (standin, router) = start(dir.path(), None);
+    let late = unfinished(&HEAD.replace("6000", "300"), BODY_BYTES, 100);
+    assert_eq!(status_of(router.callers, &late), Some(408), "late");
+    let mut document: Value = serde_json::from_str(&config(2)).expect("JSON");
+    document["Limits"] = json!({ "IdleTimeoutMs": 300 });
+    standin.world().configure(&document.to_string());
+    until("the limits are in force", ANSWER_TIMEOUT, || {
+        router.routing() == Some(2)
+    });
+    let stalled = unfinished(HEAD, BODY_BYTES, 100);
+    assert_eq!(status_of(router.callers, &stalled), Some(408), "stalled");
+}
--- a/tests/clients/fleet.rs
+++ b/tests/clients/fleet.rs
@@ -9,7 +9,8 @@
 };
 
 use crate::bodies::{
-    endless_chunk_lengths, legal_bodies, long_bodies, stuck, whole_bodies, Sending,
+    endless_chunk_lengths, legal_bodies, long_bodies, status_of, stuck, unfinished, whole_bodies,
+    Sending,
 };
 use crate::crowd::{alone, check_beside, check_bounds, Bounds};
 use crate::BINARY;
@@ -223,3 +224,21 @@
     );
     check_bounds("one at a time", bounds(&fleet));
 }
+
+/// Guards against refusals that clients don't see, and against strangers that cost a body each.
+#[test]
+fn clients_are_told_that_a_body_is_too_long_or_not_wanted() {
+    let _alone = alone();
+    let fleet = Fleet::serving(BINARY, &FleetPlan::default());
+    let long = unfinished(&head(), 2 * BODY_BYTES, 2 * BODY_BYTES);
+    assert_eq!(status_of(fleet.callers("e1"), &long), Some(413));
+    let operator = operator_head();
+    let stranger = operator.replace("Bearer anna", "Bearer none");
+    for (head, status) in [(operator, 413), (stranger, 401)] {
+        let client = unfinished(&head, 2 * BODY_BYTES, 0);
+        assert_eq!(status_of(operators(&fleet), &client), Some(status));
+    }
+    let late = format!("{}Runrail-Deadline-Ms: 300\r\n", head());
+    let late = unfinished(&late, BODY_BYTES, 100);
+    assert_eq!(status_of(fleet.callers("e1"), &late), Some(408));
+}
