An answer is written in full before its connection ends

What callers saw: with direct links, an answer of 12 MiB that its caller read late ended after 3.9 MB if its connection was to close after it. Cause: poll_without_shutdown of the HTTP library reports a connection as done while bytes of the answer wait to be written. Now its end is awaited with its shutdown, which writes them first; the rest of a refused request is read after that.

--- a/src/intake/connection.rs
+++ b/src/intake/connection.rs
@@ -1,5 +1,4 @@
 use std::cell::Cell;
-use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -63,8 +62,9 @@
         let mut is_displaced = false;
         let ended = loop {
             tokio::select! {
-                ended = poll_fn(|cx| served.poll_without_shutdown(cx)) => break ended,
-                () = closing.notified() => std::pin::Pin::new(&mut served).graceful_shutdown(),
+                // The answers have been written when it ends: `poll_without_shutdown` doesn't wait for that.
+                ended = &mut served => break ended,
+                () = closing.notified() => Pin::new(&mut served).graceful_shutdown(),
                 () = self.place.displaced(), if !is_displaced => {
                     if !self.reads_body.get() {
                         return Ok(());
