--- a/src/link/callers.rs
+++ b/src/link/callers.rs
@@ -51,7 +51,7 @@
 const SMALL_BODY_BYTES: u64 = 8 * 1024;
 
 /// Longest time for a body whose caller doesn't say how long it waits, in multiples of the idle time.
-const MAX_IDLE_TIMES: u32 = 10;
+const MAX_BODY_IDLE_TIMES: u32 = 10;
 
 /// Accepts connections until the reducer closes the listener.
 pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
@@ -160,7 +160,7 @@
     let mut body_limits = BodyLimits {
         max_bytes: limits.body_bytes,
         idle_time,
-        wait_time: MAX_IDLE_TIMES * idle_time,
+        wait_time: MAX_BODY_IDLE_TIMES * idle_time,
     };
     let length = body.size_hint().exact();
     if length.is_none_or(|n| n > SMALL_BODY_BYTES) {
@@ -215,6 +215,7 @@
             connection.is_unread.set(true);
             come_back(shared.hold_ms)
         }
+        // `read_request` has passed a body that is too long on as an excess.
         BodyFault::TooLong | BodyFault::Stalled | BodyFault::Late => {
             refusal(StatusCode::REQUEST_TIMEOUT)
         }
