--- a/src/link/peers.rs
+++ b/src/link/peers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::UdpSocket;
 
@@ -11,12 +12,15 @@
 /// Longest datagram that is received.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// Pause after a datagram couldn't be received.
+const RECEIVE_RETRY_PAUSE: Duration = Duration::from_millis(10);
+
 /// Receives messages until the process ends; invalid ones are dropped.
 pub(super) async fn receive(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
-            tokio::task::yield_now().await;
+            tokio::time::sleep(RECEIVE_RETRY_PAUSE).await;
             continue;
         };
         if let Ok(message) = ciborium::from_reader(&buffer[..length]) {
